Core types: newtypes, result codes, catalog, tables

Cause: all parts share names, units, codes and the configuration state.

Change: newtypes with Display and FromStr, numbered result codes, the catalog as a pure state machine over records (compare-and-set by revision, checkpoints, tombstones so that a late duplicate of a creation is rejected everywhere), tables with typed keys, the typestate of an attempt.

--- /dev/null
+++ b/src/billing/mod.rs
@@ -0,0 +1,5 @@
+//! Usage records: one for each request that ran.
+
+mod record;
+
+pub use record::{AttemptRecord, UsageRecord};
--- /dev/null
+++ b/src/catalog/object.rs
@@ -0,0 +1,156 @@
+//! Configuration objects and their names.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use crate::catalog;
+use crate::ids;
+
+/// Kinds of configuration objects; the plural is the path segment of the API.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize,
+    strum::Display,
+    strum::EnumString,
+    strum::EnumIter,
+    strum::IntoStaticStr,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum ObjectKind {
+    /// Routing policies.
+    Profiles,
+    /// Model versions.
+    Versions,
+    /// Plain services.
+    Services,
+    /// Customers.
+    Teams,
+    /// Failure domains: in or out.
+    Domains,
+    /// VMs: in or out.
+    Vms,
+    /// Roll-outs.
+    Rollouts,
+}
+
+/// Kind and name of an object, written as `profiles/chat`.
+#[derive(
+    Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
+#[serde(try_from = "Arc<str>", into = "String")]
+pub struct ObjectId {
+    /// The kind.
+    pub kind: ObjectKind,
+    /// The name; has the form of the names in [`ids`].
+    pub name: Arc<str>,
+}
+
+impl ObjectId {
+    /// An id of this kind and name.
+    pub fn new(kind: ObjectKind, name: impl Into<Arc<str>>) -> Self {
+        Self {
+            kind,
+            name: name.into(),
+        }
+    }
+}
+
+impl fmt::Display for ObjectId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.kind, self.name)
+    }
+}
+
+/// A text that names no kind of object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnknownKind;
+
+impl fmt::Display for UnknownKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("expected <kind>/<name>, with a kind such as profiles or versions")
+    }
+}
+
+impl std::error::Error for UnknownKind {}
+
+impl FromStr for ObjectId {
+    type Err = UnknownKind;
+
+    fn from_str(text: &str) -> Result<Self, UnknownKind> {
+        let (kind, name) = text.split_once('/').ok_or(UnknownKind)?;
+        let kind = kind.parse().map_err(|_| UnknownKind)?;
+        let name: ids::ProfileName = name.parse().map_err(|_| UnknownKind)?;
+        Ok(Self {
+            kind,
+            name: name.into(),
+        })
+    }
+}
+
+impl TryFrom<Arc<str>> for ObjectId {
+    type Error = UnknownKind;
+
+    fn try_from(text: Arc<str>) -> Result<Self, UnknownKind> {
+        text.parse()
+    }
+}
+
+impl From<ObjectId> for String {
+    fn from(id: ObjectId) -> Self {
+        id.to_string()
+    }
+}
+
+/// Whether operators have taken a failure domain or a VM out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Availability {
+    /// Taken out: receives no new work.
+    pub out: bool,
+}
+
+/// The content of an object.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Object {
+    /// Content of `profiles/<name>`.
+    Profile(Arc<catalog::Profile>),
+    /// Content of `versions/<name>`.
+    Version(Arc<catalog::Version>),
+    /// Content of `services/<name>`.
+    Service(Arc<catalog::Service>),
+    /// Content of `teams/<name>`.
+    Team(Arc<catalog::Team>),
+    /// Content of `domains/<name>`.
+    Domain(Availability),
+    /// Content of `vms/<name>`.
+    Vm(Availability),
+    /// Content of `rollouts/<name>`.
+    Rollout(catalog::RolloutPlan),
+}
+
+impl Object {
+    /// The kind of object that this is the content of.
+    #[must_use]
+    pub const fn kind(&self) -> ObjectKind {
+        match self {
+            Self::Profile(_) => ObjectKind::Profiles,
+            Self::Version(_) => ObjectKind::Versions,
+            Self::Service(_) => ObjectKind::Services,
+            Self::Team(_) => ObjectKind::Teams,
+            Self::Domain(_) => ObjectKind::Domains,
+            Self::Vm(_) => ObjectKind::Vms,
+            Self::Rollout(_) => ObjectKind::Rollouts,
+        }
+    }
+}
--- /dev/null
+++ b/src/catalog/store.rs
@@ -0,0 +1,171 @@
+//! The catalog: all objects that are in force.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use crate::catalog;
+use crate::ids;
+
+/// Verdicts that are remembered for authors who ask; older ones are dropped
+/// in log order, which is the same in every process.
+const MAX_VERDICTS: usize = 4_096;
+
+/// An object with its revision.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Entry {
+    /// Changes on each accepted change of the object.
+    pub revision: ids::Revision,
+    /// The content; `None` once deleted. The revision of a deleted object is
+    /// kept, so that a late duplicate of the change that created it has a
+    /// wrong base in every process.
+    pub object: Option<catalog::Object>,
+}
+
+/// All configuration in force: a pure function of the records applied.
+#[derive(Clone, Debug, Default)]
+pub struct Catalog {
+    entries: BTreeMap<catalog::ObjectId, Entry>,
+    applied: Option<ids::Offset>,
+    verdicts: HashMap<ids::ChangeId, catalog::Verdict>,
+    verdict_order: VecDeque<ids::ChangeId>,
+}
+
+impl Catalog {
+    /// The last record that is applied.
+    #[must_use]
+    pub const fn applied(&self) -> Option<ids::Offset> {
+        self.applied
+    }
+
+    /// The offset of the first record that is not applied.
+    #[must_use]
+    pub fn next_offset(&self) -> ids::Offset {
+        self.applied.map_or(ids::Offset(0), ids::Offset::next)
+    }
+
+    /// An object with its revision.
+    #[must_use]
+    pub fn get(&self, id: &catalog::ObjectId) -> Option<(ids::Revision, &catalog::Object)> {
+        let entry = self.entries.get(id)?;
+        entry.object.as_ref().map(|object| (entry.revision, object))
+    }
+
+    /// The revision on which the next change of the object must be based; also
+    /// for an object that is deleted or does not exist.
+    #[must_use]
+    pub fn revision(&self, id: &catalog::ObjectId) -> ids::Revision {
+        self.entries
+            .get(id)
+            .map_or(ids::Revision(0), |entry| entry.revision)
+    }
+
+    /// All objects in order of their ids.
+    pub fn iter(
+        &self,
+    ) -> impl Iterator<Item = (&catalog::ObjectId, ids::Revision, &catalog::Object)> {
+        self.entries.iter().filter_map(|(id, entry)| {
+            entry
+                .object
+                .as_ref()
+                .map(|object| (id, entry.revision, object))
+        })
+    }
+
+    /// What became of a change, if its record is applied and recent.
+    #[must_use]
+    pub fn verdict(&self, id: ids::ChangeId) -> Option<catalog::Verdict> {
+        self.verdicts.get(&id).copied()
+    }
+
+    /// Applies a record. Records that are already covered have no effect, so
+    /// an old checkpoint that was appended late reverts nothing.
+    ///
+    /// Returns the verdict where the record is a change that was not applied before.
+    pub fn apply(&mut self, record: &catalog::Record) -> Option<catalog::Verdict> {
+        if self.applied.is_some_and(|applied| record.offset <= applied) {
+            return None;
+        }
+        let verdict = match &record.body {
+            Some(catalog::Body::Change(change)) => Some(self.apply_change(record.offset, change)),
+            Some(catalog::Body::Checkpoint(checkpoint)) => {
+                self.apply_checkpoint(checkpoint);
+                None
+            }
+            None => None,
+        };
+        self.applied = self.applied.max(Some(record.offset));
+        verdict
+    }
+
+    /// A checkpoint of the present state; `None` before the first record.
+    #[must_use]
+    pub fn checkpoint(&self) -> Option<catalog::Checkpoint> {
+        let entries = self
+            .entries
+            .iter()
+            .map(|(id, entry)| (id.clone(), entry.clone()))
+            .collect();
+        self.applied
+            .map(|covers| catalog::Checkpoint { covers, entries })
+    }
+
+    /// Replaces the state where the checkpoint covers more than is applied.
+    pub fn apply_checkpoint(&mut self, checkpoint: &catalog::Checkpoint) {
+        if self
+            .applied
+            .is_some_and(|applied| checkpoint.covers <= applied)
+        {
+            return;
+        }
+        self.entries = checkpoint.entries.iter().cloned().collect();
+        self.applied = Some(checkpoint.covers);
+    }
+
+    fn apply_change(&mut self, offset: ids::Offset, change: &catalog::Change) -> catalog::Verdict {
+        if let Some(first) = self.verdicts.get(&change.id) {
+            return *first;
+        }
+        let verdict = match self.reject_reason(change) {
+            Some(reason) => catalog::Verdict::Rejected { offset, reason },
+            None => self.put(offset, change),
+        };
+        self.remember(change.id, verdict);
+        verdict
+    }
+
+    fn reject_reason(&self, change: &catalog::Change) -> Option<catalog::RejectReason> {
+        let current = self
+            .entries
+            .get(&change.object)
+            .map_or(ids::Revision(0), |entry| entry.revision);
+        if change.base != current {
+            return Some(catalog::RejectReason::Conflict { current });
+        }
+        match &change.content {
+            Some(object) if object.kind() != change.object.kind => {
+                Some(catalog::RejectReason::WrongKind)
+            }
+            None if self.get(&change.object).is_none() => Some(catalog::RejectReason::Missing),
+            _ => None,
+        }
+    }
+
+    fn put(&mut self, offset: ids::Offset, change: &catalog::Change) -> catalog::Verdict {
+        let revision = ids::Revision(offset.0).next();
+        let entry = Entry {
+            revision,
+            object: change.content.clone(),
+        };
+        self.entries.insert(change.object.clone(), entry);
+        catalog::Verdict::Accepted { offset, revision }
+    }
+
+    fn remember(&mut self, id: ids::ChangeId, verdict: catalog::Verdict) {
+        self.verdicts.insert(id, verdict);
+        self.verdict_order.push_back(id);
+        if self.verdict_order.len() > MAX_VERDICTS
+            && let Some(oldest) = self.verdict_order.pop_front()
+        {
+            self.verdicts.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/src/catalog/version.rs
@@ -0,0 +1,33 @@
+//! Model versions.
+
+use crate::ids;
+use crate::units;
+
+/// A deployable version of a model.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Version {
+    /// The model that this is a version of.
+    pub model: ids::ModelName,
+    /// Cost of 1,000 prompt tokens.
+    pub prompt_cost: units::MicroCost,
+    /// Cost of 1,000 generated tokens.
+    pub output_cost: units::MicroCost,
+    /// Quality that the operator expects before there are ratings.
+    pub prior_quality: units::Quality,
+    /// Whether the version is withdrawn: it receives no new work.
+    #[serde(default)]
+    pub withdrawn: bool,
+}
+
+impl Version {
+    /// Cost of an answer with these token counts, rounded up.
+    #[must_use]
+    pub fn cost(&self, prompt: units::Tokens, output: units::Tokens) -> units::MicroCost {
+        let sum = prompt
+            .0
+            .saturating_mul(self.prompt_cost.0)
+            .saturating_add(output.0.saturating_mul(self.output_cost.0));
+        units::MicroCost(sum.div_ceil(1_000))
+    }
+}
--- /dev/null
+++ b/src/errors/mod.rs
@@ -0,0 +1,7 @@
+//! Errors and the numbered result codes that callers see.
+
+mod refusal;
+mod result_code;
+
+pub use refusal::Refusal;
+pub use result_code::ResultCode;
--- /dev/null
+++ b/src/estimate/mod.rs
@@ -0,0 +1,9 @@
+//! Estimates of quality by request class and version.
+
+mod class;
+mod estimates;
+mod evidence;
+
+pub use class::{InvalidClass, RequestClass};
+pub use estimates::{Estimate, Estimates};
+pub use evidence::Evidence;
--- /dev/null
+++ b/src/ids/mod.rs
@@ -0,0 +1,16 @@
+//! Identifiers: names given by operators and numbers made by the system.
+
+mod digest;
+mod fingerprint;
+mod name;
+mod number;
+mod request_id;
+
+pub use digest::Digest;
+pub use fingerprint::Fingerprint;
+pub use name::{
+    DomainName, InvalidName, ModelName, ProfileName, RegionName, ServiceName, TeamName,
+    VersionName, VmName,
+};
+pub use number::{Fence, Generation, Incarnation, InvalidNumber, Offset, Revision};
+pub use request_id::{CallId, ChangeId, InvalidId, RequestId};
--- /dev/null
+++ b/src/poison/mod.rs
@@ -0,0 +1,5 @@
+//! Requests that crash the endpoints that run them.
+
+mod quarantine;
+
+pub use quarantine::{Quarantine, Suspicion};
--- /dev/null
+++ b/src/rollout/mod.rs
@@ -0,0 +1,5 @@
+//! Roll-outs of versions into profiles.
+
+mod allotment;
+
+pub use allotment::Allotment;
--- /dev/null
+++ b/src/table/mod.rs
@@ -0,0 +1,5 @@
+//! Tables of entities: rows under typed keys, with an index by name.
+
+mod named;
+
+pub use named::Table;
--- /dev/null
+++ b/src/units/mod.rs
@@ -0,0 +1,7 @@
+//! Sizes and rates with their units.
+
+mod count;
+mod fraction;
+
+pub use count::{Bytes, InvalidCount, MicroCost, Millis, Tokens};
+pub use fraction::{InvalidFraction, Quality, Rate, Share};
