--- /dev/null
+++ b/src/admin/mod.rs
@@ -0,0 +1,5 @@
+//! The operators' JSON API.
+
+mod api;
+
+pub use api::{AdminApi, PREFIX};
--- /dev/null
+++ b/src/admission/mod.rs
@@ -0,0 +1,5 @@
+//! Exact limits beside an endpoint.
+
+mod gate;
+
+pub use gate::Gate;
--- /dev/null
+++ b/src/bin/quetzalworks-demo.rs
@@ -0,0 +1,2 @@
+//! The whole path in one process, for development.
+fn main() {}
--- /dev/null
+++ b/src/bin/quetzalworks.rs
@@ -0,0 +1,2 @@
+//! The command-line tool for operators.
+fn main() {}
--- /dev/null
+++ b/src/bin/quetzalworksd.rs
@@ -0,0 +1,7 @@
+//! The daemon.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    quetzalworks::daemon::main()
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,21 @@
+//! Control state: tables, events, effects, and the thread that owns them.
+
+mod effect;
+mod event;
+mod keys;
+mod row;
+mod snapshot;
+mod thread;
+mod tick;
+mod world;
+
+pub use effect::Effect;
+pub use event::{Event, LogPage};
+pub use keys::{EndpointKey, EntryKey, ProfileKey, RolloutKey, ServiceKey, TeamKey, VersionKey};
+pub use row::{EndpointRow, EntryRow, InFlight, InFlightGuard, Link};
+pub use snapshot::{
+    EndpointView, Phase, ProfileView, RolloutView, Snapshot, TeamView, VersionView,
+};
+pub use thread::{Control, Systems};
+pub use tick::TickCx;
+pub use world::World;
--- /dev/null
+++ b/src/control/snapshot.rs
@@ -0,0 +1,138 @@
+//! Immutable view of the control state for the traffic threads.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use slotmap::SecondaryMap;
+
+use crate::catalog;
+use crate::control;
+use crate::estimate;
+use crate::fleet;
+use crate::ids;
+use crate::poison;
+use crate::rollout;
+use crate::units;
+
+/// Phase of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Phase {
+    /// The configuration has not been read yet.
+    #[default]
+    Starting,
+    /// In service.
+    Serving,
+    /// A planned stop has begun: no new work.
+    Stopping,
+}
+
+/// What routing and admission know; replaced as a whole after a tick.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// Phase of the process.
+    pub phase: Phase,
+    /// Whether the platform's log answered last time.
+    pub log_available: bool,
+    /// The last configuration record applied.
+    pub config: Option<ids::Offset>,
+    /// Whether operators have taken this process's VM or failure domain out.
+    pub self_out: bool,
+    /// Teams by the digest of their token.
+    pub teams: HashMap<ids::Digest, TeamView>,
+    /// Profiles.
+    pub profiles: HashMap<ids::ProfileName, Arc<ProfileView>>,
+    /// Versions that are withdrawn.
+    pub withdrawn: Vec<ids::VersionName>,
+    /// Services.
+    pub services: HashMap<ids::ServiceName, Arc<catalog::Service>>,
+    /// Endpoints.
+    pub endpoints: SecondaryMap<control::EndpointKey, EndpointView>,
+    /// Endpoints that serve a version and take new work.
+    pub by_version: HashMap<ids::VersionName, Vec<control::EndpointKey>>,
+    /// Endpoints of a service that take new work.
+    pub by_service: HashMap<ids::ServiceName, Vec<control::EndpointKey>>,
+    /// Estimates of quality.
+    pub estimates: Arc<estimate::Estimates>,
+    /// Requests under suspicion.
+    pub quarantine: Arc<poison::Quarantine>,
+}
+
+impl Snapshot {
+    /// Whether the process takes new work.
+    #[must_use]
+    pub const fn is_serving(&self) -> bool {
+        matches!(self.phase, Phase::Serving)
+    }
+}
+
+/// A team.
+#[derive(Clone, Debug)]
+pub struct TeamView {
+    /// Its name.
+    pub name: ids::TeamName,
+    /// Most requests of the team that this entry runs at a time.
+    pub max_concurrent: u32,
+}
+
+/// A profile with its versions in order of cost.
+#[derive(Clone, Debug)]
+pub struct ProfileView {
+    /// Its name.
+    pub name: ids::ProfileName,
+    /// Its content.
+    pub profile: Arc<catalog::Profile>,
+    /// Versions that are published and not withdrawn, cheapest first; without those in roll-out.
+    pub versions: Vec<VersionView>,
+    /// Versions in roll-out.
+    pub rollouts: Vec<RolloutView>,
+}
+
+/// A version of a profile.
+#[derive(Clone, Debug)]
+pub struct VersionView {
+    /// Its name.
+    pub name: ids::VersionName,
+    /// Its content.
+    pub version: Arc<catalog::Version>,
+}
+
+/// A version that enters a profile.
+#[derive(Clone, Debug)]
+pub struct RolloutView {
+    /// The version.
+    pub version: VersionView,
+    /// Share of requests that it receives at the present step.
+    pub share: units::Share,
+    /// Answers that this entry may still draw from it.
+    pub allotment: Arc<rollout::Allotment>,
+}
+
+/// An endpoint.
+#[derive(Clone, Debug)]
+pub struct EndpointView {
+    /// Its VM.
+    pub vm: ids::VmName,
+    /// Its failure domain.
+    pub domain: ids::DomainName,
+    /// Its region.
+    pub region: ids::RegionName,
+    /// Address of the process beside it.
+    pub addr: SocketAddr,
+    /// The run of that process.
+    pub incarnation: ids::Incarnation,
+    /// Its last report.
+    pub report: fleet::Report,
+    /// Requests of this process that run there.
+    pub in_flight: Arc<control::InFlight>,
+}
+
+impl EndpointView {
+    /// Load relative to the limit; above 1 requests wait.
+    #[must_use]
+    pub fn load(&self) -> f64 {
+        let running = self.report.running.max(self.in_flight.get()) + self.report.queued;
+        f64::from(running) / f64::from(self.report.limit.max(1))
+    }
+}
--- /dev/null
+++ b/src/daemon/process.rs
@@ -0,0 +1,92 @@
+//! A running process of either role.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use crate::daemon;
+use crate::entry;
+use crate::fleet;
+use crate::ids;
+use crate::runtime;
+use crate::settings;
+use crate::sidecar;
+use crate::wire;
+
+/// A running process; dropping it ends its tasks.
+#[derive(Debug)]
+pub enum Process {
+    /// An entry.
+    Entry(entry::Entry),
+    /// A process beside an endpoint.
+    Sidecar(sidecar::Sidecar),
+}
+
+impl Process {
+    /// Starts the role that the settings name.
+    pub async fn spawn(settings: &settings::Settings) -> Result<Self, daemon::StartError> {
+        let traffic = runtime::Traffic::spawn_threads(settings.traffic_threads)?;
+        let tls = wire::Tls::open(&settings.tls)?;
+        let node = wire::Node::bind(settings.peer_addr, &tls, &traffic)?;
+        let me = identity(settings);
+        log::info!(
+            "control: {} {} starts, run {}.",
+            me.role,
+            me.vm,
+            me.incarnation
+        );
+        match &settings.role {
+            settings::Role::Entry(cfg) => Ok(Self::Entry(
+                entry::Entry::spawn(settings, cfg, me, node, traffic).await?,
+            )),
+            settings::Role::Sidecar(cfg) => Ok(Self::Sidecar(sidecar::Sidecar::spawn(
+                settings, cfg, me, node, &traffic,
+            )?)),
+        }
+    }
+
+    /// Stops as planned; accepted requests get until `deadline`.
+    pub async fn stop(&self, deadline: Instant) {
+        match self {
+            Self::Entry(entry) => entry.stop(deadline).await,
+            Self::Sidecar(sidecar) => sidecar.stop(deadline).await,
+        }
+    }
+
+    /// The address for callers, where the process is an entry.
+    #[must_use]
+    pub const fn callers_addr(&self) -> Option<SocketAddr> {
+        match self {
+            Self::Entry(entry) => Some(entry.callers_addr()),
+            Self::Sidecar(_) => None,
+        }
+    }
+}
+
+fn identity(settings: &settings::Settings) -> fleet::Identity {
+    fleet::Identity {
+        vm: settings.vm.clone(),
+        domain: settings.domain.clone(),
+        region: settings.region.clone(),
+        incarnation: incarnation(),
+        role: match settings.role {
+            settings::Role::Entry(_) => fleet::NodeRole::Entry,
+            settings::Role::Sidecar(_) => fleet::NodeRole::Sidecar,
+        },
+    }
+}
+
+/// The number of this run: microseconds since 1970, which grows over restarts
+/// of a VM without anything being kept on it.
+fn incarnation() -> ids::Incarnation {
+    let age = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    ids::Incarnation(u64::try_from(age.as_micros()).unwrap_or(u64::MAX))
+}
+
+impl From<io::Error> for daemon::StartError {
+    fn from(err: io::Error) -> Self {
+        Self::Io(err.to_string().into())
+    }
+}
--- /dev/null
+++ b/src/entry/handler.rs
@@ -0,0 +1,104 @@
+//! Paths of the callers' API.
+
+use std::sync::Arc;
+
+use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+use hyper::{Method, Request, StatusCode};
+use serde_json::json;
+
+use crate::admin;
+use crate::control;
+use crate::entry::chat;
+use crate::entry::cx;
+use crate::errors;
+use crate::http;
+use crate::ids;
+
+/// Answers callers.
+#[derive(Debug)]
+pub struct CallerApi {
+    cx: cx::Shared,
+    admin: Arc<admin::AdminApi>,
+}
+
+impl CallerApi {
+    /// The API over this context.
+    #[must_use]
+    pub const fn new(cx: cx::Shared, admin: Arc<admin::AdminApi>) -> Self {
+        Self { cx, admin }
+    }
+
+    async fn answer(&self, req: Request<Incoming>) -> Result<http::Reply, errors::Refusal> {
+        if req.uri().path().starts_with(admin::PREFIX) {
+            return self.admin.answer(&req);
+        }
+        match (req.method(), req.uri().path()) {
+            (&Method::POST, "/v1/chat/completions") => {
+                let team = self.team(&req)?;
+                chat::complete(&self.cx, team, req).await
+            }
+            (&Method::GET, "/v1/models") => {
+                let team = self.team(&req)?;
+                Ok(self.models(&team))
+            }
+            (method, path) => Err(errors::Refusal::new(
+                errors::ResultCode::UnknownPath,
+                format!("no resource {method} {path}"),
+            )),
+        }
+    }
+
+    fn team(&self, req: &Request<Incoming>) -> Result<control::TeamView, errors::Refusal> {
+        let snapshot = self.cx.control.snapshot();
+        if !snapshot.is_serving() {
+            return Err(errors::Refusal::new(
+                errors::ResultCode::NotReady,
+                format!("the process is {}", snapshot.phase),
+            ));
+        }
+        let token = req
+            .headers()
+            .get(AUTHORIZATION)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.strip_prefix("Bearer "))
+            .ok_or_else(|| {
+                errors::Refusal::new(errors::ResultCode::Unauthorized, "a bearer token is needed")
+            })?;
+        let team = snapshot
+            .teams
+            .get(&ids::Digest::of(token.as_bytes()))
+            .cloned();
+        team.ok_or_else(|| {
+            errors::Refusal::new(errors::ResultCode::Unauthorized, "the token is unknown")
+        })
+    }
+
+    fn models(&self, team: &control::TeamView) -> http::Reply {
+        let snapshot = self.cx.control.snapshot();
+        let mut names: Vec<_> = snapshot
+            .profiles
+            .values()
+            .filter(|view| view.profile.teams.contains(&team.name))
+            .map(|view| view.name.clone())
+            .collect();
+        names.sort();
+        let data: Vec<_> = names
+            .iter()
+            .map(|name| json!({ "id": name, "object": "model", "created": 0, "owned_by": "quetzalworks" }))
+            .collect();
+        http::json(StatusCode::OK, &json!({ "object": "list", "data": data }))
+    }
+}
+
+impl http::Handler for CallerApi {
+    async fn handle(&self, req: Request<Incoming>) -> http::Reply {
+        match self.answer(req).await {
+            Ok(reply) => reply,
+            Err(refusal) => {
+                log::info!("route: refused: {refusal}.");
+                chat::refused(&refusal)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/role.rs
@@ -0,0 +1,98 @@
+//! A running entry.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use smol::{Task, Timer};
+
+use crate::admin;
+use crate::control;
+use crate::entry;
+use crate::entry::cx;
+use crate::entry::effects;
+use crate::entry::handler;
+use crate::feed;
+use crate::fleet;
+use crate::http;
+use crate::platform;
+use crate::runtime;
+use crate::settings;
+use crate::system;
+use crate::wire;
+
+/// Interval at which a stop looks whether requests are still being answered.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// A running entry; dropping it ends its tasks.
+#[derive(Debug)]
+pub struct Entry {
+    cx: cx::Shared,
+    server: http::Server,
+    _tasks: Vec<Task<()>>,
+}
+
+impl Entry {
+    /// Starts the role.
+    pub async fn spawn(
+        settings: &settings::Settings,
+        cfg: &settings::EntrySettings,
+        me: fleet::Identity,
+        node: wire::Node,
+        traffic: runtime::Traffic,
+    ) -> io::Result<Self> {
+        let (control, effect_rx, _thread) =
+            control::Control::spawn(control::World::new(me.clone()), system::ENTRY)?;
+        let links = entry::Links::new(me.clone(), node, control.clone(), traffic.clone());
+        let cx = Arc::new(cx::EntryCx {
+            me,
+            cfg: cfg.clone(),
+            control: control.clone(),
+            traffic: traffic.clone(),
+            links: links.clone(),
+        });
+        let log = platform::LogClient::new(settings.platform.log_addr, traffic.clone());
+        let inventory = platform::Inventory::new(settings.platform.inventory_addr, traffic.clone());
+        let tasks = vec![
+            traffic.spawn(feed::follow_config(log.clone(), control.clone())),
+            traffic.spawn(feed::follow_inventory(inventory, control)),
+            traffic.spawn(effects::run(effect_rx, links)),
+        ];
+        let admin = admin::AdminApi {
+            token: cfg.operator_token_sha256,
+            control: cx.control.clone(),
+            log: log.clone(),
+            vm: cx.me.vm.clone(),
+        };
+        let api = Arc::new(handler::CallerApi::new(Arc::clone(&cx), Arc::new(admin)));
+        let server = http::Server::bind(cfg.callers_addr, cfg.limits, &traffic, api).await?;
+        Ok(Self {
+            cx,
+            server,
+            _tasks: tasks,
+        })
+    }
+
+    /// The address for callers.
+    #[must_use]
+    pub const fn callers_addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Stops taking new work and waits until accepted requests have been answered.
+    pub async fn stop(&self, deadline: Instant) {
+        self.cx.control.send(control::Event::Stop).await;
+        self.server.close_idle();
+        while self.server.active() > 0 && Instant::now() < deadline {
+            Timer::after(DRAIN_POLL).await;
+        }
+        self.cx.control.close();
+    }
+
+    /// What the tasks share.
+    #[must_use]
+    pub const fn cx(&self) -> &cx::Shared {
+        &self.cx
+    }
+}
--- /dev/null
+++ b/src/feed/inventory.rs
@@ -0,0 +1,28 @@
+//! Follows the platform's list of VMs.
+
+use std::time::Duration;
+
+use smol::Timer;
+
+use crate::control;
+use crate::platform;
+
+/// Time between reads of the list. A leaving VM must get no new work after a
+/// few seconds; the list itself lags by about as much.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Reads the list for ever and hands it to the control thread when it has changed.
+pub async fn follow_inventory(inventory: platform::Inventory, control: control::Control) {
+    let mut last = Vec::new();
+    loop {
+        match inventory.list().await {
+            Ok(vms) if vms != last => {
+                last.clone_from(&vms);
+                control.send(control::Event::Inventory(vms)).await;
+            }
+            Ok(_) => {}
+            Err(err) => log::warn!("peer: cannot read the list of VMs: {err}."),
+        }
+        Timer::after(INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,13 @@
+//! HTTP/1.1 on `smol`: a bounded server and a pooling client.
+
+mod client;
+mod error;
+mod reply;
+mod server;
+mod sse;
+
+pub use client::{Answer, Client};
+pub use error::HttpError;
+pub use reply::{Body, Reply, full, json, read_body, streamed};
+pub use server::{Handler, Server, not_found};
+pub use sse::SseReader;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,30 @@
+//! A model-aware router for model versions and cascades.
+//!
+//! `docs/design.md` explains the parts and how they work together.
+
+pub mod admin;
+pub mod admission;
+pub mod attempt;
+pub mod billing;
+pub mod catalog;
+pub mod control;
+pub mod daemon;
+pub mod entry;
+pub mod errors;
+pub mod estimate;
+pub mod feed;
+pub mod fleet;
+pub mod http;
+pub mod ids;
+pub mod platform;
+pub mod poison;
+pub mod rollout;
+pub mod route;
+pub mod runtime;
+pub mod settings;
+pub mod sidecar;
+pub mod standin;
+pub mod system;
+pub mod table;
+pub mod units;
+pub mod wire;
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,11 @@
+//! Clients of the platform's services: HTTP with JSON.
+
+mod error;
+mod inventory;
+mod log_client;
+mod page;
+
+pub use error::PlatformError;
+pub use inventory::{Inventory, Vm, VmState};
+pub use log_client::LogClient;
+pub use page::{Append, LogRecord, Page, Stream};
--- /dev/null
+++ b/src/runtime/quic_runtime.rs
@@ -0,0 +1,39 @@
+//! Runs the QUIC library's tasks on the traffic threads.
+
+use std::future::Future;
+use std::io;
+use std::net::UdpSocket;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::runtime;
+
+/// The library's `smol` runtime with tasks moved to the traffic threads;
+/// its own would run all of them on one global thread.
+#[derive(Debug)]
+pub struct QuicRuntime {
+    traffic: runtime::Traffic,
+}
+
+impl QuicRuntime {
+    /// A runtime on these threads.
+    #[must_use]
+    pub const fn new(traffic: runtime::Traffic) -> Self {
+        Self { traffic }
+    }
+}
+
+impl quinn::Runtime for QuicRuntime {
+    fn new_timer(&self, at: Instant) -> Pin<Box<dyn quinn::AsyncTimer>> {
+        quinn::SmolRuntime.new_timer(at)
+    }
+
+    fn spawn(&self, future: Pin<Box<dyn Future<Output = ()> + Send>>) {
+        self.traffic.spawn(future).detach();
+    }
+
+    fn wrap_udp_socket(&self, socket: UdpSocket) -> io::Result<Arc<dyn quinn::AsyncUdpSocket>> {
+        quinn::SmolRuntime.wrap_udp_socket(socket)
+    }
+}
--- /dev/null
+++ b/src/sidecar/server.rs
@@ -0,0 +1,96 @@
+//! Accepts connections of entries.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use quinn::{Connection, Incoming, RecvStream, SendStream};
+use smol::Timer;
+use smol::future::FutureExt;
+
+use crate::sidecar::cx;
+use crate::sidecar::run;
+use crate::wire;
+
+/// Interval of reports; also the heartbeat.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Accepts connections until the node is closed.
+pub async fn accept(cx: cx::Shared, node: wire::Node) {
+    while let Some(incoming) = node.accept().await {
+        let task = serve(Arc::clone(&cx), incoming);
+        cx.traffic.spawn(task).detach();
+    }
+}
+
+async fn serve(cx: cx::Shared, incoming: Incoming) {
+    let connection = match incoming.await {
+        Ok(connection) => connection,
+        Err(err) => {
+            log::warn!("peer: connection refused: {err}.");
+            return;
+        }
+    };
+    if let Err(err) = streams(&cx, &connection).await {
+        log::info!(
+            "peer: connection from {} ended: {err}.",
+            connection.remote_address()
+        );
+    }
+}
+
+async fn streams(cx: &cx::Shared, connection: &Connection) -> Result<(), wire::WireError> {
+    loop {
+        let (tx, rx) = connection.accept_bi().await?;
+        let cx2 = Arc::clone(cx);
+        let task = async move {
+            if let Err(err) = stream(&cx2, tx, rx).await {
+                log::debug!("peer: stream ended: {err}.");
+            }
+        };
+        cx.traffic.spawn(task).detach();
+    }
+}
+
+async fn stream(
+    cx: &cx::Shared,
+    tx: SendStream,
+    mut rx: RecvStream,
+) -> Result<(), wire::WireError> {
+    match wire::read(&mut rx).await? {
+        Some(wire::Opening::Hello(peer)) => {
+            log::info!(
+                "peer: entry {} connected, run {}.",
+                peer.vm,
+                peer.incarnation
+            );
+            updates(cx, tx, rx).await
+        }
+        Some(wire::Opening::Dispatch(dispatch)) => run::run(cx, *dispatch, tx).await,
+        Some(opening) => Err(wire::WireError::Malformed(
+            format!("not handled: {opening:?}").into(),
+        )),
+        None => Ok(()),
+    }
+}
+
+/// Sends reports and reads what the entry knows.
+async fn updates(
+    cx: &cx::Shared,
+    mut tx: SendStream,
+    mut rx: RecvStream,
+) -> Result<(), wire::WireError> {
+    wire::write(&mut tx, &wire::Update::Hello(cx.me.clone())).await?;
+    let report = async {
+        loop {
+            wire::write(&mut tx, &wire::Update::Report(cx.report())).await?;
+            Timer::after(REPORT_INTERVAL).await;
+        }
+    };
+    let receive = async {
+        while let Some(update) = wire::read::<wire::Update>(&mut rx).await? {
+            log::trace!("peer: {update:?}");
+        }
+        Ok(())
+    };
+    report.or(receive).await
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,12 @@
+//! Small stand-ins for the platform and for engines, for tests and the demo.
+
+mod certs;
+mod engine;
+mod inventory;
+mod log;
+mod serve;
+
+pub use certs::{Authority, CertError};
+pub use engine::{EngineProfile, StandinEngine, answer_text, answer_token};
+pub use inventory::StandinInventory;
+pub use log::StandinLog;
--- /dev/null
+++ b/src/system/inventory.rs
@@ -0,0 +1,89 @@
+//! Keeps the tables of endpoints and entries in step with the platform's list.
+
+use std::collections::HashSet;
+
+use crate::control;
+use crate::fleet;
+use crate::ids;
+use crate::platform;
+
+/// Runs the system.
+pub fn run(world: &mut control::World, cx: &mut control::TickCx) {
+    let mut lists = cx.events.iter().filter_map(|event| match event {
+        control::Event::Inventory(vms) => Some(vms),
+        _ => None,
+    });
+    // Only the last list of a tick counts; each is complete.
+    let Some(vms) = lists.next_back().cloned() else {
+        return;
+    };
+    for vm in &vms {
+        match vm.role {
+            fleet::NodeRole::Sidecar => put_endpoint(world, cx, vm),
+            fleet::NodeRole::Entry => put_entry(world, vm),
+        }
+    }
+    let listed: HashSet<&ids::VmName> = vms.iter().map(|vm| &vm.vm).collect();
+    world.entries.retain(|name, _| listed.contains(name));
+    world.endpoints.retain(|name, row| {
+        // A VM that has left the list but still answers may be missing only
+        // because the list lags.
+        let keep = listed.contains(name) || row.link.is_some();
+        if !keep {
+            cx.effects.push(control::Effect::Disconnect(name.clone()));
+        }
+        keep
+    });
+    cx.changed = true;
+}
+
+fn put_endpoint(world: &mut control::World, cx: &mut control::TickCx, vm: &platform::Vm) {
+    if let Some(row) = world.endpoints.by_name_mut(&vm.vm)
+        && row.addr == vm.peer_addr
+    {
+        row.state = vm.state;
+        return;
+    }
+    world.endpoints.put(
+        vm.vm.clone(),
+        control::EndpointRow {
+            vm: vm.vm.clone(),
+            domain: vm.domain.clone(),
+            region: vm.region.clone(),
+            addr: vm.peer_addr,
+            state: vm.state,
+            link: None,
+            report: fleet::Report::default(),
+            in_flight: std::sync::Arc::default(),
+        },
+    );
+    cx.effects.push(control::Effect::Connect {
+        vm: vm.vm.clone(),
+        addr: vm.peer_addr,
+        role: fleet::NodeRole::Sidecar,
+    });
+}
+
+fn put_entry(world: &mut control::World, vm: &platform::Vm) {
+    if vm.vm == world.me.vm {
+        return;
+    }
+    if let Some(row) = world.entries.by_name_mut(&vm.vm)
+        && row.addr == vm.peer_addr
+    {
+        row.state = vm.state;
+        return;
+    }
+    world.entries.put(
+        vm.vm.clone(),
+        control::EntryRow {
+            vm: vm.vm.clone(),
+            domain: vm.domain.clone(),
+            region: vm.region.clone(),
+            addr: vm.peer_addr,
+            state: vm.state,
+            link: None,
+            member: None,
+        },
+    );
+}
--- /dev/null
+++ b/src/system/links.rs
@@ -0,0 +1,57 @@
+//! Notes connections to endpoints and what they report.
+
+use crate::control;
+use crate::fleet;
+
+/// Runs the system.
+pub fn run(world: &mut control::World, cx: &mut control::TickCx) {
+    for event in &cx.events {
+        match event {
+            control::Event::LinkUp(peer) => {
+                let link = Some(control::Link {
+                    incarnation: peer.incarnation,
+                    heard: cx.now,
+                });
+                match peer.role {
+                    fleet::NodeRole::Sidecar => {
+                        if let Some(row) = world.endpoints.by_name_mut(&peer.vm) {
+                            row.link = link;
+                        }
+                    }
+                    fleet::NodeRole::Entry => {
+                        if let Some(row) = world.entries.by_name_mut(&peer.vm) {
+                            row.link = link;
+                        }
+                    }
+                }
+                log::info!(
+                    "peer: connected to {} {}, run {}.",
+                    peer.role,
+                    peer.vm,
+                    peer.incarnation
+                );
+                cx.changed = true;
+            }
+            control::Event::LinkDown(vm) => {
+                if let Some(row) = world.endpoints.by_name_mut(vm) {
+                    row.link = None;
+                }
+                if let Some(row) = world.entries.by_name_mut(vm) {
+                    row.link = None;
+                }
+                log::info!("peer: connection to {vm} is down.");
+                cx.changed = true;
+            }
+            control::Event::Report(vm, report) => {
+                if let Some(row) = world.endpoints.by_name_mut(vm) {
+                    row.report = report.clone();
+                    if let Some(link) = &mut row.link {
+                        link.heard = cx.now;
+                    }
+                    cx.changed = true;
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/system/stop.rs
@@ -0,0 +1,17 @@
+//! Notes the begin of a planned stop.
+
+use crate::control;
+
+/// Runs the system.
+pub fn run(world: &mut control::World, cx: &mut control::TickCx) {
+    if !world.stopping
+        && cx
+            .events
+            .iter()
+            .any(|event| matches!(event, control::Event::Stop))
+    {
+        world.stopping = true;
+        cx.changed = true;
+        log::info!("control: planned stop begins.");
+    }
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,13 @@
+//! Messages between the system's own processes, over QUIC.
+
+mod codec;
+mod error;
+mod frame;
+mod node;
+mod tls;
+
+pub use codec::{read, write};
+pub use error::WireError;
+pub use frame::{FenceReply, Opening, Reply, Update};
+pub use node::{Node, server_name};
+pub use tls::{Tls, TlsError};
--- /dev/null
+++ b/src/wire/node.rs
@@ -0,0 +1,92 @@
+//! The UDP socket of a process, for connections in both directions.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use quinn::{Connection, Endpoint, EndpointConfig, Incoming, TransportConfig, VarInt};
+
+use crate::ids;
+use crate::runtime;
+use crate::wire;
+
+/// A connection without any packet for this long is lost. Three seconds is
+/// the bound for the last new work in a failed domain, so it must be less.
+const IDLE_TIMEOUT_MS: u32 = 2_500;
+/// Interval of keep-alive packets; three fit into the idle timeout.
+const KEEP_ALIVE: Duration = Duration::from_millis(800);
+/// Concurrent streams of one connection; bounds the memory that a peer can use.
+const MAX_STREAMS: u32 = 4_096;
+
+/// The name in the certificate of a VM.
+#[must_use]
+pub fn server_name(vm: &ids::VmName) -> String {
+    format!("{vm}.quetzalworks.internal")
+}
+
+/// The endpoint of this process for other processes.
+#[derive(Clone, Debug)]
+pub struct Node {
+    endpoint: Endpoint,
+}
+
+impl Node {
+    /// Binds the socket.
+    pub fn bind(addr: SocketAddr, tls: &wire::Tls, traffic: &runtime::Traffic) -> io::Result<Self> {
+        let invalid = |err: wire::TlsError| io::Error::new(io::ErrorKind::InvalidInput, err);
+        let transport = Arc::new(transport());
+        let mut server = tls.server().map_err(invalid)?;
+        server.transport_config(Arc::clone(&transport));
+        let mut client = tls.client().map_err(invalid)?;
+        client.transport_config(transport);
+        let socket = UdpSocket::bind(addr)?;
+        let runtime = Arc::new(runtime::QuicRuntime::new(traffic.clone()));
+        let mut endpoint = Endpoint::new(EndpointConfig::default(), Some(server), socket, runtime)?;
+        endpoint.set_default_client_config(client);
+        Ok(Self { endpoint })
+    }
+
+    /// The address that is bound.
+    pub fn addr(&self) -> io::Result<SocketAddr> {
+        self.endpoint.local_addr()
+    }
+
+    /// Connects to the process on `vm`; its certificate must be for that VM.
+    pub async fn connect(
+        &self,
+        vm: &ids::VmName,
+        addr: SocketAddr,
+    ) -> Result<Connection, wire::WireError> {
+        let connecting = self
+            .endpoint
+            .connect(addr, &server_name(vm))
+            .map_err(|err| wire::WireError::Lost(err.to_string().into()))?;
+        Ok(connecting.await?)
+    }
+
+    /// Waits for the next connection of another process; `None` once closed.
+    pub async fn accept(&self) -> Option<Incoming> {
+        self.endpoint.accept().await
+    }
+
+    /// Closes all connections.
+    pub fn close(&self) {
+        self.endpoint.close(VarInt::from_u32(0), b"stopped");
+    }
+
+    /// Waits until the peers have been told of the close.
+    pub async fn wait_idle(&self) {
+        self.endpoint.wait_idle().await;
+    }
+}
+
+fn transport() -> TransportConfig {
+    let mut transport = TransportConfig::default();
+    transport
+        .max_idle_timeout(Some(VarInt::from_u32(IDLE_TIMEOUT_MS).into()))
+        .keep_alive_interval(Some(KEEP_ALIVE))
+        .max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS))
+        .max_concurrent_uni_streams(VarInt::from_u32(0));
+    transport
+}
--- /dev/null
+++ b/tests/integration/main.rs
@@ -0,0 +1,8 @@
+//! Tests with real processes and stand-ins.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+mod catalog;
+mod testing;
+mod thin_path;
+mod values;
--- /dev/null
+++ b/tests/integration/testing/place.rs
@@ -0,0 +1,30 @@
+//! Addresses and folders that no other test uses.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU16, Ordering};
+
+/// Below the ephemeral ports, so that no outgoing connection takes one.
+const FIRST_PORT: u16 = 2_000;
+
+static NEXT: AtomicU16 = AtomicU16::new(0);
+
+/// An address of this test process alone: the runner gives each test a
+/// process, and the loopback address is made from its id.
+pub fn addr() -> SocketAddr {
+    let [_, high, mid, low] = std::process::id().to_be_bytes();
+    let ip = IpAddr::V4(Ipv4Addr::new(127, 64 + high % 64, mid, low.clamp(1, 254)));
+    SocketAddr::new(
+        ip,
+        FIRST_PORT + u16::from(low == 255) * 10_000 + NEXT.fetch_add(1, Ordering::Relaxed),
+    )
+}
+
+/// A new folder of this test.
+pub fn dir() -> PathBuf {
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    let dir =
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{n}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    dir
+}
