Operators' API: objects, dry run, changes, status, explain

Operators had no way to change the configuration. The API appends each change under a fresh id and answers "accepted" only after its record was read back and applied here.

--- /dev/null
+++ b/src/admin/body.rs
@@ -0,0 +1,29 @@
+//! Reading of bodies.
+
+use std::time::Instant;
+
+use hyper::body::{Bytes, Incoming};
+
+use crate::errors;
+use crate::http;
+use crate::runtime;
+use crate::settings;
+
+/// Reads a body within the limits on size and time.
+pub async fn read(body: Incoming, limits: settings::Limits) -> Result<Bytes, errors::Refusal> {
+    let deadline = Instant::now() + limits.send_timeout_ms.duration();
+    let (code, reason) =
+        match runtime::timeout_at(deadline, http::read_body(body, limits.body_bytes)).await {
+            Some(Ok(body)) => return Ok(body),
+            Some(Err(http::HttpError::TooLarge)) => (
+                errors::ResultCode::BodyTooLarge,
+                format!("the body is over {}", limits.body_bytes),
+            ),
+            Some(Err(err)) => (errors::ResultCode::MalformedRequest, err.to_string()),
+            None => (
+                errors::ResultCode::SlowRequest,
+                "the body was not sent in time".into(),
+            ),
+        };
+    Err(errors::Refusal::new(code, reason))
+}
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -1,5 +1,15 @@
 //! The operators' JSON API.
 
 mod api;
+mod body;
+mod condition;
+mod explain;
+mod failure;
+mod object_json;
+mod status;
+mod submit;
 
 pub use api::{AdminApi, PREFIX};
+pub use condition::Condition;
+pub use failure::Failure;
+pub use submit::Submitted;
--- /dev/null
+++ b/src/catalog/check.rs
@@ -0,0 +1,202 @@
+//! Checks of an object against the catalog, before its change is appended.
+
+use std::fmt;
+use std::sync::Arc;
+
+use crate::catalog;
+use crate::ids;
+use crate::units;
+
+/// A value that an object must not have.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InvalidValue {
+    /// Path of the field, as `versions[1]`.
+    pub field: Arc<str>,
+    /// What is wrong.
+    pub reason: Arc<str>,
+}
+
+impl InvalidValue {
+    fn new(field: impl Into<Arc<str>>, reason: impl Into<Arc<str>>) -> Self {
+        Self {
+            field: field.into(),
+            reason: reason.into(),
+        }
+    }
+}
+
+impl fmt::Display for InvalidValue {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.field, self.reason)
+    }
+}
+
+impl std::error::Error for InvalidValue {}
+
+/// Checks new content of the object `id`, or its deletion where there is none.
+///
+/// The check is advice from the records applied here; the log decides between
+/// changes that are made at the same time.
+pub fn check(
+    catalog: &catalog::Catalog,
+    id: &catalog::ObjectId,
+    content: Option<&catalog::Object>,
+) -> Result<(), InvalidValue> {
+    match content {
+        Some(catalog::Object::Profile(profile)) => check_profile(catalog, profile),
+        Some(catalog::Object::Service(service)) => check_service(catalog, service),
+        Some(catalog::Object::Team(team)) => check_team(catalog, id, team),
+        Some(catalog::Object::Rollout(plan)) => check_rollout(catalog, id, plan),
+        Some(catalog::Object::Version(_) | catalog::Object::Domain(_) | catalog::Object::Vm(_)) => {
+            Ok(())
+        }
+        None => check_unused(catalog, id),
+    }
+}
+
+fn check_profile(
+    catalog: &catalog::Catalog,
+    profile: &catalog::Profile,
+) -> Result<(), InvalidValue> {
+    check_teams(catalog, &profile.teams)?;
+    if profile.versions.is_empty() {
+        return Err(InvalidValue::new("versions", "needs at least one version"));
+    }
+    for (i, version) in profile.versions.iter().enumerate() {
+        if !exists(catalog, catalog::ObjectKind::Versions, version.as_str()) {
+            let reason = format!("version {version} is not published");
+            return Err(InvalidValue::new(format!("versions[{i}]"), reason));
+        }
+        if profile.versions[..i].contains(version) {
+            let reason = format!("version {version} is listed twice");
+            return Err(InvalidValue::new(format!("versions[{i}]"), reason));
+        }
+    }
+    check_deadline(profile.deadline_ms)
+}
+
+fn check_service(
+    catalog: &catalog::Catalog,
+    service: &catalog::Service,
+) -> Result<(), InvalidValue> {
+    check_teams(catalog, &service.teams)?;
+    for (i, method) in service.idempotent_methods.iter().enumerate() {
+        if method.is_empty() || !method.bytes().all(|b| b.is_ascii_alphabetic()) {
+            let field = format!("idempotent_methods[{i}]");
+            return Err(InvalidValue::new(field, "expected an HTTP method"));
+        }
+    }
+    check_deadline(service.deadline_ms)
+}
+
+fn check_team(
+    catalog: &catalog::Catalog,
+    id: &catalog::ObjectId,
+    team: &catalog::Team,
+) -> Result<(), InvalidValue> {
+    if team.max_concurrent == 0 {
+        return Err(InvalidValue::new("max_concurrent", "must be at least 1"));
+    }
+    for (other, _, object) in catalog.iter().filter(|(other, ..)| *other != id) {
+        let catalog::Object::Team(present) = object else {
+            continue;
+        };
+        let shared = team
+            .token_sha256
+            .iter()
+            .position(|token| present.token_sha256.contains(token));
+        if let Some(i) = shared {
+            let reason = format!("{other} has the same token");
+            return Err(InvalidValue::new(format!("token_sha256[{i}]"), reason));
+        }
+    }
+    Ok(())
+}
+
+fn check_rollout(
+    catalog: &catalog::Catalog,
+    id: &catalog::ObjectId,
+    plan: &catalog::RolloutPlan,
+) -> Result<(), InvalidValue> {
+    let profile_id =
+        catalog::ObjectId::new(catalog::ObjectKind::Profiles, plan.profile.to_string());
+    let Some((_, catalog::Object::Profile(profile))) = catalog.get(&profile_id) else {
+        let reason = format!("no profile {}", plan.profile);
+        return Err(InvalidValue::new("profile", reason));
+    };
+    if !profile.versions.contains(&plan.version) {
+        let reason = format!(
+            "profile {} does not list version {}",
+            plan.profile, plan.version
+        );
+        return Err(InvalidValue::new("version", reason));
+    }
+    let version_id =
+        catalog::ObjectId::new(catalog::ObjectKind::Versions, plan.version.to_string());
+    match catalog.get(&version_id) {
+        Some((_, catalog::Object::Version(version))) if !version.withdrawn => {}
+        _ => {
+            let reason = format!("version {} is withdrawn or not published", plan.version);
+            return Err(InvalidValue::new("version", reason));
+        }
+    }
+    let twin = catalog.iter().find(|(other, _, object)| {
+        *other != id
+            && matches!(object, catalog::Object::Rollout(present)
+                if present.profile == plan.profile && present.version == plan.version)
+    });
+    match twin {
+        Some((other, ..)) => {
+            let reason = format!("{other} already rolls this version out to the profile");
+            Err(InvalidValue::new("version", reason))
+        }
+        None => Ok(()),
+    }
+}
+
+/// An object that others name must stay, or they would name nothing.
+fn check_unused(catalog: &catalog::Catalog, id: &catalog::ObjectId) -> Result<(), InvalidValue> {
+    let user = catalog.iter().find(|(_, _, object)| uses(object, id));
+    match user {
+        Some((user, ..)) => Err(InvalidValue::new("name", format!("{user} uses {id}"))),
+        None => Ok(()),
+    }
+}
+
+fn uses(object: &catalog::Object, id: &catalog::ObjectId) -> bool {
+    let name = &*id.name;
+    let has_team = |teams: &[ids::TeamName]| teams.iter().any(|team| team.as_str() == name);
+    match (id.kind, object) {
+        (catalog::ObjectKind::Teams, catalog::Object::Profile(profile)) => has_team(&profile.teams),
+        (catalog::ObjectKind::Teams, catalog::Object::Service(service)) => has_team(&service.teams),
+        (catalog::ObjectKind::Versions, catalog::Object::Profile(profile)) => profile
+            .versions
+            .iter()
+            .any(|version| version.as_str() == name),
+        (catalog::ObjectKind::Profiles, catalog::Object::Rollout(plan)) => {
+            plan.profile.as_str() == name
+        }
+        _ => false,
+    }
+}
+
+fn check_teams(catalog: &catalog::Catalog, teams: &[ids::TeamName]) -> Result<(), InvalidValue> {
+    for (i, team) in teams.iter().enumerate() {
+        if !exists(catalog, catalog::ObjectKind::Teams, team.as_str()) {
+            let reason = format!("no team {team}");
+            return Err(InvalidValue::new(format!("teams[{i}]"), reason));
+        }
+    }
+    Ok(())
+}
+
+fn check_deadline(deadline: units::Millis) -> Result<(), InvalidValue> {
+    if deadline == units::Millis(0) {
+        return Err(InvalidValue::new("deadline_ms", "must be at least 1"));
+    }
+    Ok(())
+}
+
+fn exists(catalog: &catalog::Catalog, kind: catalog::ObjectKind, name: &str) -> bool {
+    catalog.get(&catalog::ObjectId::new(kind, name)).is_some()
+}
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -1,6 +1,7 @@
 //! Operator configuration as a replicated state machine over the log.
 
 mod change;
+mod check;
 mod checkpoint;
 mod object;
 mod profile;
@@ -13,6 +14,7 @@
 mod version;
 
 pub use change::Change;
+pub use check::{InvalidValue, check};
 pub use checkpoint::Checkpoint;
 pub use object::{Availability, Object, ObjectId, ObjectKind, UnknownKind};
 pub use profile::{Profile, RolloutStep};
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -3,6 +3,7 @@
 use smol::channel::Sender;
 
 use crate::catalog;
+use crate::control;
 use crate::fleet;
 use crate::ids;
 use crate::platform;
@@ -41,6 +42,8 @@
     Completed(ids::Fingerprint),
     /// An operator's request for the catalog; answered with a copy.
     ReadCatalog(Sender<catalog::Catalog>),
+    /// An operator's request for the rows of other entries; answered with a copy.
+    ReadEntries(Sender<Vec<control::EntryRow>>),
     /// The process begins a planned stop.
     Stop,
 }
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -31,7 +31,7 @@
 
     async fn answer(&self, req: Request<Incoming>) -> Result<http::Reply, errors::Refusal> {
         if req.uri().path().starts_with(admin::PREFIX) {
-            return self.admin.answer(&req);
+            return Ok(self.admin.answer(req).await);
         }
         match (req.method(), req.uri().path()) {
             (&Method::POST, "/v1/chat/completions") => {
--- a/src/entry/role.rs
+++ b/src/entry/role.rs
@@ -64,6 +64,7 @@
             control: cx.control.clone(),
             log: log.clone(),
             vm: cx.me.vm.clone(),
+            limits: cfg.limits,
         };
         let api = Arc::new(handler::CallerApi::new(Arc::clone(&cx), Arc::new(admin)));
         let server = http::Server::bind(cfg.callers_addr, cfg.limits, &traffic, api).await?;
--- a/src/ids/digest.rs
+++ b/src/ids/digest.rs
@@ -40,6 +40,18 @@
             .fold(0, |acc, b| (acc << 8) | u128::from(*b))
     }
 
+    /// Whether both digests are equal, in a time that does not depend on
+    /// where they differ.
+    #[must_use]
+    pub fn is_same(&self, other: &Self) -> bool {
+        let differing = self
+            .0
+            .iter()
+            .zip(&other.0)
+            .fold(0, |acc, (a, b)| std::hint::black_box(acc | (a ^ b)));
+        differing == 0
+    }
+
     fn from_ring(digest: &ring::digest::Digest) -> Self {
         let mut bytes = [0; 32];
         bytes.copy_from_slice(digest.as_ref());
--- a/src/system/config.rs
+++ b/src/system/config.rs
@@ -22,6 +22,10 @@
                 // The asker may have gone; then nobody needs the answer.
                 let _ = reply.try_send(world.catalog.clone());
             }
+            control::Event::ReadEntries(reply) => {
+                let rows = world.entries.iter().map(|(_, row)| row.clone());
+                let _ = reply.try_send(rows.collect());
+            }
             _ => {}
         }
     }
--- /dev/null
+++ b/tests/integration/admin.rs
@@ -0,0 +1,283 @@
+//! The operators' API of a real entry process.
+
+use hyper::Method;
+use quetzalworks::platform::Stream;
+use serde_json::{Value, json};
+
+use crate::testing::cluster::Cluster;
+use crate::testing::http::{self, Answer};
+
+fn call(
+    cluster: &Cluster,
+    method: &Method,
+    path: &str,
+    condition: Option<&str>,
+    body: &str,
+) -> Answer {
+    let bearer = format!("Bearer {}", cluster.operator_token);
+    let mut headers = vec![("authorization", bearer.as_str())];
+    match condition {
+        Some("*") => headers.push(("if-none-match", "*")),
+        Some(tag) => headers.push(("if-match", tag)),
+        None => {}
+    }
+    let path = format!("/admin/v1/{path}");
+    http::send(
+        cluster.entry_addr(0),
+        method,
+        &path,
+        &headers,
+        body.as_bytes(),
+    )
+    .unwrap()
+}
+
+fn number(answer: &Answer) -> u64 {
+    answer.json()["error"]["number"].as_u64().unwrap_or(0)
+}
+
+struct Refused {
+    name: &'static str,
+    method: Method,
+    path: &'static str,
+    condition: Option<&'static str>,
+    body: &'static str,
+    number: u64,
+    names: &'static str,
+}
+
+const PROFILE: &str = r#"{"teams":["red"],"versions":["small-1"],"quality_target":0.5}"#;
+
+const fn put(
+    name: &'static str,
+    path: &'static str,
+    condition: Option<&'static str>,
+    body: &'static str,
+    number: u64,
+    names: &'static str,
+) -> Refused {
+    Refused {
+        name,
+        method: Method::PUT,
+        path,
+        condition,
+        body,
+        number,
+        names,
+    }
+}
+
+const REFUSED: &[Refused] = &[
+    put(
+        "no precondition",
+        "profiles/p",
+        None,
+        PROFILE,
+        3006,
+        "If-Match",
+    ),
+    put(
+        "old base",
+        "profiles/chat",
+        Some("\"1\""),
+        PROFILE,
+        3002,
+        "revision 3",
+    ),
+    put(
+        "exists",
+        "profiles/chat",
+        Some("*"),
+        PROFILE,
+        3002,
+        "revision 3",
+    ),
+    put(
+        "tag without quotes",
+        "profiles/chat",
+        Some("3"),
+        PROFILE,
+        1400,
+        "If-Match",
+    ),
+    put("not JSON", "profiles/p", Some("*"), "{", 1400, "JSON"),
+    put("unknown kind", "things/p", Some("*"), "{}", 1405, "things"),
+    put(
+        "bad name",
+        "profiles/a%20b",
+        Some("*"),
+        PROFILE,
+        3001,
+        "name",
+    ),
+    put(
+        "unknown query",
+        "profiles/p?dryrun=1",
+        Some("*"),
+        PROFILE,
+        1400,
+        "dryrun",
+    ),
+    put(
+        "unknown field",
+        "profiles/p",
+        Some("*"),
+        r#"{"teams":["red"],"versions":["small-1"],"quality_target":0.5,"x":1}"#,
+        3001,
+        "`x`",
+    ),
+    put(
+        "wrong value",
+        "profiles/p",
+        Some("*"),
+        r#"{"teams":["red"],"versions":["small-1"],"quality_target":1.5}"#,
+        3001,
+        "quality_target",
+    ),
+    put(
+        "unpublished version",
+        "profiles/p",
+        Some("*"),
+        r#"{"teams":["red"],"versions":["small-1","none"],"quality_target":0.5}"#,
+        3001,
+        "versions[1]",
+    ),
+    put(
+        "unknown team",
+        "profiles/p",
+        Some("*"),
+        r#"{"teams":["blue"],"versions":["small-1"],"quality_target":0.5}"#,
+        3001,
+        "teams[0]",
+    ),
+    put(
+        "roll-out of a version that the profile lacks",
+        "rollouts/r",
+        Some("*"),
+        r#"{"profile":"chat","version":"none"}"#,
+        3001,
+        "version",
+    ),
+    Refused {
+        name: "team in use",
+        method: Method::DELETE,
+        path: "teams/red",
+        condition: Some("\"1\""),
+        body: "",
+        number: 3001,
+        names: "profiles/chat",
+    },
+    Refused {
+        name: "no such object",
+        method: Method::DELETE,
+        path: "teams/blue",
+        condition: Some("\"0\""),
+        body: "",
+        number: 3005,
+        names: "teams/blue",
+    },
+];
+
+/// Guards against an invalid or unconditional change that reaches the log.
+#[test]
+fn refused_changes_append_nothing() {
+    let cluster = Cluster::start(1, 1);
+    let before = cluster.log.records(Stream::Config).len();
+    for case in REFUSED {
+        let answer = call(&cluster, &case.method, case.path, case.condition, case.body);
+        assert_eq!(
+            number(&answer),
+            case.number,
+            "{}: {}",
+            case.name,
+            answer.text()
+        );
+        let message = answer.json()["error"]["message"].to_string();
+        assert!(message.contains(case.names), "{}: {message}", case.name);
+    }
+    let anonymous = http::try_get(cluster.entry_addr(0), "/admin/v1/status", "wrong").unwrap();
+    assert_eq!((anonymous.status, number(&anonymous)), (401, 4001));
+    assert_eq!(cluster.log.records(Stream::Config).len(), before);
+}
+
+/// Guards against "accepted" before the change is in force, a dry run that
+/// changes something, and a lost update.
+#[test]
+fn changes_are_accepted_once_in_force() {
+    let cluster = Cluster::start(1, 1);
+    let body = r#"{"teams":["red"],"versions":["small-1"],"quality_target":0.5}"#;
+    let put = |path: &str, condition| call(&cluster, &Method::PUT, path, Some(condition), body);
+    let dry = put("profiles/p?dry_run=true", "*");
+    assert_eq!(
+        dry.json()["after"]["quality_target"],
+        json!(0.5),
+        "{}",
+        dry.text()
+    );
+    assert_eq!(
+        call(&cluster, &Method::GET, "profiles/p", None, "").status,
+        404
+    );
+    let made = put("profiles/p", "*");
+    assert_eq!(made.json()["state"], "accepted", "{}", made.text());
+    let tag = made.header("etag").unwrap().to_owned();
+    let read = call(&cluster, &Method::GET, "profiles/p", None, "");
+    assert_eq!(read.header("etag"), Some(tag.as_str()));
+    assert_eq!(put("profiles/p", &tag).status, 200);
+    let late = put("profiles/p", &tag);
+    assert_eq!(number(&late), 3002, "{}", late.text());
+    let change = made.json()["change"].as_str().unwrap().to_owned();
+    let verdict = call(
+        &cluster,
+        &Method::GET,
+        &format!("changes/{change}"),
+        None,
+        "",
+    );
+    assert_eq!(verdict.json()["state"], "accepted");
+    let status = call(&cluster, &Method::GET, "status", None, "").json();
+    assert_eq!(status["phase"], "serving");
+    assert_eq!(status["endpoints"].as_array().map(Vec::len), Some(1));
+    let list = call(&cluster, &Method::GET, "profiles", None, "").json();
+    assert_eq!(list["items"].as_array().map(Vec::len), Some(2));
+    let current = read_tag(&cluster, "profiles/p");
+    let gone = call(&cluster, &Method::DELETE, "profiles/p", Some(&current), "");
+    assert_eq!(gone.status, 200, "{}", gone.text());
+    assert_eq!(
+        put("profiles/p", "*").status,
+        200,
+        "a deleted object can be made again"
+    );
+}
+
+fn read_tag(cluster: &Cluster, path: &str) -> String {
+    let answer = call(cluster, &Method::GET, path, None, "");
+    answer.header("etag").unwrap().to_owned()
+}
+
+/// Guards against an explanation from a later record of the same request.
+#[test]
+fn the_first_usage_record_explains() {
+    let cluster = Cluster::start(1, 1);
+    let id = "0123456789abcdef0123456789abcdef";
+    let record = |cost: u64| -> Value {
+        json!({
+            "request": id, "team": "red", "profile": "chat", "service": null, "class": null,
+            "usage": { "prompt": 1, "output": 2 }, "cost": cost, "result": null,
+            "ended_at": 1, "written_by": "entry-0", "attempts": [],
+        })
+    };
+    for cost in [7, 8] {
+        cluster.log.append(Stream::Usage, &record(cost)).unwrap();
+    }
+    let found = call(&cluster, &Method::GET, &format!("explain/{id}"), None, "");
+    assert_eq!(found.json()["cost"], 7, "{}", found.text());
+    let none = call(
+        &cluster,
+        &Method::GET,
+        "explain/00000000000000000000000000000001",
+        None,
+        "",
+    );
+    assert_eq!(number(&none), 3005, "{}", none.text());
+}
