Admin: outcomes of changes while the log fails

A log that stalled after the head of its answer was waited for without a limit, and a 5xx of a gateway was taken as "nothing was done" although the append may have taken effect. The time limit now covers the body, and 500, 502 and 504 lead to reading forward for the own id.

--- a/src/admin/submit.rs
+++ b/src/admin/submit.rs
@@ -65,7 +65,7 @@
             .await
         {
             Ok(_) => return applied(control, id, deadline).await,
-            Err(platform::PlatformError::Unknown(err)) => {
+            Err(err) if may_have_appended(&err) => {
                 log::warn!("catalog: outcome of the append of change {id} unknown: {err}.");
                 maybe_appended = true;
             }
@@ -79,13 +79,27 @@
             }
             Err(err) => log::warn!("catalog: change {id} not appended again: {err}."),
         }
-        if let Some(Sought::Present) = seek(log, id, from, deadline).await {
-            return applied(control, id, deadline).await;
+        match seek(log, id, from, deadline).await {
+            Some(Sought::Present) => return applied(control, id, deadline).await,
+            Some(Sought::Absent) => {
+                Timer::after(RETRY_PAUSE).await;
+            }
+            None => break,
         }
     }
     Err(admin::Failure::unknown(id))
 }
 
+/// A log that answers with a fault of its own or of a gateway may have
+/// appended before; one that says that it is unavailable has not.
+const fn may_have_appended(err: &platform::PlatformError) -> bool {
+    match err {
+        platform::PlatformError::Unknown(_) => true,
+        platform::PlatformError::Status(status) => matches!(status, 500 | 502 | 504),
+        platform::PlatformError::Refused(_) => false,
+    }
+}
+
 /// Reads forward for the record of a change until the log answers; `None`
 /// where it does not do so before the deadline.
 async fn seek(
--- a/src/platform/log_client.rs
+++ b/src/platform/log_client.rs
@@ -1,7 +1,7 @@
 //! Client of the append-only log.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http_body_util::Full;
 use hyper::body::Bytes;
@@ -51,8 +51,7 @@
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(|err| http::HttpError::NotSent(err.to_string().into()))?;
-        let answer = self.http.send(req, APPEND_TIMEOUT).await?;
-        decode(answer).await
+        self.exchange(req, APPEND_TIMEOUT).await
     }
 
     /// Reads records from `from` on; waits up to `wait` where there is none yet.
@@ -69,8 +68,23 @@
             ))
             .body(Full::default())
             .map_err(|err| http::HttpError::NotSent(err.to_string().into()))?;
-        let answer = self.http.send(req, wait + READ_MARGIN).await?;
-        decode(answer).await
+        self.exchange(req, wait + READ_MARGIN).await
+    }
+
+    /// The time limit covers the body too, since the log may stall after its head.
+    async fn exchange<T: serde::de::DeserializeOwned>(
+        &self,
+        req: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<T, platform::PlatformError> {
+        let deadline = Instant::now() + timeout;
+        let exchange = async {
+            let answer = self.http.send(req, timeout).await?;
+            decode(answer).await
+        };
+        runtime::timeout_at(deadline, exchange).await.unwrap_or(Err(
+            platform::PlatformError::Unknown(http::HttpError::TimedOut),
+        ))
     }
 }
 
--- /dev/null
+++ b/tests/integration/admin_log.rs
@@ -0,0 +1,210 @@
+//! Changes while the log fails.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use quetzalworks::platform::{LogClient, Stream};
+use quetzalworks::standin::StandinLog;
+use quetzalworks::units;
+use quetzalworks::{admin, control, feed, fleet, http, ids, settings, system};
+use serde_json::{Value, json};
+
+use crate::testing::{http as caller, place, wait};
+
+/// What the log does with appends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    /// Refuses all.
+    Unavailable,
+    /// Does the first one and answers with a fault.
+    FirstAnswerLost,
+    /// Does none of the first and answers with a fault.
+    FirstRequestLost,
+    /// Does all, answers with a fault and refuses reads.
+    AnswersLostAndReadsFail,
+}
+
+/// The stand-in log behind a fault.
+struct FaultyLog {
+    log: StandinLog,
+    fault: Fault,
+    armed: AtomicBool,
+    appends: AtomicUsize,
+}
+
+impl FaultyLog {
+    async fn append(&self, req: Request<Incoming>) -> StatusCode {
+        let body = http::read_body(req.into_body(), units::Bytes(1 << 20))
+            .await
+            .unwrap();
+        let body: Value = serde_json::from_slice(&body).unwrap();
+        let nth = self.appends.fetch_add(1, Ordering::SeqCst);
+        let (done, status) = match (self.fault, nth) {
+            (Fault::Unavailable, _) => (false, StatusCode::SERVICE_UNAVAILABLE),
+            (Fault::FirstAnswerLost, 0) | (Fault::AnswersLostAndReadsFail, _) => {
+                (true, StatusCode::GATEWAY_TIMEOUT)
+            }
+            (Fault::FirstRequestLost, 0) => (false, StatusCode::GATEWAY_TIMEOUT),
+            _ => (true, StatusCode::OK),
+        };
+        if done {
+            self.log
+                .append(Stream::Config, &body["records"][0])
+                .unwrap();
+        }
+        status
+    }
+}
+
+impl http::Handler for FaultyLog {
+    async fn handle(&self, req: Request<Incoming>) -> http::Reply {
+        if req.method() == Method::POST {
+            let status = self.append(req).await;
+            return http::json(status, &json!({ "first": 0 }));
+        }
+        if self.fault == Fault::AnswersLostAndReadsFail && self.armed.load(Ordering::SeqCst) {
+            return http::json(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+        }
+        let path = req.uri().path_and_query().unwrap().to_string();
+        // The wait is cut, so that an armed fault meets the next read.
+        let path = path.replace("wait_ms=10000", "wait_ms=20");
+        let answer = http::Client::new(self.log.addr(), caller::traffic())
+            .send(
+                Request::builder()
+                    .uri(path)
+                    .body(http_body_util::Full::default())
+                    .unwrap(),
+                Duration::from_secs(30),
+            )
+            .await
+            .unwrap();
+        let page: Value = answer.json(units::Bytes(1 << 20)).await.unwrap();
+        http::json(StatusCode::OK, &page)
+    }
+}
+
+/// The operators' API alone.
+struct Api(Arc<admin::AdminApi>);
+
+impl http::Handler for Api {
+    async fn handle(&self, req: Request<Incoming>) -> http::Reply {
+        self.0.answer(req).await
+    }
+}
+
+struct Case {
+    fault: Fault,
+    /// Number of the result code; 0 where the change is accepted.
+    number: u64,
+    records: usize,
+}
+
+/// Guards against a change that is applied twice or reported wrongly when
+/// the log fails or loses its answer after the append.
+#[test]
+fn outcomes_under_log_faults() {
+    let cases = [
+        Case {
+            fault: Fault::Unavailable,
+            number: 3003,
+            records: 0,
+        },
+        Case {
+            fault: Fault::FirstAnswerLost,
+            number: 0,
+            records: 1,
+        },
+        Case {
+            fault: Fault::FirstRequestLost,
+            number: 0,
+            records: 1,
+        },
+        Case {
+            fault: Fault::AnswersLostAndReadsFail,
+            number: 3004,
+            records: 1,
+        },
+    ];
+    for case in cases {
+        smol::block_on(run(&case));
+    }
+}
+
+async fn run(case: &Case) {
+    let traffic = caller::traffic();
+    let limits = settings::Limits::default();
+    let log = Arc::new(FaultyLog {
+        log: StandinLog::bind(place::addr(), &traffic).await.unwrap(),
+        fault: case.fault,
+        armed: AtomicBool::new(false),
+        appends: AtomicUsize::new(0),
+    });
+    let front = http::Server::bind(place::addr(), limits, &traffic, Arc::clone(&log))
+        .await
+        .unwrap();
+    let me = fleet::Identity {
+        vm: "entry-0".parse().unwrap(),
+        domain: "a".parse().unwrap(),
+        region: "r".parse().unwrap(),
+        incarnation: ids::Incarnation(1),
+        role: fleet::NodeRole::Entry,
+    };
+    let (control, _effects, _thread) =
+        control::Control::spawn(control::World::new(me.clone()), system::ENTRY).unwrap();
+    let client = LogClient::new(front.addr(), traffic.clone());
+    let _feed = traffic.spawn(feed::follow_config(client.clone(), control.clone()));
+    let api = admin::AdminApi {
+        token: ids::Digest::of(b"t"),
+        control: control.clone(),
+        log: client,
+        vm: me.vm,
+        limits,
+    };
+    let server = http::Server::bind(
+        place::addr(),
+        limits,
+        &traffic,
+        Arc::new(Api(Arc::new(api))),
+    )
+    .await
+    .unwrap();
+    wait::until("the configuration is read", || {
+        control.snapshot().is_serving()
+    });
+    log.armed.store(true, Ordering::SeqCst);
+    let headers = [("authorization", "Bearer t"), ("if-none-match", "*")];
+    let answer = caller::send(
+        server.addr(),
+        &Method::PUT,
+        "/admin/v1/domains/a",
+        &headers,
+        br#"{"out":true}"#,
+    )
+    .unwrap();
+    let error = &answer.json()["error"];
+    assert_eq!(
+        error["number"].as_u64().unwrap_or(0),
+        case.number,
+        "{:?}: {}",
+        case.fault,
+        answer.text()
+    );
+    assert_eq!(
+        log.log.records(Stream::Config).len(),
+        case.records,
+        "{:?}",
+        case.fault
+    );
+    if case.number == 3004 {
+        log.armed.store(false, Ordering::SeqCst);
+        let path = format!("/admin/v1/changes/{}", error["change"].as_str().unwrap());
+        wait::until("the verdict is known later", || {
+            let later = caller::try_get(server.addr(), &path, "t").unwrap();
+            later.json()["state"] == "accepted"
+        });
+    }
+    control.close();
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
 mod admin;
+mod admin_log;
 mod catalog;
 mod testing;
 mod thin_path;
