Operators' tool quetzalworks, and exact lines of wrong settings

Operators had only the HTTP API. A roll-out may name a withdrawn version: listed versions without a roll-out serve in full, so the safe order is to publish withdrawn, list, start the roll-out, then publish.

The tool's test showed that a refused value was reported on the line after it, where the JSON library has the next token; the line is now sought by the field's path.

--- a/src/admin/status.rs
+++ b/src/admin/status.rs
@@ -2,6 +2,8 @@
 
 use serde_json::{Value, json};
 
+use crate::admin::submit;
+use crate::catalog;
 use crate::control;
 use crate::ids;
 
@@ -11,6 +13,14 @@
     let (tx, rx) = smol::channel::bounded(1);
     control.send(control::Event::ReadEntries(tx)).await;
     let rows = rx.recv().await.unwrap_or_default();
+    let catalog = submit::read_catalog(control).await.unwrap_or_default();
+    let rollouts: Vec<Value> = catalog
+        .iter()
+        .filter_map(|(id, _, object)| match object {
+            catalog::Object::Rollout(plan) => Some(rollout(&snapshot, &id.name, plan)),
+            _ => None,
+        })
+        .collect();
     let endpoints: Vec<Value> = snapshot.endpoints.values().map(endpoint).collect();
     let mut entries = vec![json!({ "vm": vm, "config": snapshot.config, "connected": true })];
     entries.extend(rows.iter().filter(|row| row.vm != *vm).map(entry));
@@ -22,6 +32,33 @@
         "config": snapshot.config,
         "endpoints": endpoints,
         "entries": entries,
+        "rollouts": rollouts,
+    })
+}
+
+/// A roll-out is complete once its version serves the profile like any other.
+fn rollout(snapshot: &control::Snapshot, name: &str, plan: &catalog::RolloutPlan) -> Value {
+    let view = snapshot.profiles.get(&plan.profile);
+    let entering = view.and_then(|view| {
+        let mut rollouts = view.rollouts.iter();
+        rollouts.find(|rollout| rollout.version.name == plan.version)
+    });
+    let serves = view.is_some_and(|view| {
+        let mut versions = view.versions.iter();
+        versions.any(|version| version.name == plan.version)
+    });
+    let state = match (entering, serves) {
+        (Some(_), _) if plan.paused => "paused",
+        (Some(_), _) => "stepping",
+        (None, true) => "complete",
+        (None, false) => "stopped",
+    };
+    json!({
+        "name": name,
+        "profile": plan.profile,
+        "version": plan.version,
+        "state": state,
+        "share": entering.map(|rollout| rollout.share),
     })
 }
 
--- a/src/bin/quetzalworks.rs
+++ b/src/bin/quetzalworks.rs
@@ -1,2 +1,7 @@
 //! The command-line tool for operators.
-fn main() {}
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    quetzalworks::cli::main()
+}
--- a/src/catalog/check.rs
+++ b/src/catalog/check.rs
@@ -131,14 +131,15 @@
         );
         return Err(InvalidValue::new("version", reason));
     }
-    let version_id =
-        catalog::ObjectId::new(catalog::ObjectKind::Versions, plan.version.to_string());
-    match catalog.get(&version_id) {
-        Some((_, catalog::Object::Version(version))) if !version.withdrawn => {}
-        _ => {
-            let reason = format!("version {} is withdrawn or not published", plan.version);
-            return Err(InvalidValue::new("version", reason));
-        }
+    // A withdrawn version is allowed, so that a roll-out can begin before the
+    // version is published and gets its first work.
+    if !exists(
+        catalog,
+        catalog::ObjectKind::Versions,
+        plan.version.as_str(),
+    ) {
+        let reason = format!("version {} does not exist", plan.version);
+        return Err(InvalidValue::new("version", reason));
     }
     let twin = catalog.iter().find(|(other, _, object)| {
         *other != id
--- /dev/null
+++ b/src/cli/local.rs
@@ -0,0 +1,53 @@
+//! Commands that need no server.
+
+use std::fs;
+use std::path::Path;
+
+use serde_json::json;
+
+use crate::cli;
+use crate::cli::flags;
+use crate::settings;
+use crate::standin;
+
+/// Checks a settings file.
+pub fn check(path: &Path, as_json: bool) -> Result<(), cli::Failure> {
+    let settings = settings::load(path)
+        .map_err(|err| cli::Failure::usage(format!("{}: {err}", path.display())))?;
+    if as_json {
+        println!("{}", json!({ "valid": true, "vm": settings.vm }));
+    } else {
+        println!(
+            "{}: valid settings of {} {}",
+            path.display(),
+            settings.role,
+            settings.vm
+        );
+    }
+    Ok(())
+}
+
+/// Makes certificates for development.
+pub fn certs(flags: &flags::Certs, as_json: bool) -> Result<(), cli::Failure> {
+    if flags.vms.is_empty() {
+        return Err(cli::Failure::usage("needs the name of at least one VM"));
+    }
+    let failed = |err: &dyn std::fmt::Display| cli::Failure::Other(err.to_string().into());
+    fs::create_dir_all(&flags.dir).map_err(|err| failed(&err))?;
+    let authority = standin::Authority::generate().map_err(|err| failed(&err))?;
+    for vm in &flags.vms {
+        let files = authority
+            .issue(vm, &flags.dir)
+            .map_err(|err| failed(&err))?;
+        if as_json {
+            println!("{}", json!({ "vm": vm, "tls": files }));
+        } else {
+            println!(
+                "{vm}: {}, {}",
+                files.cert_file.display(),
+                files.key_file.display()
+            );
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/cli/watch.rs
@@ -0,0 +1,131 @@
+//! Live views that end when what they watch is complete.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use smol::Timer;
+
+use crate::catalog;
+use crate::cli;
+use crate::cli::show;
+use crate::ids;
+
+/// Time between reads of the status; endpoints report once a second.
+const INTERVAL: Duration = Duration::from_millis(500);
+
+/// Watches a roll-out until it is complete or stopped.
+pub async fn rollout(cx: &cli::Context, name: &ids::ProfileName) -> Result<(), cli::Failure> {
+    let mut last = Value::Null;
+    loop {
+        let status = cx.client.read("status").await?;
+        let row = find(&status["rollouts"], "name", name.as_str());
+        if row.is_null() {
+            let reason = format!("no roll-out {name}; it does not exist or was stopped");
+            return Err(cli::Failure::Other(reason.into()));
+        }
+        if row != last {
+            let text = format!(
+                "{name}: {}, share {}",
+                row["state"].as_str().unwrap_or("-"),
+                row["share"]
+            );
+            cx.say(&row, &text);
+        }
+        match row["state"].as_str() {
+            Some("complete") => return Ok(()),
+            Some("stopped") => {
+                return Err(cli::Failure::Other("the roll-out has stopped".into()));
+            }
+            _ => {}
+        }
+        last = row;
+        Timer::after(INTERVAL).await;
+    }
+}
+
+fn find(list: &Value, member: &str, text: &str) -> Value {
+    let mut items = list.as_array().into_iter().flatten();
+    items
+        .find(|item| item[member] == text)
+        .cloned()
+        .unwrap_or_default()
+}
+
+/// Progress of a failure domain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Progress {
+    endpoints: usize,
+    applied: usize,
+    running: u64,
+    warm: usize,
+}
+
+impl Progress {
+    fn of(status: &Value, domain: &ids::ProfileName, offset: u64) -> Self {
+        let all = status["endpoints"].as_array().into_iter().flatten();
+        let rows: Vec<&Value> = all.filter(|row| row["domain"] == domain.as_str()).collect();
+        let count = |keep: &dyn Fn(&Value) -> bool| rows.iter().filter(|row| keep(row)).count();
+        let load = |row: &&Value| {
+            row["running"].as_u64().unwrap_or(0) + row["queued"].as_u64().unwrap_or(0)
+        };
+        Self {
+            endpoints: rows.len(),
+            applied: count(&|row| {
+                row["config"]
+                    .as_u64()
+                    .is_some_and(|config| config >= offset)
+            }),
+            running: rows.iter().map(load).sum(),
+            warm: count(&|row| row["accepting"] == true && row["warmth"] == "warm"),
+        }
+    }
+
+    const fn is_complete(self, out: bool) -> bool {
+        let state = if out {
+            self.running == 0
+        } else {
+            self.warm == self.endpoints
+        };
+        self.applied == self.endpoints && state
+    }
+}
+
+/// Watches a failure domain until it is drained, where it is taken out, or
+/// until all its endpoints are warm.
+pub async fn domain(cx: &cli::Context, name: &ids::ProfileName) -> Result<(), cli::Failure> {
+    let id = catalog::ObjectId::new(catalog::ObjectKind::Domains, name.as_str());
+    let mut last = None;
+    loop {
+        let (revision, object) = show::present(cx, &id).await?;
+        let out = object["out"] == true;
+        let status = cx.client.read("status").await?;
+        let progress = Progress::of(&status, name, revision.0.saturating_sub(1));
+        if progress.endpoints == 0 {
+            return Err(cli::Failure::Other(
+                format!("no endpoint is known in failure domain {name}").into(),
+            ));
+        }
+        let complete = progress.is_complete(out);
+        if last != Some((out, progress)) {
+            report(cx, name, out, progress, complete);
+        }
+        if complete {
+            return Ok(());
+        }
+        last = Some((out, progress));
+        Timer::after(INTERVAL).await;
+    }
+}
+
+fn report(cx: &cli::Context, name: &ids::ProfileName, out: bool, at: Progress, complete: bool) {
+    let state = if out { "out" } else { "in" };
+    let value = json!({
+        "domain": name, "state": state, "complete": complete, "endpoints": at.endpoints,
+        "applied": at.applied, "running": at.running, "warm": at.warm,
+    });
+    let text = format!(
+        "{name} {state}: in force on {} of {} endpoints, {} requests running, {} warm",
+        at.applied, at.endpoints, at.running, at.warm
+    );
+    cx.say(&value, &text);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod attempt;
 pub mod billing;
 pub mod catalog;
+pub mod cli;
 pub mod control;
 pub mod daemon;
 pub mod entry;
--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use crate::settings;
+use crate::settings::locate;
 use crate::units;
 
 /// A settings file that cannot be used.
@@ -60,8 +61,8 @@
     let settings: settings::Settings =
         serde_path_to_error::deserialize(&mut json).map_err(|err| SettingsError::Invalid {
             field: err.path().to_string().into(),
-            line: err.inner().line(),
-            reason: err.inner().to_string().into(),
+            line: locate::line_of(text, err.path()).unwrap_or_else(|| err.inner().line()),
+            reason: reason(err.inner()),
         })?;
     json.end().map_err(|err| SettingsError::Invalid {
         field: ".".into(),
@@ -72,6 +73,13 @@
     Ok(settings)
 }
 
+/// The text without the library's position, which may be past the field.
+fn reason(err: &serde_json::Error) -> Arc<str> {
+    let text = err.to_string();
+    let position = format!(" at line {} column {}", err.line(), err.column());
+    text.strip_suffix(&position).unwrap_or(&text).into()
+}
+
 fn check(settings: &settings::Settings) -> Result<(), SettingsError> {
     let inconsistent = |field, reason| Err(SettingsError::Inconsistent { field, reason });
     if settings.traffic_threads == 0 {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 mod fields;
 mod load;
+mod locate;
 
 pub use fields::{
     EndpointSettings, EntrySettings, Limits, PlatformSettings, Role, Settings, SidecarSettings,
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -5,6 +5,7 @@
 mod admin;
 mod admin_log;
 mod catalog;
+mod cli;
 mod testing;
 mod thin_path;
 mod values;
