Planned stop, readiness, metrics, panics and bad input

A stop now waits until connections that were open at its beginning have delivered their answers; idle ones are closed at once. Readiness is false from the beginning of the stop, and a second signal ends it.

Heads a little over the limit get the numbered error 1431; longer ones the bare 431 of the HTTP library.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,7 +1,9 @@
 //! The daemon: one process of the system, in the role of its settings.
 
+mod panics;
 mod process;
 mod start;
 
+pub use panics::install_panic_hook;
 pub use process::Process;
 pub use start::{StartError, main};
--- a/src/daemon/process.rs
+++ b/src/daemon/process.rs
@@ -8,6 +8,7 @@
 use crate::entry;
 use crate::fleet;
 use crate::ids;
+use crate::observe;
 use crate::runtime;
 use crate::settings;
 use crate::sidecar;
@@ -15,10 +16,15 @@
 
 /// A running process; dropping it ends its tasks.
 #[derive(Debug)]
-pub enum Process {
-    /// An entry.
+pub struct Process {
+    role: Role,
+    operations: observe::Operations,
+}
+
+/// A running role.
+#[derive(Debug)]
+enum Role {
     Entry(entry::Entry),
-    /// A process beside an endpoint.
     Sidecar(sidecar::Sidecar),
 }
 
@@ -35,32 +41,46 @@
             me.vm,
             me.incarnation
         );
-        match &settings.role {
-            settings::Role::Entry(cfg) => Ok(Self::Entry(
-                entry::Entry::spawn(settings, cfg, me, node, traffic).await?,
-            )),
-            settings::Role::Sidecar(cfg) => Ok(Self::Sidecar(sidecar::Sidecar::spawn(
-                settings, cfg, me, node, &traffic,
-            )?)),
-        }
+        let (role, control) = match &settings.role {
+            settings::Role::Entry(cfg) => {
+                let entry = entry::Entry::spawn(settings, cfg, me, node, traffic.clone()).await?;
+                let control = entry.cx().control.clone();
+                (Role::Entry(entry), control)
+            }
+            settings::Role::Sidecar(cfg) => {
+                let sidecar = sidecar::Sidecar::spawn(settings, cfg, me, node, &traffic)?;
+                let control = sidecar.cx().control.clone();
+                (Role::Sidecar(sidecar), control)
+            }
+        };
+        let addr = settings.operations_addr;
+        let operations = observe::Operations::bind(addr, &settings.vm, control, &traffic).await?;
+        Ok(Self { role, operations })
     }
 
     /// Stops as planned; accepted requests get until `deadline`.
     pub async fn stop(&self, deadline: Instant) {
-        match self {
-            Self::Entry(entry) => entry.stop(deadline).await,
-            Self::Sidecar(sidecar) => sidecar.stop(deadline).await,
+        self.operations.begin_stop();
+        match &self.role {
+            Role::Entry(entry) => entry.stop(deadline).await,
+            Role::Sidecar(sidecar) => sidecar.stop(deadline).await,
         }
     }
 
     /// The address for callers, where the process is an entry.
     #[must_use]
     pub const fn callers_addr(&self) -> Option<SocketAddr> {
-        match self {
-            Self::Entry(entry) => Some(entry.callers_addr()),
-            Self::Sidecar(_) => None,
+        match &self.role {
+            Role::Entry(entry) => Some(entry.callers_addr()),
+            Role::Sidecar(_) => None,
         }
     }
+
+    /// The address for health, readiness and metrics.
+    #[must_use]
+    pub const fn operations_addr(&self) -> SocketAddr {
+        self.operations.addr()
+    }
 }
 
 fn identity(settings: &settings::Settings) -> fleet::Identity {
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -4,6 +4,11 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Instant;
+
+use async_signal::{Signal, Signals};
+use smol::future::FutureExt;
+use smol::stream::StreamExt;
 
 use crate::daemon;
 use crate::settings;
@@ -22,7 +27,7 @@
     }
 }
 
-/// Why a process cannot start.
+/// Why a process cannot start, or did not stop as planned.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StartError {
     /// The settings cannot be used.
@@ -31,6 +36,8 @@
     Tls(wire::TlsError),
     /// A socket or thread cannot be had.
     Io(Arc<str>),
+    /// A second signal ended a planned stop.
+    Killed,
 }
 
 impl fmt::Display for StartError {
@@ -39,6 +46,7 @@
             Self::Settings(err) => err.fmt(f),
             Self::Tls(err) => err.fmt(f),
             Self::Io(err) => err.fmt(f),
+            Self::Killed => f.write_str("ended at once by a second signal"),
         }
     }
 }
@@ -62,10 +70,11 @@
 pub fn main() -> ExitCode {
     let flags = Quetzalworksd::from_env_or_exit();
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    daemon::install_panic_hook();
     match smol::block_on(run(flags)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
-            log::error!("control: cannot start: {err}.");
+            log::error!("control: failed: {err}.");
             let code = if matches!(err, StartError::Settings(_)) {
                 EXIT_SETTINGS
             } else {
@@ -78,9 +87,29 @@
 
 async fn run(flags: Quetzalworksd) -> Result<(), StartError> {
     let settings = settings::load(&flags.settings)?;
+    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let process = daemon::Process::spawn(&settings).await?;
     if let Some(addr) = process.callers_addr() {
         log::info!("control: callers are served on {addr}.");
     }
-    std::future::pending().await
+    signals.next().await;
+    let deadline = Instant::now() + settings.drain_timeout_ms.duration();
+    log::info!(
+        "control: planned stop, at most {}.",
+        settings.drain_timeout_ms
+    );
+    let stopped = async {
+        process.stop(deadline).await;
+        true
+    };
+    let second = async {
+        signals.next().await;
+        false
+    };
+    if stopped.or(second).await {
+        log::info!("control: stopped.");
+        Ok(())
+    } else {
+        Err(StartError::Killed)
+    }
 }
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -14,6 +14,7 @@
 use crate::entry::generation;
 use crate::errors;
 use crate::http;
+use crate::observe;
 use crate::runtime;
 use crate::units;
 
@@ -26,13 +27,14 @@
     team: control::TeamView,
     req: Request<Incoming>,
 ) -> Result<http::Reply, errors::Refusal> {
+    let arrived = Instant::now();
     let ask = read_ask(cx, team, req).await?;
     let generation = generation::Generation::start(cx.clone(), ask).await?;
     let headers = headers(&generation);
     let mut reply = if generation.ask().chat.stream {
-        stream(cx, generation)
+        stream(cx, generation, arrived)
     } else {
-        whole(generation).await?
+        whole(generation, arrived).await?
     };
     reply.headers_mut().extend(headers);
     Ok(reply)
@@ -122,13 +124,22 @@
     headers
 }
 
-async fn whole(mut generation: generation::Generation) -> Result<http::Reply, errors::Refusal> {
+async fn whole(
+    mut generation: generation::Generation,
+    arrived: Instant,
+) -> Result<http::Reply, errors::Refusal> {
     let completion = completion::Completion::new(generation.ask());
     let mut text = String::new();
     loop {
         match generation.next().await? {
-            generation::Step::Text(part) => text.push_str(&part),
+            generation::Step::Text(part) => {
+                if text.is_empty() {
+                    observe::metrics().first_token(arrived.elapsed());
+                }
+                text.push_str(&part);
+            }
             generation::Step::End { finish, usage } => {
+                observe::metrics().ended(None, arrived.elapsed());
                 log::info!(
                     "route: request {} answered, {} generated.",
                     generation.ask().id,
@@ -143,15 +154,18 @@
     }
 }
 
-fn stream(cx: &cx::Shared, generation: generation::Generation) -> http::Reply {
+fn stream(cx: &cx::Shared, generation: generation::Generation, arrived: Instant) -> http::Reply {
     let (tx, rx) = channel::bounded(STREAM_BUFFER);
-    cx.traffic.spawn(send_events(generation, tx)).detach();
+    cx.traffic
+        .spawn(send_events(generation, tx, arrived))
+        .detach();
     http::streamed(StatusCode::OK, "text/event-stream", rx)
 }
 
 /// Sends the answer's events; ends early where the caller has gone, which
 /// drops the generation and cancels the work.
-async fn send_events(mut generation: generation::Generation, tx: Sender<Bytes>) {
+async fn send_events(mut generation: generation::Generation, tx: Sender<Bytes>, arrived: Instant) {
+    let mut begun = false;
     let completion = completion::Completion::new(generation.ask());
     let include_usage = generation.ask().chat.include_usage;
     if tx.send(completion.first()).await.is_err() {
@@ -159,8 +173,14 @@
     }
     loop {
         let (event, last) = match generation.next().await {
-            Ok(generation::Step::Text(text)) => (completion.text(&text), false),
+            Ok(generation::Step::Text(text)) => {
+                if !std::mem::replace(&mut begun, true) {
+                    observe::metrics().first_token(arrived.elapsed());
+                }
+                (completion.text(&text), false)
+            }
             Ok(generation::Step::End { finish, usage }) => {
+                observe::metrics().ended(None, arrived.elapsed());
                 log::info!(
                     "route: request {} answered, {} generated.",
                     generation.ask().id,
@@ -172,6 +192,7 @@
                 )
             }
             Err(refusal) => {
+                observe::metrics().ended(Some(refusal.code), arrived.elapsed());
                 log::warn!("route: request {} ended: {refusal}.", generation.ask().id);
                 (completion::Completion::error(&refusal), true)
             }
--- a/src/entry/generation.rs
+++ b/src/entry/generation.rs
@@ -11,6 +11,7 @@
 use crate::entry::cx;
 use crate::errors;
 use crate::ids;
+use crate::observe;
 use crate::route;
 use crate::runtime;
 use crate::units;
@@ -190,6 +191,7 @@
             Err(refusal) => return Err(last.unwrap_or(refusal)),
         };
         *attempts += 1;
+        observe::metrics().attempt(*attempts);
         tried.push(route.endpoint);
         match dispatch(cx, ask, &snapshot, &route, *attempts, resume).await {
             Ok(running) => return Ok(running),
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -1,6 +1,7 @@
 //! Paths of the callers' API.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
@@ -14,6 +15,8 @@
 use crate::errors;
 use crate::http;
 use crate::ids;
+use crate::observe;
+use crate::units;
 
 /// Answers callers.
 #[derive(Debug)]
@@ -30,6 +33,7 @@
     }
 
     async fn answer(&self, req: Request<Incoming>) -> Result<http::Reply, errors::Refusal> {
+        check_head(&req, self.cx.cfg.limits.head_bytes)?;
         if req.uri().path().starts_with(admin::PREFIX) {
             return Ok(self.admin.answer(req).await);
         }
@@ -91,11 +95,34 @@
     }
 }
 
+/// Refuses a head over the limit that still fitted into the buffer.
+fn check_head(req: &Request<Incoming>, limit: units::Bytes) -> Result<(), errors::Refusal> {
+    // Separators of a header line and of the request line.
+    const LINE: usize = 4;
+    let headers = req.headers().iter();
+    let size: usize = headers
+        .map(|(name, value)| name.as_str().len() + value.len() + LINE)
+        .sum();
+    let target = req
+        .uri()
+        .path_and_query()
+        .map_or(0, |target| target.as_str().len());
+    if size + target <= limit.as_usize() {
+        return Ok(());
+    }
+    Err(errors::Refusal::new(
+        errors::ResultCode::HeadersTooLarge,
+        format!("the head is over {limit}"),
+    ))
+}
+
 impl http::Handler for CallerApi {
     async fn handle(&self, req: Request<Incoming>) -> http::Reply {
+        let arrived = Instant::now();
         match self.answer(req).await {
             Ok(reply) => reply,
             Err(refusal) => {
+                observe::metrics().ended(Some(refusal.code), arrived.elapsed());
                 log::info!("route: refused: {refusal}.");
                 chat::refused(&refusal)
             }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -5,13 +5,15 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{HttpService, service_fn};
 use hyper::{Request, StatusCode};
+use smol::channel::{self, Receiver, Sender};
+use smol::future::FutureExt;
 use smol::net::{TcpListener, TcpStream};
 use smol::{Task, Timer};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
@@ -22,6 +24,12 @@
 
 /// Pause after a failed accept, such as one for lack of descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+/// Least buffer of a connection that the HTTP library accepts.
+const MIN_BUFFER: usize = 8_192;
+/// Bytes beyond the limit on heads that are still read, so that the handler
+/// can refuse a head a little over the limit with a numbered error. The HTTP
+/// library answers longer ones with a bare 431.
+const HEAD_SLACK: usize = 16 * 1_024;
 
 /// Answers requests.
 pub trait Handler: Send + Sync + 'static {
@@ -33,7 +41,7 @@
 #[derive(Debug)]
 pub struct Server {
     addr: SocketAddr,
-    closing: Arc<AtomicBool>,
+    closing: Sender<Infallible>,
     active: Arc<AtomicUsize>,
     _accept: Task<()>,
 }
@@ -48,14 +56,14 @@
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(addr).await?;
         let addr = listener.local_addr()?;
-        let closing = Arc::new(AtomicBool::new(false));
+        let (closing, closed) = channel::bounded(1);
         let active = Arc::new(AtomicUsize::new(0));
         let acceptor = Acceptor {
             listener,
             limits,
             traffic: traffic.clone(),
             handler,
-            closing: Arc::clone(&closing),
+            closed,
             active: Arc::clone(&active),
         };
         Ok(Self {
@@ -72,15 +80,18 @@
         self.addr
     }
 
-    /// Requests being answered.
+    /// Connections that were open when the server was asked to close, and
+    /// still have an answer to deliver; all open connections before that.
     #[must_use]
     pub fn active(&self) -> usize {
         self.active.load(Ordering::Acquire)
     }
 
-    /// Asks callers to close their connections after their present request.
+    /// Closes idle connections, and each other one after its present answer.
+    /// Later connections are served for one request each, which the handler
+    /// may refuse; they are not counted as active.
     pub fn close_idle(&self) {
-        self.closing.store(true, Ordering::Release);
+        self.closing.close();
     }
 }
 
@@ -89,7 +100,7 @@
     limits: settings::Limits,
     traffic: runtime::Traffic,
     handler: Arc<H>,
-    closing: Arc<AtomicBool>,
+    closed: Receiver<Infallible>,
     active: Arc<AtomicUsize>,
 }
 
@@ -106,10 +117,11 @@
                 continue;
             }
             let serve = self.serve(tcp);
-            let connections = Arc::clone(&connections);
+            let guard = (!self.closed.is_closed()).then(|| ActiveGuard::new(&self.active));
+            let connections = ActiveGuard(Arc::clone(&connections));
             let task = async move {
                 serve.await;
-                connections.fetch_sub(1, Ordering::AcqRel);
+                drop((guard, connections));
             };
             self.traffic.spawn(task).detach();
         }
@@ -118,42 +130,51 @@
     fn serve(&self, tcp: TcpStream) -> impl Future<Output = ()> + Send + 'static {
         let limits = self.limits;
         let handler = Arc::clone(&self.handler);
-        let closing = Arc::clone(&self.closing);
-        let active = Arc::clone(&self.active);
+        let closed = self.closed.clone();
         async move {
             if let Err(err) = tcp.set_nodelay(true) {
                 log::debug!("http: cannot set no-delay: {err}");
             }
             let service = service_fn(move |req| {
                 let handler = Arc::clone(&handler);
-                let closing = Arc::clone(&closing);
-                let guard = ActiveGuard::new(&active);
-                async move {
-                    let mut reply = handler.handle(req).await;
-                    if closing.load(Ordering::Acquire) {
-                        reply.headers_mut().insert(
-                            hyper::header::CONNECTION,
-                            hyper::header::HeaderValue::from_static("close"),
-                        );
-                    }
-                    drop(guard);
-                    Ok::<_, Infallible>(reply)
-                }
+                async move { Ok::<_, Infallible>(handler.handle(req).await) }
             });
-            let served = http1::Builder::new()
+            let connection = http1::Builder::new()
                 .timer(SmolTimer::new())
                 .header_read_timeout(limits.send_timeout_ms.duration())
-                .max_buf_size(limits.head_bytes.as_usize().max(8_192))
-                .serve_connection(FuturesIo::new(tcp), service)
-                .await;
-            if let Err(err) = served {
+                .max_buf_size(limits.head_bytes.as_usize().max(MIN_BUFFER) + HEAD_SLACK)
+                .serve_connection(FuturesIo::new(tcp), service);
+            if let Err(err) = serve_until_closed(connection, closed).await {
                 log::debug!("http: connection ended: {err}");
             }
         }
     }
 }
 
-/// Counts a request while it is being answered.
+/// Serves a connection; once `closed`, only up to its present answer.
+async fn serve_until_closed<S>(
+    connection: http1::Connection<FuturesIo<TcpStream>, S>,
+    closed: Receiver<Infallible>,
+) -> hyper::Result<()>
+where
+    S: HttpService<Incoming, ResBody = http::Body>,
+    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut connection = std::pin::pin!(connection);
+    let served = async { Some(connection.as_mut().await) };
+    let closing = async {
+        // Nothing is ever sent; this ends when the channel is closed.
+        let _ = closed.recv().await;
+        None
+    };
+    if let Some(result) = served.or(closing).await {
+        return result;
+    }
+    connection.as_mut().graceful_shutdown();
+    connection.await
+}
+
+/// Counts a connection while it is open.
 struct ActiveGuard(Arc<AtomicUsize>);
 
 impl ActiveGuard {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fleet;
 pub mod http;
 pub mod ids;
+pub mod observe;
 pub mod platform;
 pub mod poison;
 pub mod rollout;
--- /dev/null
+++ b/src/observe/metrics.rs
@@ -0,0 +1,164 @@
+//! Metrics of a process.
+
+use std::sync::LazyLock;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use crate::control;
+use crate::errors;
+use crate::fleet;
+use crate::ids;
+
+/// Upper bounds of the latency buckets, in seconds. They hold the targets of
+/// 1.7 s to the first token and the default deadline of 60 s.
+const LATENCY_BUCKETS: [f64; 14] = [
+    0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.7, 5.0, 15.0, 60.0, 300.0,
+];
+
+static METRICS: LazyLock<Metrics> = LazyLock::new(Metrics::new);
+
+/// The metrics of this process.
+#[must_use]
+pub fn metrics() -> &'static Metrics {
+    &METRICS
+}
+
+/// Instruments and their registry.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    // Instruments stop counting when their provider is dropped.
+    _provider: SdkMeterProvider,
+    meter: Meter,
+    requests: Counter<u64>,
+    first_token: Histogram<f64>,
+    latency: Histogram<f64>,
+    attempts: Counter<u64>,
+    retries: Counter<u64>,
+    outbox: AtomicU64,
+}
+
+impl Metrics {
+    fn new() -> Self {
+        let registry = Registry::new();
+        let mut provider = SdkMeterProvider::builder();
+        match opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_scope_info()
+            .build()
+        {
+            Ok(exporter) => provider = provider.with_reader(exporter),
+            Err(err) => log::error!("control: metrics are not exported: {err}."),
+        }
+        let provider = provider.build();
+        let meter = provider.meter("quetzalworks");
+        let latency = |name: &'static str, text: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_description(text)
+                .with_unit("s")
+                .with_boundaries(LATENCY_BUCKETS.to_vec())
+                .build()
+        };
+        let count = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        Self {
+            requests: count("quetzalworks_requests", "Requests by result code."),
+            first_token: latency("quetzalworks_first_token", "Time to the first token."),
+            latency: latency("quetzalworks_latency", "Time to the end of the answer."),
+            attempts: count("quetzalworks_attempts", "Attempts at endpoints."),
+            retries: count(
+                "quetzalworks_retries",
+                "Attempts after the first of a request.",
+            ),
+            outbox: AtomicU64::new(0),
+            registry,
+            _provider: provider,
+            meter,
+        }
+    }
+
+    /// Reports the control state of a process until the end of the program.
+    pub fn watch(&'static self, vm: &ids::VmName, control: &control::Control) {
+        let label = KeyValue::new("vm", vm.to_string());
+        let (labels, source) = (label.clone(), control.clone());
+        self.meter
+            .u64_observable_gauge("quetzalworks_endpoints")
+            .with_description("Connected endpoints by warmth.")
+            .with_callback(move |gauge| {
+                let snapshot = source.snapshot();
+                for warmth in [
+                    fleet::Warmth::Cold,
+                    fleet::Warmth::Ramping,
+                    fleet::Warmth::Warm,
+                ] {
+                    let all = snapshot.endpoints.values();
+                    let count = all.filter(|view| view.report.warmth == warmth).count();
+                    let warmth = KeyValue::new("warmth", warmth.to_string());
+                    gauge.observe(count as u64, &[labels.clone(), warmth]);
+                }
+            })
+            .build();
+        let (labels, source) = (label.clone(), control.clone());
+        self.meter
+            .u64_observable_gauge("quetzalworks_config_offset")
+            .with_description("Last configuration record in force.")
+            .with_callback(move |gauge| {
+                if let Some(offset) = source.snapshot().config {
+                    gauge.observe(offset.0, std::slice::from_ref(&labels));
+                }
+            })
+            .build();
+        let source = control.clone();
+        self.meter
+            .u64_observable_gauge("quetzalworks_log_available")
+            .with_description("1 while the platform's log answers.")
+            .with_callback(move |gauge| {
+                let available = source.snapshot().log_available;
+                gauge.observe(u64::from(available), std::slice::from_ref(&label));
+            })
+            .build();
+        self.meter
+            .u64_observable_gauge("quetzalworks_outbox")
+            .with_description("Usage records that are not durable yet.")
+            .with_callback(|gauge| gauge.observe(self.outbox.load(Ordering::Relaxed), &[]))
+            .build();
+    }
+
+    /// A request has ended; `None` where it was answered.
+    pub fn ended(&self, result: Option<errors::ResultCode>, after: Duration) {
+        let code = result.map_or(0, errors::ResultCode::number);
+        let label = KeyValue::new("code", i64::from(code));
+        self.requests.add(1, std::slice::from_ref(&label));
+        self.latency.record(after.as_secs_f64(), &[]);
+    }
+
+    /// The first token of an answer has arrived.
+    pub fn first_token(&self, after: Duration) {
+        self.first_token.record(after.as_secs_f64(), &[]);
+    }
+
+    /// An attempt begins; `number` counts the request's attempts from 1.
+    pub fn attempt(&self, number: u16) {
+        self.attempts.add(1, &[]);
+        if number > 1 {
+            self.retries.add(1, &[]);
+        }
+    }
+
+    /// Usage records that are not durable yet.
+    pub fn set_outbox(&self, records: usize) {
+        self.outbox.store(records as u64, Ordering::Relaxed);
+    }
+
+    /// All metrics in the text format of Prometheus.
+    pub fn text(&self) -> Result<String, prometheus::Error> {
+        TextEncoder::new().encode_to_string(&self.registry.gather())
+    }
+}
--- a/src/runtime/traffic.rs
+++ b/src/runtime/traffic.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::io;
+use std::panic::{self, AssertUnwindSafe};
 use std::sync::Arc;
 use std::thread;
 
@@ -24,7 +25,7 @@
             let executor = Arc::clone(&executor);
             thread::Builder::new()
                 .name(format!("traffic-{i}"))
-                .spawn(move || smol::block_on(executor.run(std::future::pending::<()>())))?;
+                .spawn(move || run(&executor))?;
         }
         Ok(Self { executor })
     }
@@ -37,3 +38,16 @@
         self.executor.spawn(future)
     }
 }
+
+/// Runs tasks for ever. A panic ends the task that caused it and not the
+/// thread, which other requests share.
+fn run(executor: &Executor<'static>) {
+    loop {
+        let ran = panic::catch_unwind(AssertUnwindSafe(|| {
+            smol::block_on(executor.run(std::future::pending::<()>()));
+        }));
+        if ran.is_err() {
+            log::error!("control: a task panicked and was ended.");
+        }
+    }
+}
--- /dev/null
+++ b/tests/integration/bad_input.rs
@@ -0,0 +1,181 @@
+//! Input that callers must not be able to do harm with.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::testing::cluster::Cluster;
+use crate::testing::{http, raw};
+
+/// What the server does.
+#[derive(Debug)]
+enum Outcome {
+    /// It answers with the numbered error.
+    Number(u16, u16),
+    /// The HTTP library answers with a bare status.
+    Bare(u16),
+    /// It closes without an answer.
+    Closed,
+}
+
+struct Case {
+    name: &'static str,
+    bytes: Vec<u8>,
+    outcome: Outcome,
+}
+
+fn case(name: &'static str, bytes: Vec<u8>, outcome: Outcome) -> Case {
+    Case {
+        name,
+        bytes,
+        outcome,
+    }
+}
+
+fn with_header(size: usize) -> Vec<u8> {
+    let filler = "a".repeat(size);
+    format!("GET /v1/models HTTP/1.1\r\nhost: e\r\nconnection: close\r\nx-filler: {filler}\r\n\r\n")
+        .into_bytes()
+}
+
+fn cases() -> Vec<Case> {
+    let chat = |body: &[u8]| raw::chat("team-token", body);
+    let deep = "[".repeat(100_000);
+    let many = "x-a: b\r\n".repeat(500);
+    vec![
+        case("not HTTP", b"hello\r\n\r\n".to_vec(), Outcome::Bare(400)),
+        case(
+            "other protocol",
+            vec![0x16, 3, 1, 2, 0, 1, 0, 1, 0xff, 0xff],
+            Outcome::Bare(400),
+        ),
+        case(
+            "head over the limit",
+            with_header(17 * 1_024),
+            Outcome::Number(431, 1_431),
+        ),
+        case(
+            "huge head",
+            with_header(4 * 1_024 * 1_024),
+            Outcome::Bare(431),
+        ),
+        case(
+            "too many headers",
+            format!("GET /v1/models HTTP/1.1\r\nhost: e\r\n{many}\r\n").into_bytes(),
+            Outcome::Bare(431),
+        ),
+        case(
+            "not JSON",
+            chat(b"{\"model\": chat}"),
+            Outcome::Number(400, 1_400),
+        ),
+        case("empty body", chat(b""), Outcome::Number(400, 1_400)),
+        case(
+            "not UTF-8",
+            chat(b"{\"model\":\"\xff\xfe\"}"),
+            Outcome::Number(400, 1_400),
+        ),
+        case(
+            "lone surrogate",
+            chat(b"{\"model\":\"\\ud800\"}"),
+            Outcome::Number(400, 1_400),
+        ),
+        case(
+            "deep JSON",
+            chat(deep.as_bytes()),
+            Outcome::Number(400, 1_400),
+        ),
+        case(
+            "wrong types",
+            chat(b"{\"model\":7,\"messages\":{}}"),
+            Outcome::Number(400, 1_400),
+        ),
+        case(
+            "huge body",
+            chat(&vec![b' '; 2 * 1_024 * 1_024]),
+            Outcome::Number(413, 1_413),
+        ),
+        case(
+            "unknown path",
+            b"GET /../etc HTTP/1.1\r\nhost: e\r\nconnection: close\r\n\r\n".to_vec(),
+            Outcome::Number(404, 1_405),
+        ),
+        case(
+            "half a head",
+            b"POST /v1/chat/comp".to_vec(),
+            Outcome::Closed,
+        ),
+        case(
+            "half a body",
+            {
+                let mut bytes = chat(&[b' '; 100]);
+                bytes.truncate(bytes.len() - 50);
+                bytes
+            },
+            Outcome::Number(408, 1_408),
+        ),
+    ]
+}
+
+/// Guards against input that ends the process, is answered without a number
+/// where one is possible, or holds a connection for ever.
+#[test]
+fn bad_requests_are_refused() {
+    let cluster = Cluster::start(1, 1);
+    let addr = cluster.entry_addr(0);
+    // All at once, since slow senders are refused after the time limit.
+    let open: Vec<(Case, TcpStream)> = cases()
+        .into_iter()
+        .map(|case| {
+            let tcp = raw::open(addr, &case.bytes);
+            (case, tcp)
+        })
+        .collect();
+    for (case, tcp) in open {
+        let answer = raw::read_to_close(tcp);
+        let head = |status: u16| format!("HTTP/1.1 {status}");
+        let as_expected = match case.outcome {
+            Outcome::Number(status, number) => {
+                answer.starts_with(&head(status))
+                    && answer.contains(&format!("\"number\":{number}"))
+            }
+            Outcome::Bare(status) => answer.starts_with(&head(status)),
+            Outcome::Closed => answer.is_empty(),
+        };
+        assert!(
+            as_expected,
+            "{}: {:?}, got {answer:?}",
+            case.name, case.outcome
+        );
+    }
+    still_answers(addr, &cluster.team_token);
+}
+
+fn still_answers(addr: SocketAddr, token: &str) {
+    let body = json!({ "model": "chat", "max_tokens": 1, "messages": [{ "role": "user", "content": "hello" }] });
+    assert_eq!(
+        http::post(addr, "/v1/chat/completions", token, &body).status,
+        200
+    );
+}
+
+/// Guards against idle connections that keep callers out once they are gone.
+#[test]
+fn connections_over_the_limit_are_closed() {
+    let cluster = Cluster::start(1, 1);
+    let addr = cluster.entry_addr(0);
+    let held: Vec<TcpStream> = (0..4_200)
+        .map_while(|_| TcpStream::connect(addr).ok())
+        .collect();
+    assert!(held.len() > 4_096, "only {} connections", held.len());
+    let mut last = held.last().unwrap().try_clone().unwrap();
+    let _ = last.write_all(&with_header(1));
+    last.set_read_timeout(Some(Duration::from_mins(1))).unwrap();
+    assert_eq!(raw::read_to_close(last), "", "answered over the limit");
+    drop(held);
+    crate::testing::wait::until("callers are served again", || {
+        http::try_get(addr, "/v1/models", &cluster.team_token).is_ok_and(|a| a.status == 200)
+    });
+}
--- /dev/null
+++ b/tests/integration/daemon.rs
@@ -0,0 +1,152 @@
+//! Planned stops, readiness, metrics and panics of real processes.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::process::Command;
+use std::thread;
+use std::time::Duration;
+
+use quetzalworks::{control, daemon, fleet, ids, settings};
+use serde_json::json;
+
+use crate::testing::cluster::{Cluster, Process};
+use crate::testing::{http, raw, wait};
+
+fn operations(process: &Process) -> SocketAddr {
+    let file = process.log_file.with_extension("json");
+    settings::load(&file).unwrap().operations_addr
+}
+
+fn signal(process: &Process) {
+    let kill = format!("kill -TERM {}", process.child.id());
+    assert!(
+        Command::new("sh")
+            .args(["-c", &kill])
+            .status()
+            .unwrap()
+            .success()
+    );
+}
+
+fn exit_code(process: &mut Process) -> Option<i32> {
+    let mut status = None;
+    wait::until("the process ends", || {
+        status = process.child.try_wait().unwrap();
+        status.is_some()
+    });
+    status.unwrap().code()
+}
+
+fn begin_stream(cluster: &Cluster, tokens: u64) -> std::net::TcpStream {
+    let body = json!({
+        "model": "chat", "stream": true, "max_tokens": tokens,
+        "messages": [{ "role": "user", "content": "long" }],
+    });
+    let bytes = raw::chat(&cluster.team_token, body.to_string().as_bytes());
+    let mut tcp = raw::open(cluster.entry_addr(0), &bytes);
+    tcp.read_exact(&mut [0; 16]).unwrap();
+    tcp
+}
+
+/// Guards against a planned stop that cuts an answer, and against a process
+/// that stays ready while it stops.
+#[test]
+fn a_planned_stop_ends_answers_first() {
+    let mut cluster = Cluster::start(1, 1);
+    let addr = operations(&cluster.entries[0].0);
+    assert_eq!(http::try_get(addr, "/readyz", "").unwrap().status, 200);
+    let tcp = begin_stream(&cluster, 1_500);
+    signal(&cluster.entries[0].0);
+    wait::until("readiness is false", || {
+        http::try_get(addr, "/readyz", "").is_ok_and(|answer| answer.status == 503)
+    });
+    let answer = raw::read_to_close(tcp);
+    assert!(answer.contains("data: [DONE]"), "{answer}");
+    assert_eq!(exit_code(&mut cluster.entries[0].0), Some(0));
+    signal(&cluster.sidecars[0]);
+    assert_eq!(exit_code(&mut cluster.sidecars[0]), Some(0));
+}
+
+/// Guards against a stop that an operator cannot cut short.
+#[test]
+fn a_second_signal_ends_at_once() {
+    let mut cluster = Cluster::start(1, 1);
+    let _tcp = begin_stream(&cluster, 100_000);
+    let addr = operations(&cluster.entries[0].0);
+    signal(&cluster.entries[0].0);
+    wait::until("readiness is false", || {
+        http::try_get(addr, "/readyz", "").is_ok_and(|answer| answer.status == 503)
+    });
+    signal(&cluster.entries[0].0);
+    assert_eq!(exit_code(&mut cluster.entries[0].0), Some(1));
+}
+
+/// Guards against metrics that are registered but never counted.
+#[test]
+fn metrics_count() {
+    let cluster = Cluster::start(1, 1);
+    let _ = http::try_get(cluster.entry_addr(0), "/v1/models", "wrong");
+    let text = http::try_get(operations(&cluster.entries[0].0), "/metrics", "")
+        .unwrap()
+        .text();
+    let expected = [
+        "quetzalworks_requests_total{code=\"0\"",
+        "quetzalworks_requests_total{code=\"1401\"",
+        "quetzalworks_first_token_seconds_count",
+        "quetzalworks_latency_seconds_bucket",
+        "quetzalworks_attempts_total",
+        "quetzalworks_endpoints{",
+        "quetzalworks_config_offset{",
+        "quetzalworks_outbox",
+    ];
+    for name in expected {
+        assert!(text.contains(name), "{name} is missing:\n{text}");
+    }
+    let sidecar = operations(&cluster.sidecars[0]);
+    assert_eq!(http::try_get(sidecar, "/healthz", "").unwrap().status, 200);
+    assert_eq!(http::try_get(sidecar, "/readyz", "").unwrap().status, 200);
+}
+
+const CHILD: &str = "QUETZALWORKS_TEST_PANIC";
+
+fn fail(_: &mut control::World, _: &mut control::TickCx) {
+    panic!("a system failed");
+}
+
+/// Guards against a process that goes on with a snapshot that is never
+/// renewed. The test starts itself as the process that panics.
+#[test]
+fn a_panic_of_the_control_thread_ends_the_process() {
+    if std::env::var_os(CHILD).is_some() {
+        daemon::install_panic_hook();
+        let me = fleet::Identity {
+            vm: "entry-0".parse().unwrap(),
+            domain: "a".parse().unwrap(),
+            region: "r".parse().unwrap(),
+            incarnation: ids::Incarnation(1),
+            role: fleet::NodeRole::Entry,
+        };
+        let _control = control::Control::spawn(control::World::new(me), &[fail]).unwrap();
+        thread::sleep(Duration::from_mins(1));
+        return;
+    }
+    let status = Command::new(std::env::current_exe().unwrap())
+        .args([
+            "--exact",
+            "daemon::a_panic_of_the_control_thread_ends_the_process",
+        ])
+        .env(CHILD, "1")
+        .output()
+        .unwrap()
+        .status;
+    assert_eq!(status.code(), Some(1));
+}
+
+/// Guards against a request whose panic takes a traffic thread away from all
+/// other requests.
+#[test]
+fn a_panic_of_a_task_ends_only_the_task() {
+    let traffic = quetzalworks::runtime::Traffic::spawn_threads(1).unwrap();
+    traffic.spawn(async { panic!("a task failed") }).detach();
+    assert_eq!(smol::block_on(traffic.spawn(async { 7 })), 7);
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -4,8 +4,10 @@
 
 mod admin;
 mod admin_log;
+mod bad_input;
 mod catalog;
 mod cli;
+mod daemon;
 mod testing;
 mod thin_path;
 mod values;
--- a/tests/integration/testing/mod.rs
+++ b/tests/integration/testing/mod.rs
@@ -5,4 +5,5 @@
 pub mod cluster;
 pub mod http;
 pub mod place;
+pub mod raw;
 pub mod wait;
