Pages for newcomers and operators, checked against the code

There was no page on result codes, settings, the APIs or operation. The table of result codes is compared with the enum, and the example settings are parsed and their fields looked up on the page.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -8,6 +8,7 @@
 mod catalog;
 mod cli;
 mod daemon;
+mod docs;
 mod testing;
 mod thin_path;
 mod values;
