Close connections whose caller takes nothing of the answer

A caller that stopped reading held its connection and its place at the endpoint for ever, since a waiting write had no time limit. A write that makes no progress for send_timeout_ms now ends the connection.

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -5,6 +5,7 @@
 mod reply;
 mod server;
 mod sse;
+mod stall;
 
 pub use client::{Answer, Client};
 pub use error::HttpError;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -19,6 +19,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::http;
+use crate::http::stall;
 use crate::runtime;
 use crate::settings;
 
@@ -135,6 +136,7 @@
             if let Err(err) = tcp.set_nodelay(true) {
                 log::debug!("http: cannot set no-delay: {err}");
             }
+            let io = stall::StallLimited::new(tcp, limits.send_timeout_ms.duration());
             let service = service_fn(move |req| {
                 let handler = Arc::clone(&handler);
                 async move { Ok::<_, Infallible>(handler.handle(req).await) }
@@ -143,7 +145,7 @@
                 .timer(SmolTimer::new())
                 .header_read_timeout(limits.send_timeout_ms.duration())
                 .max_buf_size(limits.head_bytes.as_usize().max(MIN_BUFFER) + HEAD_SLACK)
-                .serve_connection(FuturesIo::new(tcp), service);
+                .serve_connection(FuturesIo::new(io), service);
             if let Err(err) = serve_until_closed(connection, closed).await {
                 log::debug!("http: connection ended: {err}");
             }
@@ -153,7 +155,7 @@
 
 /// Serves a connection; once `closed`, only up to its present answer.
 async fn serve_until_closed<S>(
-    connection: http1::Connection<FuturesIo<TcpStream>, S>,
+    connection: http1::Connection<FuturesIo<stall::StallLimited>, S>,
     closed: Receiver<Infallible>,
 ) -> hyper::Result<()>
 where
--- a/src/settings/fields.rs
+++ b/src/settings/fields.rs
@@ -99,7 +99,8 @@
     pub head_bytes: units::Bytes,
     /// Largest body of a request.
     pub body_bytes: units::Bytes,
-    /// Time in which a request must be sent.
+    /// Time in which a request must be sent, and longest time in which a
+    /// caller takes nothing of its answer.
     pub send_timeout_ms: units::Millis,
     /// Most connections at a time.
     pub max_connections: usize,
--- a/tests/integration/bad_input.rs
+++ b/tests/integration/bad_input.rs
@@ -2,12 +2,17 @@
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::body::{Bytes, Incoming};
+use hyper::{Request, StatusCode};
+use quetzalworks::http::{Handler, Reply, Server, streamed};
+use quetzalworks::{settings, units};
 use serde_json::json;
 
 use crate::testing::cluster::Cluster;
-use crate::testing::{http, raw};
+use crate::testing::{http, place, raw, wait};
 
 /// What the server does.
 #[derive(Debug)]
@@ -175,7 +180,37 @@
     last.set_read_timeout(Some(Duration::from_mins(1))).unwrap();
     assert_eq!(raw::read_to_close(last), "", "answered over the limit");
     drop(held);
-    crate::testing::wait::until("callers are served again", || {
+    wait::until("callers are served again", || {
         http::try_get(addr, "/v1/models", &cluster.team_token).is_ok_and(|a| a.status == 200)
     });
 }
+
+/// Sends an answer without end.
+struct Endless;
+
+impl Handler for Endless {
+    async fn handle(&self, _: Request<Incoming>) -> Reply {
+        let (tx, rx) = smol::channel::bounded(1);
+        let chunk = Bytes::from(vec![b' '; 65_536]);
+        let send = async move { while tx.send(chunk.clone()).await.is_ok() {} };
+        http::traffic().spawn(send).detach();
+        streamed(StatusCode::OK, "text/plain", rx)
+    }
+}
+
+/// Guards against a caller that stops reading and keeps its place for ever.
+#[test]
+fn a_caller_that_takes_nothing_is_dropped() {
+    let limits = settings::Limits {
+        send_timeout_ms: units::Millis(200),
+        ..settings::Limits::default()
+    };
+    let traffic = http::traffic();
+    let server = Server::bind(place::addr(), limits, &traffic, Arc::new(Endless));
+    let server = smol::block_on(server).unwrap();
+    let tcp = raw::open(server.addr(), b"GET / HTTP/1.1\r\nhost: e\r\n\r\n");
+    wait::until("the answer begins", || {
+        tcp.peek(&mut [0]).is_ok_and(|n| n == 1)
+    });
+    wait::until("the connection ends", || server.active() == 0);
+}
--- a/tests/integration/cli.rs
+++ b/tests/integration/cli.rs
@@ -39,6 +39,12 @@
         "domains/domain-0: accepted",
     ),
     case(&["get", "domains", "domain-0"], 0, "true"),
+    case(
+        &["watch", "domain", "domain-0"],
+        0,
+        "domain-0 out: in force on 1 of 1",
+    ),
+    case(&["watch", "domain", "domain-9"], 1, "domains/domain-9"),
     case(&["back", "domain", "domain-0"], 0, "accepted"),
     case(&["out", "vm", "endpoint-0"], 0, "vms/endpoint-0: accepted"),
     case(&["withdraw", "small-1"], 0, "accepted"),
