Test of the planned stop: a longer answer

On a busy machine the answer could end before readiness was asked for. With 3,000 tokens it takes over 3 s.

--- a/tests/integration/daemon.rs
+++ b/tests/integration/daemon.rs
@@ -55,7 +55,7 @@
     let mut cluster = Cluster::start(1, 1);
     let addr = operations(&cluster.entries[0].0);
     assert_eq!(http::try_get(addr, "/readyz", "").unwrap().status, 200);
-    let tcp = begin_stream(&cluster, 1_500);
+    let tcp = begin_stream(&cluster, 3_000);
     signal(&cluster.entries[0].0);
     wait::until("readiness is false", || {
         http::try_get(addr, "/readyz", "").is_ok_and(|answer| answer.status == 503)
