--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,7 +2,13 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
+mod admin;
+mod admin_log;
+mod bad_input;
 mod catalog;
+mod cli;
+mod daemon;
+mod docs;
 mod testing;
 mod thin_path;
 mod values;
