--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -43,6 +43,8 @@
     pub teams: HashMap<ids::Digest, TeamView>,
     /// Profiles.
     pub profiles: HashMap<ids::ProfileName, Arc<ProfileView>>,
+    /// All versions, withdrawn ones too, for the cost of what has run.
+    pub versions: HashMap<ids::VersionName, Arc<catalog::Version>>,
     /// Versions that are withdrawn.
     pub withdrawn: Vec<ids::VersionName>,
     /// Services.
--- a/src/route/reason.rs
+++ b/src/route/reason.rs
@@ -32,4 +32,6 @@
     Resume,
     /// An endpoint of the service.
     Service,
+    /// The process beside the endpoint wrote the record; only the entry knows the reason.
+    KnownToEntry,
 }
--- a/src/system/snapshot.rs
+++ b/src/system/snapshot.rs
@@ -80,6 +80,9 @@
     for (name, service) in world.services.named() {
         snapshot.services.insert(name.clone(), Arc::clone(service));
     }
+    for (name, version) in world.versions.named() {
+        snapshot.versions.insert(name.clone(), Arc::clone(version));
+    }
     let withdrawn = world
         .versions
         .named()
