Admission beside the endpoint: gate, queue, calls, orders, crashes, usage

The sidecar had a fixed limit and refused everything above it. It now has a gate with typestate warmth, a bounded queue by priority and deadline, a table of non-idempotent calls with fencing, a check of fencing numbers, crash reports, copies of usage records, a client of plain services, and a planned stop that loses no reply. All checks are made again when a request leaves the queue. Accepted is sent once the endpoint has taken the request, so that a refused connection is a true 'not run'.

--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -1,5 +1,22 @@
-//! Exact limits beside an endpoint.
+//! Exact limits beside an endpoint, and what else is decided there.
 
+mod calls;
+mod controller;
+mod crashes;
+mod fences;
+mod first_token;
+mod forgotten;
 mod gate;
+mod queue;
+mod service_time;
+mod usage_copies;
+mod warmth;
 
-pub use gate::Gate;
+pub use calls::{CallBounds, CallRefusal, CallState, Calls};
+pub use controller::{Arrival, Call, Controller, Shed};
+pub use crashes::{Crashes, Flight, Loss};
+pub use fences::{Fences, OrderRefusal};
+pub use gate::{Gate, Outcome, Permit};
+pub use queue::{Ask, Queue, Ticket};
+pub use usage_copies::UsageCopies;
+pub use warmth::{AnyWarmth, Cold, Limits, Ramping, Warm, Warmth};
--- /dev/null
+++ b/src/sidecar/crash.rs
@@ -0,0 +1,76 @@
+//! Recognises crashes of the engine.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol::Timer;
+
+use crate::admission;
+use crate::attempt;
+use crate::sidecar::cx;
+
+/// Pause before an engine that still answers is asked again.
+const SECOND_LOOK: Duration = Duration::from_millis(500);
+
+/// A request that the engine runs.
+pub struct InFlight<'a> {
+    cx: &'a cx::Shared,
+    flight: admission::Flight,
+    boot: Option<Arc<str>>,
+}
+
+impl<'a> InFlight<'a> {
+    /// The request is about to be passed on.
+    pub fn begin(cx: &'a cx::Shared, dispatch: &attempt::Dispatch) -> Self {
+        let suspect = (dispatch.request, dispatch.fingerprint);
+        Self {
+            cx,
+            flight: cx.with_crashes(|crashes| crashes.begin(suspect)),
+            boot: cx.engine_status().map(|status| status.boot),
+        }
+    }
+
+    /// The request ended early; `lost` where its connection did.
+    pub fn broke(&self, lost: bool) {
+        let planned = self.cx.is_stopping() || self.cx.control.snapshot().self_out;
+        if !lost || planned {
+            return;
+        }
+        if let Some(loss) = self.cx.with_crashes(|crashes| crashes.lost(self.flight)) {
+            let task = confirm(Arc::clone(self.cx), loss, self.boot.clone());
+            self.cx.traffic.spawn(task).detach();
+        }
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.cx.with_crashes(|crashes| crashes.end(self.flight));
+    }
+}
+
+/// An engine that answers under the same boot id has only ended one answer.
+async fn confirm(cx: cx::Shared, loss: admission::Loss, boot: Option<Arc<str>>) {
+    if is_same(&cx, boot.as_ref()).await {
+        Timer::after(SECOND_LOOK).await;
+        if is_same(&cx, boot.as_ref()).await {
+            cx.with_crashes(|crashes| crashes.dismiss(&loss));
+            return;
+        }
+    }
+    let report = cx.with_crashes(|crashes| crashes.confirm(loss, &cx.me));
+    log::warn!(
+        "admit: the engine crashed, incident {}, {} requests were in flight.",
+        report.incident,
+        report.in_flight.len()
+    );
+}
+
+async fn is_same(cx: &cx::Shared, boot: Option<&Arc<str>>) -> bool {
+    let status = cx.engine.status().await.ok();
+    let same = status
+        .as_ref()
+        .is_some_and(|status| boot == Some(&status.boot));
+    cx.set_status(status);
+    same
+}
--- a/src/sidecar/cx.rs
+++ b/src/sidecar/cx.rs
@@ -1,13 +1,31 @@
 //! What the tasks of a sidecar share.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use smol::channel::Sender;
 
 use crate::admission;
 use crate::control;
+use crate::errors;
 use crate::fleet;
+use crate::platform;
 use crate::runtime;
 use crate::settings;
 use crate::sidecar;
+use crate::sidecar::place;
+use crate::sidecar::usage;
+use crate::units;
+
+/// Bounds of the table of non-idempotent calls.
+const CALL_BOUNDS: admission::CallBounds = admission::CallBounds {
+    entries: 10_000,
+    bytes: units::Bytes(16 * 1_024 * 1_024),
+};
+
+/// How one who waits for a place is told.
+pub type Waiter = Sender<Result<place::Place, errors::Refusal>>;
 
 /// What the tasks of a sidecar share.
 #[derive(Debug)]
@@ -20,45 +38,158 @@
     pub control: control::Control,
     /// The traffic threads.
     pub traffic: runtime::Traffic,
-    /// The engine.
+    /// Client of a model engine.
     pub engine: sidecar::Engine,
-    /// Admission.
-    pub gate: Mutex<admission::Gate>,
-    /// What the engine said of itself last.
-    pub status: Mutex<Option<sidecar::EngineStatus>>,
+    /// Client of a plain service.
+    pub service: sidecar::ServiceClient,
+    /// Streams of dispatches whose replies have not all been received.
+    pub streams: Arc<control::InFlight>,
+    /// Orders are checked and forwarded one at a time, so that none overtakes a later one.
+    pub fences: smol::lock::Mutex<admission::Fences>,
+    /// Appends usage records.
+    pub outbox: smol::lock::Mutex<usage::Outbox>,
+    admission: Mutex<admission::Controller<Waiter>>,
+    calls: Mutex<admission::Calls>,
+    crashes: Mutex<admission::Crashes>,
+    copies: Mutex<admission::UsageCopies>,
+    status: Mutex<Option<sidecar::EngineStatus>>,
+    stopping: AtomicBool,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl SidecarCx {
-    /// Runs `f` on the gate.
-    pub fn with_gate<T>(&self, f: impl FnOnce(&mut admission::Gate) -> T) -> T {
-        f(&mut self.gate.lock().unwrap_or_else(PoisonError::into_inner))
+    /// The state of a process that has just started.
+    #[must_use]
+    pub fn new(
+        me: fleet::Identity,
+        cfg: &settings::SidecarSettings,
+        control: control::Control,
+        traffic: runtime::Traffic,
+        log: platform::LogClient,
+    ) -> Self {
+        let limits = admission::Limits {
+            cold: cfg.cold_limit,
+            max: cfg.max_concurrent,
+            ramp_interval: cfg.ramp_interval_ms.duration(),
+        };
+        let queue = usize::try_from(cfg.queue).unwrap_or(usize::MAX);
+        Self {
+            engine: sidecar::Engine::new(cfg.endpoint_addr, traffic.clone()),
+            service: sidecar::ServiceClient::new(cfg.endpoint_addr, traffic.clone()),
+            streams: Arc::default(),
+            fences: smol::lock::Mutex::default(),
+            outbox: smol::lock::Mutex::new(usage::Outbox::new(log)),
+            admission: Mutex::new(admission::Controller::new(limits, queue, Instant::now())),
+            calls: Mutex::new(admission::Calls::new(me.incarnation, CALL_BOUNDS)),
+            crashes: Mutex::default(),
+            copies: Mutex::default(),
+            status: Mutex::default(),
+            stopping: AtomicBool::new(false),
+            cfg: cfg.clone(),
+            me,
+            control,
+            traffic,
+        }
+    }
+
+    /// Runs `f` on gate and queue.
+    pub fn with_admission<T>(&self, f: impl FnOnce(&mut admission::Controller<Waiter>) -> T) -> T {
+        f(&mut lock(&self.admission))
+    }
+
+    /// Runs `f` on the table of non-idempotent calls.
+    pub fn with_calls<T>(&self, f: impl FnOnce(&mut admission::Calls) -> T) -> T {
+        f(&mut lock(&self.calls))
+    }
+
+    /// Runs `f` on the requests in flight.
+    pub fn with_crashes<T>(&self, f: impl FnOnce(&mut admission::Crashes) -> T) -> T {
+        f(&mut lock(&self.crashes))
+    }
+
+    /// Runs `f` on the copies of usage records.
+    pub fn with_copies<T>(&self, f: impl FnOnce(&mut admission::UsageCopies) -> T) -> T {
+        f(&mut lock(&self.copies))
     }
 
-    /// What the engine said of itself last.
+    /// Crash reports that no entry has put on record yet, oldest first.
+    #[must_use]
+    pub fn pending_crashes(&self) -> Vec<fleet::CrashReport> {
+        self.with_crashes(|crashes| crashes.pending())
+    }
+
+    /// The incident of this run is on record, so its report is dropped.
+    pub fn crash_recorded(&self, incident: u32) {
+        self.with_crashes(|crashes| crashes.recorded(incident));
+    }
+
+    /// What the endpoint said of itself last; `None` while it does not answer.
     #[must_use]
     pub fn engine_status(&self) -> Option<sidecar::EngineStatus> {
-        self.status
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        lock(&self.status).clone()
+    }
+
+    /// Takes what the endpoint says of itself. A new boot or a lost endpoint resets the gate.
+    pub fn set_status(&self, status: Option<sidecar::EngineStatus>) {
+        let now = Instant::now();
+        let boot = status.as_ref().map(|status| Arc::clone(&status.boot));
+        let was_up = std::mem::replace(&mut *lock(&self.status), status).is_some();
+        let restarted = boot
+            .as_ref()
+            .is_some_and(|boot| self.with_admission(|adm| adm.gate_mut().saw_boot(boot, now)));
+        if restarted {
+            log::warn!("admit: the endpoint has started again, back to the cold limit.");
+        }
+        if boot.is_none() && was_up {
+            self.with_admission(|adm| adm.gate_mut().reset(now));
+            log::warn!("admit: the endpoint is lost, back to the cold limit.");
+        }
+    }
+
+    /// Begins a planned stop.
+    pub fn set_stopping(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// Whether a planned stop has begun.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
     }
 
     /// The state of the endpoint.
     #[must_use]
     pub fn report(&self) -> fleet::Report {
         let snapshot = self.control.snapshot();
-        let (running, limit) = self.with_gate(|gate| (gate.running(), gate.limit()));
         let status = self.engine_status();
-        fleet::Report {
-            accepting: status.is_some() && snapshot.is_serving() && !snapshot.self_out,
+        let service = match &self.cfg.endpoint {
+            settings::EndpointSettings::Service { name } => Some(name.clone()),
+            settings::EndpointSettings::Engine { .. } => None,
+        };
+        let takes_work = snapshot.is_serving() && !snapshot.self_out && !self.is_stopping();
+        let report = fleet::Report {
+            accepting: status.is_some() && takes_work,
             versions: status.map(|status| status.versions).unwrap_or_default(),
-            running,
-            limit,
+            service,
             max: self.cfg.max_concurrent,
-            warmth: fleet::Warmth::Warm,
             config: snapshot.config,
             ..fleet::Report::default()
-        }
+        };
+        self.with_admission(|adm| fleet::Report {
+            running: adm.gate().running(),
+            queued: adm.queued(),
+            limit: adm.gate().limit(),
+            warmth: adm.gate().warmth(),
+            first_token: adm
+                .gate()
+                .median_first_token()
+                .map(units::Millis::from)
+                .unwrap_or_default(),
+            ..report
+        })
     }
 }
 
--- /dev/null
+++ b/src/sidecar/model.rs
@@ -0,0 +1,131 @@
+//! Runs an attempt on a model engine.
+
+use std::time::{Duration, Instant};
+
+use quinn::SendStream;
+
+use crate::admission;
+use crate::attempt;
+use crate::errors;
+use crate::http;
+use crate::runtime;
+use crate::sidecar::crash;
+use crate::sidecar::cx;
+use crate::sidecar::engine;
+use crate::sidecar::place;
+use crate::sidecar::run;
+use crate::sidecar::usage;
+use crate::wire;
+
+/// Passes the attempt on and writes its replies.
+pub async fn run(
+    cx: &cx::Shared,
+    dispatch: &attempt::Dispatch,
+    deadline: Instant,
+    mut place: place::Place,
+    tx: &mut SendStream,
+) -> Result<(), wire::WireError> {
+    let mut copy = usage::Copy::begin(cx, dispatch);
+    let flight = crash::InFlight::begin(cx, dispatch);
+    let begun = Instant::now();
+    let time_left = deadline.saturating_duration_since(begun);
+    let started = cx
+        .engine
+        .start(&dispatch.work, dispatch.priority, time_left)
+        .await;
+    let mut stream = match started {
+        Ok(stream) => stream,
+        Err(err) => {
+            let refusal = start_refusal(&err, &mut place);
+            flight.broke(matches!(&err, engine::StartError::Http(err) if is_lost(err)));
+            if refusal.code.is_not_run() {
+                copy.discard();
+                return run::refuse(cx, dispatch, tx, refusal).await;
+            }
+            copy.ended(Some(&refusal));
+            wire::write(tx, &wire::Reply::Accepted).await?;
+            return run::fail(dispatch, tx, refusal, attempt::Usage::default()).await;
+        }
+    };
+    if let Some(boot) = stream.boot() {
+        cx.with_admission(|adm| adm.gate_mut().saw_boot(boot, Instant::now()));
+    }
+    wire::write(tx, &wire::Reply::Accepted).await?;
+    let mut seq = resume_from(dispatch);
+    let mut first_token: Option<Duration> = None;
+    loop {
+        let next = runtime::timeout_at(deadline, stream.next()).await;
+        copy.set_usage(stream.usage());
+        let refusal = match next {
+            Some(Ok(engine::EngineEvent::Text(text))) => {
+                if first_token.is_none() {
+                    let took = begun.elapsed();
+                    first_token = Some(took);
+                    place.first_token(took);
+                }
+                wire::write(tx, &wire::Reply::Chunk { seq, text }).await?;
+                seq += 1;
+                continue;
+            }
+            Some(Ok(engine::EngineEvent::End { finish, usage })) => {
+                place.set_outcome(admission::Outcome::Success);
+                copy.ended(None);
+                drop(place);
+                let load = cx.report();
+                let done = wire::Reply::Done {
+                    finish,
+                    usage,
+                    load,
+                };
+                return wire::write(tx, &done).await;
+            }
+            Some(Err(err)) => {
+                place.set_outcome(admission::Outcome::Error);
+                flight.broke(is_lost(&err));
+                interrupted(&err)
+            }
+            None => {
+                errors::Refusal::new(errors::ResultCode::DeadlineExceeded, "the deadline passed")
+            }
+        };
+        copy.ended(Some(&refusal));
+        return run::fail(dispatch, tx, refusal, stream.usage()).await;
+    }
+}
+
+const fn resume_from(dispatch: &attempt::Dispatch) -> u32 {
+    match &dispatch.work {
+        attempt::Work::Model { resume_from, .. } => *resume_from,
+        attempt::Work::Service { .. } => 0,
+    }
+}
+
+/// Whether the connection of a request that had been passed on is lost.
+const fn is_lost(err: &http::HttpError) -> bool {
+    matches!(err, http::HttpError::Broken(_))
+}
+
+fn interrupted(err: &http::HttpError) -> errors::Refusal {
+    errors::Refusal::new(errors::ResultCode::Interrupted, format!("engine: {err}"))
+}
+
+/// What the entry is told of an attempt that the engine has not begun to
+/// answer; the code says whether the engine may have run it.
+fn start_refusal(err: &engine::StartError, place: &mut place::Place) -> errors::Refusal {
+    let code = match err {
+        engine::StartError::Body(_) | engine::StartError::Status(400 | 413 | 422) => {
+            errors::ResultCode::MalformedRequest
+        }
+        engine::StartError::Status(404) => errors::ResultCode::VersionNotLoaded,
+        engine::StartError::Http(err) if err.is_not_sent() => {
+            place.set_outcome(admission::Outcome::Error);
+            errors::ResultCode::Unreachable
+        }
+        engine::StartError::Http(http::HttpError::TimedOut) => errors::ResultCode::DeadlineExceeded,
+        engine::StartError::Http(_) | engine::StartError::Status(_) => {
+            place.set_outcome(admission::Outcome::Error);
+            errors::ResultCode::Interrupted
+        }
+    };
+    errors::Refusal::new(code, format!("engine: {err}"))
+}
--- /dev/null
+++ b/src/sidecar/place.rs
@@ -0,0 +1,138 @@
+//! Places within the endpoint's limit, and waiting for one.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use smol::channel;
+
+use crate::admission;
+use crate::errors;
+use crate::runtime;
+use crate::sidecar::cx;
+use crate::units;
+
+/// A place within the limit; given back when dropped.
+#[derive(Debug)]
+pub struct Place {
+    cx: cx::Shared,
+    permit: Option<admission::Permit>,
+    outcome: admission::Outcome,
+}
+
+impl Place {
+    fn new(cx: &cx::Shared, permit: admission::Permit) -> Self {
+        Self {
+            cx: Arc::clone(cx),
+            permit: Some(permit),
+            outcome: admission::Outcome::Neutral,
+        }
+    }
+
+    /// How the request ended; [`admission::Outcome::Neutral`] where nothing is said.
+    pub const fn set_outcome(&mut self, outcome: admission::Outcome) {
+        self.outcome = outcome;
+    }
+
+    /// The first token came `took` after the request was passed on.
+    pub fn first_token(&self, took: Duration) {
+        let Some(permit) = &self.permit else { return };
+        let now = Instant::now();
+        if self
+            .cx
+            .with_admission(|adm| adm.gate_mut().first_token(permit, took, now))
+        {
+            log::warn!(
+                "admit: first token after {} ms, the endpoint is cold, back to the cold limit.",
+                took.as_millis()
+            );
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let Some(permit) = self.permit.take() else {
+            return;
+        };
+        let now = Instant::now();
+        if self
+            .cx
+            .with_admission(|adm| adm.leave(permit, self.outcome, now))
+        {
+            log::warn!("admit: the endpoint failed, back to the cold limit.");
+        }
+        call_next(&self.cx);
+    }
+}
+
+/// A place in the queue; given up when dropped.
+struct Waiting<'a> {
+    cx: &'a cx::Shared,
+    ticket: admission::Ticket,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let waiter = self.cx.with_admission(|adm| adm.cancel(self.ticket));
+        if waiter.is_some() {
+            // A request that runs alone may have held up others.
+            call_next(self.cx);
+        }
+    }
+}
+
+/// Waits for a place. The request leaves the queue when the future is dropped.
+pub async fn enter(cx: &cx::Shared, ask: admission::Ask) -> Result<Place, errors::Refusal> {
+    let (tx, rx) = channel::bounded(1);
+    let (arrival, displaced) = cx.with_admission(|adm| adm.arrive(ask, tx, Instant::now()));
+    if let Some(call) = displaced {
+        tell(cx, call);
+    }
+    let ticket = match arrival {
+        admission::Arrival::Enter(permit) => return Ok(Place::new(cx, permit)),
+        admission::Arrival::Refuse(shed) => return Err(refusal(shed)),
+        admission::Arrival::Wait(ticket) => ticket,
+    };
+    let _waiting = Waiting { cx, ticket };
+    match runtime::timeout_at(ask.deadline, rx.recv()).await {
+        Some(Ok(told)) => told,
+        Some(Err(_)) | None => Err(refusal(admission::Shed::Hopeless)),
+    }
+}
+
+/// Starts those who may start now and refuses those who have waited in vain.
+pub fn call_next(cx: &cx::Shared) {
+    let calls = cx.with_admission(|adm| adm.calls(Instant::now()));
+    for call in calls {
+        tell(cx, call);
+    }
+}
+
+/// Refuses all who wait.
+pub fn refuse_waiting(cx: &cx::Shared, refusal: &errors::Refusal) {
+    for waiter in cx.with_admission(admission::Controller::drain) {
+        let _ = waiter.try_send(Err(refusal.clone()));
+    }
+}
+
+/// A place that no one receives any more is dropped, and so given back.
+fn tell(cx: &cx::Shared, call: admission::Call<cx::Waiter>) {
+    let _ = match call {
+        admission::Call::Start(waiter, permit) => waiter.try_send(Ok(Place::new(cx, permit))),
+        admission::Call::Refuse(waiter, shed) => waiter.try_send(Err(refusal(shed))),
+    };
+}
+
+fn refusal(shed: admission::Shed) -> errors::Refusal {
+    match shed {
+        admission::Shed::Hopeless => errors::Refusal::new(
+            errors::ResultCode::DeadlineNotRun,
+            "the request cannot start before its deadline",
+        ),
+        admission::Shed::Full { retry_after } => errors::Refusal::new(
+            errors::ResultCode::Overloaded,
+            "the endpoint is at its limit and its queue is full",
+        )
+        .retry_after(units::Millis::from(retry_after)),
+    }
+}
--- a/src/sidecar/role.rs
+++ b/src/sidecar/role.rs
@@ -1,34 +1,36 @@
 //! A running process beside an endpoint.
 
 use std::io;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use smol::{Task, Timer};
 
-use crate::admission;
 use crate::control;
+use crate::errors;
 use crate::feed;
 use crate::fleet;
 use crate::platform;
 use crate::runtime;
 use crate::settings;
-use crate::sidecar;
 use crate::sidecar::cx;
+use crate::sidecar::health;
+use crate::sidecar::place;
 use crate::sidecar::server;
+use crate::sidecar::usage;
 use crate::system;
 use crate::wire;
 
-/// Interval at which the engine is asked for its status.
-const STATUS_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Interval at which a stop looks whether requests are still running.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Time in which the peers are told of the close.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A running sidecar; dropping it ends its tasks.
 #[derive(Debug)]
 pub struct Sidecar {
     cx: cx::Shared,
+    node: wire::Node,
     _tasks: Vec<Task<()>>,
 }
 
@@ -43,50 +45,51 @@
     ) -> io::Result<Self> {
         let (control, _effects, _thread) =
             control::Control::spawn(control::World::new(me.clone()), system::SIDECAR)?;
-        let cx = Arc::new(cx::SidecarCx {
-            me,
-            cfg: cfg.clone(),
-            control: control.clone(),
-            traffic: traffic.clone(),
-            engine: sidecar::Engine::new(cfg.endpoint_addr, traffic.clone()),
-            gate: Mutex::new(admission::Gate::new(cfg.max_concurrent)),
-            status: Mutex::default(),
-        });
         let log = platform::LogClient::new(settings.platform.log_addr, traffic.clone());
+        let cx = Arc::new(cx::SidecarCx::new(
+            me,
+            cfg,
+            control.clone(),
+            traffic.clone(),
+            log.clone(),
+        ));
         let tasks = vec![
             traffic.spawn(feed::follow_config(log, control)),
-            traffic.spawn(watch_engine(Arc::clone(&cx))),
-            traffic.spawn(server::accept(Arc::clone(&cx), node)),
+            traffic.spawn(health::watch(Arc::clone(&cx))),
+            traffic.spawn(usage::follow(Arc::clone(&cx))),
+            traffic.spawn(server::accept(Arc::clone(&cx), node.clone())),
         ];
-        Ok(Self { cx, _tasks: tasks })
+        Ok(Self {
+            cx,
+            node,
+            _tasks: tasks,
+        })
     }
 
-    /// Stops taking new work and waits until running requests have ended.
+    /// Stops as planned: waiting work is refused as not run, running work
+    /// ends, unconfirmed usage is appended, and the peers are told of the close.
     pub async fn stop(&self, deadline: Instant) {
+        self.cx.set_stopping();
         self.cx.control.send(control::Event::Stop).await;
-        while self.cx.with_gate(|gate| gate.running()) > 0 && Instant::now() < deadline {
+        let refusal = errors::Refusal::new(errors::ResultCode::Draining, "the process is stopping");
+        place::refuse_waiting(&self.cx, &refusal);
+        while self.is_busy() && Instant::now() < deadline {
             Timer::after(DRAIN_POLL).await;
         }
+        usage::flush(&self.cx, deadline).await;
+        self.node.close();
+        let _ = runtime::timeout_at(Instant::now() + CLOSE_TIMEOUT, self.node.wait_idle()).await;
         self.cx.control.close();
     }
 
+    /// Whether requests run or replies are on their way.
+    fn is_busy(&self) -> bool {
+        self.cx.with_admission(|adm| adm.gate().running()) > 0 || self.cx.streams.get() > 0
+    }
+
     /// What the tasks share.
     #[must_use]
     pub const fn cx(&self) -> &cx::Shared {
         &self.cx
     }
 }
-
-async fn watch_engine(cx: cx::Shared) {
-    loop {
-        let status = match cx.engine.status().await {
-            Ok(status) => Some(status),
-            Err(err) => {
-                log::warn!("admit: the engine does not answer: {err}.");
-                None
-            }
-        };
-        *cx.status.lock().unwrap_or_else(PoisonError::into_inner) = status;
-        Timer::after(STATUS_INTERVAL).await;
-    }
-}
--- a/src/sidecar/run.rs
+++ b/src/sidecar/run.rs
@@ -1,39 +1,35 @@
 //! Runs one dispatched attempt.
 
-use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use quinn::SendStream;
 use smol::future::FutureExt;
 
+use crate::admission;
 use crate::attempt;
-use crate::control;
 use crate::errors;
-use crate::ids;
+use crate::poison;
 use crate::runtime;
+use crate::sidecar::check;
 use crate::sidecar::cx;
-use crate::sidecar::engine;
+use crate::sidecar::model;
+use crate::sidecar::place;
+use crate::sidecar::service;
 use crate::wire;
 
-/// Runs the attempt and writes its replies. The future is dropped, and the
-/// engine's work cancelled with it, when the entry gives the stream up.
+/// Time for the entry to receive the last frame before a stop closes the connection.
+const LAST_FRAME: Duration = Duration::from_secs(2);
+
+/// Runs the attempt and writes its replies. The future is dropped, and with
+/// it the place in the queue or the engine's work, when the entry gives the
+/// stream up.
 pub async fn run(
     cx: &cx::Shared,
     dispatch: attempt::Dispatch,
     mut tx: SendStream,
 ) -> Result<(), wire::WireError> {
+    let _stream = cx.streams.enter();
     let deadline = Instant::now() + dispatch.time_left.duration();
-    if let Err(refusal) = check(&cx.control.snapshot(), &cx.report().versions, &dispatch) {
-        return refuse(cx, &dispatch, &mut tx, refusal).await;
-    }
-    if !cx.with_gate(crate::admission::Gate::try_enter) {
-        let refusal = errors::Refusal::new(
-            errors::ResultCode::Overloaded,
-            "the endpoint is at its limit",
-        );
-        return refuse(cx, &dispatch, &mut tx, refusal).await;
-    }
-    let place = Place(Arc::clone(cx));
     let stopped = tx.stopped();
     let gone = async {
         let _ = stopped.await;
@@ -41,84 +37,62 @@
             "the entry gave the request up".into(),
         ))
     };
-    let result = answer(cx, &dispatch, deadline, &mut tx).or(gone).await;
-    drop(place);
+    let result = replies(cx, &dispatch, deadline, &mut tx).or(gone).await;
     if result.is_ok() {
         let _ = tx.finish();
+        let _ = runtime::timeout_at(Instant::now() + LAST_FRAME, tx.stopped()).await;
     }
     result
 }
 
-/// A place within the limit; given back when dropped.
-struct Place(cx::Shared);
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.with_gate(crate::admission::Gate::leave);
-    }
-}
-
-/// Checks again what the entry may not know yet.
-fn check(
-    snapshot: &control::Snapshot,
-    loaded: &[ids::VersionName],
+async fn replies(
+    cx: &cx::Shared,
     dispatch: &attempt::Dispatch,
-) -> Result<(), errors::Refusal> {
-    if !snapshot.is_serving() {
-        return Err(errors::Refusal::new(
-            errors::ResultCode::Draining,
-            format!("the process is {}", snapshot.phase),
-        ));
-    }
-    if snapshot.self_out {
-        return Err(errors::Refusal::new(
-            errors::ResultCode::TakenOut,
-            "the failure domain or the VM is taken out",
-        ));
-    }
+    deadline: Instant,
+    tx: &mut SendStream,
+) -> Result<(), wire::WireError> {
+    let place = match admit(cx, dispatch, deadline).await {
+        Ok(place) => place,
+        Err(refusal) => return refuse(cx, dispatch, tx, refusal).await,
+    };
+    log::info!(
+        "admit: request {} attempt {} of team {} starts.",
+        dispatch.request,
+        dispatch.attempt,
+        dispatch.team
+    );
     match &dispatch.work {
-        attempt::Work::Model {
-            profile, version, ..
-        } => check_model(snapshot, loaded, profile, version),
-        attempt::Work::Service { .. } => Err(errors::Refusal::new(
-            errors::ResultCode::UnknownService,
-            "the endpoint is a model engine",
-        )),
+        attempt::Work::Model { .. } => model::run(cx, dispatch, deadline, place, tx).await,
+        attempt::Work::Service { .. } => service::run(cx, dispatch, deadline, place, tx).await,
     }
 }
 
-fn check_model(
-    snapshot: &control::Snapshot,
-    loaded: &[ids::VersionName],
-    profile: &ids::ProfileName,
-    version: &ids::VersionName,
-) -> Result<(), errors::Refusal> {
-    if snapshot.withdrawn.contains(version) {
-        return Err(errors::Refusal::new(
-            errors::ResultCode::VersionWithdrawn,
-            "the version is withdrawn",
-        ));
-    }
-    let allowed = snapshot
-        .profiles
-        .get(profile)
-        .is_some_and(|view| view.profile.versions.contains(version));
-    if !allowed {
-        return Err(errors::Refusal::new(
-            errors::ResultCode::NotAllowed,
-            "the profile does not allow the version",
-        ));
-    }
-    if !loaded.contains(version) {
-        return Err(errors::Refusal::new(
-            errors::ResultCode::VersionNotLoaded,
-            "the endpoint does not serve the version",
-        ));
-    }
-    Ok(())
+/// Waits for a place. A suspect of a crash shares the endpoint with no other
+/// request, so that a further crash by it ends no other request and puts no
+/// other under suspicion.
+async fn admit(
+    cx: &cx::Shared,
+    dispatch: &attempt::Dispatch,
+    deadline: Instant,
+) -> Result<place::Place, errors::Refusal> {
+    check::check(cx, dispatch)?;
+    let suspicion = cx
+        .control
+        .snapshot()
+        .quarantine
+        .suspicion(dispatch.fingerprint);
+    let ask = admission::Ask {
+        priority: dispatch.priority,
+        deadline,
+        alone: suspicion == poison::Suspicion::Suspect,
+    };
+    let place = place::enter(cx, ask).await?;
+    check::check(cx, dispatch)?;
+    Ok(place)
 }
 
-async fn refuse(
+/// Tells the entry that nothing was passed on.
+pub async fn refuse(
     cx: &cx::Shared,
     dispatch: &attempt::Dispatch,
     tx: &mut SendStream,
@@ -129,105 +103,21 @@
         dispatch.request,
         dispatch.attempt
     );
-    wire::write(
-        tx,
-        &wire::Reply::Refused {
-            refusal,
-            load: cx.report(),
-        },
-    )
-    .await?;
-    let _ = tx.finish();
-    Ok(())
+    let load = cx.report();
+    wire::write(tx, &wire::Reply::Refused { refusal, load }).await
 }
 
-async fn answer(
-    cx: &cx::Shared,
+/// Tells the entry that the attempt broke off after it had been passed on.
+pub async fn fail(
     dispatch: &attempt::Dispatch,
-    deadline: Instant,
     tx: &mut SendStream,
+    refusal: errors::Refusal,
+    usage: attempt::Usage,
 ) -> Result<(), wire::WireError> {
-    let attempt::Work::Model {
-        version,
-        body,
-        resume_from,
-        resume_text,
-        ..
-    } = &dispatch.work
-    else {
-        return Ok(());
-    };
-    log::info!(
-        "admit: request {} attempt {} of team {} on {version}.",
+    log::warn!(
+        "admit: request {} attempt {} failed: {refusal}.",
         dispatch.request,
-        dispatch.attempt,
-        dispatch.team
+        dispatch.attempt
     );
-    wire::write(tx, &wire::Reply::Accepted).await?;
-    let time_left = deadline.saturating_duration_since(Instant::now());
-    let mut stream = match cx
-        .engine
-        .start(version, body, (*resume_from, resume_text), time_left)
-        .await
-    {
-        Ok(stream) => stream,
-        Err(err) => {
-            let refusal =
-                errors::Refusal::new(errors::ResultCode::Interrupted, format!("engine: {err}"));
-            return wire::write(
-                tx,
-                &wire::Reply::Failed {
-                    refusal,
-                    usage: attempt::Usage::default(),
-                },
-            )
-            .await;
-        }
-    };
-    let mut seq = *resume_from;
-    loop {
-        match runtime::timeout_at(deadline, stream.next()).await {
-            Some(Ok(engine::EngineEvent::Text(text))) => {
-                wire::write(tx, &wire::Reply::Chunk { seq, text }).await?;
-                seq += 1;
-            }
-            Some(Ok(engine::EngineEvent::End { finish, usage })) => {
-                return wire::write(
-                    tx,
-                    &wire::Reply::Done {
-                        finish,
-                        usage,
-                        load: cx.report(),
-                    },
-                )
-                .await;
-            }
-            Some(Err(err)) => {
-                let refusal =
-                    errors::Refusal::new(errors::ResultCode::Interrupted, format!("engine: {err}"));
-                return wire::write(
-                    tx,
-                    &wire::Reply::Failed {
-                        refusal,
-                        usage: stream.usage(),
-                    },
-                )
-                .await;
-            }
-            None => {
-                let refusal = errors::Refusal::new(
-                    errors::ResultCode::DeadlineExceeded,
-                    "the deadline passed",
-                );
-                return wire::write(
-                    tx,
-                    &wire::Reply::Failed {
-                        refusal,
-                        usage: stream.usage(),
-                    },
-                )
-                .await;
-            }
-        }
-    }
+    wire::write(tx, &wire::Reply::Failed { refusal, usage }).await
 }
--- a/src/sidecar/server.rs
+++ b/src/sidecar/server.rs
@@ -8,7 +8,9 @@
 use smol::future::FutureExt;
 
 use crate::sidecar::cx;
+use crate::sidecar::order;
 use crate::sidecar::run;
+use crate::sidecar::service;
 use crate::wire;
 
 /// Interval of reports; also the heartbeat.
@@ -53,7 +55,7 @@
 
 async fn stream(
     cx: &cx::Shared,
-    tx: SendStream,
+    mut tx: SendStream,
     mut rx: RecvStream,
 ) -> Result<(), wire::WireError> {
     match wire::read(&mut rx).await? {
@@ -66,9 +68,22 @@
             updates(cx, tx, rx).await
         }
         Some(wire::Opening::Dispatch(dispatch)) => run::run(cx, *dispatch, tx).await,
-        Some(opening) => Err(wire::WireError::Malformed(
-            format!("not handled: {opening:?}").into(),
-        )),
+        Some(wire::Opening::FenceCall {
+            call,
+            generation,
+            incarnation,
+        }) => {
+            let reply = service::fence(cx, call, generation, incarnation);
+            wire::write(&mut tx, &reply).await
+        }
+        Some(wire::Opening::Order { fence, action }) => {
+            let result = order::carry_out(cx, fence, &action).await;
+            wire::write(&mut tx, &result).await
+        }
+        Some(wire::Opening::UsageDurable(requests)) => {
+            cx.with_copies(|copies| copies.confirm(&requests));
+            Ok(())
+        }
         None => Ok(()),
     }
 }
