--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -1,6 +1,5 @@
 //! Client of a model engine: the chat-completions HTTP API with streaming.
 
-use std::collections::VecDeque;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,7 +9,6 @@
 use hyper::body::Bytes;
 use hyper::header::CONTENT_TYPE;
 use hyper::{Method, Request};
-use serde::Deserialize;
 use serde_json::Value;
 
 use crate::attempt;
@@ -19,6 +17,7 @@
 use crate::http;
 use crate::ids;
 use crate::runtime;
+use crate::sidecar::engine_stream;
 use crate::units;
 
 /// Time for an engine's status.
@@ -29,8 +28,6 @@
 const ORDER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Header in which an engine may name its boot id.
 const BOOT_HEADER: &str = "x-engine-boot";
-/// Largest event of a stream.
-const MAX_EVENT: usize = 256 * 1_024;
 
 /// What an engine says of itself.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -43,37 +40,12 @@
     pub running: u32,
 }
 
-/// A part of an engine's answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum EngineEvent {
-    /// The next token's text.
-    Text(Arc<str>),
-    /// The end.
-    End {
-        /// Why the model stopped.
-        finish: Arc<str>,
-        /// Tokens of this answer.
-        usage: attempt::Usage,
-    },
-}
-
 /// Client of the engine.
 #[derive(Clone, Debug)]
 pub struct Engine {
     http: http::Client,
 }
 
-/// An answer that the engine is generating; dropping it cancels the work.
-#[derive(Debug)]
-pub struct EngineStream {
-    answer: http::Answer,
-    boot: Option<Arc<str>>,
-    sse: http::SseReader,
-    ready: VecDeque<EngineEvent>,
-    usage: attempt::Usage,
-    finish: Option<Arc<str>>,
-}
-
 /// Why an answer has not begun.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StartError {
@@ -125,7 +97,7 @@
         work: &attempt::Work,
         priority: attempt::Priority,
         timeout: Duration,
-    ) -> Result<EngineStream, StartError> {
+    ) -> Result<engine_stream::EngineStream, StartError> {
         let body = engine_body(work, priority)?;
         let req = Request::builder()
             .method(Method::POST)
@@ -146,14 +118,7 @@
             .get(BOOT_HEADER)
             .and_then(|value| value.to_str().ok())
             .map(Arc::from);
-        Ok(EngineStream {
-            answer,
-            boot,
-            sse: http::SseReader::default(),
-            ready: VecDeque::new(),
-            usage: attempt::Usage::default(),
-            finish: None,
-        })
+        Ok(engine_stream::EngineStream::new(answer, boot))
     }
 
     /// Gives the engine an order.
@@ -236,97 +201,3 @@
 fn malformed(err: impl std::fmt::Display) -> http::HttpError {
     http::HttpError::Malformed(err.to_string().into())
 }
-
-impl EngineStream {
-    /// The next part; an error where the stream breaks off before its end.
-    pub async fn next(&mut self) -> Result<EngineEvent, http::HttpError> {
-        loop {
-            if let Some(event) = self.ready.pop_front() {
-                return Ok(event);
-            }
-            while let Some(data) = self.sse.next_data() {
-                self.take(&data)?;
-            }
-            if !self.ready.is_empty() {
-                continue;
-            }
-            if self.sse.pending() > MAX_EVENT {
-                return Err(http::HttpError::TooLarge);
-            }
-            match self.answer.chunk().await? {
-                Some(chunk) => self.sse.push(&chunk),
-                None => {
-                    return Err(http::HttpError::Broken(
-                        "the engine ended its stream early".into(),
-                    ));
-                }
-            }
-        }
-    }
-
-    /// The engine's boot id, where it names it in its answers.
-    #[must_use]
-    pub const fn boot(&self) -> Option<&Arc<str>> {
-        self.boot.as_ref()
-    }
-
-    /// Tokens so far.
-    #[must_use]
-    pub const fn usage(&self) -> attempt::Usage {
-        self.usage
-    }
-
-    fn take(&mut self, data: &str) -> Result<(), http::HttpError> {
-        if data == "[DONE]" {
-            let finish = self.finish.take().unwrap_or_else(|| "stop".into());
-            self.ready.push_back(EngineEvent::End {
-                finish,
-                usage: self.usage,
-            });
-            return Ok(());
-        }
-        let chunk: Chunk = serde_json::from_str(data).map_err(malformed)?;
-        if let Some(usage) = chunk.usage {
-            self.usage = attempt::Usage {
-                prompt: units::Tokens(usage.prompt_tokens),
-                output: units::Tokens(usage.completion_tokens),
-            };
-        }
-        let Some(choice) = chunk.choices.into_iter().next() else {
-            return Ok(());
-        };
-        if let Some(text) = choice.delta.content.filter(|text| !text.is_empty()) {
-            self.usage.output = self.usage.output.saturating_add(units::Tokens(1));
-            self.ready.push_back(EngineEvent::Text(text));
-        }
-        if choice.finish_reason.is_some() {
-            self.finish = choice.finish_reason;
-        }
-        Ok(())
-    }
-}
-
-#[derive(Deserialize)]
-struct Chunk {
-    #[serde(default)]
-    choices: Vec<Choice>,
-    usage: Option<ChunkUsage>,
-}
-
-#[derive(Deserialize)]
-struct Choice {
-    #[serde(default)]
-    delta: Delta,
-    finish_reason: Option<Arc<str>>,
-}
-
-#[derive(Default, Deserialize)]
-struct Delta {
-    content: Option<Arc<str>>,
-}
-
-#[derive(Deserialize)]
-struct ChunkUsage {
-    prompt_tokens: u64,
-    completion_tokens: u64,
-}
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -4,6 +4,7 @@
 mod crash;
 mod cx;
 mod engine;
+mod engine_stream;
 mod health;
 mod model;
 mod order;
@@ -15,6 +16,7 @@
 mod usage;
 
 pub use cx::SidecarCx;
-pub use engine::{Engine, EngineEvent, EngineStatus};
+pub use engine::{Engine, EngineStatus, StartError};
+pub use engine_stream::{EngineEvent, EngineStream};
 pub use role::Sidecar;
 pub use service::ServiceClient;
--- a/src/sidecar/model.rs
+++ b/src/sidecar/model.rs
@@ -9,9 +9,9 @@
 use crate::errors;
 use crate::http;
 use crate::runtime;
+use crate::sidecar;
 use crate::sidecar::crash;
 use crate::sidecar::cx;
-use crate::sidecar::engine;
 use crate::sidecar::place;
 use crate::sidecar::run;
 use crate::sidecar::usage;
@@ -37,7 +37,7 @@
         Ok(stream) => stream,
         Err(err) => {
             let refusal = start_refusal(&err, &mut place);
-            flight.broke(matches!(&err, engine::StartError::Http(err) if is_lost(err)));
+            flight.broke(matches!(&err, sidecar::StartError::Http(err) if is_lost(err)));
             if refusal.code.is_not_run() {
                 copy.discard();
                 return run::refuse(cx, dispatch, tx, refusal).await;
@@ -57,7 +57,7 @@
         let next = runtime::timeout_at(deadline, stream.next()).await;
         copy.set_usage(stream.usage());
         let refusal = match next {
-            Some(Ok(engine::EngineEvent::Text(text))) => {
+            Some(Ok(sidecar::EngineEvent::Text(text))) => {
                 if first_token.is_none() {
                     let took = begun.elapsed();
                     first_token = Some(took);
@@ -67,7 +67,7 @@
                 seq += 1;
                 continue;
             }
-            Some(Ok(engine::EngineEvent::End { finish, usage })) => {
+            Some(Ok(sidecar::EngineEvent::End { finish, usage })) => {
                 place.set_outcome(admission::Outcome::Success);
                 copy.ended(None);
                 drop(place);
@@ -111,18 +111,20 @@
 
 /// What the entry is told of an attempt that the engine has not begun to
 /// answer; the code says whether the engine may have run it.
-fn start_refusal(err: &engine::StartError, place: &mut place::Place) -> errors::Refusal {
+fn start_refusal(err: &sidecar::StartError, place: &mut place::Place) -> errors::Refusal {
     let code = match err {
-        engine::StartError::Body(_) | engine::StartError::Status(400 | 413 | 422) => {
+        sidecar::StartError::Body(_) | sidecar::StartError::Status(400 | 413 | 422) => {
             errors::ResultCode::MalformedRequest
         }
-        engine::StartError::Status(404) => errors::ResultCode::VersionNotLoaded,
-        engine::StartError::Http(err) if err.is_not_sent() => {
+        sidecar::StartError::Status(404) => errors::ResultCode::VersionNotLoaded,
+        sidecar::StartError::Http(err) if err.is_not_sent() => {
             place.set_outcome(admission::Outcome::Error);
             errors::ResultCode::Unreachable
         }
-        engine::StartError::Http(http::HttpError::TimedOut) => errors::ResultCode::DeadlineExceeded,
-        engine::StartError::Http(_) | engine::StartError::Status(_) => {
+        sidecar::StartError::Http(http::HttpError::TimedOut) => {
+            errors::ResultCode::DeadlineExceeded
+        }
+        sidecar::StartError::Http(_) | sidecar::StartError::Status(_) => {
             place.set_outcome(admission::Outcome::Error);
             errors::ResultCode::Interrupted
         }
--- /dev/null
+++ b/tests/integration/admission/gate.rs
@@ -0,0 +1,180 @@
+//! The limit and its ramp.
+
+use std::time::{Duration, Instant};
+
+use quetzalworks::admission::{AnyWarmth, Gate, Limits, Outcome, Permit, Warmth};
+use quetzalworks::fleet;
+
+use crate::admission::{INTERVAL, LIMITS};
+
+fn pass(gate: &mut Gate, outcome: Outcome, now: Instant) {
+    let permit = gate.try_enter(false, now).unwrap();
+    gate.leave(permit, outcome, now);
+}
+
+/// A gate that has reached its full limit of 7 over 2 and 4.
+fn warm_gate(start: Instant) -> Gate {
+    let mut gate = Gate::new(LIMITS, start);
+    pass(&mut gate, Outcome::Success, start + INTERVAL);
+    assert_eq!((gate.limit(), gate.warmth()), (4, fleet::Warmth::Ramping));
+    pass(&mut gate, Outcome::Success, start + INTERVAL * 2);
+    assert_eq!((gate.limit(), gate.warmth()), (7, fleet::Warmth::Warm));
+    gate
+}
+
+/// Guards against a limit that rises without evidence of success.
+#[test]
+fn gate_ramps_only_on_successes() {
+    struct Case {
+        name: &'static str,
+        /// Outcomes with the milliseconds at which they come.
+        outcomes: &'static [(Outcome, u64)],
+        limit: u32,
+    }
+    let cases = [
+        Case {
+            name: "idle",
+            outcomes: &[],
+            limit: 2,
+        },
+        Case {
+            name: "too early",
+            outcomes: &[(Outcome::Success, 999)],
+            limit: 2,
+        },
+        Case {
+            name: "one interval",
+            outcomes: &[(Outcome::Success, 1_000)],
+            limit: 4,
+        },
+        Case {
+            name: "a long interval counts once",
+            outcomes: &[(Outcome::Success, 60_000), (Outcome::Success, 60_000)],
+            limit: 4,
+        },
+        Case {
+            name: "neutral ends",
+            outcomes: &[(Outcome::Neutral, 5_000)],
+            limit: 2,
+        },
+        Case {
+            name: "an error begins again",
+            outcomes: &[
+                (Outcome::Success, 900),
+                (Outcome::Error, 950),
+                (Outcome::Success, 1_900),
+            ],
+            limit: 2,
+        },
+        Case {
+            name: "an error after a doubling",
+            outcomes: &[(Outcome::Success, 1_000), (Outcome::Error, 1_001)],
+            limit: 2,
+        },
+    ];
+    for case in cases {
+        let start = Instant::now();
+        let mut gate = Gate::new(LIMITS, start);
+        for (outcome, ms) in case.outcomes {
+            pass(&mut gate, *outcome, start + Duration::from_millis(*ms));
+        }
+        assert_eq!(gate.limit(), case.limit, "{}", case.name);
+    }
+}
+
+/// Guards against full load on an endpoint that has become cold without warning.
+#[test]
+fn gate_falls_to_the_cold_limit_at_once() {
+    struct Case {
+        name: &'static str,
+        sign: fn(&mut Gate, Permit, Instant),
+        resets: bool,
+    }
+    fn token(gate: &mut Gate, permit: Permit, ms: u64, now: Instant) {
+        gate.first_token(&permit, Duration::from_millis(ms), now);
+        gate.leave(permit, Outcome::Neutral, now);
+    }
+    let cases = [
+        Case {
+            name: "error",
+            sign: |gate, permit, now| _ = gate.leave(permit, Outcome::Error, now),
+            resets: true,
+        },
+        Case {
+            name: "new boot id",
+            sign: |gate, permit, now| {
+                assert!(gate.saw_boot(&"b".into(), now));
+                gate.leave(permit, Outcome::Success, now);
+            },
+            resets: true,
+        },
+        Case {
+            name: "same boot id",
+            sign: |gate, permit, now| {
+                assert!(!gate.saw_boot(&"a".into(), now));
+                gate.leave(permit, Outcome::Success, now);
+            },
+            resets: false,
+        },
+        Case {
+            name: "slow first token",
+            sign: |gate, permit, now| token(gate, permit, 401, now),
+            resets: true,
+        },
+        Case {
+            name: "first token at the bound",
+            sign: |gate, permit, now| token(gate, permit, 400, now),
+            resets: false,
+        },
+    ];
+    for case in cases {
+        let start = Instant::now();
+        let now = start + INTERVAL * 3;
+        let mut gate = warm_gate(start);
+        gate.saw_boot(&"a".into(), now);
+        for _ in 0..16 {
+            let permit = gate.try_enter(false, now).unwrap();
+            token(&mut gate, permit, 100, now);
+        }
+        let mut running: Vec<Permit> = (0..7)
+            .map(|_| gate.try_enter(false, now).unwrap())
+            .collect();
+        (case.sign)(&mut gate, running.pop().unwrap(), now);
+        let limit = if case.resets { 2 } else { 7 };
+        assert_eq!(gate.limit(), limit, "{}", case.name);
+        // What began before the reset neither raises nor lowers the limit,
+        // and must drain before new work enters.
+        while case.resets && gate.running() >= limit {
+            assert!(gate.try_enter(false, now).is_none(), "{}", case.name);
+            gate.leave(running.pop().unwrap(), Outcome::Success, now + INTERVAL);
+            assert_eq!(gate.limit(), limit, "{}", case.name);
+        }
+        assert!(gate.try_enter(false, now).is_some(), "{}", case.name);
+    }
+}
+
+/// Guards against a reset on the word of a few first-token times.
+#[test]
+fn few_first_token_times_prove_nothing() {
+    let start = Instant::now();
+    let mut gate = warm_gate(start);
+    for i in 0..16 {
+        let permit = gate.try_enter(false, start).unwrap();
+        let took = Duration::from_millis(if i % 2 == 0 { 10 } else { 10_000 });
+        assert!(!gate.first_token(&permit, took, start), "sample {i}");
+        gate.leave(permit, Outcome::Neutral, start);
+    }
+}
+
+/// Guards against a state that a step of the warmth does not lead to.
+#[test]
+fn warmth_doubles_up_to_the_maximum() {
+    let now = Instant::now();
+    let AnyWarmth::Ramping(ramping) = Warmth::new(LIMITS, now).ramp(now) else {
+        panic!("not ramping after the first doubling");
+    };
+    assert!(matches!(ramping.ramp(now), AnyWarmth::Warm(_)));
+    let flat = Limits { cold: 9, ..LIMITS };
+    let cold = AnyWarmth::Cold(Warmth::new(flat, now));
+    assert_eq!(cold.limit(), 7, "the cold limit never exceeds the maximum");
+}
--- /dev/null
+++ b/tests/integration/admission/mod.rs
@@ -0,0 +1,17 @@
+//! The decisions beside an endpoint.
+
+use std::time::Duration;
+
+use quetzalworks::admission::Limits;
+
+mod calls;
+mod gate;
+mod orders;
+mod queue;
+
+pub const INTERVAL: Duration = Duration::from_secs(1);
+pub const LIMITS: Limits = Limits {
+    cold: 2,
+    max: 7,
+    ramp_interval: INTERVAL,
+};
--- /dev/null
+++ b/tests/integration/admission/queue.rs
@@ -0,0 +1,285 @@
+//! Who runs, waits or is refused.
+
+use std::time::{Duration, Instant};
+
+use quetzalworks::admission::{Arrival, Ask, Call, Controller, Limits, Outcome, Permit, Shed};
+use quetzalworks::attempt::Priority;
+
+use crate::admission::{INTERVAL, LIMITS};
+
+struct Waits {
+    name: &'static str,
+    priority: Priority,
+    deadline_s: u64,
+}
+
+/// Guards against urgent work behind other work, and against a full queue
+/// that keeps low work and refuses high work.
+#[test]
+fn queue_orders_and_sheds() {
+    const LOW: Waits = Waits {
+        name: "low",
+        priority: Priority::Low,
+        deadline_s: 20,
+    };
+    const LATE: Waits = Waits {
+        name: "late",
+        priority: Priority::Normal,
+        deadline_s: 30,
+    };
+    const SOON: Waits = Waits {
+        name: "soon",
+        priority: Priority::Normal,
+        deadline_s: 25,
+    };
+    const HIGH: Waits = Waits {
+        name: "high",
+        priority: Priority::High,
+        deadline_s: 40,
+    };
+    struct Case {
+        name: &'static str,
+        capacity: usize,
+        arrive: &'static [Waits],
+        shed: &'static [&'static str],
+        served: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "priority, then deadline",
+            capacity: 4,
+            arrive: &[LOW, LATE, SOON, HIGH],
+            shed: &[],
+            served: &["high", "soon", "late", "low"],
+        },
+        Case {
+            name: "the lowest makes room",
+            capacity: 2,
+            arrive: &[LOW, LATE, HIGH],
+            shed: &["low"],
+            served: &["high", "late"],
+        },
+        Case {
+            name: "the lowest is not let in",
+            capacity: 2,
+            arrive: &[HIGH, SOON, LATE],
+            shed: &["late"],
+            served: &["high", "soon"],
+        },
+        Case {
+            name: "no queue",
+            capacity: 0,
+            arrive: &[HIGH],
+            shed: &["high"],
+            served: &[],
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let limits = Limits { cold: 1, ..LIMITS };
+        let mut adm = Controller::new(limits, case.capacity, now);
+        let (Arrival::Enter(mut permit), None) = adm.arrive(ask(&HIGH, now), "first", now) else {
+            panic!("{}: not let in", case.name);
+        };
+        let mut shed = Vec::new();
+        for waits in case.arrive {
+            let (arrival, displaced) = adm.arrive(ask(waits, now), waits.name, now);
+            if let Arrival::Refuse(Shed::Full { retry_after }) = arrival {
+                assert!(retry_after > Duration::ZERO);
+                shed.push(waits.name);
+            }
+            shed.extend(displaced.map(|call| match call {
+                Call::Refuse(name, Shed::Full { .. }) => name,
+                other => panic!("{}: {other:?}", case.name),
+            }));
+        }
+        assert_eq!(shed, case.shed, "{}", case.name);
+        let mut served = Vec::new();
+        loop {
+            adm.leave(permit, Outcome::Neutral, now);
+            match adm.calls(now).pop() {
+                Some(Call::Start(name, next)) => {
+                    served.push(name);
+                    permit = next;
+                }
+                None => break,
+                Some(other) => panic!("{}: {other:?}", case.name),
+            }
+        }
+        assert_eq!(served, case.served, "{}", case.name);
+    }
+}
+
+fn ask(waits: &Waits, now: Instant) -> Ask {
+    Ask {
+        priority: waits.priority,
+        deadline: now + Duration::from_secs(waits.deadline_s),
+        alone: false,
+    }
+}
+
+/// Guards against work that waits although it cannot start in time.
+#[test]
+fn hopeless_work_is_refused_at_once() {
+    struct Case {
+        name: &'static str,
+        time_left_ms: u64,
+        /// Requests ahead in the queue; each place is held for one second.
+        ahead: usize,
+        hopeless: bool,
+    }
+    let cases = [
+        Case {
+            name: "expired",
+            time_left_ms: 0,
+            ahead: 0,
+            hopeless: true,
+        },
+        Case {
+            name: "next",
+            time_left_ms: 501,
+            ahead: 0,
+            hopeless: false,
+        },
+        Case {
+            name: "not soon enough",
+            time_left_ms: 500,
+            ahead: 0,
+            hopeless: true,
+        },
+        Case {
+            name: "behind three",
+            time_left_ms: 2_001,
+            ahead: 3,
+            hopeless: false,
+        },
+        Case {
+            name: "too late behind three",
+            time_left_ms: 2_000,
+            ahead: 3,
+            hopeless: true,
+        },
+    ];
+    for case in cases {
+        let start = Instant::now();
+        let now = start + Duration::from_secs(1);
+        let long = Limits {
+            ramp_interval: Duration::from_hours(1),
+            ..LIMITS
+        };
+        let mut adm = Controller::new(long, 10, start);
+        let of = |ms| Ask {
+            priority: Priority::Normal,
+            deadline: now + Duration::from_millis(ms),
+            alone: false,
+        };
+        let (Arrival::Enter(permit), _) = adm.arrive(of(90_000), (), start) else {
+            panic!("not let in");
+        };
+        adm.leave(permit, Outcome::Success, now);
+        for i in 0..2 + case.ahead {
+            let (arrival, _) = adm.arrive(
+                Ask {
+                    priority: Priority::High,
+                    ..of(90_000)
+                },
+                (),
+                now,
+            );
+            assert_eq!(matches!(arrival, Arrival::Enter(_)), i < 2, "{}", case.name);
+        }
+        let (arrival, _) = adm.arrive(of(case.time_left_ms), (), now);
+        let refused = matches!(arrival, Arrival::Refuse(Shed::Hopeless));
+        assert_eq!(refused, case.hopeless, "{}", case.name);
+    }
+}
+
+/// Guards against a suspect that shares the endpoint, and against one that starves.
+#[test]
+fn suspects_run_alone() {
+    let now = Instant::now();
+    let mut adm = Controller::new(LIMITS, 4, now);
+    let normal = Ask {
+        priority: Priority::Normal,
+        deadline: now + INTERVAL,
+        alone: false,
+    };
+    let suspect = Ask {
+        alone: true,
+        ..normal
+    };
+    let (Arrival::Enter(first), _) = adm.arrive(normal, "first", now) else {
+        panic!("not let in");
+    };
+    assert!(matches!(
+        adm.arrive(suspect, "suspect", now).0,
+        Arrival::Wait(_)
+    ));
+    assert!(matches!(
+        adm.arrive(normal, "behind", now).0,
+        Arrival::Wait(_)
+    ));
+    assert!(adm.calls(now).is_empty(), "the endpoint is not idle");
+    adm.leave(first, Outcome::Success, now);
+    let mut calls = adm.calls(now);
+    let Some(Call::Start("suspect", permit)) = calls.pop() else {
+        panic!("the suspect does not start");
+    };
+    assert!(calls.is_empty() && adm.calls(now).is_empty(), "not alone");
+    adm.leave(permit, Outcome::Success, now);
+    assert!(matches!(adm.calls(now)[..], [Call::Start("behind", _)]));
+}
+
+/// Guards against more running requests than the limit in force when they were let in.
+#[test]
+fn running_never_exceeds_the_limit() {
+    arbtest::arbtest(|u| {
+        let start = Instant::now();
+        let mut now = start;
+        let mut adm = Controller::new(LIMITS, 3, start);
+        let mut running: Vec<Permit> = Vec::new();
+        let mut boot = 0_u32;
+        for _ in 0..u.int_in_range(1..=80)? {
+            now += Duration::from_millis(u.int_in_range(0..=1_500)?);
+            let before = running.len();
+            match u.int_in_range(0..=5)? {
+                0..=1 => {
+                    let waits = Waits {
+                        name: "",
+                        priority: Priority::Normal,
+                        deadline_s: u.int_in_range(0..=20)?,
+                    };
+                    let ask = Ask {
+                        alone: u.ratio(1, 8)?,
+                        ..ask(&waits, now)
+                    };
+                    if let (Arrival::Enter(permit), _) = adm.arrive(ask, (), now) {
+                        running.push(permit);
+                    }
+                }
+                2..=3 if !running.is_empty() => {
+                    let permit = running.swap_remove(u.choose_index(running.len())?);
+                    let outcome =
+                        *u.choose(&[Outcome::Success, Outcome::Success, Outcome::Error])?;
+                    adm.leave(permit, outcome, now);
+                }
+                4 => {
+                    boot += u32::from(u.ratio(1, 4)?);
+                    adm.gate_mut().saw_boot(&boot.to_string().into(), now);
+                }
+                _ => {
+                    for call in adm.calls(now) {
+                        if let Call::Start((), permit) = call {
+                            running.push(permit);
+                        }
+                    }
+                }
+            }
+            assert_eq!(adm.gate().running() as usize, running.len());
+            assert!(running.len() <= before || running.len() <= adm.gate().limit() as usize);
+        }
+        Ok(())
+    })
+    .seed(0x5eed_0010_0000_0200)
+    .run();
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
+mod admission;
 mod catalog;
 mod testing;
 mod thin_path;
