Sidecar notices a restart between two status reads

An engine that started again within the 500 ms between two status reads got the load of a warm one until the next read. A refused connection counts as a lost endpoint at once. The table of usage copies takes its capacity as an argument so that its bound has a test.

--- a/src/admission/usage_copies.rs
+++ b/src/admission/usage_copies.rs
@@ -6,24 +6,33 @@
 use crate::billing;
 use crate::ids;
 
-/// Most records: about 40 MB.
-const MAX_RECORDS: usize = 200_000;
 /// Time after which a copy that is not confirmed is appended.
 const UNCONFIRMED: Duration = Duration::from_mins(1);
 
 /// A bounded table of copies, one for each request.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct UsageCopies {
+    capacity: usize,
     records: HashMap<ids::RequestId, (Instant, billing::UsageRecord)>,
     /// Requests by the time of their first copy; names some that have gone.
     order: VecDeque<(Instant, ids::RequestId)>,
 }
 
 impl UsageCopies {
+    /// An empty table for `capacity` records.
+    #[must_use]
+    pub fn new(capacity: usize) -> Self {
+        Self {
+            capacity,
+            records: HashMap::new(),
+            order: VecDeque::new(),
+        }
+    }
+
     /// Whether new work must be refused because it might remain unbilled.
     #[must_use]
     pub fn is_nearly_full(&self) -> bool {
-        self.records.len() > MAX_RECORDS / 4 * 3
+        self.records.len() > self.capacity / 4 * 3
     }
 
     /// Keeps the copy of an attempt. A further attempt at the same request is
--- a/src/sidecar/cx.rs
+++ b/src/sidecar/cx.rs
@@ -24,6 +24,9 @@
     bytes: units::Bytes(16 * 1_024 * 1_024),
 };
 
+/// Most copies of usage records: about 40 MB.
+const MAX_COPIES: usize = 200_000;
+
 /// How one who waits for a place is told.
 pub type Waiter = Sender<Result<place::Place, errors::Refusal>>;
 
@@ -85,7 +88,7 @@
             admission: Mutex::new(admission::Controller::new(limits, queue, Instant::now())),
             calls: Mutex::new(admission::Calls::new(me.incarnation, CALL_BOUNDS)),
             crashes: Mutex::default(),
-            copies: Mutex::default(),
+            copies: Mutex::new(admission::UsageCopies::new(MAX_COPIES)),
             status: Mutex::default(),
             stopping: AtomicBool::new(false),
             cfg: cfg.clone(),
--- a/src/sidecar/model.rs
+++ b/src/sidecar/model.rs
@@ -37,6 +37,9 @@
         Ok(stream) => stream,
         Err(err) => {
             let refusal = start_refusal(&err, &mut place);
+            if refusal.code == errors::ResultCode::Unreachable {
+                cx.set_status(None);
+            }
             flight.broke(matches!(&err, sidecar::StartError::Http(err) if is_lost(err)));
             if refusal.code.is_not_run() {
                 copy.discard();
--- a/src/sidecar/service.rs
+++ b/src/sidecar/service.rs
@@ -228,6 +228,7 @@
         }
         Err(err) if err.is_not_sent() => {
             place.set_outcome(admission::Outcome::Error);
+            cx.set_status(None);
             copy.discard();
             End::NotRun(errors::Refusal::new(
                 errors::ResultCode::Unreachable,
--- a/tests/integration/admission/mod.rs
+++ b/tests/integration/admission/mod.rs
@@ -8,6 +8,7 @@
 mod gate;
 mod orders;
 mod queue;
+mod usage;
 
 pub const INTERVAL: Duration = Duration::from_secs(1);
 pub const LIMITS: Limits = Limits {
