Test that a lost answer to a usage append bills once

A front of the log passes appends on and loses the first two answers; the sidecar reads forward for its request ids and appends nothing twice.

--- a/tests/integration/sidecar/beside.rs
+++ b/tests/integration/sidecar/beside.rs
@@ -4,12 +4,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
-use hyper::{Request, StatusCode};
+use hyper::{Method, Request, StatusCode};
 use quetzalworks::attempt::{CallRef, Dispatch, Priority, Work};
 use quetzalworks::catalog;
 use quetzalworks::fleet::{Identity, NodeRole};
-use quetzalworks::http::{self as server, Handler, Reply, Server};
+use quetzalworks::http::{self as server, Client, Handler, Reply, Server};
 use quetzalworks::ids::{ChangeId, Fingerprint, Incarnation, RequestId, Revision};
 use quetzalworks::platform::Stream;
 use quetzalworks::settings::{self, Limits, Role, Settings};
@@ -70,6 +71,30 @@
     }
 }
 
+/// A front of the log that passes appends of usage on and loses the answers
+/// to the first `lost` of them.
+struct LossyLog {
+    log: Client,
+    lost: AtomicU32,
+}
+
+impl Handler for LossyLog {
+    async fn handle(&self, req: Request<Incoming>) -> Reply {
+        let (head, body) = req.into_parts();
+        let body = server::read_body(body, MAX_BODY).await.unwrap();
+        let is_append = head.method == Method::POST && head.uri.path().contains("usage");
+        let req = Request::from_parts(head, Full::new(body));
+        let answer = self.log.send(req, Duration::from_mins(1)).await.unwrap();
+        let body: Value = answer.json(MAX_BODY).await.unwrap();
+        let left = self.lost.load(Ordering::SeqCst);
+        if is_append && left > 0 {
+            self.lost.store(left - 1, Ordering::SeqCst);
+            return smol::future::pending().await;
+        }
+        server::json(StatusCode::OK, &body)
+    }
+}
+
 pub struct Beside {
     pub sidecar: Arc<Sidecar>,
     pub endpoint: Arc<Endpoint>,
@@ -77,18 +102,31 @@
     pub connection: Connection,
     pub server: Option<Server>,
     _node: Node,
+    _front: Server,
 }
 
 impl Beside {
     /// Starts a sidecar with room for `limit` requests; `endpoint` is its settings' field.
     pub fn start(endpoint: &Value, limit: u32) -> Self {
-        smol::block_on(Self::spawn(endpoint, limit))
+        smol::block_on(Self::spawn(endpoint, limit, 0))
+    }
+
+    /// The same, where the answers to the first `lost` appends of usage are lost.
+    pub fn start_lossy(endpoint: &Value, limit: u32, lost: u32) -> Self {
+        smol::block_on(Self::spawn(endpoint, limit, lost))
     }
 
-    async fn spawn(kind: &Value, limit: u32) -> Self {
+    async fn spawn(kind: &Value, limit: u32, lost: u32) -> Self {
         let traffic = http::traffic();
         let log = StandinLog::bind(place::addr(), &traffic).await.unwrap();
         publish(&log);
+        let front = Arc::new(LossyLog {
+            log: Client::new(log.addr(), traffic.clone()),
+            lost: AtomicU32::new(lost),
+        });
+        let front = Server::bind(place::addr(), Limits::default(), &traffic, front)
+            .await
+            .unwrap();
         let (release, released) = channel::unbounded();
         let endpoint = Arc::new(Endpoint {
             boot: Mutex::new("boot-1".into()),
@@ -115,7 +153,7 @@
                 "region": "region-1",
                 "peer_addr": place::addr(),
                 "operations_addr": place::addr(),
-                "platform": { "log_addr": log.addr(), "inventory_addr": place::addr() },
+                "platform": { "log_addr": front.addr(), "inventory_addr": place::addr() },
                 "tls": authority.issue(&VM.parse().unwrap(), &dir).unwrap(),
                 "role": { "sidecar": {
                     "endpoint_addr": server.addr(),
@@ -153,6 +191,7 @@
             connection,
             server: Some(server),
             _node: node,
+            _front: front,
         };
         wait::until("the sidecar takes work", || {
             beside.sidecar.cx().report().accepting
--- a/tests/integration/sidecar/service.rs
+++ b/tests/integration/sidecar/service.rs
@@ -140,6 +140,20 @@
     assert_eq!(fence(&beside, 1, ME), FenceReply::Fenced);
 }
 
+/// Guards against usage that is appended again because the answer to its append was lost.
+#[test]
+fn a_lost_answer_bills_once() {
+    let kind = json!({ "service": { "name": "bookings" } });
+    let beside = Beside::start_lossy(&kind, 4, 2);
+    for id in 1..=3 {
+        let (_tx, mut rx) = beside.dispatch(id, service("/book", None));
+        assert!(matches!(read(&mut rx), Reply::Accepted));
+        assert!(matches!(read(&mut rx), Reply::Answer(_)));
+    }
+    smol::block_on(beside.sidecar.stop(Instant::now() + Duration::from_mins(1)));
+    assert_eq!(beside.billed(), [1, 2, 3].map(RequestId));
+}
+
 /// Guards against a planned stop that cuts a request off, leaves one
 /// waiting, or loses what is to be billed.
 #[test]
