Stand-in authority keeps the CA file that processes read

Each issued certificate rewrote ca.pem, so a daemon that had just been started could read an empty file and end with 'no root trust anchors'; thin_path::answers_are_whole then waited 60 s and failed, once in two runs. The file is now written only when its content differs.

--- a/src/standin/certs.rs
+++ b/src/standin/certs.rs
@@ -72,7 +72,11 @@
             cert_file: dir.join(format!("{vm}.pem")),
             key_file: dir.join(format!("{vm}.key")),
         };
-        fs::write(&files.ca_file, &self.ca_pem)?;
+        // A process that has been started may be reading the file, and a
+        // rewrite truncates it first.
+        if fs::read(&files.ca_file).ok().as_deref() != Some(self.ca_pem.as_bytes()) {
+            fs::write(&files.ca_file, &self.ca_pem)?;
+        }
         fs::write(&files.cert_file, cert.pem())?;
         fs::write(&files.key_file, key.serialize_pem())?;
         Ok(files)
