Judge waiting work again and notice a hanging endpoint

Work was judged hopeless on arrival only; it is now judged again whenever a place is given back. A request that is given up after four times the median first-token time without a token resets the gate: an endpoint that hangs under its load answers with neither errors nor tokens.

--- a/src/admission/controller.rs
+++ b/src/admission/controller.rs
@@ -120,12 +120,8 @@
 
     /// Who may start now, and who has waited in vain.
     pub fn calls(&mut self, now: Instant) -> Vec<Call<T>> {
-        let mut calls: Vec<Call<T>> = self
-            .queue
-            .take_expired(now)
-            .into_iter()
-            .map(|waiter| Call::Refuse(waiter, Shed::Hopeless))
-            .collect();
+        let mut late = self.queue.take_late(|_| now);
+        let mut calls = Vec::new();
         while let Some(ask) = self.queue.head() {
             let Some(permit) = self.gate.try_enter(ask.alone, now) else {
                 break;
@@ -135,6 +131,15 @@
                 None => break,
             }
         }
+        let (service_time, limit) = (self.service_time, self.gate.limit());
+        late.extend(
+            self.queue
+                .take_late(|ahead| now + service_time.wait(ahead, limit)),
+        );
+        let refusals = late
+            .into_iter()
+            .map(|waiter| Call::Refuse(waiter, Shed::Hopeless));
+        calls.extend(refusals);
         calls
     }
 
--- a/src/admission/first_token.rs
+++ b/src/admission/first_token.rs
@@ -31,11 +31,16 @@
         Some(*sorted.select_nth_unstable(middle).1)
     }
 
+    /// Whether a time is that of a cold endpoint.
+    #[must_use]
+    pub fn is_cold(&self, took: Duration) -> bool {
+        self.median()
+            .is_some_and(|median| took > median * COLD_FACTOR && took > median + MIN_EXCESS)
+    }
+
     /// Learns a time; true where it is that of a cold endpoint.
     pub fn learn(&mut self, took: Duration) -> bool {
-        let is_cold = self
-            .median()
-            .is_some_and(|median| took > median * COLD_FACTOR && took > median + MIN_EXCESS);
+        let is_cold = self.is_cold(took);
         if self.samples.len() == WINDOW {
             self.samples.pop_front();
         }
--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -87,6 +87,13 @@
         is_cold
     }
 
+    /// A request was given up after it had waited for its first token in
+    /// vain. An endpoint that hangs under its load shows itself only by this.
+    /// Returns whether this has reset the gate.
+    pub fn no_first_token(&mut self, permit: &Permit, waited: Duration, now: Instant) -> bool {
+        self.first_tokens.is_cold(waited) && self.first_token(permit, waited, now)
+    }
+
     /// A request has ended. Returns whether this has reset the gate.
     #[expect(clippy::needless_pass_by_value, reason = "a permit is given back once")]
     pub fn leave(&mut self, permit: Permit, outcome: Outcome, now: Instant) -> bool {
--- a/src/admission/queue.rs
+++ b/src/admission/queue.rs
@@ -94,16 +94,19 @@
         self.waiting.remove(&rank).map(|(_, waiter)| waiter)
     }
 
-    /// Takes all requests whose deadline has passed.
-    pub fn take_expired(&mut self, now: Instant) -> Vec<T> {
-        let expired: Vec<Ticket> = self
-            .waiting
-            .keys()
-            .filter(|(_, deadline, _)| *deadline <= now)
-            .map(|(_, _, ticket)| *ticket)
-            .collect();
-        expired
-            .into_iter()
+    /// Takes all requests that cannot start before their deadline, where
+    /// `start` tells when a request starts that so many others go before.
+    pub fn take_late(&mut self, start: impl Fn(usize) -> Instant) -> Vec<T> {
+        let mut ahead = 0;
+        let mut late = Vec::new();
+        for (_, deadline, ticket) in self.waiting.keys() {
+            if start(ahead) >= *deadline {
+                late.push(*ticket);
+            } else {
+                ahead += 1;
+            }
+        }
+        late.into_iter()
             .filter_map(|ticket| self.remove(ticket))
             .collect()
     }
--- a/src/sidecar/place.rs
+++ b/src/sidecar/place.rs
@@ -17,6 +17,8 @@
     cx: cx::Shared,
     permit: Option<admission::Permit>,
     outcome: admission::Outcome,
+    /// When the request was passed on, until its first token has come.
+    awaiting_token: Option<Instant>,
 }
 
 impl Place {
@@ -25,6 +27,7 @@
             cx: Arc::clone(cx),
             permit: Some(permit),
             outcome: admission::Outcome::Neutral,
+            awaiting_token: None,
         }
     }
 
@@ -33,18 +36,34 @@
         self.outcome = outcome;
     }
 
-    /// The first token came `took` after the request was passed on.
-    pub fn first_token(&self, took: Duration) {
-        let Some(permit) = &self.permit else { return };
+    /// The request is passed on, and a first token is to come.
+    pub fn await_token(&mut self) {
+        self.awaiting_token = Some(Instant::now());
+    }
+
+    /// A token came.
+    pub fn token(&mut self) {
+        let (Some(begun), Some(permit)) = (self.awaiting_token.take(), &self.permit) else {
+            return;
+        };
+        let took = begun.elapsed();
         let now = Instant::now();
         if self
             .cx
             .with_admission(|adm| adm.gate_mut().first_token(permit, took, now))
         {
-            log::warn!(
-                "admit: first token after {} ms, the endpoint is cold, back to the cold limit.",
-                took.as_millis()
-            );
+            log_slow(took);
+        }
+    }
+
+    fn missed_token(&self, permit: &admission::Permit, begun: Instant) {
+        let now = Instant::now();
+        let waited = now.saturating_duration_since(begun);
+        if self
+            .cx
+            .with_admission(|adm| adm.gate_mut().no_first_token(permit, waited, now))
+        {
+            log_slow(waited);
         }
     }
 }
@@ -54,6 +73,9 @@
         let Some(permit) = self.permit.take() else {
             return;
         };
+        if let Some(begun) = self.awaiting_token {
+            self.missed_token(&permit, begun);
+        }
         let now = Instant::now();
         if self
             .cx
@@ -65,6 +87,13 @@
     }
 }
 
+fn log_slow(waited: Duration) {
+    log::warn!(
+        "admit: first token after {} ms or more, the endpoint is cold, back to the cold limit.",
+        waited.as_millis()
+    );
+}
+
 /// A place in the queue; given up when dropped.
 struct Waiting<'a> {
     cx: &'a cx::Shared,
--- a/tests/integration/admission/gate.rs
+++ b/tests/integration/admission/gate.rs
@@ -121,6 +121,22 @@
             sign: |gate, permit, now| token(gate, permit, 401, now),
             resets: true,
         },
+        Case {
+            name: "no first token",
+            sign: |gate, permit, now| {
+                gate.no_first_token(&permit, Duration::from_millis(401), now);
+                gate.leave(permit, Outcome::Neutral, now);
+            },
+            resets: true,
+        },
+        Case {
+            name: "given up early",
+            sign: |gate, permit, now| {
+                gate.no_first_token(&permit, Duration::from_millis(399), now);
+                gate.leave(permit, Outcome::Neutral, now);
+            },
+            resets: false,
+        },
         Case {
             name: "first token at the bound",
             sign: |gate, permit, now| token(gate, permit, 400, now),
--- a/tests/integration/admission/mod.rs
+++ b/tests/integration/admission/mod.rs
@@ -5,6 +5,7 @@
 use quetzalworks::admission::Limits;
 
 mod calls;
+mod controller;
 mod gate;
 mod orders;
 mod queue;
--- a/tests/integration/sidecar/service.rs
+++ b/tests/integration/sidecar/service.rs
@@ -128,6 +128,23 @@
     });
 }
 
+/// Guards against work for an entry that no longer waits for it.
+#[test]
+fn a_request_leaves_the_queue_with_its_entry() {
+    let beside = start(1);
+    let (_tx, mut running) = beside.dispatch(1, service("/slow", None));
+    wait::until("the call runs", || beside.calls() == 1);
+    let waiting = beside.dispatch(2, service("/book", Some(call(2, ME))));
+    let queued = || beside.sidecar.cx().report().queued;
+    wait::until("the request waits", || queued() == 1);
+    drop(waiting);
+    wait::until("the request leaves", || queued() == 0);
+    beside.endpoint.release.try_send(()).unwrap();
+    assert!(matches!(read(&mut running), Reply::Accepted));
+    assert_eq!(fence(&beside, 2, ME), FenceReply::Fenced);
+    assert_eq!(beside.calls(), 1);
+}
+
 /// Guards against "outcome unknown" where nothing was sent.
 #[test]
 fn a_service_that_is_down_runs_nothing() {
