Test the second check of waiting work and a restart without requests

A withdrawal that comes while a request waits refuses it as not run; a new boot id resets the gate while no request runs.

--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -130,6 +130,12 @@
         self.warmth = self.warmth.cooled(now);
     }
 
+    /// Returns to the cold limit so far.
+    #[must_use]
+    pub const fn resets(&self) -> u64 {
+        self.epoch
+    }
+
     /// Requests running.
     #[must_use]
     pub const fn running(&self) -> u32 {
--- a/tests/integration/sidecar/beside.rs
+++ b/tests/integration/sidecar/beside.rs
@@ -274,13 +274,18 @@
         ("profiles/chat", json!({ "profile": profile })),
     ];
     for (id, content) in objects {
-        let change = catalog::Body::Change(catalog::Change {
-            id: ChangeId::generate(),
-            object: id.parse().unwrap(),
-            base: Revision(0),
-            content: Some(serde_json::from_value(content).unwrap()),
-            author: "test".into(),
-        });
-        log.append(Stream::Config, &change).unwrap();
+        publish_change(log, id, 0, content);
     }
 }
+
+/// Appends a change of an object whose present revision is `base`.
+pub fn publish_change(log: &StandinLog, id: &str, base: u64, content: Value) {
+    let change = catalog::Body::Change(catalog::Change {
+        id: ChangeId::generate(),
+        object: id.parse().unwrap(),
+        base: Revision(base),
+        content: Some(serde_json::from_value(content).unwrap()),
+        author: "test".into(),
+    });
+    log.append(Stream::Config, &change).unwrap();
+}
--- a/tests/integration/sidecar/engine.rs
+++ b/tests/integration/sidecar/engine.rs
@@ -8,11 +8,11 @@
 use quetzalworks::wire::{Opening, Reply};
 use serde_json::json;
 
-use crate::sidecar::beside::{Beside, model, read};
+use crate::sidecar::beside::{Beside, model, publish_change, read};
 use crate::testing::wait;
 
-fn start() -> Beside {
-    Beside::start(&json!({ "engine": { "checks_fence": false } }), 4)
+fn start(limit: u32) -> Beside {
+    Beside::start(&json!({ "engine": { "checks_fence": false } }), limit)
 }
 
 /// Guards against an order of an old lease holder that reaches an engine
@@ -37,7 +37,7 @@
             refused: None,
         },
     ];
-    let beside = start();
+    let beside = start(4);
     let mut forwarded = Vec::new();
     for case in cases {
         let (_tx, mut rx) = beside.open(&Opening::Order {
@@ -74,7 +74,7 @@
             crash: true,
         },
     ];
-    let beside = start();
+    let beside = start(4);
     for (case, first) in cases.into_iter().zip([10, 20]) {
         let ids = [first, first + 1];
         let mut streams = ids.map(|id| beside.dispatch(id, model()));
@@ -119,3 +119,50 @@
         "high"
     );
 }
+
+/// Guards against work that starts on a withdrawn version because it
+/// arrived before the withdrawal.
+#[test]
+fn waiting_work_is_checked_again() {
+    let beside = start(1);
+    let (_tx1, mut running) = beside.dispatch(1, model());
+    assert!(matches!(read(&mut running), Reply::Accepted));
+    let (_tx2, mut waiting) = beside.dispatch(2, model());
+    let cx = beside.sidecar.cx();
+    wait::until("a request waits", || cx.report().queued == 1);
+    let version = json!({
+        "model": "small",
+        "prompt_cost": 100,
+        "output_cost": 300,
+        "prior_quality": 0.8,
+        "withdrawn": true,
+    });
+    publish_change(
+        &beside.log,
+        "versions/small-1",
+        1,
+        json!({ "version": version }),
+    );
+    wait::until("the withdrawal is in force", || {
+        !cx.control.snapshot().withdrawn.is_empty()
+    });
+    beside.endpoint.release.try_send(()).unwrap();
+    let refused: Reply = read(&mut waiting);
+    assert!(
+        matches!(&refused, Reply::Refused { refusal, .. } if refusal.code == ResultCode::VersionWithdrawn),
+        "{refused:?}"
+    );
+    assert_eq!(beside.calls(), 1);
+}
+
+/// Guards against the load of a warm engine on one that has just started
+/// again, while no request shows it.
+#[test]
+fn a_restart_is_seen_without_requests() {
+    let beside = start(4);
+    let cx = beside.sidecar.cx();
+    let resets = || cx.with_admission(|adm| adm.gate().resets());
+    let before = resets();
+    *beside.endpoint.boot.lock().unwrap() = "boot-2".into();
+    wait::until("the gate is reset", || resets() == before + 1);
+}
