--- a/src/sidecar/crash.rs
+++ b/src/sidecar/crash.rs
@@ -4,6 +4,7 @@
 
 use crate::admission;
 use crate::attempt;
+use crate::control;
 use crate::sidecar::cx;
 
 /// A request that the engine runs.
@@ -55,6 +56,7 @@
         report.incident,
         report.in_flight.len()
     );
+    cx.control.send(control::Event::Crash(report)).await;
 }
 
 async fn is_same(cx: &cx::Shared, boot: Option<&Arc<str>>) -> bool {
