A place is given back only when the engine has let the request go

The place was free with the last event, while the engine still counted the request, so a cold engine could see one request more than it bears. It is now held until the response ends, which also lets the connection be used again, and for 250 ms after a cancel, since an engine notices that at its next token.

--- a/src/sidecar/engine_stream.rs
+++ b/src/sidecar/engine_stream.rs
@@ -83,6 +83,12 @@
         self.boot.as_ref()
     }
 
+    /// Reads the response to its end after the last event.
+    pub async fn finish(&mut self) -> Result<(), http::HttpError> {
+        while self.answer.chunk().await?.is_some() {}
+        Ok(())
+    }
+
     /// Tokens so far.
     #[must_use]
     pub const fn usage(&self) -> attempt::Usage {
--- a/src/sidecar/model.rs
+++ b/src/sidecar/model.rs
@@ -1,6 +1,6 @@
 //! Runs an attempt on a model engine.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use quinn::SendStream;
 
@@ -17,6 +17,9 @@
 use crate::sidecar::usage;
 use crate::wire;
 
+/// Time in which an engine ends its response after the last event.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Passes the attempt on and writes its replies.
 pub async fn run(
     cx: &cx::Shared,
@@ -66,9 +69,8 @@
                 continue;
             }
             Some(Ok(sidecar::EngineEvent::End { finish, usage })) => {
-                place.set_outcome(admission::Outcome::Success);
                 copy.ended(None);
-                drop(place);
+                settle(cx, stream, place);
                 let load = cx.report();
                 let done = wire::Reply::Done {
                     finish,
@@ -91,6 +93,19 @@
     }
 }
 
+/// Gives the place back when the engine has ended its response, which is
+/// after it has freed the request's share of its own batch; the connection
+/// can then be used again.
+fn settle(cx: &cx::Shared, mut stream: sidecar::EngineStream, mut place: place::Place) {
+    place.set_outcome(admission::Outcome::Success);
+    let task = async move {
+        let until = Instant::now() + SETTLE_TIMEOUT;
+        let _ = runtime::timeout_at(until, stream.finish()).await;
+        drop(place);
+    };
+    cx.traffic.spawn(task).detach();
+}
+
 const fn resume_from(dispatch: &attempt::Dispatch) -> u32 {
     match &dispatch.work {
         attempt::Work::Model { resume_from, .. } => *resume_from,
@@ -110,6 +125,7 @@
 /// What the entry is told of an attempt that the engine has not begun to
 /// answer; the code says whether the engine may have run it.
 fn start_refusal(err: &sidecar::StartError, place: &mut place::Place) -> errors::Refusal {
+    place.set_outcome(admission::Outcome::Neutral);
     let code = match err {
         sidecar::StartError::Body(_) | sidecar::StartError::Status(400 | 413 | 422) => {
             errors::ResultCode::MalformedRequest
@@ -120,6 +136,7 @@
             errors::ResultCode::Unreachable
         }
         sidecar::StartError::Http(http::HttpError::TimedOut) => {
+            place.set_lingers();
             errors::ResultCode::DeadlineExceeded
         }
         sidecar::StartError::Http(_) | sidecar::StartError::Status(_) => {
--- a/src/sidecar/place.rs
+++ b/src/sidecar/place.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use smol::Timer;
 use smol::channel;
 
 use crate::admission;
@@ -11,6 +12,11 @@
 use crate::sidecar::cx;
 use crate::units;
 
+/// Time for which a cancelled request keeps its place: an engine notices at
+/// its next token that an answer is no longer wanted, and until then a cold
+/// one would bear a request too many.
+const CANCEL_LAG: Duration = Duration::from_millis(250);
+
 /// A place within the limit; given back when dropped.
 #[derive(Debug)]
 pub struct Place {
@@ -19,6 +25,8 @@
     outcome: admission::Outcome,
     /// When the request was passed on, until its first token has come.
     awaiting_token: Option<Instant>,
+    /// Whether the endpoint may still run the request for a while.
+    lingers: bool,
 }
 
 impl Place {
@@ -28,17 +36,25 @@
             permit: Some(permit),
             outcome: admission::Outcome::Neutral,
             awaiting_token: None,
+            lingers: false,
         }
     }
 
     /// How the request ended; [`admission::Outcome::Neutral`] where nothing is said.
     pub const fn set_outcome(&mut self, outcome: admission::Outcome) {
         self.outcome = outcome;
+        self.lingers = false;
+    }
+
+    /// The endpoint may still run the request for a while.
+    pub const fn set_lingers(&mut self) {
+        self.lingers = true;
     }
 
     /// The request is passed on, and a first token is to come.
     pub fn await_token(&mut self) {
         self.awaiting_token = Some(Instant::now());
+        self.lingers = true;
     }
 
     /// A token came.
@@ -76,15 +92,24 @@
         if let Some(begun) = self.awaiting_token {
             self.missed_token(&permit, begun);
         }
-        let now = Instant::now();
-        if self
-            .cx
-            .with_admission(|adm| adm.leave(permit, self.outcome, now))
-        {
-            log::warn!("admit: the endpoint failed, back to the cold limit.");
+        if !self.lingers {
+            return give_back(&self.cx, permit, self.outcome);
         }
-        call_next(&self.cx);
+        let (cx, outcome) = (Arc::clone(&self.cx), self.outcome);
+        let later = async move {
+            Timer::after(CANCEL_LAG).await;
+            give_back(&cx, permit, outcome);
+        };
+        self.cx.traffic.spawn(later).detach();
+    }
+}
+
+fn give_back(cx: &cx::Shared, permit: admission::Permit, outcome: admission::Outcome) {
+    let now = Instant::now();
+    if cx.with_admission(|adm| adm.leave(permit, outcome, now)) {
+        log::warn!("admit: the endpoint failed, back to the cold limit.");
     }
+    call_next(cx);
 }
 
 fn log_slow(waited: Duration) {
