--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -4,11 +4,13 @@
 
 mod admin;
 mod admin_log;
+mod admission;
 mod bad_input;
 mod catalog;
 mod cli;
 mod daemon;
 mod docs;
+mod sidecar;
 mod testing;
 mod thin_path;
 mod values;
