--- a/src/sidecar/usage.rs
+++ b/src/sidecar/usage.rs
@@ -202,14 +202,18 @@
 /// Appends all copies, for a planned stop; gives up at the deadline.
 pub async fn flush(cx: &cx::Shared, deadline: Instant) {
     let oldest = |cx: &cx::Shared| cx.with_copies(|copies| copies.oldest(MAX_APPEND));
-    let appended = runtime::timeout_at(deadline, async {
+    let append_all = async {
         while !cx.with_copies(|copies| copies.is_empty()) {
             if append(cx, oldest).await.is_err() {
                 Timer::after(STOP_RETRY).await;
             }
         }
-    });
-    if appended.await.is_none() {
+    };
+    // Boxed: the futures of a planned stop would otherwise hold it by value.
+    if runtime::timeout_at(deadline, Box::pin(append_all))
+        .await
+        .is_none()
+    {
         let left = cx.with_copies(|copies| copies.len());
         log::error!("billing: {left} usage records were not appended before the stop.");
     }
