Ledger and lease: control state as a pure state machine

Roll-outs, grants and estimates had no shared state, so any entry would have had to keep its own. The ledger applies the control stream: the lease is a compare-and-set chain, and writes with a fence other than the present one are ignored by every reader. A grant record is accepted as a whole or not at all, so the sum of grants of a step stays within the bound even if its writer had an old view. The lease and roll-out are typestates without clocks.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod fleet;
 pub mod http;
 pub mod ids;
+pub mod lease;
+pub mod ledger;
 pub mod platform;
 pub mod poison;
 pub mod rollout;
--- /dev/null
+++ b/src/rollout/progress.rs
@@ -0,0 +1,79 @@
+//! A roll-out in any state, as the ledger holds it.
+
+use std::sync::Arc;
+
+use crate::ids;
+use crate::ledger;
+use crate::rollout;
+
+/// A roll-out in one of its states.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Progress {
+    /// See [`rollout::Loading`].
+    Loading(rollout::Rollout<rollout::Loading>),
+    /// See [`rollout::Stepping`].
+    Stepping(rollout::Rollout<rollout::Stepping>),
+    /// See [`rollout::Complete`].
+    Complete(rollout::Rollout<rollout::Complete>),
+    /// See [`rollout::Stopped`].
+    Stopped(rollout::Rollout<rollout::Stopped>),
+}
+
+impl Progress {
+    /// A roll-out at its start.
+    #[must_use]
+    pub const fn start(profile: ids::ProfileName, version: ids::VersionName) -> Self {
+        Self::Loading(rollout::Rollout::new(profile, version))
+    }
+
+    /// The state after a move; `None` where the present state does not allow it.
+    #[must_use]
+    pub fn moved(&self, to: &ledger::Move) -> Option<Self> {
+        match (self.clone(), to) {
+            (Self::Loading(row), ledger::Move::Step(0)) => Some(Self::Stepping(row.loaded())),
+            (Self::Loading(row), ledger::Move::Stop(reason)) => {
+                Some(Self::Stopped(row.stop(Arc::clone(reason))))
+            }
+            (Self::Stepping(row), ledger::Move::Step(step)) if *step == row.step() + 1 => {
+                Some(Self::Stepping(row.pass()))
+            }
+            (Self::Stepping(row), ledger::Move::Complete) => Some(Self::Complete(row.complete())),
+            (Self::Stepping(row), ledger::Move::Stop(reason)) => {
+                Some(Self::Stopped(row.stop(Arc::clone(reason))))
+            }
+            _ => None,
+        }
+    }
+
+    /// The present step, from 0.
+    #[must_use]
+    pub const fn step(&self) -> Option<u32> {
+        match self {
+            Self::Stepping(row) => Some(row.step()),
+            _ => None,
+        }
+    }
+
+    /// The profile that the version enters.
+    #[must_use]
+    pub const fn profile(&self) -> &ids::ProfileName {
+        match self {
+            Self::Loading(row) => &row.profile,
+            Self::Stepping(row) => &row.profile,
+            Self::Complete(row) => &row.profile,
+            Self::Stopped(row) => &row.profile,
+        }
+    }
+
+    /// The entering version.
+    #[must_use]
+    pub const fn version(&self) -> &ids::VersionName {
+        match self {
+            Self::Loading(row) => &row.version,
+            Self::Stepping(row) => &row.version,
+            Self::Complete(row) => &row.version,
+            Self::Stopped(row) => &row.version,
+        }
+    }
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -3,6 +3,8 @@
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
 mod catalog;
+mod lease;
+mod ledger;
 mod testing;
 mod thin_path;
 mod values;
