Systems: lease, roll-out, grants, estimates, poison, placement, checkpoint

Nothing drove roll-outs and nothing followed the control stream. Catalog and ledger now share one follower (start from a checkpoint, gaps, records for others) and one feed. The lease holder drives; an entry reads only the grant of its own run. Appends survive lost answers: the log is read forward for the record's id first. Orders check the lease right before they are sent. On a rebuild the tables are cleared first, since deleted objects stayed in them.

--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -3,8 +3,10 @@
 use smol::channel::Sender;
 
 use crate::catalog;
+use crate::estimate;
 use crate::fleet;
 use crate::ids;
+use crate::ledger;
 use crate::platform;
 
 /// Something that happened; systems read the events of their tick.
@@ -14,6 +16,24 @@
     ConfigPage(LogPage<catalog::Record>),
     /// Records of the `config` stream, handed over by another process.
     ConfigFromPeer(Vec<catalog::Record>),
+    /// Records of the `control` stream, read from the log.
+    ControlPage(LogPage<ledger::Record>),
+    /// Records of the `control` stream, handed over by another process.
+    ControlFromPeer(Vec<ledger::Record>),
+    /// Records of the `evidence` stream with their offsets, read under this fence.
+    EvidencePage(
+        ids::Fence,
+        LogPage<(ids::Offset, Option<estimate::Evidence>)>,
+    ),
+    /// What came of an order to the endpoint on this VM.
+    Ordered {
+        /// The VM.
+        vm: ids::VmName,
+        /// The order.
+        action: fleet::OrderAction,
+        /// Whether the endpoint carried it out.
+        done: bool,
+    },
     /// A read of a stream failed; the log may be unavailable.
     LogFailed(platform::Stream),
     /// The platform's list of VMs.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! Control state: tables, events, effects, and the thread that owns them.
 
+mod driver;
 mod effect;
 mod event;
 mod keys;
@@ -9,10 +10,11 @@
 mod tick;
 mod world;
 
-pub use effect::Effect;
+pub use driver::{Driver, Folding, LoadState};
+pub use effect::{Append, Effect};
 pub use event::{Event, LogPage};
 pub use keys::{EndpointKey, EntryKey, ProfileKey, RolloutKey, ServiceKey, TeamKey, VersionKey};
-pub use row::{EndpointRow, EntryRow, InFlight, InFlightGuard, Link};
+pub use row::{EndpointRow, EntryRow, InFlight, InFlightGuard, Link, SILENCE};
 pub use snapshot::{
     EndpointView, Phase, ProfileView, RolloutView, Snapshot, TeamView, VersionView,
 };
--- a/src/control/row.rs
+++ b/src/control/row.rs
@@ -3,12 +3,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::fleet;
 use crate::ids;
 use crate::platform;
 
+/// Silence after which a process counts as unresponsive: three report intervals.
+pub const SILENCE: Duration = Duration::from_secs(3);
+
 /// A live connection to another process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Link {
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -37,6 +37,15 @@
     pub log_available: bool,
     /// The last configuration record applied.
     pub config: Option<ids::Offset>,
+    /// The last record of `control` applied.
+    pub control: Option<ids::Offset>,
+    /// Whether the control state has been read.
+    pub control_ready: bool,
+    /// While this process holds the lease: its fencing number and the first
+    /// record of `evidence` that is not folded.
+    pub driving: Option<(ids::Fence, ids::Offset)>,
+    /// Crashes of this endpoint that are not on record yet.
+    pub unrecorded: Vec<fleet::CrashReport>,
     /// Whether operators have taken this process's VM or failure domain out.
     pub self_out: bool,
     /// Teams by the digest of their token.
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -108,6 +108,7 @@
             self.published
                 .store(Arc::new(system::snapshot::take(&self.world, cx.now)));
         }
+        self.world.last_tick = cx.now;
         for effect in cx.effects {
             if self.effects.try_send(effect).is_err() {
                 return;
--- a/src/control/tick.rs
+++ b/src/control/tick.rs
@@ -3,6 +3,9 @@
 use std::time::Instant;
 
 use crate::control;
+use crate::ids;
+use crate::ledger;
+use crate::platform;
 
 /// What a system sees of one tick, and where it puts what it asks for.
 #[derive(Debug)]
@@ -15,6 +18,8 @@
     pub effects: Vec<control::Effect>,
     /// Whether the snapshot has to be made again.
     pub changed: bool,
+    /// Whether records of `control` changed the ledger in this tick.
+    pub ledger_changed: bool,
 }
 
 impl TickCx {
@@ -26,6 +31,20 @@
             events,
             effects: Vec::new(),
             changed: false,
+            ledger_changed: false,
+        }
+    }
+
+    /// Asks for a record of `control`. `from` is the first offset at which it can lie.
+    pub fn append(&mut self, from: ids::Offset, entry: &ledger::Entry) {
+        match serde_json::to_value(entry) {
+            Ok(record) => self.effects.push(control::Effect::Append(control::Append {
+                stream: platform::Stream::Control,
+                id: Some(entry.id),
+                from,
+                record,
+            })),
+            Err(err) => log::error!("control: record cannot be encoded: {err}."),
         }
     }
 }
--- a/src/control/world.rs
+++ b/src/control/world.rs
@@ -1,14 +1,18 @@
 //! The tables of control state.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
+use std::time::Instant;
 
 use crate::catalog;
 use crate::control;
 use crate::estimate;
 use crate::fleet;
 use crate::ids;
+use crate::lease;
+use crate::ledger;
 use crate::poison;
+use crate::replica;
 use crate::rollout;
 use crate::table;
 
@@ -18,11 +22,15 @@
     /// This process.
     pub me: fleet::Identity,
     /// Configuration in force.
-    pub catalog: catalog::Catalog,
-    /// Records read before the catalog could be built; empty afterwards.
-    pub backlog: Vec<catalog::Record>,
-    /// Whether the catalog has been read up to the log's end once.
-    pub caught_up: bool,
+    pub catalog: replica::Follower<catalog::Catalog>,
+    /// Control state: lease, roll-outs, grants, estimates and crashes.
+    pub ledger: replica::Follower<ledger::Ledger>,
+    /// The lease as this process sees it.
+    pub lease: lease::Any,
+    /// What only the holder of the lease keeps.
+    pub driver: control::Driver,
+    /// Time of the last tick.
+    pub last_tick: Instant,
     /// Whether the last read of the log succeeded.
     pub log_available: bool,
     /// Whether a planned stop has begun.
@@ -51,17 +59,30 @@
     pub estimates: Arc<estimate::Estimates>,
     /// Requests under suspicion.
     pub quarantine: Arc<poison::Quarantine>,
+    /// Crashes of the ledger that the quarantine includes.
+    pub counted_crashes: HashSet<fleet::Incident>,
+    /// Crashes that are not on record yet.
+    pub unrecorded: Vec<fleet::CrashReport>,
+    /// The evidence that the estimates include.
+    pub estimated: Option<ids::Offset>,
 }
 
 impl World {
     /// Empty tables of the process `me`.
     #[must_use]
     pub fn new(me: fleet::Identity) -> Self {
+        let now = Instant::now();
+        let holder = lease::Holder {
+            vm: me.vm.clone(),
+            incarnation: me.incarnation,
+        };
         Self {
             me,
-            catalog: catalog::Catalog::default(),
-            backlog: Vec::new(),
-            caught_up: false,
+            catalog: replica::Follower::default(),
+            ledger: replica::Follower::default(),
+            lease: lease::Any::new(holder, now),
+            driver: control::Driver::default(),
+            last_tick: now,
             log_available: false,
             stopping: false,
             endpoints: table::Table::default(),
@@ -76,9 +97,30 @@
             vms_out: HashMap::new(),
             estimates: Arc::default(),
             quarantine: Arc::default(),
+            counted_crashes: HashSet::new(),
+            unrecorded: Vec::new(),
+            estimated: None,
         }
     }
 
+    /// The ledger's row of a roll-out, where it is for this plan.
+    #[must_use]
+    pub fn rollout_row(
+        &self,
+        name: &str,
+        plan: &catalog::RolloutPlan,
+    ) -> Option<&ledger::RolloutRow> {
+        self.ledger.state().rollouts.get(name).filter(|row| {
+            *row.progress.profile() == plan.profile && *row.progress.version() == plan.version
+        })
+    }
+
+    /// Whether a connection that was last heard from then is still in use.
+    #[must_use]
+    pub fn is_heard(link: Option<&control::Link>, now: Instant) -> bool {
+        link.is_some_and(|link| now.saturating_duration_since(link.heard) < control::SILENCE)
+    }
+
     /// Whether operators have taken the VM or its failure domain out.
     #[must_use]
     pub fn is_out(&self, vm: &ids::VmName, domain: &ids::DomainName) -> bool {
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -3,12 +3,13 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use quinn::{Connection, RecvStream, SendStream};
 use smol::Task;
 
 use crate::control;
+use crate::errors;
 use crate::feed;
 use crate::fleet;
 use crate::ids;
@@ -89,21 +90,65 @@
         vm: &ids::VmName,
         opening: &wire::Opening,
     ) -> Result<(SendStream, RecvStream), wire::WireError> {
-        let connection = self
-            .shared
-            .up
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .get(vm)
-            .cloned();
-        let connection = connection.ok_or_else(|| wire::WireError::Lost("not connected".into()))?;
-        let (mut tx, rx) = connection.open_bi().await?;
+        let (mut tx, rx) = self.shared.connection(vm)?.open_bi().await?;
         wire::write(&mut tx, opening).await?;
         Ok((tx, rx))
     }
+
+    /// Gives an order to the endpoint on `vm`, unless the lease has run out,
+    /// and tells the control thread what came of it.
+    pub async fn order(
+        &self,
+        vm: ids::VmName,
+        fence: ids::Fence,
+        valid_until: Instant,
+        action: fleet::OrderAction,
+    ) {
+        let sent = self
+            .shared
+            .send_order(&vm, fence, valid_until, action.clone());
+        let done = match sent.await {
+            Ok(()) => true,
+            Err(err) => {
+                log::warn!("placement: order to {vm}: {err}.");
+                false
+            }
+        };
+        let event = control::Event::Ordered { vm, action, done };
+        self.shared.control.send(event).await;
+    }
 }
 
 impl Shared {
+    fn connection(&self, vm: &ids::VmName) -> Result<Connection, wire::WireError> {
+        self.up
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .get(vm)
+            .cloned()
+            .ok_or_else(|| wire::WireError::Lost("not connected".into()))
+    }
+
+    async fn send_order(
+        &self,
+        vm: &ids::VmName,
+        fence: ids::Fence,
+        valid_until: Instant,
+        action: fleet::OrderAction,
+    ) -> Result<(), wire::WireError> {
+        let (mut tx, mut rx) = self.connection(vm)?.open_bi().await?;
+        // The process may have been paused since the order was decided.
+        if Instant::now() >= valid_until {
+            return Err(wire::WireError::Lost("the lease has run out".into()));
+        }
+        wire::write(&mut tx, &wire::Opening::Order { fence, action }).await?;
+        match wire::read::<Result<(), errors::Refusal>>(&mut rx).await? {
+            Some(Ok(())) => Ok(()),
+            Some(Err(refusal)) => Err(wire::WireError::Lost(refusal.to_string().into())),
+            None => Err(wire::WireError::Lost("no answer".into())),
+        }
+    }
+
     async fn keep(self: Arc<Self>, vm: ids::VmName, addr: SocketAddr) {
         let mut backoff = feed::Backoff::new(PAUSES.0, PAUSES.1);
         loop {
--- a/src/entry/role.rs
+++ b/src/entry/role.rs
@@ -56,8 +56,10 @@
         let inventory = platform::Inventory::new(settings.platform.inventory_addr, traffic.clone());
         let tasks = vec![
             traffic.spawn(feed::follow_config(log.clone(), control.clone())),
+            traffic.spawn(feed::follow_control(log.clone(), control.clone())),
+            traffic.spawn(feed::follow_evidence(log.clone(), control.clone())),
             traffic.spawn(feed::follow_inventory(inventory, control)),
-            traffic.spawn(effects::run(effect_rx, links)),
+            traffic.spawn(effects::run(effect_rx, links, log.clone(), traffic.clone())),
         ];
         let admin = admin::AdminApi {
             token: cfg.operator_token_sha256,
--- a/src/fleet/report.rs
+++ b/src/fleet/report.rs
@@ -75,5 +75,16 @@
     pub in_flight: Arc<[Suspect]>,
 }
 
+/// What tells crashes apart: endpoint, run of the process beside it, number within the run.
+pub type Incident = (ids::VmName, ids::Incarnation, u32);
+
+impl CrashReport {
+    /// What tells this crash from others.
+    #[must_use]
+    pub fn id(&self) -> Incident {
+        (self.vm.clone(), self.incarnation, self.incident)
+    }
+}
+
 /// A request that was in flight when an endpoint died.
 pub type Suspect = (ids::RequestId, ids::Fingerprint);
--- a/src/ledger/store.rs
+++ b/src/ledger/store.rs
@@ -230,10 +230,7 @@
     /// Whether this incident is on record.
     #[must_use]
     pub fn has_crash(&self, report: &fleet::CrashReport) -> bool {
-        self.state.crashes.iter().any(|known| {
-            known.vm == report.vm
-                && known.incarnation == report.incarnation
-                && known.incident == report.incident
-        })
+        let id = report.id();
+        self.state.crashes.iter().any(|known| known.id() == id)
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod ledger;
 pub mod platform;
 pub mod poison;
+pub mod replica;
 pub mod rollout;
 pub mod route;
 pub mod runtime;
--- a/src/rollout/allotment.rs
+++ b/src/rollout/allotment.rs
@@ -37,6 +37,12 @@
         self.granted.fetch_max(granted, Ordering::AcqRel);
     }
 
+    /// Answers granted since the start of the roll-out.
+    #[must_use]
+    pub fn granted(&self) -> u64 {
+        self.granted.load(Ordering::Acquire)
+    }
+
     /// Answers taken so far.
     #[must_use]
     pub fn spent(&self) -> u64 {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -5,6 +5,7 @@
 mod role;
 mod run;
 mod server;
+mod updates;
 
 pub use cx::SidecarCx;
 pub use engine::{Engine, EngineEvent, EngineStatus};
--- a/src/sidecar/role.rs
+++ b/src/sidecar/role.rs
@@ -54,7 +54,8 @@
         });
         let log = platform::LogClient::new(settings.platform.log_addr, traffic.clone());
         let tasks = vec![
-            traffic.spawn(feed::follow_config(log, control)),
+            traffic.spawn(feed::follow_config(log.clone(), control.clone())),
+            traffic.spawn(feed::follow_control(log, control)),
             traffic.spawn(watch_engine(Arc::clone(&cx))),
             traffic.spawn(server::accept(Arc::clone(&cx), node)),
         ];
--- a/src/sidecar/server.rs
+++ b/src/sidecar/server.rs
@@ -1,19 +1,14 @@
 //! Accepts connections of entries.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use quinn::{Connection, Incoming, RecvStream, SendStream};
-use smol::Timer;
-use smol::future::FutureExt;
 
 use crate::sidecar::cx;
 use crate::sidecar::run;
+use crate::sidecar::updates;
 use crate::wire;
 
-/// Interval of reports; also the heartbeat.
-const REPORT_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Accepts connections until the node is closed.
 pub async fn accept(cx: cx::Shared, node: wire::Node) {
     while let Some(incoming) = node.accept().await {
@@ -63,7 +58,7 @@
                 peer.vm,
                 peer.incarnation
             );
-            updates(cx, tx, rx).await
+            updates::run(cx, tx, rx).await
         }
         Some(wire::Opening::Dispatch(dispatch)) => run::run(cx, *dispatch, tx).await,
         Some(opening) => Err(wire::WireError::Malformed(
@@ -72,25 +67,3 @@
         None => Ok(()),
     }
 }
-
-/// Sends reports and reads what the entry knows.
-async fn updates(
-    cx: &cx::Shared,
-    mut tx: SendStream,
-    mut rx: RecvStream,
-) -> Result<(), wire::WireError> {
-    wire::write(&mut tx, &wire::Update::Hello(cx.me.clone())).await?;
-    let report = async {
-        loop {
-            wire::write(&mut tx, &wire::Update::Report(cx.report())).await?;
-            Timer::after(REPORT_INTERVAL).await;
-        }
-    };
-    let receive = async {
-        while let Some(update) = wire::read::<wire::Update>(&mut rx).await? {
-            log::trace!("peer: {update:?}");
-        }
-        Ok(())
-    };
-    report.or(receive).await
-}
--- /dev/null
+++ b/src/sidecar/updates.rs
@@ -0,0 +1,69 @@
+//! The control stream of an entry's connection.
+
+use std::time::Duration;
+
+use quinn::{RecvStream, SendStream};
+use smol::Timer;
+use smol::future::FutureExt;
+
+use crate::control;
+use crate::fleet;
+use crate::sidecar::cx;
+use crate::wire;
+
+/// Interval of reports; also the heartbeat.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Sends reports and takes over what the entry knows, until the stream ends.
+pub async fn run(
+    cx: &cx::Shared,
+    mut tx: SendStream,
+    mut rx: RecvStream,
+) -> Result<(), wire::WireError> {
+    wire::write(&mut tx, &wire::Update::Hello(cx.me.clone())).await?;
+    let send = async {
+        loop {
+            report(cx, &mut tx).await?;
+            Timer::after(REPORT_INTERVAL).await;
+        }
+    };
+    let receive = async {
+        while let Some(update) = wire::read::<wire::Update>(&mut rx).await? {
+            take(cx, update).await;
+        }
+        Ok(())
+    };
+    send.or(receive).await
+}
+
+/// Sends the state of the endpoint, and crashes until they are on record.
+async fn report(cx: &cx::Shared, tx: &mut SendStream) -> Result<(), wire::WireError> {
+    let snapshot = cx.control.snapshot();
+    let report = fleet::Report {
+        control: snapshot.control,
+        ..cx.report()
+    };
+    wire::write(tx, &wire::Update::Report(report)).await?;
+    for crash in &snapshot.unrecorded {
+        wire::write(tx, &wire::Update::Crash(crash.clone())).await?;
+    }
+    Ok(())
+}
+
+async fn take(cx: &cx::Shared, update: wire::Update) {
+    match update {
+        wire::Update::Config(records) => {
+            let records = wire::decode_config(&records);
+            cx.control
+                .send(control::Event::ConfigFromPeer(records))
+                .await;
+        }
+        wire::Update::Control(records) => {
+            let records = wire::decode_control(&records);
+            cx.control
+                .send(control::Event::ControlFromPeer(records))
+                .await;
+        }
+        other => log::trace!("peer: {other:?}"),
+    }
+}
--- /dev/null
+++ b/src/system/allotment.rs
@@ -0,0 +1,94 @@
+//! Divides the answers of roll-outs among entries, and reads the own part.
+
+use std::sync::Arc;
+
+use crate::catalog;
+use crate::control;
+use crate::ids;
+use crate::ledger;
+use crate::platform;
+use crate::rollout;
+
+/// Runs the system.
+pub fn run(world: &mut control::World, cx: &mut control::TickCx) {
+    if cx.ledger_changed {
+        read_own(world);
+    }
+    let Some((fence, _)) = world.lease.authority(cx.now) else {
+        return;
+    };
+    let bodies: Vec<ledger::Body> = world
+        .rollouts
+        .named()
+        .filter(|(_, plan)| !plan.paused)
+        .filter_map(|(name, plan)| grants(world, cx, fence, name, plan))
+        .collect();
+    for body in bodies {
+        world.driver.ask(cx, world.ledger.next_offset(), body);
+    }
+}
+
+/// An entry spends only what is granted to its own run.
+fn read_own(world: &mut control::World) {
+    let control::World {
+        ledger,
+        allotments,
+        me,
+        ..
+    } = world;
+    let rows = &ledger.state().rollouts;
+    allotments.retain(|name, _| rows.contains_key(name));
+    for (name, row) in rows {
+        let total = row.grant_of(&me.vm, me.incarnation);
+        let allotment = allotments.entry(Arc::clone(name)).or_default();
+        if allotment.granted() > total {
+            // The name is used again for another version.
+            *allotment = Arc::new(rollout::Allotment::new(total));
+        }
+        allotment.raise_to(total);
+    }
+}
+
+fn grants(
+    world: &control::World,
+    cx: &control::TickCx,
+    fence: ids::Fence,
+    name: &Arc<str>,
+    plan: &catalog::RolloutPlan,
+) -> Option<ledger::Body> {
+    let row = world.rollout_row(name, plan)?;
+    let step = row.progress.step()?;
+    let bound = world.profiles.by_name(&plan.profile)?.max_exposure;
+    let grants = rollout::divide(row, bound, &live(world, cx, name));
+    (!grants.is_empty()).then(|| ledger::Body::Allotment {
+        fence,
+        rollout: Arc::clone(name),
+        step,
+        bound,
+        grants,
+    })
+}
+
+/// Runs of entries that are live, with what they have spent.
+fn live(
+    world: &control::World,
+    cx: &control::TickCx,
+    name: &Arc<str>,
+) -> Vec<(ids::VmName, ids::Incarnation, u64)> {
+    let spent = |vm: &ids::VmName, run| {
+        let key = (Arc::clone(name), vm.clone(), run);
+        world.driver.spent.get(&key).copied().unwrap_or(0)
+    };
+    let own = world.allotments.get(name).map_or(0, |own| own.spent());
+    let mut live = vec![(world.me.vm.clone(), world.me.incarnation, own)];
+    for (_, row) in world.entries.iter() {
+        if let Some(link) = &row.link
+            && row.state == platform::VmState::Live
+            && control::World::is_heard(Some(link), cx.now)
+        {
+            let run = link.incarnation;
+            live.push((row.vm.clone(), run, spent(&row.vm, run)));
+        }
+    }
+    live
+}
--- a/src/system/config.rs
+++ b/src/system/config.rs
@@ -5,88 +5,50 @@
 use crate::catalog;
 use crate::control;
 use crate::ids;
+use crate::replica;
 
 /// Runs the system.
 pub fn run(world: &mut control::World, cx: &mut control::TickCx) {
-    let before = (
-        world.catalog.applied(),
-        world.caught_up,
-        world.log_available,
-    );
+    let before = state(world);
     for event in &cx.events {
         match event {
-            control::Event::ConfigPage(page) => apply_page(world, page),
-            control::Event::ConfigFromPeer(records) => apply_contiguous(world, records),
+            control::Event::ConfigPage(page) => {
+                world.log_available = true;
+                let advance = world.catalog.read(page);
+                take(world, &advance);
+            }
+            control::Event::ConfigFromPeer(records) => {
+                let advance = world.catalog.hear(records);
+                take(world, &advance);
+            }
             control::Event::LogFailed(_) => world.log_available = false,
             control::Event::ReadCatalog(reply) => {
                 // The asker may have gone; then nobody needs the answer.
-                let _ = reply.try_send(world.catalog.clone());
+                let _ = reply.try_send((*world.catalog).clone());
             }
             _ => {}
         }
     }
-    if before
-        != (
-            world.catalog.applied(),
-            world.caught_up,
-            world.log_available,
-        )
-    {
-        cx.changed = true;
-    }
+    cx.changed |= before != state(world);
 }
 
-fn apply_page(world: &mut control::World, page: &control::LogPage<catalog::Record>) {
-    world.log_available = true;
-    if world.caught_up {
-        for record in &page.records {
-            apply(world, record);
-        }
-        return;
-    }
-    world.backlog.extend(page.records.iter().cloned());
-    let next = world
-        .backlog
-        .last()
-        .map_or(page.first_retained, |record| record.offset.next());
-    if next >= page.end {
-        bootstrap(world, page.first_retained);
-    }
+fn state(world: &control::World) -> (Option<ids::Offset>, bool, bool) {
+    (
+        world.catalog.applied(),
+        world.catalog.is_caught_up(),
+        world.log_available,
+    )
 }
 
-/// Records from other processes may start beyond what is applied; those wait
-/// for the log or for another process.
-fn apply_contiguous(world: &mut control::World, records: &[catalog::Record]) {
-    for record in records {
-        if world.caught_up && record.offset == world.catalog.next_offset() {
+fn take(world: &mut control::World, advance: &replica::Advance<catalog::Record>) {
+    if !advance.rebuilt {
+        for record in &advance.records {
             apply(world, record);
         }
-    }
-}
-
-/// Builds the catalog from the first whole read of the log.
-fn bootstrap(world: &mut control::World, first_retained: ids::Offset) {
-    let checkpoint = world
-        .backlog
-        .iter()
-        .filter_map(checkpoint_of)
-        .max_by_key(|checkpoint| checkpoint.covers);
-    let mut catalog = catalog::Catalog::default();
-    if let Some(checkpoint) = checkpoint {
-        catalog.apply_checkpoint(checkpoint);
-    }
-    if first_retained > catalog.next_offset() {
-        log::error!(
-            "catalog: records before offset {first_retained} have expired and no checkpoint covers them. Not ready."
-        );
-        world.backlog.clear();
         return;
     }
-    let backlog = std::mem::take(&mut world.backlog);
-    world.catalog = catalog;
-    world.caught_up = true;
-    for record in &backlog {
-        world.catalog.apply(record);
+    for record in &advance.records {
+        world.catalog.applying(record).apply(record);
     }
     rebuild(world);
     log::info!(
@@ -95,15 +57,8 @@
     );
 }
 
-fn checkpoint_of(record: &catalog::Record) -> Option<&catalog::Checkpoint> {
-    match &record.body {
-        Some(catalog::Body::Checkpoint(checkpoint)) => Some(checkpoint),
-        _ => None,
-    }
-}
-
 fn apply(world: &mut control::World, record: &catalog::Record) {
-    let Some(verdict) = world.catalog.apply(record) else {
+    let Some(verdict) = world.catalog.applying(record).apply(record) else {
         return;
     };
     let Some(catalog::Body::Change(change)) = &record.body else {
@@ -135,6 +90,7 @@
 }
 
 fn rebuild(world: &mut control::World) {
+    clear(world);
     let objects: Vec<_> = world
         .catalog
         .iter()
@@ -145,6 +101,18 @@
     }
 }
 
+/// Objects that were deleted in records that this process has not seen must
+/// not stay in the tables.
+fn clear(world: &mut control::World) {
+    world.profiles.retain(|_, _| false);
+    world.versions.retain(|_, _| false);
+    world.services.retain(|_, _| false);
+    world.teams.retain(|_, _| false);
+    world.rollouts.retain(|_, _| false);
+    world.domains_out.clear();
+    world.vms_out.clear();
+}
+
 /// Puts an object into its table, or removes it.
 fn update(world: &mut control::World, id: &catalog::ObjectId, object: Option<catalog::Object>) {
     match object {
--- /dev/null
+++ b/src/system/estimates.rs
@@ -0,0 +1,164 @@
+//! Folds evidence into estimates and takes over what is published.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::control;
+use crate::estimate;
+use crate::ids;
+use crate::ledger;
+
+/// Least time between publications.
+const PUBLISH_INTERVAL: Duration = Duration::from_secs(10);
+/// Time in which the weight of a rating halves.
+const HALF_LIFE: Duration = Duration::from_mins(30);
+
+/// Runs the system.
+pub fn run(world: &mut control::World, cx: &mut control::TickCx) {
+    take_published(world, cx);
+    let Some((fence, _)) = world.lease.authority(cx.now) else {
+        cx.changed |= world.driver.folding.take().is_some();
+        return;
+    };
+    if world
+        .driver
+        .folding
+        .as_ref()
+        .is_none_or(|folding| folding.fence != fence)
+    {
+        world.driver.folding = Some(resume(world.ledger.state(), fence, cx.now));
+        cx.changed = true;
+    }
+    follow_steps(world);
+    for event in &cx.events {
+        if let control::Event::EvidencePage(read_under, page) = event
+            && *read_under == fence
+        {
+            fold(&mut world.driver, page);
+            cx.changed = true;
+        }
+    }
+    publish(world, cx);
+}
+
+fn take_published(world: &mut control::World, cx: &mut control::TickCx) {
+    let published = &world.ledger.state().published;
+    if !cx.ledger_changed || world.estimated == Some(published.evidence) {
+        return;
+    }
+    let mut estimates = estimate::Estimates::default();
+    for (version, class, estimate) in &published.cells {
+        estimates.set(version.clone(), *class, *estimate);
+    }
+    world.estimated = Some(published.evidence);
+    world.estimates = Arc::new(estimates);
+    cx.changed = true;
+}
+
+/// Goes on where the last holder published.
+fn resume(state: &ledger::State, fence: ids::Fence, now: Instant) -> control::Folding {
+    let cells = state.published.cells.iter();
+    let steps = state.rollouts.iter();
+    control::Folding {
+        fence,
+        next: state.published.evidence,
+        cells: cells
+            .map(|(version, class, estimate)| ((version.clone(), *class), *estimate))
+            .collect(),
+        steps: steps
+            .filter_map(|(name, row)| Some((Arc::clone(name), (row.progress.step()?, row.ratings))))
+            .collect(),
+        sequences: std::collections::HashMap::new(),
+        changed: false,
+        published: now,
+    }
+}
+
+/// Ratings of a step begin at nothing.
+fn follow_steps(world: &mut control::World) {
+    let Some(folding) = &mut world.driver.folding else {
+        return;
+    };
+    let rows = &world.ledger.state().rollouts;
+    folding.steps.retain(|name, _| rows.contains_key(name));
+    for (name, row) in rows {
+        let Some(step) = row.progress.step() else {
+            folding.steps.remove(name);
+            continue;
+        };
+        let present = folding.steps.get(name).map(|(step, _)| *step);
+        if present != Some(step) {
+            folding.steps.insert(Arc::clone(name), (step, row.ratings));
+        }
+    }
+}
+
+fn fold(
+    driver: &mut control::Driver,
+    page: &control::LogPage<(ids::Offset, Option<estimate::Evidence>)>,
+) {
+    let Some(folding) = &mut driver.folding else {
+        return;
+    };
+    folding.next = folding.next.max(page.first_retained);
+    for (offset, evidence) in &page.records {
+        if *offset < folding.next {
+            continue;
+        }
+        folding.next = offset.next();
+        let Some(evidence) = evidence else { continue };
+        let run = (evidence.entry.clone(), evidence.incarnation);
+        let last = folding.sequences.insert(run, evidence.sequence);
+        if last.is_some_and(|last| evidence.sequence <= last) {
+            continue;
+        }
+        folding.changed = true;
+        for (version, class, ratings) in &evidence.cells {
+            let key = (version.clone(), *class);
+            folding.cells.entry(key).or_default().merge(ratings);
+        }
+        for (rollout, spent) in &evidence.spent {
+            let key = (
+                Arc::clone(rollout),
+                evidence.entry.clone(),
+                evidence.incarnation,
+            );
+            let known = driver.spent.entry(key).or_default();
+            *known = (*known).max(*spent);
+        }
+    }
+}
+
+fn publish(world: &mut control::World, cx: &mut control::TickCx) {
+    let Some(folding) = &mut world.driver.folding else {
+        return;
+    };
+    let elapsed = cx.now.saturating_duration_since(folding.published);
+    if !folding.changed || elapsed < PUBLISH_INTERVAL {
+        return;
+    }
+    let factor = 0.5_f64.powf(elapsed.as_secs_f64() / HALF_LIFE.as_secs_f64());
+    folding
+        .cells
+        .values_mut()
+        .for_each(|cell| cell.decay(factor));
+    folding.changed = false;
+    folding.published = cx.now;
+    let cells = folding.cells.iter();
+    let steps = folding.steps.iter();
+    let body = ledger::Body::Estimates {
+        fence: folding.fence,
+        evidence: folding.next,
+        cells: cells
+            .map(|((version, class), estimate)| (version.clone(), *class, *estimate))
+            .collect(),
+        steps: steps
+            .map(|(rollout, (step, ratings))| ledger::StepEvidence {
+                rollout: Arc::clone(rollout),
+                step: *step,
+                ratings: *ratings,
+            })
+            .collect(),
+    };
+    cx.append(world.ledger.next_offset(), &ledger::Entry::new(body));
+}
--- /dev/null
+++ b/src/system/lease.rs
@@ -0,0 +1,41 @@
+//! Seeks, keeps and releases the lease.
+
+use crate::control;
+use crate::lease;
+
+/// Runs the system.
+pub fn run(world: &mut control::World, cx: &mut control::TickCx) {
+    // Without the whole ledger the process cannot know who holds the lease.
+    if !world.ledger.is_caught_up() {
+        return;
+    }
+    let row = world.ledger.state().lease.clone();
+    let me = lease::Holder {
+        vm: world.me.vm.clone(),
+        incarnation: world.me.incarnation,
+    };
+    let present = std::mem::replace(&mut world.lease, lease::Any::new(me.clone(), cx.now));
+    world.lease = present.observe(row.as_ref(), cx.now);
+    let request = if world.stopping {
+        release(world, cx, me)
+    } else {
+        world.lease.request(row.as_ref(), cx.now)
+    };
+    if let Some(request) = request {
+        cx.append(world.ledger.next_offset(), &request.entry);
+    }
+}
+
+fn release(
+    world: &mut control::World,
+    cx: &control::TickCx,
+    me: lease::Holder,
+) -> Option<lease::Request> {
+    let lease::Any::Held(held) = &world.lease else {
+        return None;
+    };
+    log::info!("lease: released fence {}.", held.fence());
+    let request = held.release(cx.now);
+    world.lease = lease::Any::new(me, cx.now);
+    Some(request)
+}
--- a/src/system/mod.rs
+++ b/src/system/mod.rs
@@ -2,14 +2,37 @@
 
 use crate::control;
 
+pub mod allotment;
+pub mod checkpoint;
 pub mod config;
+pub mod estimates;
+pub mod health;
 pub mod inventory;
+pub mod lease;
+pub mod ledger;
 pub mod links;
+pub mod placement;
+pub mod poison;
+pub mod rollout;
 pub mod snapshot;
 pub mod stop;
 
 /// Systems of an entry.
-pub const ENTRY: control::Systems = &[stop::run, config::run, inventory::run, links::run];
+pub const ENTRY: control::Systems = &[
+    stop::run,
+    config::run,
+    ledger::run,
+    inventory::run,
+    links::run,
+    health::run,
+    lease::run,
+    rollout::run,
+    allotment::run,
+    placement::run,
+    estimates::run,
+    poison::run,
+    checkpoint::run,
+];
 
 /// Systems of a process beside an endpoint.
-pub const SIDECAR: control::Systems = &[stop::run, config::run];
+pub const SIDECAR: control::Systems = &[stop::run, config::run, ledger::run, poison::run];
--- a/src/system/snapshot.rs
+++ b/src/system/snapshot.rs
@@ -1,16 +1,15 @@
 //! Makes the immutable view of the tables.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crate::catalog;
 use crate::control;
 use crate::ids;
 use crate::platform;
+use crate::rollout;
 use crate::units;
 
-/// Silence after which an endpoint gets no new work: three report intervals.
-const SILENCE: Duration = Duration::from_secs(3);
 /// Token counts by which versions are put in order of cost.
 const TYPICAL_PROMPT: units::Tokens = units::Tokens(1_000);
 /// See [`TYPICAL_PROMPT`].
@@ -23,6 +22,14 @@
         phase: phase(world),
         log_available: world.log_available,
         config: world.catalog.applied(),
+        control: world.ledger.applied(),
+        control_ready: world.ledger.is_caught_up(),
+        driving: world
+            .driver
+            .folding
+            .as_ref()
+            .map(|folding| (folding.fence, folding.next)),
+        unrecorded: world.unrecorded.clone(),
         self_out: world.is_out(&world.me.vm, &world.me.domain),
         estimates: Arc::clone(&world.estimates),
         quarantine: Arc::clone(&world.quarantine),
@@ -55,7 +62,7 @@
 fn phase(world: &control::World) -> control::Phase {
     if world.stopping {
         control::Phase::Stopping
-    } else if world.caught_up {
+    } else if world.catalog.is_caught_up() {
         control::Phase::Serving
     } else {
         control::Phase::Starting
@@ -100,19 +107,18 @@
         .filter_map(|version| version_view(world, version))
         .collect();
     let mut rollouts = Vec::new();
-    for (_, plan) in world
+    let plans = world
         .rollouts
-        .iter()
-        .filter(|(_, plan)| plan.profile == *name)
-    {
+        .named()
+        .filter(|(_, plan)| plan.profile == *name);
+    for (rollout, plan) in plans {
+        let row = world.rollout_row(rollout, plan);
+        if let Some(rollout::Progress::Complete(_)) = row.map(|row| &row.progress) {
+            continue;
+        }
         versions.retain(|version| version.name != plan.version);
-        rollouts.extend(
-            version_view(world, &plan.version).map(|version| control::RolloutView {
-                version,
-                share: units::Share::default(),
-                allotment: Arc::default(),
-            }),
-        );
+        let step = row.and_then(|row| row.progress.step());
+        rollouts.extend(step.and_then(|step| rollout_view(world, profile, rollout, plan, step)));
     }
     versions.sort_by_key(|view| view.version.cost(TYPICAL_PROMPT, TYPICAL_OUTPUT));
     control::ProfileView {
@@ -123,6 +129,21 @@
     }
 }
 
+fn rollout_view(
+    world: &control::World,
+    profile: &catalog::Profile,
+    rollout: &Arc<str>,
+    plan: &catalog::RolloutPlan,
+    step: u32,
+) -> Option<control::RolloutView> {
+    let step = profile.rollout_steps.get(usize::try_from(step).ok()?)?;
+    Some(control::RolloutView {
+        version: version_view(world, &plan.version)?,
+        share: step.share,
+        allotment: world.allotments.get(rollout).cloned().unwrap_or_default(),
+    })
+}
+
 fn version_view(world: &control::World, name: &ids::VersionName) -> Option<control::VersionView> {
     let version = world
         .versions
@@ -135,11 +156,7 @@
 }
 
 fn takes_work(world: &control::World, row: &control::EndpointRow, now: Instant) -> bool {
-    let heard = row
-        .link
-        .as_ref()
-        .is_some_and(|link| now.saturating_duration_since(link.heard) < SILENCE);
-    heard
+    control::World::is_heard(row.link.as_ref(), now)
         && row.report.accepting
         && row.state == platform::VmState::Live
         && !world.is_out(&row.vm, &row.domain)
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -4,10 +4,12 @@
 mod error;
 mod frame;
 mod node;
+mod records;
 mod tls;
 
 pub use codec::{read, write};
 pub use error::WireError;
 pub use frame::{FenceReply, Opening, Reply, Update};
 pub use node::{Node, server_name};
+pub use records::{Records, decode_config, decode_control, encode};
 pub use tls::{Tls, TlsError};
