Estimates: count ratings for the roll-out's step; test takeover

Evidence was folded into the estimates but not into the step of a roll-out, so no step could pass or stop; the new test of two entries over one log showed it. Ratings now also count for the present step, and another holder resumes from the ledger alone.

--- a/src/system/estimates.rs
+++ b/src/system/estimates.rs
@@ -34,7 +34,7 @@
         if let control::Event::EvidencePage(read_under, page) = event
             && *read_under == fence
         {
-            fold(&mut world.driver, page);
+            fold(&mut world.driver, world.ledger.state(), page);
             cx.changed = true;
         }
     }
@@ -95,6 +95,7 @@
 
 fn fold(
     driver: &mut control::Driver,
+    state: &ledger::State,
     page: &control::LogPage<(ids::Offset, Option<estimate::Evidence>)>,
 ) {
     let Some(folding) = &mut driver.folding else {
@@ -116,6 +117,12 @@
         for (version, class, ratings) in &evidence.cells {
             let key = (version.clone(), *class);
             folding.cells.entry(key).or_default().merge(ratings);
+            for (name, (_, step)) in &mut folding.steps {
+                let row = state.rollouts.get(name);
+                if row.is_some_and(|row| row.progress.version() == version) {
+                    step.merge(ratings);
+                }
+            }
         }
         for (rollout, spent) in &evidence.spent {
             let key = (
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
 mod catalog;
+mod driver;
 mod lease;
 mod ledger;
 mod testing;
