--- a/src/control/effect.rs
+++ b/src/control/effect.rs
@@ -6,6 +6,7 @@
 use crate::fleet;
 use crate::ids;
 use crate::platform;
+use crate::wire;
 
 /// An action that a system asks for. Systems do no I/O themselves.
 #[derive(Clone, Debug, PartialEq)]
@@ -21,6 +22,8 @@
     },
     /// Give the connection up.
     Disconnect(ids::VmName),
+    /// Tell the process on this VM, where it is connected.
+    Send(ids::VmName, wire::Update),
     /// Append a record to the log.
     Append(Append),
     /// Give an order to the endpoint on this VM.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod driver;
 mod effect;
 mod event;
+mod gossip;
 mod keys;
 mod row;
 mod snapshot;
@@ -13,10 +14,11 @@
 pub use driver::{Driver, Folding, LoadState};
 pub use effect::{Append, Effect};
 pub use event::{Event, LogPage};
+pub use gossip::Gossip;
 pub use keys::{EndpointKey, EntryKey, ProfileKey, RolloutKey, ServiceKey, TeamKey, VersionKey};
 pub use row::{EndpointRow, EntryRow, InFlight, InFlightGuard, Link, SILENCE};
 pub use snapshot::{
-    EndpointView, Phase, ProfileView, RolloutView, Snapshot, TeamView, VersionView,
+    EndpointView, InForce, Phase, ProfileView, RolloutView, Snapshot, TeamView, VersionView,
 };
 pub use thread::{Control, Systems};
 pub use tick::TickCx;
--- a/src/control/row.rs
+++ b/src/control/row.rs
@@ -59,6 +59,19 @@
     pub link: Option<Link>,
     /// What it has last told of itself, directly or through others.
     pub member: Option<fleet::Member>,
+    /// Last `config` record that it has applied, as told on its connection.
+    pub config: Option<ids::Offset>,
+    /// Last `control` record that it has applied, as told on its connection.
+    pub control: Option<ids::Offset>,
+}
+
+impl EntryRow {
+    /// The last `config` record that the entry is known to have applied.
+    #[must_use]
+    pub fn in_force(&self) -> Option<ids::Offset> {
+        let told = self.member.as_ref().and_then(|member| member.config);
+        self.config.max(told)
+    }
 }
 
 /// Requests of this process that run on an endpoint. Traffic threads count,
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -41,6 +41,8 @@
     pub control: Option<ids::Offset>,
     /// Whether the control state has been read.
     pub control_ready: bool,
+    /// What each known process has in force, this one first.
+    pub in_force: Vec<InForce>,
     /// While this process holds the lease: its fencing number and the first
     /// record of `evidence` that is not folded.
     pub driving: Option<(ids::Fence, ids::Offset)>,
@@ -68,6 +70,17 @@
     pub quarantine: Arc<poison::Quarantine>,
 }
 
+/// What a process has in force, as far as this process knows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InForce {
+    /// The VM.
+    pub vm: ids::VmName,
+    /// Role of its process.
+    pub role: fleet::NodeRole,
+    /// Last `config` record applied; `None` where nothing is known.
+    pub config: Option<ids::Offset>,
+}
+
 impl Snapshot {
     /// Whether the process takes new work.
     #[must_use]
--- a/src/control/world.rs
+++ b/src/control/world.rs
@@ -29,6 +29,8 @@
     pub lease: lease::Any,
     /// What only the holder of the lease keeps.
     pub driver: control::Driver,
+    /// What other entries have been told.
+    pub gossip: control::Gossip,
     /// Time of the last tick.
     pub last_tick: Instant,
     /// Whether the last read of the log succeeded.
@@ -82,6 +84,7 @@
             ledger: replica::Follower::default(),
             lease: lease::Any::new(holder, now),
             driver: control::Driver::default(),
+            gossip: control::Gossip::default(),
             last_tick: now,
             log_available: false,
             stopping: false,
--- a/src/entry/effects.rs
+++ b/src/entry/effects.rs
@@ -28,6 +28,7 @@
         match effect {
             control::Effect::Connect { vm, addr, .. } => links.connect(vm, addr),
             control::Effect::Disconnect(vm) => links.disconnect(&vm),
+            control::Effect::Send(vm, update) => links.send(&vm, update),
             control::Effect::Append(record) => {
                 traffic.spawn(append(log.clone(), record)).detach();
             }
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -7,8 +7,11 @@
 
 use quinn::{Connection, RecvStream, SendStream};
 use smol::Task;
+use smol::channel::{self, Sender};
+use smol::future::FutureExt;
 
 use crate::control;
+use crate::entry::peers;
 use crate::errors;
 use crate::feed;
 use crate::fleet;
@@ -19,6 +22,9 @@
 /// First and longest pause between connection attempts.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 
+/// Updates that may wait for a connection; more are dropped.
+const MAX_WAITING: usize = 64;
+
 /// Connections by VM. Each is kept up by a task of its own.
 #[derive(Clone, Debug)]
 pub struct Links {
@@ -32,6 +38,7 @@
     control: control::Control,
     traffic: runtime::Traffic,
     up: RwLock<HashMap<ids::VmName, Connection>>,
+    senders: RwLock<HashMap<ids::VmName, Sender<wire::Update>>>,
     tasks: Mutex<HashMap<ids::VmName, Task<()>>>,
 }
 
@@ -50,6 +57,7 @@
             control,
             traffic,
             up: RwLock::default(),
+            senders: RwLock::default(),
             tasks: Mutex::default(),
         };
         Self {
@@ -84,6 +92,21 @@
             .remove(vm);
     }
 
+    /// Tells the process on `vm`, where it is connected. Updates may be lost:
+    /// what a process lacks is sent again after its next report.
+    pub fn send(&self, vm: &ids::VmName, update: wire::Update) {
+        let senders = self
+            .shared
+            .senders
+            .read()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some(sender) = senders.get(vm)
+            && sender.try_send(update).is_err()
+        {
+            log::debug!("peer: {vm} takes no more updates now.");
+        }
+    }
+
     /// Opens a stream to the process on `vm`.
     pub async fn open(
         &self,
@@ -170,7 +193,11 @@
         }
     }
 
-    fn set_up(&self, vm: &ids::VmName, connection: Connection) {
+    fn set_up(&self, vm: &ids::VmName, connection: Connection, sender: Sender<wire::Update>) {
+        self.senders
+            .write()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(vm.clone(), sender);
         self.up
             .write()
             .unwrap_or_else(PoisonError::into_inner)
@@ -186,21 +213,25 @@
         let connection = self.node.connect(vm, addr).await?;
         let (mut tx, mut rx) = connection.open_bi().await?;
         wire::write(&mut tx, &wire::Opening::Hello(self.me.clone())).await?;
-        while let Some(update) = wire::read(&mut rx).await? {
-            match update {
-                wire::Update::Hello(peer) => {
+        let (sender, updates) = channel::bounded::<wire::Update>(MAX_WAITING);
+        let receive = async {
+            while let Some(update) = wire::read(&mut rx).await? {
+                if let wire::Update::Hello(peer) = update {
                     backoff.reset();
-                    self.set_up(vm, connection.clone());
+                    self.set_up(vm, connection.clone(), sender.clone());
                     self.control.send(control::Event::LinkUp(peer)).await;
+                } else {
+                    peers::take(&self.control, vm, update).await;
                 }
-                wire::Update::Report(report) => {
-                    self.control
-                        .send(control::Event::Report(vm.clone(), report))
-                        .await;
-                }
-                other => log::debug!("peer: {vm} sent {other:?}."),
             }
-        }
-        Ok(())
+            Ok(())
+        };
+        let send = async {
+            while let Ok(update) = updates.recv().await {
+                wire::write(&mut tx, &update).await?;
+            }
+            Ok(())
+        };
+        receive.or(send).await
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod generation;
 mod handler;
 mod links;
+mod peers;
 mod role;
 
 pub use ask::{Ask, ChatRequest};
--- /dev/null
+++ b/src/entry/peers.rs
@@ -0,0 +1,68 @@
+//! Connections that other entries open.
+
+use quinn::{Incoming, RecvStream, SendStream};
+
+use crate::control;
+use crate::fleet;
+use crate::ids;
+use crate::runtime;
+use crate::wire;
+
+/// Accepts connections until the node is closed.
+pub async fn accept(
+    me: fleet::Identity,
+    node: wire::Node,
+    control: control::Control,
+    traffic: runtime::Traffic,
+) {
+    while let Some(incoming) = node.accept().await {
+        let (me, control) = (me.clone(), control.clone());
+        let task = async move {
+            if let Err(err) = serve(me, control, incoming).await {
+                log::info!("peer: connection of an entry ended: {err}.");
+            }
+        };
+        traffic.spawn(task).detach();
+    }
+}
+
+/// An entry opens one stream; it tells, and is told over the connection in
+/// the other direction.
+async fn serve(
+    me: fleet::Identity,
+    control: control::Control,
+    incoming: Incoming,
+) -> Result<(), wire::WireError> {
+    let connection = incoming.await?;
+    let (mut tx, mut rx): (SendStream, RecvStream) = connection.accept_bi().await?;
+    let Some(wire::Opening::Hello(peer)) = wire::read(&mut rx).await? else {
+        return Err(wire::WireError::Malformed("expected a hello".into()));
+    };
+    wire::write(&mut tx, &wire::Update::Hello(me)).await?;
+    while let Some(update) = wire::read(&mut rx).await? {
+        take(&control, &peer.vm, update).await;
+    }
+    Ok(())
+}
+
+/// Hands an update of the process on `vm` to the control thread.
+pub async fn take(control: &control::Control, vm: &ids::VmName, update: wire::Update) {
+    let event = match update {
+        wire::Update::Hello(peer) => control::Event::LinkUp(peer),
+        wire::Update::Report(report) => control::Event::Report(vm.clone(), report),
+        wire::Update::Crash(report) => control::Event::Crash(report),
+        wire::Update::Config(records) => {
+            control::Event::ConfigFromPeer(wire::decode_config(&records))
+        }
+        wire::Update::Control(records) => {
+            control::Event::ControlFromPeer(wire::decode_control(&records))
+        }
+        wire::Update::Applied { config, control } => control::Event::Applied {
+            vm: vm.clone(),
+            config,
+            control,
+        },
+        wire::Update::Members(members) => control::Event::Members(members),
+    };
+    control.send(event).await;
+}
--- a/src/entry/role.rs
+++ b/src/entry/role.rs
@@ -13,6 +13,7 @@
 use crate::entry::cx;
 use crate::entry::effects;
 use crate::entry::handler;
+use crate::entry::peers;
 use crate::feed;
 use crate::fleet;
 use crate::http;
@@ -44,7 +45,7 @@
     ) -> io::Result<Self> {
         let (control, effect_rx, _thread) =
             control::Control::spawn(control::World::new(me.clone()), system::ENTRY)?;
-        let links = entry::Links::new(me.clone(), node, control.clone(), traffic.clone());
+        let links = entry::Links::new(me.clone(), node.clone(), control.clone(), traffic.clone());
         let cx = Arc::new(cx::EntryCx {
             me,
             cfg: cfg.clone(),
@@ -56,6 +57,12 @@
         let inventory = platform::Inventory::new(settings.platform.inventory_addr, traffic.clone());
         let tasks = vec![
             traffic.spawn(feed::follow_config(log.clone(), control.clone())),
+            traffic.spawn(peers::accept(
+                cx.me.clone(),
+                node,
+                control.clone(),
+                traffic.clone(),
+            )),
             traffic.spawn(feed::follow_control(log.clone(), control.clone())),
             traffic.spawn(feed::follow_evidence(log.clone(), control.clone())),
             traffic.spawn(feed::follow_inventory(inventory, control)),
--- a/src/system/allotment.rs
+++ b/src/system/allotment.rs
@@ -21,7 +21,7 @@
         .rollouts
         .named()
         .filter(|(_, plan)| !plan.paused)
-        .filter_map(|(name, plan)| grants(world, cx, fence, name, plan))
+        .filter_map(|(name, plan)| grants(world, fence, name, plan))
         .collect();
     for body in bodies {
         world.driver.ask(cx, world.ledger.next_offset(), body);
@@ -51,7 +51,6 @@
 
 fn grants(
     world: &control::World,
-    cx: &control::TickCx,
     fence: ids::Fence,
     name: &Arc<str>,
     plan: &catalog::RolloutPlan,
@@ -59,7 +58,7 @@
     let row = world.rollout_row(name, plan)?;
     let step = row.progress.step()?;
     let bound = world.profiles.by_name(&plan.profile)?.max_exposure;
-    let grants = rollout::divide(row, bound, &live(world, cx, name));
+    let grants = rollout::divide(row, bound, &live(world, name));
     (!grants.is_empty()).then(|| ledger::Body::Allotment {
         fence,
         rollout: Arc::clone(name),
@@ -70,11 +69,7 @@
 }
 
 /// Runs of entries that are live, with what they have spent.
-fn live(
-    world: &control::World,
-    cx: &control::TickCx,
-    name: &Arc<str>,
-) -> Vec<(ids::VmName, ids::Incarnation, u64)> {
+fn live(world: &control::World, name: &Arc<str>) -> Vec<(ids::VmName, ids::Incarnation, u64)> {
     let spent = |vm: &ids::VmName, run| {
         let key = (Arc::clone(name), vm.clone(), run);
         world.driver.spent.get(&key).copied().unwrap_or(0)
@@ -84,7 +79,6 @@
     for (_, row) in world.entries.iter() {
         if let Some(link) = &row.link
             && row.state == platform::VmState::Live
-            && control::World::is_heard(Some(link), cx.now)
         {
             let run = link.incarnation;
             live.push((row.vm.clone(), run, spent(&row.vm, run)));
--- a/src/system/health.rs
+++ b/src/system/health.rs
@@ -1,4 +1,4 @@
-//! Notices endpoints and entries that have fallen silent.
+//! Notices endpoints that have fallen silent.
 
 use std::time::Instant;
 
@@ -17,10 +17,4 @@
             cx.changed = true;
         }
     }
-    for (_, row) in world.entries.iter() {
-        if fell_silent(row.link.as_ref()) {
-            log::warn!("peer: entry {} is silent.", row.vm);
-            cx.changed = true;
-        }
-    }
 }
--- a/src/system/inventory.rs
+++ b/src/system/inventory.rs
@@ -20,11 +20,17 @@
     for vm in &vms {
         match vm.role {
             fleet::NodeRole::Sidecar => put_endpoint(world, cx, vm),
-            fleet::NodeRole::Entry => put_entry(world, vm),
+            fleet::NodeRole::Entry => put_entry(world, cx, vm),
         }
     }
     let listed: HashSet<&ids::VmName> = vms.iter().map(|vm| &vm.vm).collect();
-    world.entries.retain(|name, _| listed.contains(name));
+    world.entries.retain(|name, _| {
+        let keep = listed.contains(name);
+        if !keep {
+            cx.effects.push(control::Effect::Disconnect(name.clone()));
+        }
+        keep
+    });
     world.endpoints.retain(|name, row| {
         // A VM that has left the list but still answers may be missing only
         // because the list lags.
@@ -64,7 +70,7 @@
     });
 }
 
-fn put_entry(world: &mut control::World, vm: &platform::Vm) {
+fn put_entry(world: &mut control::World, cx: &mut control::TickCx, vm: &platform::Vm) {
     if vm.vm == world.me.vm {
         return;
     }
@@ -84,6 +90,13 @@
             state: vm.state,
             link: None,
             member: None,
+            config: None,
+            control: None,
         },
     );
+    cx.effects.push(control::Effect::Connect {
+        vm: vm.vm.clone(),
+        addr: vm.peer_addr,
+        role: fleet::NodeRole::Entry,
+    });
 }
--- a/src/system/mod.rs
+++ b/src/system/mod.rs
@@ -11,6 +11,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod links;
+pub mod membership;
 pub mod placement;
 pub mod poison;
 pub mod rollout;
@@ -24,6 +25,7 @@
     ledger::run,
     inventory::run,
     links::run,
+    membership::run,
     health::run,
     lease::run,
     rollout::run,
--- a/src/system/snapshot.rs
+++ b/src/system/snapshot.rs
@@ -5,6 +5,7 @@
 
 use crate::catalog;
 use crate::control;
+use crate::fleet;
 use crate::ids;
 use crate::platform;
 use crate::rollout;
@@ -30,6 +31,7 @@
             .as_ref()
             .map(|folding| (folding.fence, folding.next)),
         unrecorded: world.unrecorded.clone(),
+        in_force: in_force(world),
         self_out: world.is_out(&world.me.vm, &world.me.domain),
         estimates: Arc::clone(&world.estimates),
         quarantine: Arc::clone(&world.quarantine),
@@ -59,6 +61,28 @@
     snapshot
 }
 
+fn in_force(world: &control::World) -> Vec<control::InForce> {
+    let row = |vm: &ids::VmName, role, config| control::InForce {
+        vm: vm.clone(),
+        role,
+        config,
+    };
+    let own = row(&world.me.vm, world.me.role, world.catalog.applied());
+    let entries = world
+        .entries
+        .iter()
+        .map(|(_, entry)| row(&entry.vm, fleet::NodeRole::Entry, entry.in_force()));
+    let endpoints = world.endpoints.iter().map(|(_, endpoint)| {
+        // What a process reported before its connection was lost may be that of an earlier run.
+        let config = endpoint.link.as_ref().and(endpoint.report.config);
+        row(&endpoint.vm, fleet::NodeRole::Sidecar, config)
+    });
+    std::iter::once(own)
+        .chain(entries)
+        .chain(endpoints)
+        .collect()
+}
+
 fn phase(world: &control::World) -> control::Phase {
     if world.stopping {
         control::Phase::Stopping
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -37,7 +37,7 @@
 }
 
 /// Frames on the control stream of a connection.
-#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum Update {
     /// Answer to the opener's hello.
     Hello(fleet::Identity),
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -6,6 +6,7 @@
 mod driver;
 mod lease;
 mod ledger;
+mod membership;
 mod testing;
 mod thin_path;
 mod values;
