Control: bound kept records by bytes, log each decision once

Kept records were bounded by number; a record of estimates may have 200 KB, so 1,000 of them would exceed the 64 MB of a process. They are now kept as texts up to 2 MB, and a checkpoint over 1 MB is not sent, since its frame would end the connection. Decisions of roll-outs were logged on every tick until they were read back. A prior below the target stopped a version after one good rating; now the ratings themselves must miss it. An entry serves only once it knows the ledger, or completed roll-outs would count as new.

--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -59,16 +59,17 @@
 }
 
 impl Driver {
-    /// Asks for a record unless the same was asked for lately.
-    pub fn ask(&mut self, cx: &mut control::TickCx, from: ids::Offset, body: ledger::Body) {
+    /// Asks for a record unless the same was asked for lately. Returns whether it did.
+    pub fn ask(&mut self, cx: &mut control::TickCx, from: ids::Offset, body: ledger::Body) -> bool {
         let now = cx.now;
         self.asked
             .retain(|(_, at)| now.saturating_duration_since(*at) < ASK_AGAIN);
         if self.asked.iter().any(|(other, _)| *other == body) {
-            return;
+            return false;
         }
         cx.append(from, &ledger::Entry::new(body.clone()));
         self.asked.push((body, now));
+        true
     }
 
     /// Notes what an endpoint has answered to an order.
--- a/src/ledger/store.rs
+++ b/src/ledger/store.rs
@@ -10,8 +10,9 @@
 use crate::rollout;
 
 /// Crashes that are remembered; older ones are dropped in log order, which is
-/// the same in every process. Suspicion lasts an hour.
-const MAX_CRASHES: usize = 256;
+/// the same in every process. Suspicion lasts an hour, and a
+/// checkpoint with this many crashes of 64 requests still fits into a frame.
+const MAX_CRASHES: usize = 64;
 
 /// All control state: a pure function of the records applied.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/src/replica/follower.rs
+++ b/src/replica/follower.rs
@@ -2,13 +2,18 @@
 
 use std::collections::VecDeque;
 use std::ops::Deref;
+use std::sync::Arc;
 
 use crate::control;
 use crate::ids;
 use crate::replica;
+use crate::wire;
 
-/// Records that are kept for processes that lag; those that lag more get a checkpoint.
-const MAX_RECENT: usize = 1_000;
+/// Bytes of records that are kept for processes that lag; those that lag more
+/// get a checkpoint. The budget of a process is 64 MB.
+const MAX_RECENT: usize = 2 * 1_024 * 1_024;
+/// Most bytes of one update; a checkpoint alone may be larger.
+const MAX_UPDATE: usize = 64 * 1_024;
 
 /// A state machine with what it needs to start and to help others.
 #[derive(Clone, Debug)]
@@ -17,7 +22,8 @@
     /// Records read before the machine could be built; empty afterwards.
     backlog: Vec<M::Record>,
     caught_up: bool,
-    recent: VecDeque<M::Record>,
+    recent: VecDeque<(ids::Offset, Arc<str>)>,
+    recent_bytes: usize,
     checkpointed: Option<ids::Offset>,
 }
 
@@ -46,6 +52,7 @@
             backlog: Vec::new(),
             caught_up: false,
             recent: VecDeque::new(),
+            recent_bytes: 0,
             checkpointed: None,
         }
     }
@@ -78,14 +85,27 @@
             if M::covers(record).is_some() {
                 self.checkpointed = Some(M::offset(record));
             }
-            self.recent.push_back(record.clone());
-            if self.recent.len() > MAX_RECENT {
-                self.recent.pop_front();
-            }
+            self.keep(record);
         }
         &mut self.machine
     }
 
+    fn keep(&mut self, record: &M::Record) {
+        let text = M::encode(record);
+        self.recent_bytes += text.len();
+        self.recent.push_back((M::offset(record), text));
+        while self.recent_bytes > MAX_RECENT
+            && let Some((_, oldest)) = self.recent.pop_front()
+        {
+            self.recent_bytes -= oldest.len();
+        }
+    }
+
+    fn forget_recent(&mut self) {
+        self.recent.clear();
+        self.recent_bytes = 0;
+    }
+
     /// Takes records read from the log.
     pub fn read(&mut self, page: &control::LogPage<M::Record>) -> Advance<M::Record> {
         let first = page.records.first().map(M::offset);
@@ -149,7 +169,7 @@
     fn restore(&mut self, record: &M::Record) {
         self.machine.restore(record);
         self.caught_up = true;
-        self.recent.clear();
+        self.forget_recent();
     }
 
     fn build(&mut self, first_retained: ids::Offset) -> Advance<M::Record> {
@@ -172,41 +192,37 @@
         }
         self.machine = machine;
         self.caught_up = true;
-        self.recent.clear();
+        self.forget_recent();
         Advance {
             rebuilt: true,
             records: std::mem::take(&mut self.backlog),
         }
     }
 
-    /// What a process lacks whose last applied record is `applied`, limited to
-    /// about `limit` bytes by `size`; a checkpoint where the records are gone.
+    /// What a process lacks whose last applied record is `applied`; a
+    /// checkpoint where the records are gone.
     #[must_use]
-    pub fn lacking(
-        &self,
-        applied: Option<ids::Offset>,
-        limit: usize,
-        size: impl Fn(&M::Record) -> usize,
-    ) -> Vec<M::Record> {
+    pub fn lacking(&self, applied: Option<ids::Offset>) -> wire::Records {
         let from = applied.map_or(ids::Offset(0), ids::Offset::next);
         if !self.caught_up || from >= self.machine.next_offset() {
             return Vec::new();
         }
-        let known = self
-            .recent
-            .front()
-            .is_some_and(|first| M::offset(first) <= from);
+        let known = self.recent.front().is_some_and(|(first, _)| *first <= from);
         if applied.is_none() || !known {
-            return self.machine.checkpoint_record().into_iter().collect();
+            let checkpoint = self.machine.checkpoint_record();
+            return checkpoint
+                .iter()
+                .map(|record| (M::offset(record), M::encode(record)))
+                .collect();
         }
         let mut total = 0;
         self.recent
             .iter()
-            .filter(|record| M::offset(record) >= from)
-            .take_while(|record| {
-                let fits = total == 0 || total < limit;
-                total += size(record);
-                fits
+            .skip_while(|(offset, _)| *offset < from)
+            .take_while(|(_, text)| {
+                let first = total == 0;
+                total += text.len();
+                first || total <= MAX_UPDATE
             })
             .cloned()
             .collect()
--- a/src/replica/machine.rs
+++ b/src/replica/machine.rs
@@ -1,8 +1,11 @@
 //! What the catalog and the ledger have in common.
 
+use std::sync::Arc;
+
 use crate::catalog;
 use crate::ids;
 use crate::ledger;
+use crate::wire;
 
 /// A pure state machine over one stream of the log.
 pub trait Machine: Default {
@@ -17,6 +20,9 @@
     /// The record's covered offset, where it is a checkpoint.
     fn covers(record: &Self::Record) -> Option<ids::Offset>;
 
+    /// The form of a record's content in an update.
+    fn encode(record: &Self::Record) -> Arc<str>;
+
     /// Takes the state of a checkpoint that covers more than is applied.
     fn restore(&mut self, record: &Self::Record);
 
@@ -42,6 +48,10 @@
         }
     }
 
+    fn encode(record: &catalog::Record) -> Arc<str> {
+        wire::encode(&record.body)
+    }
+
     fn restore(&mut self, record: &catalog::Record) {
         if let Some(catalog::Body::Checkpoint(checkpoint)) = &record.body {
             self.apply_checkpoint(checkpoint);
@@ -75,6 +85,10 @@
         }
     }
 
+    fn encode(record: &ledger::Record) -> Arc<str> {
+        wire::encode(&record.entry)
+    }
+
     fn restore(&mut self, record: &ledger::Record) {
         if let Some(ledger::Body::Checkpoint(checkpoint)) =
             record.entry.as_ref().map(|entry| &entry.body)
--- a/src/rollout/judgement.rs
+++ b/src/rollout/judgement.rs
@@ -17,7 +17,8 @@
 impl Judgement {
     /// Judges the ratings since the step began. The version stops as soon as
     /// even the upper bound of its mean is below the target, which needs no
-    /// least number of ratings: the prior weighs like 20 answers.
+    /// least number of ratings: the prior weighs like 20 answers. A prior
+    /// below the target alone stops nothing.
     #[must_use]
     pub fn of(
         ratings: &estimate::Estimate,
@@ -26,7 +27,8 @@
         min_ratings: u32,
     ) -> Self {
         let enough = ratings.weight >= f64::from(min_ratings);
-        if ratings.weight >= 1.0 && ratings.upper(prior) < target {
+        let missed = ratings.sum < target.get() * ratings.weight;
+        if missed && ratings.upper(prior) < target {
             Self::Stop
         } else if enough && ratings.lower(prior) >= target {
             Self::Pass
--- a/src/system/allotment.rs
+++ b/src/system/allotment.rs
@@ -24,10 +24,32 @@
         .filter_map(|(name, plan)| grants(world, fence, name, plan))
         .collect();
     for body in bodies {
-        world.driver.ask(cx, world.ledger.next_offset(), body);
+        let line = line(&body);
+        if world.driver.ask(cx, world.ledger.next_offset(), body)
+            && let Some(line) = line
+        {
+            log::info!("rollout: {line}.");
+        }
     }
 }
 
+fn line(body: &ledger::Body) -> Option<String> {
+    let ledger::Body::Allotment {
+        rollout,
+        step,
+        bound,
+        grants,
+        ..
+    } = body
+    else {
+        return None;
+    };
+    let entries = grants.len();
+    Some(format!(
+        "{rollout} step {step}: {entries} entries get more answers, bound {bound}"
+    ))
+}
+
 /// An entry spends only what is granted to its own run.
 fn read_own(world: &mut control::World) {
     let control::World {
--- a/src/system/estimates.rs
+++ b/src/system/estimates.rs
@@ -12,6 +12,8 @@
 const PUBLISH_INTERVAL: Duration = Duration::from_secs(10);
 /// Time in which the weight of a rating halves.
 const HALF_LIFE: Duration = Duration::from_mins(30);
+/// Weight below which a cell is dropped; bounds the published record.
+const LEAST_WEIGHT: f64 = 0.05;
 
 /// Runs the system.
 pub fn run(world: &mut control::World, cx: &mut control::TickCx) {
@@ -149,6 +151,7 @@
         .cells
         .values_mut()
         .for_each(|cell| cell.decay(factor));
+    folding.cells.retain(|_, cell| cell.weight >= LEAST_WEIGHT);
     folding.changed = false;
     folding.published = cx.now;
     let cells = folding.cells.iter();
--- a/src/system/membership.rs
+++ b/src/system/membership.rs
@@ -11,8 +11,8 @@
 const ROUND: Duration = Duration::from_secs(1);
 /// Peers of a round. Three reach hundreds of entries within a few rounds.
 const PEERS: usize = 3;
-/// Most bytes of records in one update.
-const MAX_RECORDS: usize = 64 * 1_024;
+/// Largest checkpoint that is sent; a frame holds little more.
+const MAX_CHECKPOINT: usize = 1_024 * 1_024;
 
 /// Runs the system.
 pub fn run(world: &mut control::World, cx: &mut control::TickCx) {
@@ -71,27 +71,21 @@
     config: Option<ids::Offset>,
     control: Option<ids::Offset>,
 ) {
-    let records = world.catalog.lacking(config, MAX_RECORDS, |record| {
-        wire::encode(&record.body).len()
-    });
-    if !records.is_empty() {
-        let records = records
-            .iter()
-            .map(|record| (record.offset, wire::encode(&record.body)))
-            .collect();
-        let update = wire::Update::Config(records);
-        cx.effects.push(control::Effect::Send(vm.clone(), update));
-    }
-    let records = world.ledger.lacking(control, MAX_RECORDS, |record| {
-        wire::encode(&record.entry).len()
-    });
-    if !records.is_empty() {
-        let records = records
-            .iter()
-            .map(|record| (record.offset, wire::encode(&record.entry)))
-            .collect();
-        let update = wire::Update::Control(records);
-        cx.effects.push(control::Effect::Send(vm.clone(), update));
+    let updates = [
+        (
+            world.catalog.lacking(config),
+            wire::Update::Config as fn(_) -> _,
+        ),
+        (world.ledger.lacking(control), wire::Update::Control),
+    ];
+    for (records, update) in updates {
+        let size: usize = records.iter().map(|(_, text)| text.len()).sum();
+        if size > MAX_CHECKPOINT {
+            log::error!("peer: a checkpoint of {size} bytes is too large for {vm}.");
+        } else if !records.is_empty() {
+            cx.effects
+                .push(control::Effect::Send(vm.clone(), update(records)));
+        }
     }
 }
 
--- a/src/system/rollout.rs
+++ b/src/system/rollout.rs
@@ -4,7 +4,6 @@
 
 use crate::catalog;
 use crate::control;
-use crate::estimate;
 use crate::ids;
 use crate::ledger;
 use crate::rollout;
@@ -20,8 +19,11 @@
         .filter_map(|(name, plan)| Some((Arc::clone(name), next(world, cx, name, plan)?)))
         .collect();
     for (rollout, to) in moves {
+        let line = line(world, &rollout, &to);
         let body = ledger::Body::Rollout { fence, rollout, to };
-        world.driver.ask(cx, world.ledger.next_offset(), body);
+        if world.driver.ask(cx, world.ledger.next_offset(), body) {
+            log::info!("rollout: {line}, fence {fence}.");
+        }
     }
 }
 
@@ -42,27 +44,23 @@
     };
     match &row.progress {
         rollout::Progress::Loading(_) | rollout::Progress::Stepping(_) if version.withdrawn => {
-            Some(stop(name, "the version was withdrawn"))
+            Some(ledger::Move::Stop("the version was withdrawn".into()))
         }
         rollout::Progress::Loading(_) => {
             let loaded = !plan.paused && is_served(world, cx, &plan.version);
-            loaded.then(|| {
-                log::info!("rollout: {name} is loaded and begins step 0.");
-                ledger::Move::Step(0)
-            })
+            loaded.then_some(ledger::Move::Step(0))
         }
         rollout::Progress::Stepping(stepping) => {
             let step = stepping.step();
             let plan_step = profile.rollout_steps.get(usize::try_from(step).ok()?);
             let min_ratings = plan_step.map_or(0, |step| step.min_ratings);
-            let ratings = &row.ratings;
             let judgement = rollout::Judgement::of(
-                ratings,
+                &row.ratings,
                 version.prior_quality,
                 profile.quality_target,
                 min_ratings,
             );
-            judged(judgement, name, step, profile, plan, ratings)
+            judged(judgement, step, profile, plan)
         }
         rollout::Progress::Complete(_) | rollout::Progress::Stopped(_) => None,
     }
@@ -70,19 +68,15 @@
 
 fn judged(
     judgement: rollout::Judgement,
-    name: &Arc<str>,
     step: u32,
     profile: &catalog::Profile,
     plan: &catalog::RolloutPlan,
-    ratings: &estimate::Estimate,
 ) -> Option<ledger::Move> {
     match judgement {
-        rollout::Judgement::Stop => Some(stop(name, "the evidence is below the target")),
+        rollout::Judgement::Stop => Some(ledger::Move::Stop(
+            "the evidence is below the target".into(),
+        )),
         rollout::Judgement::Pass if !plan.paused => {
-            log::info!(
-                "rollout: {name} passes step {step} with {} ratings.",
-                ratings.weight
-            );
             let last =
                 usize::try_from(step).is_ok_and(|step| step + 1 >= profile.rollout_steps.len());
             Some(if last {
@@ -95,9 +89,18 @@
     }
 }
 
-fn stop(name: &Arc<str>, reason: &str) -> ledger::Move {
-    log::warn!("rollout: {name} stops: {reason}.");
-    ledger::Move::Stop(reason.into())
+/// The decision in words.
+fn line(world: &control::World, name: &str, to: &ledger::Move) -> String {
+    let row = world.ledger.state().rollouts.get(name);
+    let ratings = row.map_or(0.0, |row| row.ratings.weight);
+    match to {
+        ledger::Move::Start { profile, version } => {
+            format!("{name} starts with version {version} in profile {profile}")
+        }
+        ledger::Move::Step(step) => format!("{name} begins step {step} after {ratings:.0} ratings"),
+        ledger::Move::Complete => format!("{name} is complete after {ratings:.0} ratings"),
+        ledger::Move::Stop(reason) => format!("{name} stops after {ratings:.0} ratings: {reason}"),
+    }
 }
 
 fn is_served(world: &control::World, cx: &control::TickCx, version: &ids::VersionName) -> bool {
--- a/src/system/snapshot.rs
+++ b/src/system/snapshot.rs
@@ -61,6 +61,11 @@
     snapshot
 }
 
+/// An entry without the ledger would take completed roll-outs for new ones.
+fn knows_rollouts(world: &control::World) -> bool {
+    world.me.role == fleet::NodeRole::Sidecar || world.ledger.is_caught_up()
+}
+
 fn in_force(world: &control::World) -> Vec<control::InForce> {
     let row = |vm: &ids::VmName, role, config| control::InForce {
         vm: vm.clone(),
@@ -86,7 +91,7 @@
 fn phase(world: &control::World) -> control::Phase {
     if world.stopping {
         control::Phase::Stopping
-    } else if world.catalog.is_caught_up() {
+    } else if world.catalog.is_caught_up() && knows_rollouts(world) {
         control::Phase::Serving
     } else {
         control::Phase::Starting
--- a/tests/integration/membership.rs
+++ b/tests/integration/membership.rs
@@ -106,7 +106,7 @@
         Case {
             name: "entry that lags by more than is kept",
             role: NodeRole::Entry,
-            has: 2_501,
+            has: 20_001,
             read: Some(1),
         },
         Case {
