--- a/src/control/world.rs
+++ b/src/control/world.rs
@@ -39,6 +39,10 @@
     pub stopping: bool,
     /// Endpoints.
     pub endpoints: table::Table<control::EndpointKey, ids::VmName, control::EndpointRow>,
+    /// Endpoints to which no connection is kept, as enough others serve the same.
+    pub dropped: HashSet<ids::VmName>,
+    /// When the endpoints to connect to are chosen next; `None` before the first time.
+    pub choice_due: Option<Instant>,
     /// Other entries.
     pub entries: table::Table<control::EntryKey, ids::VmName, control::EntryRow>,
     /// Profiles in force.
@@ -89,6 +93,8 @@
             log_available: false,
             stopping: false,
             endpoints: table::Table::default(),
+            dropped: HashSet::new(),
+            choice_due: None,
             entries: table::Table::default(),
             profiles: table::Table::default(),
             versions: table::Table::default(),
--- a/src/system/mod.rs
+++ b/src/system/mod.rs
@@ -17,6 +17,7 @@
 pub mod rollout;
 pub mod snapshot;
 pub mod stop;
+pub mod subset;
 
 /// Systems of an entry.
 pub const ENTRY: control::Systems = &[
@@ -25,6 +26,7 @@
     ledger::run,
     inventory::run,
     links::run,
+    subset::run,
     membership::run,
     health::run,
     lease::run,
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -7,6 +7,7 @@
 mod lease;
 mod ledger;
 mod membership;
+mod systems;
 mod testing;
 mod thin_path;
 mod values;
--- /dev/null
+++ b/tests/integration/systems.rs
@@ -0,0 +1,560 @@
+//! Single systems over the tables, without I/O.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use quetzalworks::catalog;
+use quetzalworks::control::{Effect, Event, LogPage, TickCx, World};
+use quetzalworks::estimate::Estimate;
+use quetzalworks::fleet::{CrashReport, Identity, NodeRole, OrderAction, Report};
+use quetzalworks::ids::{ChangeId, Fence, Fingerprint, Incarnation, Offset, RequestId, Revision};
+use quetzalworks::lease::Holder;
+use quetzalworks::ledger::{Body, Checkpoint, Entry, LeaseAction, Ledger, Move, Record};
+use quetzalworks::platform::{Vm, VmState};
+use quetzalworks::poison::Suspicion;
+use quetzalworks::replica::Follower;
+use quetzalworks::rollout::Judgement;
+use quetzalworks::system;
+use quetzalworks::units::Quality;
+use serde_json::json;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn identity(vm: &str, domain: &str, role: NodeRole) -> Identity {
+    Identity {
+        vm: vm.parse().unwrap(),
+        domain: domain.parse().unwrap(),
+        region: "region-1".parse().unwrap(),
+        incarnation: Incarnation(1),
+        role,
+    }
+}
+
+fn entry_world() -> World {
+    World::new(identity("entry-0", "d0", NodeRole::Entry))
+}
+
+fn run(world: &mut World, now: Instant, events: Vec<Event>) -> Vec<Effect> {
+    let mut cx = TickCx::new(now, events);
+    for system in system::ENTRY {
+        system(world, &mut cx);
+    }
+    world.last_tick = now;
+    cx.effects
+}
+
+fn record(offset: u64, body: Body) -> Record {
+    Record {
+        offset: Offset(offset),
+        entry: Some(Entry {
+            id: ChangeId(u128::from(offset)),
+            body,
+        }),
+    }
+}
+
+fn page(first_retained: u64, records: Vec<Record>) -> LogPage<Record> {
+    let end = records
+        .last()
+        .map_or(Offset(first_retained), |record| record.offset.next());
+    LogPage {
+        first_retained: Offset(first_retained),
+        end,
+        records,
+    }
+}
+
+/// Lists endpoints `e<i>` with their domains, connects them and reports their versions.
+fn endpoints(rows: &[(&str, &[&str])]) -> Vec<Event> {
+    let name = |i: usize| format!("e{i}");
+    let vm = |(i, (domain, _)): (usize, &(&str, &[&str]))| Vm {
+        vm: name(i).parse().unwrap(),
+        domain: domain.parse().unwrap(),
+        region: "region-1".parse().unwrap(),
+        role: NodeRole::Sidecar,
+        peer_addr: "127.0.0.1:1".parse().unwrap(),
+        state: VmState::Live,
+    };
+    let mut events = vec![Event::Inventory(rows.iter().enumerate().map(vm).collect())];
+    for (i, (domain, _)) in rows.iter().enumerate() {
+        events.push(Event::LinkUp(identity(&name(i), domain, NodeRole::Sidecar)));
+    }
+    events.extend(reports(rows));
+    events
+}
+
+fn reports(rows: &[(&str, &[&str])]) -> Vec<Event> {
+    let report = |(i, (_, versions)): (usize, &(&str, &[&str]))| {
+        let report = Report {
+            versions: versions.iter().map(|name| name.parse().unwrap()).collect(),
+            accepting: true,
+            ..Report::default()
+        };
+        Event::Report(format!("e{i}").parse().unwrap(), report)
+    };
+    rows.iter().enumerate().map(report).collect()
+}
+
+fn claim(vm: &str, base: Option<u64>) -> Body {
+    Body::Lease {
+        holder: Holder {
+            vm: vm.parse().unwrap(),
+            incarnation: Incarnation(1),
+        },
+        base: base.map(Offset),
+        action: LeaseAction::Claim,
+    }
+}
+
+/// Guards against a process that starts after old records have expired with
+/// another state than the others, or serves with records missing.
+#[test]
+fn start_after_truncation() {
+    struct Case {
+        name: &'static str,
+        first_retained: u64,
+        /// Offset of the checkpoint, and how many of the records it covers.
+        checkpoint: Option<(u64, usize)>,
+        ready: bool,
+    }
+    let cases = [
+        Case {
+            name: "nothing expired",
+            first_retained: 0,
+            checkpoint: None,
+            ready: true,
+        },
+        Case {
+            name: "expired without a checkpoint",
+            first_retained: 2,
+            checkpoint: None,
+            ready: false,
+        },
+        Case {
+            name: "checkpoint of all that expired",
+            first_retained: 2,
+            checkpoint: Some((4, 2)),
+            ready: true,
+        },
+        Case {
+            name: "checkpoint of more",
+            first_retained: 2,
+            checkpoint: Some((4, 4)),
+            ready: true,
+        },
+        Case {
+            name: "checkpoint of too little",
+            first_retained: 3,
+            checkpoint: Some((4, 2)),
+            ready: false,
+        },
+    ];
+    for case in cases {
+        let mut all: Vec<Record> = (0..6)
+            .map(|i| {
+                record(
+                    i,
+                    claim(if i % 2 == 0 { "a" } else { "b" }, i.checked_sub(1)),
+                )
+            })
+            .collect();
+        if let Some((at, covered)) = case.checkpoint {
+            let mut ledger = Ledger::default();
+            for record in &all[..covered] {
+                ledger.apply(record);
+            }
+            let checkpoint: Checkpoint = ledger.checkpoint().unwrap();
+            let at = usize::try_from(at).unwrap();
+            all[at] = record(4, Body::Checkpoint(checkpoint));
+            all[at + 1] = record(5, claim("c", Some(3)));
+        }
+        let mut whole = Ledger::default();
+        for record in &all {
+            whole.apply(record);
+        }
+        let mut late = Follower::<Ledger>::default();
+        let start = usize::try_from(case.first_retained).unwrap();
+        let advance = late.read(&page(case.first_retained, all[start..].to_vec()));
+        for record in &advance.records {
+            late.applying(record).apply(record);
+        }
+        assert_eq!(late.is_caught_up(), case.ready, "{}", case.name);
+        if case.ready {
+            assert_eq!(*late, whole, "{}", case.name);
+        }
+    }
+}
+
+struct CrashCase {
+    name: &'static str,
+    /// Endpoint and number of the crash, as recorded.
+    crashes: Vec<(&'static str, u32)>,
+    completed: bool,
+    expected: Suspicion,
+}
+fn crash_cases() -> Vec<CrashCase> {
+    vec![
+        CrashCase {
+            name: "none",
+            crashes: vec![],
+            completed: false,
+            expected: Suspicion::Clear,
+        },
+        CrashCase {
+            name: "one",
+            crashes: vec![("e0", 0)],
+            completed: false,
+            expected: Suspicion::Suspect,
+        },
+        CrashCase {
+            name: "one, recorded twice",
+            crashes: vec![("e0", 0), ("e0", 0)],
+            completed: false,
+            expected: Suspicion::Suspect,
+        },
+        CrashCase {
+            name: "one, then answered",
+            crashes: vec![("e0", 0)],
+            completed: true,
+            expected: Suspicion::Clear,
+        },
+        CrashCase {
+            name: "two of one endpoint",
+            crashes: vec![("e0", 0), ("e0", 1)],
+            completed: false,
+            expected: Suspicion::Quarantined,
+        },
+        CrashCase {
+            name: "two endpoints, then answered",
+            crashes: vec![("e0", 0), ("e1", 0)],
+            completed: true,
+            expected: Suspicion::Quarantined,
+        },
+    ]
+}
+
+/// Guards against a crash that counts twice because two entries recorded it,
+/// and against a poison request that goes on to a third endpoint.
+#[test]
+fn crashes_lead_to_suspicion() {
+    let fingerprint = Fingerprint(7);
+    for case in crash_cases() {
+        let crash = |(vm, incident): &(&str, u32)| CrashReport {
+            vm: vm.parse().unwrap(),
+            domain: "d0".parse().unwrap(),
+            incarnation: Incarnation(1),
+            incident: *incident,
+            in_flight: [(RequestId(1), fingerprint)].into(),
+        };
+        let reports: Vec<CrashReport> = case.crashes.iter().map(crash).collect();
+        let now = Instant::now();
+        let mut world = entry_world();
+        run(
+            &mut world,
+            now,
+            vec![Event::ControlPage(page(0, Vec::new()))],
+        );
+        let asked = |effects: &[Effect]| {
+            let body = |effect: &Effect| match effect {
+                Effect::Append(append) => serde_json::from_value(append.record.clone()).ok(),
+                _ => None,
+            };
+            effects
+                .iter()
+                .filter_map(body)
+                .filter(|entry: &Entry| matches!(entry.body, Body::Crash(_)))
+                .count()
+        };
+        let events: Vec<Event> = reports.iter().cloned().map(Event::Crash).collect();
+        let distinct = case.crashes.iter().collect::<BTreeSet<_>>().len();
+        assert_eq!(
+            asked(&run(&mut world, now, events.clone())),
+            distinct,
+            "{}",
+            case.name
+        );
+        assert_eq!(
+            asked(&run(&mut world, now + SECOND, events)),
+            0,
+            "{}",
+            case.name
+        );
+        let records = reports.into_iter().zip(0..);
+        let records = records
+            .map(|(report, i)| record(i, Body::Crash(report)))
+            .collect();
+        run(&mut world, now, vec![Event::ControlPage(page(0, records))]);
+        assert!(world.unrecorded.is_empty(), "{}", case.name);
+        if case.completed {
+            run(&mut world, now, vec![Event::Completed(fingerprint)]);
+        }
+        assert_eq!(
+            world.quarantine.suspicion(fingerprint),
+            case.expected,
+            "{}",
+            case.name
+        );
+    }
+}
+
+/// Guards against a step that passes or stops on too little evidence.
+#[test]
+fn steps_are_judged() {
+    struct Case {
+        name: &'static str,
+        ratings: (f64, u32),
+        prior: f64,
+        expected: Judgement,
+    }
+    let cases = [
+        Case {
+            name: "nothing",
+            ratings: (0.0, 0),
+            prior: 0.8,
+            expected: Judgement::Wait,
+        },
+        Case {
+            name: "one bad answer",
+            ratings: (0.0, 1),
+            prior: 0.8,
+            expected: Judgement::Wait,
+        },
+        Case {
+            name: "bad answers",
+            ratings: (0.2, 5),
+            prior: 0.8,
+            expected: Judgement::Stop,
+        },
+        Case {
+            name: "good, but few",
+            ratings: (0.9, 19),
+            prior: 0.8,
+            expected: Judgement::Wait,
+        },
+        Case {
+            name: "good",
+            ratings: (0.9, 20),
+            prior: 0.8,
+            expected: Judgement::Pass,
+        },
+        Case {
+            name: "good answer with a low prior",
+            ratings: (0.9, 1),
+            prior: 0.5,
+            expected: Judgement::Wait,
+        },
+        Case {
+            name: "good answers with a low prior",
+            ratings: (0.95, 20),
+            prior: 0.5,
+            expected: Judgement::Pass,
+        },
+    ];
+    for case in cases {
+        let mut ratings = Estimate::default();
+        for _ in 0..case.ratings.1 {
+            ratings.add(Quality::clamped(case.ratings.0));
+        }
+        let target = Quality::clamped(0.7);
+        let found = Judgement::of(&ratings, Quality::clamped(case.prior), target, 20);
+        assert_eq!(found, case.expected, "{}", case.name);
+    }
+}
+
+fn plan() -> Vec<catalog::Record> {
+    let version = json!({ "version": { "model": "m", "prompt_cost": 1, "output_cost": 1, "prior_quality": 0.8 } });
+    let profile =
+        json!({ "profile": { "teams": [], "versions": ["old", "new"], "quality_target": 0.7 } });
+    let rollout = json!({ "rollout": { "profile": "chat", "version": "new" } });
+    let objects = [
+        ("versions/old", version.clone()),
+        ("versions/new", version),
+        ("profiles/chat", profile),
+        ("rollouts/r", rollout),
+    ];
+    let record = |((id, content), offset): ((&str, serde_json::Value), u64)| catalog::Record {
+        offset: Offset(offset),
+        body: Some(catalog::Body::Change(catalog::Change {
+            id: ChangeId(u128::from(offset)),
+            object: id.parse().unwrap(),
+            base: Revision(0),
+            content: Some(serde_json::from_value(content).unwrap()),
+            author: "test".into(),
+        })),
+    };
+    objects.into_iter().zip(0..).map(record).collect()
+}
+
+/// A world that holds the lease with fence 0, with a roll-out that loads.
+fn holder(rows: &[(&str, &[&str])], now: Instant) -> World {
+    let mut world = entry_world();
+    let config = LogPage {
+        first_retained: Offset(0),
+        end: Offset(4),
+        records: plan(),
+    };
+    let mut events = endpoints(rows);
+    events.push(Event::ConfigPage(config));
+    events.push(Event::ControlPage(page(0, Vec::new())));
+    let claim = run(&mut world, now, events)
+        .into_iter()
+        .find_map(|effect| match effect {
+            Effect::Append(append) => serde_json::from_value::<Entry>(append.record).ok(),
+            _ => None,
+        });
+    let claim = Record {
+        offset: Offset(0),
+        entry: claim,
+    };
+    let to = Move::Start {
+        profile: "chat".parse().unwrap(),
+        version: "new".parse().unwrap(),
+    };
+    let start = Body::Rollout {
+        fence: Fence(0),
+        rollout: "r".into(),
+        to,
+    };
+    let records = page(0, vec![claim, record(1, start)]);
+    let mut cx = TickCx::new(now, vec![Event::ControlPage(records)]);
+    system::ledger::run(&mut world, &mut cx);
+    system::lease::run(&mut world, &mut cx);
+    world
+}
+
+fn orders(effects: Vec<Effect>) -> Vec<String> {
+    let order = |effect| match effect {
+        Effect::Order { vm, action, .. } => {
+            assert_eq!(action, OrderAction::Load("new".parse().unwrap()));
+            Some(vm.to_string())
+        }
+        _ => None,
+    };
+    effects.into_iter().filter_map(order).collect()
+}
+
+/// Guards against loads beyond the weight store's rate, against a domain in
+/// which all endpoints are disturbed at once, and against orders of a process
+/// whose lease has run out.
+#[test]
+fn loads_are_ordered_with_care() {
+    struct Case {
+        name: &'static str,
+        rows: Vec<(&'static str, &'static [&'static str])>,
+        /// Seconds after the lease was taken.
+        at: u64,
+        expected: Vec<&'static str>,
+    }
+    const OLD: &[&str] = &["old"];
+    const BOTH: &[&str] = &["old", "new"];
+    let cases = [
+        Case {
+            name: "two of a domain",
+            rows: vec![("d0", OLD), ("d0", OLD)],
+            at: 1,
+            expected: vec!["e0"],
+        },
+        Case {
+            name: "last old one of a domain",
+            rows: vec![("d0", BOTH), ("d0", OLD)],
+            at: 1,
+            expected: vec![],
+        },
+        Case {
+            name: "two at a time",
+            rows: vec![
+                ("d0", OLD),
+                ("d0", OLD),
+                ("d1", OLD),
+                ("d1", OLD),
+                ("d2", OLD),
+                ("d2", OLD),
+            ],
+            at: 1,
+            expected: vec!["e0", "e2"],
+        },
+        Case {
+            name: "single endpoints of two domains",
+            rows: vec![("d0", OLD), ("d1", OLD)],
+            at: 1,
+            expected: vec!["e0"],
+        },
+        Case {
+            name: "only endpoint",
+            rows: vec![("d0", OLD)],
+            at: 1,
+            expected: vec![],
+        },
+        Case {
+            name: "paused until the lease has run out",
+            rows: vec![("d0", OLD), ("d0", OLD)],
+            at: 11,
+            expected: vec![],
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut world = holder(&case.rows, now);
+        let later = now + Duration::from_secs(case.at);
+        let found = orders(run(&mut world, later, reports(&case.rows)));
+        assert_eq!(found, case.expected, "{}", case.name);
+        let again = orders(run(&mut world, later, reports(&case.rows)));
+        assert!(again.is_empty(), "{}: ordered again at once", case.name);
+        let mut events = reports(&case.rows);
+        events.extend(found.iter().map(|vm| Event::Ordered {
+            vm: vm.parse().unwrap(),
+            action: OrderAction::Load("new".parse().unwrap()),
+            done: false,
+        }));
+        let at_once = orders(run(&mut world, later, events));
+        let pauses = found.iter().all(|vm| !at_once.contains(vm));
+        assert!(pauses, "{}: no pause", case.name);
+        // The other failed loads wait for a place.
+        let after = later + 3 * SECOND;
+        let retried = orders(run(&mut world, after, reports(&case.rows)));
+        assert_eq!(retried.first(), found.first(), "{}", case.name);
+    }
+}
+
+/// Guards against more connections than the budget allows, against a subset
+/// in one failure domain only, and against an endpoint without any entry.
+#[test]
+fn connections_are_bounded_and_spread() {
+    struct Case {
+        name: &'static str,
+        endpoints: usize,
+        dropped: usize,
+        per_domain: usize,
+    }
+    let cases = [
+        Case {
+            name: "today",
+            endpoints: 24,
+            dropped: 0,
+            per_domain: 6,
+        },
+        Case {
+            name: "target",
+            endpoints: 600,
+            dropped: 568,
+            per_domain: 8,
+        },
+    ];
+    for case in cases {
+        let domains = ["d0", "d1", "d2", "d3"];
+        let rows: Vec<(&str, &[&str])> = (0..case.endpoints)
+            .map(|i| (domains[i % 4], ["old"].as_slice()))
+            .collect();
+        let now = Instant::now();
+        let mut world = entry_world();
+        run(&mut world, now, endpoints(&rows));
+        run(&mut world, now + 3 * SECOND, reports(&rows));
+        assert_eq!(world.dropped.len(), case.dropped, "{}", case.name);
+        let mut kept: BTreeMap<String, usize> = BTreeMap::new();
+        for (_, row) in world.endpoints.iter().filter(|(_, row)| row.link.is_some()) {
+            *kept.entry(row.domain.to_string()).or_default() += 1;
+        }
+        let even = kept.values().all(|count| *count == case.per_domain);
+        assert!(even && kept.len() == 4, "{}: {kept:?}", case.name);
+    }
+}
