Release the lease on a planned stop; test appends with lost answers

A stopped holder closed its control thread before the release could be appended, so others waited 12 s. A stop now waits up to 2 s until the release is on record. The append with look-up moves to platform, where a test reaches it; a failed look-up no longer makes the append before it count as certain.

--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -46,6 +46,9 @@
     /// While this process holds the lease: its fencing number and the first
     /// record of `evidence` that is not folded.
     pub driving: Option<(ids::Fence, ids::Offset)>,
+    /// Fencing number where this process is the holder in the ledger; `None`
+    /// once a release is on record.
+    pub leased: Option<ids::Fence>,
     /// Crashes of this endpoint that are not on record yet.
     pub unrecorded: Vec<fleet::CrashReport>,
     /// Whether operators have taken this process's VM or failure domain out.
--- a/src/entry/role.rs
+++ b/src/entry/role.rs
@@ -26,6 +26,9 @@
 /// Interval at which a stop looks whether requests are still being answered.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
+/// Time that a stop waits for the lease's release to be on record; the log may be down.
+const RELEASE_LIMIT: Duration = Duration::from_secs(2);
+
 /// A running entry; dropping it ends its tasks.
 #[derive(Debug)]
 pub struct Entry {
@@ -96,9 +99,18 @@
         while self.server.active() > 0 && Instant::now() < deadline {
             Timer::after(DRAIN_POLL).await;
         }
+        self.wait_for_release().await;
         self.cx.control.close();
     }
 
+    /// Another entry can take a released lease at once, and a lost one after 12 s.
+    async fn wait_for_release(&self) {
+        let until = Instant::now() + RELEASE_LIMIT;
+        while self.cx.control.snapshot().leased.is_some() && Instant::now() < until {
+            Timer::after(DRAIN_POLL).await;
+        }
+    }
+
     /// What the tasks share.
     #[must_use]
     pub const fn cx(&self) -> &cx::Shared {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,10 +1,12 @@
 //! Clients of the platform's services: HTTP with JSON.
 
+mod append_once;
 mod error;
 mod inventory;
 mod log_client;
 mod page;
 
+pub use append_once::append_once;
 pub use error::PlatformError;
 pub use inventory::{Inventory, Vm, VmState};
 pub use log_client::LogClient;
--- a/src/system/snapshot.rs
+++ b/src/system/snapshot.rs
@@ -30,6 +30,7 @@
             .folding
             .as_ref()
             .map(|folding| (folding.fence, folding.next)),
+        leased: leased(world),
         unrecorded: world.unrecorded.clone(),
         in_force: in_force(world),
         self_out: world.is_out(&world.me.vm, &world.me.domain),
@@ -66,6 +67,13 @@
     world.me.role == fleet::NodeRole::Sidecar || world.ledger.is_caught_up()
 }
 
+fn leased(world: &control::World) -> Option<ids::Fence> {
+    let row = world.ledger.state().lease.as_ref()?;
+    let holder = row.holder.as_ref()?;
+    let is_mine = holder.vm == world.me.vm && holder.incarnation == world.me.incarnation;
+    is_mine.then_some(row.fence)
+}
+
 fn in_force(world: &control::World) -> Vec<control::InForce> {
     let row = |vm: &ids::VmName, role, config| control::InForce {
         vm: vm.clone(),
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
+mod append;
 mod catalog;
 mod driver;
 mod lease;
--- a/tests/integration/systems.rs
+++ b/tests/integration/systems.rs
@@ -422,6 +422,30 @@
     world
 }
 
+/// Guards against a stopped holder that keeps others waiting, or claims again.
+#[test]
+fn planned_stop_releases_the_lease() {
+    let now = Instant::now();
+    let mut world = holder(&[("d0", &["old"])], now);
+    let mut actions = Vec::new();
+    for second in 0..30 {
+        let event = if second == 0 {
+            vec![Event::Stop]
+        } else {
+            Vec::new()
+        };
+        for effect in run(&mut world, now + second * SECOND, event) {
+            if let Effect::Append(append) = effect
+                && let Ok(entry) = serde_json::from_value::<Entry>(append.record)
+                && let Body::Lease { action, .. } = entry.body
+            {
+                actions.push((second, action));
+            }
+        }
+    }
+    assert_eq!(actions, [(0, LeaseAction::Release)]);
+}
+
 fn orders(effects: Vec<Effect>) -> Vec<String> {
     let order = |effect| match effect {
         Effect::Order { vm, action, .. } => {
