Membership: pause between records, in force by run of the process

Reports can come with every answer, and a process that reports nothing of control would have been sent a checkpoint with each; records now go to a process at most every 500 ms. What an earlier run of an entry had in force no longer counts for the present run.

--- a/src/control/gossip.rs
+++ b/src/control/gossip.rs
@@ -13,6 +13,8 @@
     pub next: Option<Instant>,
     /// This entry's own row as last told.
     pub own: Option<fleet::Member>,
+    /// When each process was last handed records.
+    pub handed: HashMap<ids::VmName, Instant>,
     /// Run and beat of the rows that each peer has been told.
     pub told: HashMap<ids::VmName, HashMap<ids::VmName, (ids::Incarnation, u64)>>,
 }
--- a/src/control/row.rs
+++ b/src/control/row.rs
@@ -66,10 +66,17 @@
 }
 
 impl EntryRow {
-    /// The last `config` record that the entry is known to have applied.
+    /// The last `config` record that the present run of the entry is known to
+    /// have applied. What an earlier run had in force says nothing of this one.
     #[must_use]
     pub fn in_force(&self) -> Option<ids::Offset> {
-        let told = self.member.as_ref().and_then(|member| member.config);
+        let member = self.member.as_ref();
+        let Some(link) = &self.link else {
+            return member.and_then(|member| member.config);
+        };
+        let told = member
+            .filter(|member| member.incarnation == link.incarnation)
+            .and_then(|member| member.config);
         self.config.max(told)
     }
 }
--- a/src/system/links.rs
+++ b/src/system/links.rs
@@ -20,6 +20,8 @@
                     }
                     fleet::NodeRole::Entry => {
                         if let Some(row) = world.entries.by_name_mut(&peer.vm) {
+                            row.config = None;
+                            row.control = None;
                             row.link = link;
                         }
                     }
--- a/src/system/membership.rs
+++ b/src/system/membership.rs
@@ -11,6 +11,9 @@
 const ROUND: Duration = Duration::from_secs(1);
 /// Peers of a round. Three reach hundreds of entries within a few rounds.
 const PEERS: usize = 3;
+/// Least time between records for the same process: reports may come with
+/// each answer, and a checkpoint with each would be far beyond the budget.
+const MIN_PAUSE: Duration = Duration::from_millis(500);
 /// Largest checkpoint that is sent; a frame holds little more.
 const MAX_CHECKPOINT: usize = 1_024 * 1_024;
 
@@ -40,11 +43,25 @@
     }
     if world.gossip.next.is_none_or(|next| next <= cx.now) {
         world.gossip.next = Some(cx.now + ROUND);
+        forget_unlisted(world);
         update_own(world);
         round(world, cx);
     }
 }
 
+fn forget_unlisted(world: &mut control::World) {
+    let control::World {
+        gossip,
+        entries,
+        endpoints,
+        ..
+    } = world;
+    gossip.told.retain(|vm, _| entries.by_name(vm).is_some());
+    gossip
+        .handed
+        .retain(|vm, _| entries.by_name(vm).is_some() || endpoints.by_name(vm).is_some());
+}
+
 fn note_applied(
     world: &mut control::World,
     cx: &mut control::TickCx,
@@ -65,12 +82,16 @@
 
 /// Sends the process what it lacks of `config` and `control`.
 fn hand_over(
-    world: &control::World,
+    world: &mut control::World,
     cx: &mut control::TickCx,
     vm: &ids::VmName,
     config: Option<ids::Offset>,
     control: Option<ids::Offset>,
 ) {
+    let last = world.gossip.handed.get(vm);
+    if last.is_some_and(|last| cx.now.saturating_duration_since(*last) < MIN_PAUSE) {
+        return;
+    }
     let updates = [
         (
             world.catalog.lacking(config),
@@ -83,6 +104,7 @@
         if size > MAX_CHECKPOINT {
             log::error!("peer: a checkpoint of {size} bytes is too large for {vm}.");
         } else if !records.is_empty() {
+            world.gossip.handed.insert(vm.clone(), cx.now);
             cx.effects
                 .push(control::Effect::Send(vm.clone(), update(records)));
         }
