--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,7 +1,9 @@
 //! Control state: tables, events, effects, and the thread that owns them.
 
+mod driver;
 mod effect;
 mod event;
+mod gossip;
 mod keys;
 mod row;
 mod snapshot;
@@ -9,12 +11,14 @@
 mod tick;
 mod world;
 
-pub use effect::Effect;
+pub use driver::{Driver, Folding, LoadState};
+pub use effect::{Append, Effect};
 pub use event::{Event, LogPage};
+pub use gossip::Gossip;
 pub use keys::{EndpointKey, EntryKey, ProfileKey, RolloutKey, ServiceKey, TeamKey, VersionKey};
-pub use row::{EndpointRow, EntryRow, InFlight, InFlightGuard, Link};
+pub use row::{EndpointRow, EntryRow, InFlight, InFlightGuard, Link, SILENCE};
 pub use snapshot::{
-    EndpointView, Phase, ProfileView, RolloutView, Snapshot, TeamView, VersionView,
+    EndpointView, InForce, Phase, ProfileView, RolloutView, Snapshot, TeamView, VersionView,
 };
 pub use thread::{Control, Systems};
 pub use tick::TickCx;
--- a/src/control/row.rs
+++ b/src/control/row.rs
@@ -3,12 +3,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::fleet;
 use crate::ids;
 use crate::platform;
 
+/// Silence after which a process counts as unresponsive: three report intervals.
+pub const SILENCE: Duration = Duration::from_secs(3);
+
 /// A live connection to another process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Link {
@@ -56,6 +59,26 @@
     pub link: Option<Link>,
     /// What it has last told of itself, directly or through others.
     pub member: Option<fleet::Member>,
+    /// Last `config` record that it has applied, as told on its connection.
+    pub config: Option<ids::Offset>,
+    /// Last `control` record that it has applied, as told on its connection.
+    pub control: Option<ids::Offset>,
+}
+
+impl EntryRow {
+    /// The last `config` record that the present run of the entry is known to
+    /// have applied. What an earlier run had in force says nothing of this one.
+    #[must_use]
+    pub fn in_force(&self) -> Option<ids::Offset> {
+        let member = self.member.as_ref();
+        let Some(link) = &self.link else {
+            return member.and_then(|member| member.config);
+        };
+        let told = member
+            .filter(|member| member.incarnation == link.incarnation)
+            .and_then(|member| member.config);
+        self.config.max(told)
+    }
 }
 
 /// Requests of this process that run on an endpoint. Traffic threads count,
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -37,6 +37,20 @@
     pub log_available: bool,
     /// The last configuration record applied.
     pub config: Option<ids::Offset>,
+    /// The last record of `control` applied.
+    pub control: Option<ids::Offset>,
+    /// Whether the control state has been read.
+    pub control_ready: bool,
+    /// What each known process has in force, this one first.
+    pub in_force: Vec<InForce>,
+    /// While this process holds the lease: its fencing number and the first
+    /// record of `evidence` that is not folded.
+    pub driving: Option<(ids::Fence, ids::Offset)>,
+    /// Fencing number where this process is the holder in the ledger; `None`
+    /// once a release is on record.
+    pub leased: Option<ids::Fence>,
+    /// Crashes of this endpoint that are not on record yet.
+    pub unrecorded: Vec<fleet::CrashReport>,
     /// Whether operators have taken this process's VM or failure domain out.
     pub self_out: bool,
     /// Teams by the digest of their token.
@@ -61,6 +75,17 @@
     pub quarantine: Arc<poison::Quarantine>,
 }
 
+/// What a process has in force, as far as this process knows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InForce {
+    /// The VM.
+    pub vm: ids::VmName,
+    /// Role of its process.
+    pub role: fleet::NodeRole,
+    /// Last `config` record applied; `None` where nothing is known.
+    pub config: Option<ids::Offset>,
+}
+
 impl Snapshot {
     /// Whether the process takes new work.
     #[must_use]
--- a/src/entry/role.rs
+++ b/src/entry/role.rs
@@ -13,6 +13,7 @@
 use crate::entry::cx;
 use crate::entry::effects;
 use crate::entry::handler;
+use crate::entry::peers;
 use crate::feed;
 use crate::fleet;
 use crate::http;
@@ -25,6 +26,9 @@
 /// Interval at which a stop looks whether requests are still being answered.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
+/// Time that a stop waits for the lease's release to be on record; the log may be down.
+const RELEASE_LIMIT: Duration = Duration::from_secs(2);
+
 /// A running entry; dropping it ends its tasks.
 #[derive(Debug)]
 pub struct Entry {
@@ -44,7 +48,7 @@
     ) -> io::Result<Self> {
         let (control, effect_rx, _thread) =
             control::Control::spawn(control::World::new(me.clone()), system::ENTRY)?;
-        let links = entry::Links::new(me.clone(), node, control.clone(), traffic.clone());
+        let links = entry::Links::new(me.clone(), node.clone(), control.clone(), traffic.clone());
         let cx = Arc::new(cx::EntryCx {
             me,
             cfg: cfg.clone(),
@@ -56,8 +60,16 @@
         let inventory = platform::Inventory::new(settings.platform.inventory_addr, traffic.clone());
         let tasks = vec![
             traffic.spawn(feed::follow_config(log.clone(), control.clone())),
+            traffic.spawn(peers::accept(
+                cx.me.clone(),
+                node,
+                control.clone(),
+                traffic.clone(),
+            )),
+            traffic.spawn(feed::follow_control(log.clone(), control.clone())),
+            traffic.spawn(feed::follow_evidence(log.clone(), control.clone())),
             traffic.spawn(feed::follow_inventory(inventory, control)),
-            traffic.spawn(effects::run(effect_rx, links)),
+            traffic.spawn(effects::run(effect_rx, links, log.clone(), traffic.clone())),
         ];
         let admin = admin::AdminApi {
             token: cfg.operator_token_sha256,
@@ -88,9 +100,18 @@
         while self.server.active() > 0 && Instant::now() < deadline {
             Timer::after(DRAIN_POLL).await;
         }
+        self.wait_for_release().await;
         self.cx.control.close();
     }
 
+    /// Another entry can take a released lease at once, and a lost one after 12 s.
+    async fn wait_for_release(&self) {
+        let until = Instant::now() + RELEASE_LIMIT;
+        while self.cx.control.snapshot().leased.is_some() && Instant::now() < until {
+            Timer::after(DRAIN_POLL).await;
+        }
+    }
+
     /// What the tasks share.
     #[must_use]
     pub const fn cx(&self) -> &cx::Shared {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -13,6 +13,7 @@
 mod run;
 mod server;
 mod service;
+mod updates;
 mod usage;
 
 pub use cx::SidecarCx;
--- a/src/sidecar/role.rs
+++ b/src/sidecar/role.rs
@@ -54,7 +54,8 @@
             log.clone(),
         ));
         let tasks = vec![
-            traffic.spawn(feed::follow_config(log, control)),
+            traffic.spawn(feed::follow_config(log.clone(), control.clone())),
+            traffic.spawn(feed::follow_control(log, control)),
             traffic.spawn(health::watch(Arc::clone(&cx))),
             traffic.spawn(usage::follow(Arc::clone(&cx))),
             traffic.spawn(server::accept(Arc::clone(&cx), node.clone())),
--- /dev/null
+++ b/src/system/rollout.rs
@@ -0,0 +1,110 @@
+//! Moves roll-outs on; the holder of the lease does.
+
+use std::sync::Arc;
+
+use crate::catalog;
+use crate::control;
+use crate::ids;
+use crate::ledger;
+use crate::rollout;
+
+/// Runs the system.
+pub fn run(world: &mut control::World, cx: &mut control::TickCx) {
+    let Some((fence, _)) = world.lease.authority(cx.now) else {
+        return;
+    };
+    let moves: Vec<(Arc<str>, ledger::Move)> = world
+        .rollouts
+        .named()
+        .filter_map(|(name, plan)| Some((Arc::clone(name), next(world, cx, name, plan)?)))
+        .collect();
+    for (rollout, to) in moves {
+        let line = line(world, &rollout, &to);
+        let body = ledger::Body::Rollout { fence, rollout, to };
+        if world.driver.ask(cx, world.ledger.next_offset(), body) {
+            log::info!("rollout: {line}, fence {fence}.");
+        }
+    }
+}
+
+/// The move that a roll-out needs now.
+fn next(
+    world: &control::World,
+    cx: &control::TickCx,
+    name: &Arc<str>,
+    plan: &catalog::RolloutPlan,
+) -> Option<ledger::Move> {
+    let profile = world.profiles.by_name(&plan.profile)?;
+    let version = world.versions.by_name(&plan.version)?;
+    let Some(row) = world.rollout_row(name, plan) else {
+        return Some(ledger::Move::Start {
+            profile: plan.profile.clone(),
+            version: plan.version.clone(),
+        });
+    };
+    match &row.progress {
+        rollout::Progress::Loading(_) | rollout::Progress::Stepping(_) if version.withdrawn => {
+            Some(ledger::Move::Stop("the version was withdrawn".into()))
+        }
+        rollout::Progress::Loading(_) => {
+            let loaded = !plan.paused && is_served(world, cx, &plan.version);
+            loaded.then_some(ledger::Move::Step(0))
+        }
+        rollout::Progress::Stepping(stepping) => {
+            let step = stepping.step();
+            let plan_step = profile.rollout_steps.get(usize::try_from(step).ok()?);
+            let min_ratings = plan_step.map_or(0, |step| step.min_ratings);
+            let judgement = rollout::Judgement::of(
+                &row.ratings,
+                version.prior_quality,
+                profile.quality_target,
+                min_ratings,
+            );
+            judged(judgement, step, profile, plan)
+        }
+        rollout::Progress::Complete(_) | rollout::Progress::Stopped(_) => None,
+    }
+}
+
+fn judged(
+    judgement: rollout::Judgement,
+    step: u32,
+    profile: &catalog::Profile,
+    plan: &catalog::RolloutPlan,
+) -> Option<ledger::Move> {
+    match judgement {
+        rollout::Judgement::Stop => Some(ledger::Move::Stop(
+            "the evidence is below the target".into(),
+        )),
+        rollout::Judgement::Pass if !plan.paused => {
+            let last =
+                usize::try_from(step).is_ok_and(|step| step + 1 >= profile.rollout_steps.len());
+            Some(if last {
+                ledger::Move::Complete
+            } else {
+                ledger::Move::Step(step + 1)
+            })
+        }
+        rollout::Judgement::Pass | rollout::Judgement::Wait => None,
+    }
+}
+
+/// The decision in words.
+fn line(world: &control::World, name: &str, to: &ledger::Move) -> String {
+    let row = world.ledger.state().rollouts.get(name);
+    let ratings = row.map_or(0.0, |row| row.ratings.weight);
+    match to {
+        ledger::Move::Start { profile, version } => {
+            format!("{name} starts with version {version} in profile {profile}")
+        }
+        ledger::Move::Step(step) => format!("{name} begins step {step} after {ratings:.0} ratings"),
+        ledger::Move::Complete => format!("{name} is complete after {ratings:.0} ratings"),
+        ledger::Move::Stop(reason) => format!("{name} stops after {ratings:.0} ratings: {reason}"),
+    }
+}
+
+fn is_served(world: &control::World, cx: &control::TickCx, version: &ids::VersionName) -> bool {
+    world.endpoints.iter().any(|(_, row)| {
+        control::World::is_heard(row.link.as_ref(), cx.now) && row.report.versions.contains(version)
+    })
+}
