--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,12 +1,15 @@
 //! HTTP/1.1 on `smol`: a bounded server and a pooling client.
 
 mod client;
+mod connections;
 mod error;
 mod reply;
 mod server;
 mod sse;
 
 pub use client::{Answer, Client};
+use connections::is_abandoned;
+pub use connections::{Connections, abandoned};
 pub use error::HttpError;
 pub use reply::{Body, Reply, full, json, read_body, streamed};
 pub use server::{Handler, Server, not_found};
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,6 +1,5 @@
 //! A server with bounds on heads, connections and sending time.
 
-use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -12,6 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, StatusCode};
+use smol::future::FutureExt;
 use smol::net::{TcpListener, TcpStream};
 use smol::{Task, Timer};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
@@ -45,6 +45,17 @@
         limits: settings::Limits,
         traffic: &runtime::Traffic,
         handler: Arc<H>,
+    ) -> io::Result<Self> {
+        Self::bind_with(addr, limits, traffic, handler, http::Connections::default()).await
+    }
+
+    /// Like [`Server::bind`], with a handle that severs the connections.
+    pub async fn bind_with<H: Handler>(
+        addr: SocketAddr,
+        limits: settings::Limits,
+        traffic: &runtime::Traffic,
+        handler: Arc<H>,
+        connections: http::Connections,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(addr).await?;
         let addr = listener.local_addr()?;
@@ -57,6 +68,7 @@
             handler,
             closing: Arc::clone(&closing),
             active: Arc::clone(&active),
+            connections,
         };
         Ok(Self {
             addr,
@@ -91,6 +103,7 @@
     handler: Arc<H>,
     closing: Arc<AtomicBool>,
     active: Arc<AtomicUsize>,
+    connections: http::Connections,
 }
 
 impl<H: Handler> Acceptor<H> {
@@ -120,6 +133,7 @@
         let handler = Arc::clone(&self.handler);
         let closing = Arc::clone(&self.closing);
         let active = Arc::clone(&self.active);
+        let severed = self.connections.severed();
         async move {
             if let Err(err) = tcp.set_nodelay(true) {
                 log::debug!("http: cannot set no-delay: {err}");
@@ -137,7 +151,10 @@
                         );
                     }
                     drop(guard);
-                    Ok::<_, Infallible>(reply)
+                    if http::is_abandoned(&reply) {
+                        return Err(io::Error::from(io::ErrorKind::ConnectionAborted));
+                    }
+                    Ok(reply)
                 }
             });
             let served = http1::Builder::new()
@@ -145,6 +162,10 @@
                 .header_read_timeout(limits.send_timeout_ms.duration())
                 .max_buf_size(limits.head_bytes.as_usize().max(8_192))
                 .serve_connection(FuturesIo::new(tcp), service)
+                .or(async {
+                    severed.await;
+                    Ok(())
+                })
                 .await;
             if let Err(err) = served {
                 log::debug!("http: connection ended: {err}");
--- /dev/null
+++ b/src/standin/rating.rs
@@ -0,0 +1,157 @@
+//! Stand-in for the service that rates answers.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use fastrand::Rng;
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use serde_json::{Value, json};
+
+use crate::http;
+use crate::ids;
+use crate::runtime;
+use crate::settings;
+use crate::standin::serve;
+use crate::units;
+
+/// Quality of versions for which none is set.
+const DEFAULT_QUALITY: f64 = 0.8;
+/// Greatest difference between a rating and the version's quality.
+const DEFAULT_NOISE: f64 = 0.05;
+
+/// Control of the rating service; the body of `POST /standin/control`.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RatingCommand {
+    /// Answers each request with status 503.
+    Outage(bool),
+    /// Greatest difference between a rating and the version's quality.
+    Noise(f64),
+    /// Sets the quality of a version.
+    Quality {
+        /// The version.
+        version: ids::VersionName,
+        /// Mean of its ratings.
+        quality: units::Quality,
+    },
+}
+
+/// A running rating service; dropping it stops it.
+#[derive(Debug)]
+pub struct StandinRating {
+    rating: Arc<Rating>,
+    server: http::Server,
+}
+
+#[derive(Debug)]
+struct Rating(Mutex<State>);
+
+#[derive(Debug)]
+struct State {
+    qualities: HashMap<ids::VersionName, units::Quality>,
+    rated: HashMap<ids::VersionName, u64>,
+    noise: f64,
+    outage: bool,
+    rng: Rng,
+}
+
+/// The members of a request on which the rating depends.
+#[derive(serde::Deserialize)]
+struct Rate {
+    version: ids::VersionName,
+    #[serde(rename = "messages")]
+    _messages: Value,
+    #[serde(rename = "answer")]
+    _answer: Value,
+}
+
+impl State {
+    fn rate(&mut self, version: &ids::VersionName) -> units::Quality {
+        *self.rated.entry(version.clone()).or_default() += 1;
+        let mean = self
+            .qualities
+            .get(version)
+            .map_or(DEFAULT_QUALITY, |quality| quality.get());
+        let noise = (self.rng.f64() * 2.0 - 1.0) * self.noise;
+        units::Quality::clamped(mean + noise)
+    }
+}
+
+impl Rating {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn control(&self, command: RatingCommand) {
+        let mut state = self.lock();
+        match command {
+            RatingCommand::Outage(outage) => state.outage = outage,
+            RatingCommand::Noise(noise) => state.noise = noise,
+            RatingCommand::Quality { version, quality } => {
+                state.qualities.insert(version, quality);
+            }
+        }
+    }
+
+    async fn rate(&self, req: Request<Incoming>) -> http::Reply {
+        if self.lock().outage {
+            return serve::status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let Some(rate) = serve::read_json::<Rate>(req).await else {
+            return serve::status(StatusCode::BAD_REQUEST);
+        };
+        let quality = self.lock().rate(&rate.version);
+        http::json(StatusCode::OK, &json!({ "quality": quality }))
+    }
+}
+
+impl http::Handler for Rating {
+    async fn handle(&self, req: Request<Incoming>) -> http::Reply {
+        match (req.method(), req.uri().path()) {
+            (&Method::POST, "/rate") => self.rate(req).await,
+            (_, "/standin/control") => serve::control(req, |command| self.control(command)).await,
+            (_, "/standin/rated") => {
+                let rated = self.lock().rated.clone();
+                http::json(StatusCode::OK, &rated)
+            }
+            _ => http::not_found(),
+        }
+    }
+}
+
+impl StandinRating {
+    /// Serves on `addr`; the noise depends on `seed` alone.
+    pub async fn bind(addr: SocketAddr, seed: u64, traffic: &runtime::Traffic) -> io::Result<Self> {
+        let rating = Arc::new(Rating(Mutex::new(State {
+            qualities: HashMap::new(),
+            rated: HashMap::new(),
+            noise: DEFAULT_NOISE,
+            outage: false,
+            rng: Rng::with_seed(seed),
+        })));
+        let handler = Arc::clone(&rating);
+        let limits = settings::Limits::default();
+        let server = http::Server::bind(addr, limits, traffic, handler).await?;
+        Ok(Self { rating, server })
+    }
+
+    /// The address.
+    #[must_use]
+    pub const fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Sets a switch or a quality.
+    pub fn control(&self, command: RatingCommand) {
+        self.rating.control(command);
+    }
+
+    /// Ratings given by version.
+    #[must_use]
+    pub fn rated(&self) -> HashMap<ids::VersionName, u64> {
+        self.rating.lock().rated.clone()
+    }
+}
