Stand-ins: engine model, weight store, list lag, fault proxies

The stand-in engine knew neither load, cold starts nor crashes, so nothing could test admission, placement or poison handling. It now models batching, priorities, a prefix cache, cold starts that fail above a limit, orders with fencing numbers, a poison marker, kill and restart, and counts what ran on which version. The weight store and the TCP and UDP proxies are new, and the list of VMs lags on request. EngineProfile times are units::Millis now.

--- a/src/http/connections.rs
+++ b/src/http/connections.rs
@@ -25,7 +25,7 @@
     }
 
     /// Ends when the connections that are open now are severed.
-    pub(super) fn severed(&self) -> impl Future<Output = ()> + Send + use<> {
+    pub(crate) fn severed(&self) -> impl Future<Output = ()> + Send + use<> {
         let rx = self
             .0
             .lock()
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,18 +1,35 @@
 //! Small stand-ins for the platform and for engines, for tests and the demo.
 
+mod answer;
 mod certs;
 mod engine;
+mod engine_api;
+mod engine_core;
+mod engine_profile;
+mod faults;
 mod inventory;
 mod log;
+mod prefix_cache;
 mod rating;
 mod serve;
 mod service;
 mod streams;
+mod tcp_proxy;
+mod udp_proxy;
+mod weights;
 
+pub use answer::{answer_text, answer_token};
 pub use certs::{Authority, CertError};
-pub use engine::{EngineProfile, StandinEngine, answer_text, answer_token};
-pub use inventory::StandinInventory;
+pub use engine::StandinEngine;
+pub use engine_api::EngineCommand;
+pub use engine_core::{EngineStats, Served};
+pub use engine_profile::{ColdStart, EngineProfile};
+pub use faults::Faults;
+pub use inventory::{InventoryCommand, StandinInventory};
 pub use log::StandinLog;
 pub use rating::{RatingCommand, StandinRating};
 pub use service::{ServiceCommand, StandinService};
 pub use streams::{LogCommand, Outage};
+pub use tcp_proxy::TcpProxy;
+pub use udp_proxy::UdpProxy;
+pub use weights::{StandinWeights, WeightsCommand, WeightsStats};
--- /dev/null
+++ b/tests/integration/standins.rs
@@ -0,0 +1,259 @@
+//! Behaviour of the stand-ins that other tests rely on.
+
+use std::time::Duration;
+
+use quetzalworks::ids::{Offset, VersionName};
+use quetzalworks::platform::{LogClient, PlatformError, Stream};
+use quetzalworks::standin::{
+    ColdStart, EngineProfile, Faults, LogCommand, Outage, StandinEngine, StandinLog, TcpProxy,
+    answer_text,
+};
+use quetzalworks::units::Millis;
+use serde_json::{Value, json};
+use smol::future;
+
+use crate::testing::{http, place, wait};
+
+const LONG: Duration = Duration::from_secs(30);
+
+fn version() -> VersionName {
+    "small-1".parse().unwrap()
+}
+
+fn bind_engine(profile: EngineProfile) -> StandinEngine {
+    let profile = EngineProfile {
+        versions: vec![version()],
+        ..profile
+    };
+    smol::block_on(StandinEngine::bind(
+        place::addr(),
+        profile,
+        &http::traffic(),
+    ))
+    .unwrap()
+}
+
+fn body(text: &str, tokens: u64) -> Value {
+    json!({ "model": "small-1", "max_tokens": tokens, "messages": [{ "role": "user", "content": text }] })
+}
+
+/// Guards against tests of the log's failures that pass because the stand-in
+/// did not fail as announced.
+#[test]
+fn log_fails_as_told() {
+    struct Case {
+        name: &'static str,
+        command: LogCommand,
+        answered: bool,
+        stored: usize,
+    }
+    let stream = Stream::Control;
+    let cases = [
+        Case {
+            name: "up",
+            command: LogCommand::Outage(Outage::Up),
+            answered: true,
+            stored: 2,
+        },
+        Case {
+            name: "answer lost",
+            command: LogCommand::LoseAnswers { stream, count: 1 },
+            answered: false,
+            stored: 2,
+        },
+        Case {
+            name: "outage",
+            command: LogCommand::Outage(Outage::Refusing),
+            answered: false,
+            stored: 1,
+        },
+        Case {
+            name: "hanging",
+            command: LogCommand::Outage(Outage::Hanging),
+            answered: false,
+            stored: 1,
+        },
+        Case {
+            name: "first record dropped",
+            command: LogCommand::RetainFrom {
+                stream,
+                offset: Offset(1),
+            },
+            answered: true,
+            stored: 1,
+        },
+    ];
+    for case in cases {
+        let log = smol::block_on(StandinLog::bind(place::addr(), &http::traffic())).unwrap();
+        log.append(stream, &json!(0)).unwrap();
+        log.control(case.command);
+        let client = LogClient::new(log.addr(), http::traffic());
+        let answer = smol::block_on(client.append(stream, &[json!(1)]));
+        assert_eq!(answer.is_ok(), case.answered, "{}", case.name);
+        assert_eq!(log.records(stream).len(), case.stored, "{}", case.name);
+        if case.name == "answer lost" {
+            assert!(
+                matches!(answer, Err(PlatformError::Unknown(_))),
+                "{answer:?}"
+            );
+        }
+    }
+}
+
+/// Guards against a long poll that misses a record appended while it waits.
+#[test]
+fn log_wakes_long_polls() {
+    let log = smol::block_on(StandinLog::bind(place::addr(), &http::traffic())).unwrap();
+    let client = LogClient::new(log.addr(), http::traffic());
+    let append = async {
+        smol::Timer::after(Duration::from_millis(100)).await;
+        log.append(Stream::Config, &json!("late")).unwrap();
+    };
+    let read = client.read(Stream::Config, Offset(0), LONG);
+    let (page, ()) = smol::block_on(future::zip(read, append));
+    assert_eq!(page.unwrap().records.len(), 1);
+}
+
+/// Guards against tests of cold starts and poison requests whose engine does not fail.
+#[test]
+fn engine_fails_as_told() {
+    struct Case {
+        name: &'static str,
+        text: &'static str,
+        concurrent: usize,
+        overloads: bool,
+        crashes: bool,
+    }
+    let cases = [
+        Case {
+            name: "within the cold limit",
+            text: "fine",
+            concurrent: 2,
+            overloads: false,
+            crashes: false,
+        },
+        Case {
+            name: "above the cold limit",
+            text: "fine",
+            concurrent: 6,
+            overloads: true,
+            crashes: false,
+        },
+        Case {
+            name: "poison",
+            text: "a marker-x inside",
+            concurrent: 1,
+            overloads: false,
+            crashes: true,
+        },
+    ];
+    for case in cases {
+        let engine = bind_engine(EngineProfile {
+            first_token_ms: Millis(300),
+            cached_first_token_ms: Millis(300),
+            poison: Some("marker-x".into()),
+            cold: Some(ColdStart {
+                bears: 2,
+                answers: 100,
+                warm_ms: Millis(60_000),
+            }),
+            ..EngineProfile::default()
+        });
+        let path = "/v1/chat/completions";
+        let answers = http::concurrently(case.concurrent, |_| {
+            http::try_post(engine.addr(), path, "", &body(case.text, 2))
+        });
+        let stats = engine.stats();
+        assert_eq!(stats.overloads > 0, case.overloads, "{}", case.name);
+        assert_eq!(stats.crashes > 0, case.crashes, "{}", case.name);
+        let failed = case.overloads || case.crashes;
+        assert_eq!(answers.iter().any(Result::is_err), failed, "{}", case.name);
+        assert!(engine.is_cold(), "{}", case.name);
+    }
+}
+
+/// Guards against an engine that stays cold, forgets its cache or refuses its
+/// address after a restart.
+#[test]
+fn engine_warms_up_and_restarts() {
+    let engine = bind_engine(EngineProfile {
+        cold: Some(ColdStart {
+            bears: 1,
+            answers: 2,
+            warm_ms: Millis(60_000),
+        }),
+        ..EngineProfile::default()
+    });
+    let ask = || http::try_post(engine.addr(), "/v1/chat/completions", "", &body("hello", 3));
+    for _ in 0..2 {
+        let messages = &body("hello", 3)["messages"];
+        assert_eq!(
+            ask().unwrap().content(),
+            answer_text("small-1", messages, 3)
+        );
+    }
+    assert!(!engine.is_cold());
+    assert_eq!(engine.stats().cache_hits, 1);
+    assert_eq!(engine.served()[0].answered, 2);
+    engine.kill();
+    assert!(ask().is_err());
+    smol::block_on(engine.restart()).unwrap();
+    assert!(engine.is_cold());
+    assert_eq!(ask().unwrap().status, 200);
+}
+
+/// Guards against orders with an old fencing number that are carried out by
+/// an engine that checks it, or refused by one that doesn't.
+#[test]
+fn engine_checks_fences_where_set() {
+    struct Case {
+        checks_fence: bool,
+        status: u16,
+    }
+    let cases = [
+        Case {
+            checks_fence: true,
+            status: 409,
+        },
+        Case {
+            checks_fence: false,
+            status: 202,
+        },
+    ];
+    for case in cases {
+        let engine = bind_engine(EngineProfile {
+            checks_fence: case.checks_fence,
+            ..EngineProfile::default()
+        });
+        let order = |fence: u64, action: Value| {
+            let order = json!({ "fence": fence, "action": action });
+            http::post(engine.addr(), "/orders", "", &order).status
+        };
+        assert_eq!(order(7, json!({ "load": "small-2" })), 202);
+        wait::until("the version is loaded", || engine.versions().len() == 2);
+        assert_eq!(order(6, json!({ "unload": "small-1" })), case.status);
+        assert_eq!(engine.versions().contains(&version()), case.checks_fence);
+    }
+}
+
+/// Guards against a lost response that hides that the request was executed,
+/// and a cut that does not end.
+#[test]
+fn proxy_loses_responses_and_heals() {
+    let log = smol::block_on(StandinLog::bind(place::addr(), &http::traffic())).unwrap();
+    let traffic = http::traffic();
+    let proxy = smol::block_on(TcpProxy::bind(place::addr(), log.addr(), &traffic)).unwrap();
+    let client = LogClient::new(proxy.addr(), http::traffic());
+    let append = || smol::block_on(client.append(Stream::Usage, &[json!(1)]));
+    append().unwrap();
+    proxy.set(Faults {
+        drop_response: true,
+        ..Faults::default()
+    });
+    assert!(matches!(append(), Err(PlatformError::Unknown(_))));
+    assert_eq!(log.records(Stream::Usage).len(), 2);
+    proxy.set(Faults::cut());
+    assert!(append().is_err());
+    proxy.set(Faults::default());
+    append().unwrap();
+}
--- a/tests/integration/testing/cluster.rs
+++ b/tests/integration/testing/cluster.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::time::Duration;
 
 use quetzalworks::catalog;
 use quetzalworks::fleet::NodeRole;
@@ -144,8 +143,7 @@
     fn spawn_engine() -> StandinEngine {
         let profile = EngineProfile {
             versions: vec!["small-1".parse().unwrap()],
-            first_token: Duration::from_millis(5),
-            between_tokens: Duration::from_millis(1),
+            ..EngineProfile::default()
         };
         smol::block_on(StandinEngine::bind(
             place::addr(),
--- a/tests/integration/testing/http.rs
+++ b/tests/integration/testing/http.rs
@@ -138,3 +138,15 @@
         b"",
     )
 }
+
+/// Runs `run` on `count` threads at a time; the results are in order.
+pub fn concurrently<T: Send>(count: usize, run: impl Fn(usize) -> T + Sync) -> Vec<T> {
+    let run = &run;
+    std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..count).map(|i| scope.spawn(move || run(i))).collect();
+        threads
+            .into_iter()
+            .map(|thread| thread.join().unwrap())
+            .collect()
+    })
+}
