Test harness: counts, services, fault links, signals, checked load

Cluster could only start entries and engines, so tests could neither cut a link nor end a process. Spec states counts, engine behaviour, proxied links and settings; Process kills, freezes, thaws, terminates and restarts; load runs concurrent requests and fails on an answer that is cut or not the caller's own.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
 mod catalog;
+mod harness;
 mod standins;
 mod testing;
 mod thin_path;
--- a/tests/integration/testing/cluster.rs
+++ b/tests/integration/testing/cluster.rs
@@ -1,9 +1,7 @@
 //! Real processes of the system among stand-ins.
 
-use std::fs::File;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::path::PathBuf;
 
 use quetzalworks::catalog;
 use quetzalworks::fleet::NodeRole;
@@ -11,25 +9,39 @@
 use quetzalworks::platform::{Stream, Vm, VmState};
 use quetzalworks::settings;
 use quetzalworks::standin::{
-    Authority, EngineProfile, StandinEngine, StandinInventory, StandinLog,
+    Authority, StandinEngine, StandinInventory, StandinLog, StandinRating, StandinService,
+    StandinWeights, TcpProxy, UdpProxy,
 };
+use quetzalworks::units::Millis;
 use serde_json::{Value, json};
+use smol::block_on;
 
-use crate::testing::{http, place, wait};
+use crate::testing::http::{self, traffic};
+use crate::testing::process::Process;
+use crate::testing::spec::{Spec, merge};
+use crate::testing::{place, wait};
 
-/// A process of the system; killed when dropped.
-#[derive(Debug)]
-pub struct Process {
-    pub vm: String,
-    pub child: Child,
-    pub log_file: PathBuf,
-}
+/// Seed of the ratings.
+const RATING_SEED: u64 = 0x5eed;
+/// Loads that the weight store bears at a time.
+const PARALLEL_LOADS: u32 = 2;
+/// Time of a load.
+const LOAD_TIME: Millis = Millis(50);
 
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
+/// A process with its addresses and the proxies of its links.
+pub struct Node {
+    pub vm: String,
+    pub process: Process,
+    /// Health, readiness and metrics.
+    pub operations: SocketAddr,
+    /// The link from the entries to this process.
+    pub peer_proxy: Option<UdpProxy>,
+    /// The link from this process to the log.
+    pub log_proxy: Option<TcpProxy>,
+    /// The link from this sidecar to its endpoint.
+    pub endpoint_proxy: Option<TcpProxy>,
+    /// The address for callers, of an entry.
+    pub callers: Option<SocketAddr>,
 }
 
 /// Processes and stand-ins of one test.
@@ -38,55 +50,92 @@
     pub operator_token: String,
     pub log: StandinLog,
     pub inventory: StandinInventory,
+    pub rating: StandinRating,
+    pub weights: StandinWeights,
     pub engines: Vec<StandinEngine>,
-    pub entries: Vec<(Process, SocketAddr)>,
-    pub sidecars: Vec<Process>,
+    pub services: Vec<StandinService>,
+    pub entries: Vec<Node>,
+    /// The processes beside the engines, in the same order.
+    pub sidecars: Vec<Node>,
+    /// The processes beside the service's endpoints, in the same order.
+    pub service_sidecars: Vec<Node>,
+    spec: Spec,
+    authority: Authority,
     dir: PathBuf,
 }
 
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        // The log files of a failed test are kept for its analysis.
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
 impl Cluster {
     /// Starts entries and sidecars in four failure domains and waits until
     /// each entry answers.
-    pub fn start(entries: usize, sidecars: usize) -> Self {
-        let traffic = http::traffic();
+    pub fn start(entries: usize, engines: usize) -> Self {
+        Self::start_spec(Spec {
+            entries,
+            engines,
+            ..Spec::default()
+        })
+    }
+
+    /// Starts what `spec` asks for and waits until each entry answers.
+    pub fn start_spec(spec: Spec) -> Self {
+        let traffic = &traffic();
         let dir = place::dir();
-        let (log, inventory) = smol::block_on(async {
-            let log = StandinLog::bind(place::addr(), &traffic).await.unwrap();
-            (
-                log,
-                StandinInventory::bind(place::addr(), &traffic)
-                    .await
-                    .unwrap(),
-            )
-        });
         std::fs::write(dir.join("session.key"), [7; 32]).unwrap();
         let mut cluster = Self {
             team_token: "team-token".into(),
             operator_token: "operator-token".into(),
-            log,
-            inventory,
+            log: block_on(StandinLog::bind(place::addr(), traffic)).unwrap(),
+            inventory: block_on(StandinInventory::bind(place::addr(), traffic)).unwrap(),
+            rating: block_on(StandinRating::bind(place::addr(), RATING_SEED, traffic)).unwrap(),
+            weights: block_on(StandinWeights::bind(
+                place::addr(),
+                PARALLEL_LOADS,
+                LOAD_TIME,
+                traffic,
+            ))
+            .unwrap(),
             engines: Vec::new(),
+            services: Vec::new(),
             entries: Vec::new(),
             sidecars: Vec::new(),
+            service_sidecars: Vec::new(),
+            spec,
+            authority: Authority::generate().unwrap(),
             dir,
         };
         cluster.publish_defaults();
-        cluster.spawn(entries, sidecars);
+        for _ in 0..cluster.spec.engines {
+            cluster.add_engine();
+        }
+        for _ in 0..cluster.spec.services {
+            cluster.add_service();
+        }
+        for _ in 0..cluster.spec.entries {
+            cluster.add_entry();
+        }
         cluster.wait_until_ready();
         cluster
     }
 
     pub fn entry_addr(&self, i: usize) -> SocketAddr {
-        self.entries[i].1
+        self.entries[i].callers.unwrap()
     }
 
-    /// Appends a change directly to the log.
+    /// Appends a change directly to the log; `null` deletes the object.
     pub fn publish(&self, id: &str, base: u64, content: Value) {
         let change = catalog::Body::Change(catalog::Change {
             id: ChangeId::generate(),
             object: id.parse().unwrap(),
             base: Revision(base),
-            content: Some(serde_json::from_value(content).unwrap()),
+            content: serde_json::from_value(content).unwrap(),
             author: "test".into(),
         });
         self.log.append(Stream::Config, &change).unwrap();
@@ -94,127 +143,140 @@
 
     fn publish_defaults(&self) {
         let token = Digest::of(self.team_token.as_bytes()).to_string();
-        self.publish(
-            "teams/red",
-            0,
-            json!({ "team": { "token_sha256": [token] } }),
-        );
+        let team = json!({ "token_sha256": [token] });
+        self.publish("teams/red", 0, json!({ "team": team }));
         let version = json!({ "model": "small", "prompt_cost": 100, "output_cost": 300, "prior_quality": 0.8 });
         self.publish("versions/small-1", 0, json!({ "version": version }));
         let profile = json!({ "teams": ["red"], "versions": ["small-1"], "quality_target": 0.7 });
         self.publish("profiles/chat", 0, json!({ "profile": profile }));
+        if self.spec.services > 0 {
+            let service = json!({ "teams": ["red"], "undated_keys": "accept" });
+            self.publish("services/bookings", 0, json!({ "service": service }));
+        }
     }
 
-    fn spawn(&mut self, entries: usize, sidecars: usize) {
-        let authority = Authority::generate().unwrap();
-        let mut vms = Vec::new();
-        for i in 0..sidecars {
-            let engine = Self::spawn_engine();
-            let role = json!({ "sidecar": {
-                "endpoint_addr": engine.addr(),
-                "endpoint": { "engine": { "checks_fence": true } },
-            }});
-            self.engines.push(engine);
-            let (process, vm) = self.spawn_process(
-                &format!("endpoint-{i}"),
-                i,
-                NodeRole::Sidecar,
-                &role,
-                &authority,
-            );
-            self.sidecars.push(process);
-            vms.push(vm);
-        }
-        for i in 0..entries {
-            let callers = place::addr();
-            let role = json!({ "entry": {
-                "callers_addr": callers,
-                "operator_token_sha256": Digest::of(self.operator_token.as_bytes()).to_string(),
-                "session_key_file": self.dir.join("session.key"),
-            }});
-            let (process, vm) =
-                self.spawn_process(&format!("entry-{i}"), i, NodeRole::Entry, &role, &authority);
-            self.entries.push((process, callers));
-            vms.push(vm);
-        }
-        self.inventory.set(vms);
+    /// Adds an engine with its sidecar.
+    pub fn add_engine(&mut self) {
+        let i = self.engines.len();
+        let profile = (self.spec.engine)(i);
+        let endpoint = json!({ "engine": { "checks_fence": profile.checks_fence } });
+        let engine = block_on(StandinEngine::bind(place::addr(), profile, &traffic())).unwrap();
+        let node = self.sidecar(&format!("endpoint-{i}"), i, engine.addr(), &endpoint);
+        self.engines.push(engine);
+        self.sidecars.push(node);
     }
 
-    fn spawn_engine() -> StandinEngine {
-        let profile = EngineProfile {
-            versions: vec!["small-1".parse().unwrap()],
-            ..EngineProfile::default()
-        };
-        smol::block_on(StandinEngine::bind(
-            place::addr(),
-            profile,
-            &http::traffic(),
-        ))
-        .unwrap()
+    /// Adds an endpoint of the service `bookings` with its sidecar.
+    pub fn add_service(&mut self) {
+        let i = self.services.len();
+        let endpoint = json!({ "service": { "name": "bookings" } });
+        let service = block_on(StandinService::bind(place::addr(), &traffic())).unwrap();
+        let node = self.sidecar(&format!("service-{i}"), i, service.addr(), &endpoint);
+        self.services.push(service);
+        self.service_sidecars.push(node);
+    }
+
+    /// Adds an entry.
+    pub fn add_entry(&mut self) {
+        let i = self.entries.len();
+        let callers = place::addr();
+        let mut entry = json!({
+            "callers_addr": callers,
+            "operator_token_sha256": Digest::of(self.operator_token.as_bytes()).to_string(),
+            "session_key_file": self.dir.join("session.key"),
+        });
+        merge(&mut entry, &self.spec.entry);
+        let role = json!({ "entry": entry });
+        let mut node = self.node(&format!("entry-{i}"), i, NodeRole::Entry, &role);
+        node.callers = Some(callers);
+        self.entries.push(node);
     }
 
-    fn spawn_process(
-        &self,
-        name: &str,
-        i: usize,
-        role: NodeRole,
-        settings: &Value,
-        authority: &Authority,
-    ) -> (Process, Vm) {
+    fn sidecar(&self, name: &str, i: usize, addr: SocketAddr, endpoint: &Value) -> Node {
+        let proxy = self.spec.proxy_endpoints.then(|| tcp_proxy(addr));
+        let mut sidecar = json!({
+            "endpoint_addr": proxy.as_ref().map_or(addr, TcpProxy::addr),
+            "endpoint": endpoint,
+        });
+        merge(&mut sidecar, &self.spec.sidecar);
+        let role = json!({ "sidecar": sidecar });
+        let mut node = self.node(name, i, NodeRole::Sidecar, &role);
+        node.endpoint_proxy = proxy;
+        node
+    }
+
+    /// Starts a process and puts it on the list of VMs.
+    fn node(&self, name: &str, i: usize, role: NodeRole, settings: &Value) -> Node {
         let vm = name.parse().unwrap();
-        let tls = authority.issue(&vm, &self.dir).unwrap();
-        let peer_addr = place::addr();
-        let domain = format!("domain-{}", i % 4);
-        let settings = json!({
+        let tls = self.authority.issue(&vm, &self.dir).unwrap();
+        let (peer_addr, operations) = (place::addr(), place::addr());
+        let log_proxy = self.spec.proxy_log.then(|| tcp_proxy(self.log.addr()));
+        let peer_proxy = self.spec.proxy_peers.then(|| udp_proxy(peer_addr));
+        let domain = format!("domain-{}", i % self.spec.domains);
+        let mut settings = json!({
             "vm": vm,
             "domain": domain,
             "region": "region-1",
             "peer_addr": peer_addr,
-            "operations_addr": place::addr(),
-            "platform": { "log_addr": self.log.addr(), "inventory_addr": self.inventory.addr() },
+            "operations_addr": operations,
+            "platform": {
+                "log_addr": log_proxy.as_ref().map_or(self.log.addr(), TcpProxy::addr),
+                "inventory_addr": self.inventory.addr(),
+                "rating_addr": self.rating.addr(),
+                "weights_addr": self.weights.addr(),
+            },
             "tls": tls,
             "role": settings,
         });
+        merge(&mut settings, &self.spec.settings);
         settings::parse(&settings.to_string()).unwrap();
         let file = self.dir.join(format!("{name}.json"));
         std::fs::write(&file, settings.to_string()).unwrap();
-        let process = run_daemon(name, &file, &self.dir);
-        let listed = Vm {
+        let mut vms = self.inventory.vms();
+        vms.push(Vm {
             vm,
             domain: domain.parse().unwrap(),
             region: "region-1".parse().unwrap(),
             role,
-            peer_addr,
+            peer_addr: peer_proxy.as_ref().map_or(peer_addr, UdpProxy::addr),
             state: VmState::Live,
-        };
-        (process, listed)
+        });
+        self.inventory.set(vms);
+        Node {
+            vm: name.into(),
+            process: Process::spawn(file),
+            operations,
+            peer_proxy,
+            log_proxy,
+            endpoint_proxy: None,
+            callers: None,
+        }
     }
 
-    fn wait_until_ready(&self) {
+    /// Sends one chat request with one token.
+    pub fn ask(&self, entry: usize) -> Result<http::Answer, quetzalworks::http::HttpError> {
         let body = json!({ "model": "chat", "max_tokens": 1, "messages": [{ "role": "user", "content": "ready?" }] });
-        for (_, addr) in &self.entries {
+        let path = "/v1/chat/completions";
+        http::try_post(self.entry_addr(entry), path, &self.team_token, &body)
+    }
+
+    /// Waits until each entry answers a chat request.
+    pub fn wait_until_ready(&self) {
+        if self.engines.is_empty() {
+            return;
+        }
+        for i in 0..self.entries.len() {
             wait::until("an entry answers", || {
-                http::try_post(*addr, "/v1/chat/completions", &self.team_token, &body)
-                    .is_ok_and(|answer| answer.status == 200)
+                self.ask(i).is_ok_and(|answer| answer.status == 200)
             });
         }
     }
 }
 
-fn run_daemon(name: &str, settings: &Path, dir: &Path) -> Process {
-    let log_file = dir.join(format!("{name}.log"));
-    let child = Command::new(env!("CARGO_BIN_EXE_quetzalworksd"))
-        .arg("--settings")
-        .arg(settings)
-        .env("RUST_LOG", "info")
-        .stdin(Stdio::null())
-        .stdout(Stdio::null())
-        .stderr(File::create(&log_file).unwrap())
-        .spawn()
-        .unwrap();
-    Process {
-        vm: name.into(),
-        child,
-        log_file,
-    }
+fn tcp_proxy(target: SocketAddr) -> TcpProxy {
+    block_on(TcpProxy::bind(place::addr(), target, &traffic())).unwrap()
+}
+
+fn udp_proxy(target: SocketAddr) -> UdpProxy {
+    block_on(UdpProxy::bind(place::addr(), target, &traffic())).unwrap()
 }
--- a/tests/integration/testing/mod.rs
+++ b/tests/integration/testing/mod.rs
@@ -4,5 +4,8 @@
 
 pub mod cluster;
 pub mod http;
+pub mod load;
 pub mod place;
+pub mod process;
+pub mod spec;
 pub mod wait;
--- /dev/null
+++ b/tests/integration/testing/process.rs
@@ -0,0 +1,105 @@
+//! Processes of the system under test.
+
+use std::fs::{self, File, OpenOptions};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+use crate::testing::wait;
+
+/// A process of the system; killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    pub settings: PathBuf,
+    pub log_file: PathBuf,
+    child: Child,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl Process {
+    /// Starts the daemon with a settings file; its log is written next to the file.
+    pub fn spawn(settings: PathBuf) -> Self {
+        let log_file = settings.with_extension("log");
+        let output = File::create(&log_file).unwrap();
+        Self {
+            child: run(&settings, output),
+            settings,
+            log_file,
+        }
+    }
+
+    /// Ends the process without warning (SIGKILL).
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the daemon again after it has ended; its log goes on in the same file.
+    pub fn restart(&mut self) {
+        self.kill();
+        let output = OpenOptions::new().append(true).open(&self.log_file);
+        self.child = run(&self.settings, output.unwrap());
+    }
+
+    /// Stops the process's execution (SIGSTOP).
+    pub fn freeze(&self) {
+        self.signal("STOP");
+    }
+
+    /// Continues a frozen process (SIGCONT).
+    pub fn thaw(&self) {
+        self.signal("CONT");
+    }
+
+    /// Asks for a planned stop (SIGTERM).
+    pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Waits until the process has ended by itself.
+    pub fn wait_exit(&mut self) -> ExitStatus {
+        let mut status = None;
+        wait::until("the process has ended", || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        });
+        status.unwrap()
+    }
+
+    /// What the process has logged.
+    pub fn logged(&self) -> String {
+        fs::read_to_string(&self.log_file).unwrap()
+    }
+
+    /// Lines logged that contain `part`.
+    pub fn lines_with(&self, part: &str) -> Vec<String> {
+        let logged = self.logged();
+        let lines = logged.lines().filter(|line| line.contains(part));
+        lines.map(str::to_owned).collect()
+    }
+
+    fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(self.child.id().to_string())
+            .status()
+            .unwrap();
+        assert!(status.success(), "signal {name} was not sent");
+    }
+}
+
+fn run(settings: &PathBuf, output: File) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_quetzalworksd"))
+        .arg("--settings")
+        .arg(settings)
+        .env("RUST_LOG", "info")
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(output)
+        .spawn()
+        .unwrap()
+}
