--- a/src/standin/certs.rs
+++ b/src/standin/certs.rs
@@ -72,7 +72,10 @@
             cert_file: dir.join(format!("{vm}.pem")),
             key_file: dir.join(format!("{vm}.key")),
         };
-        fs::write(&files.ca_file, &self.ca_pem)?;
+        // Not written again: a process that has just been started may be reading it.
+        if fs::read_to_string(&files.ca_file).ok().as_deref() != Some(self.ca_pem.as_str()) {
+            fs::write(&files.ca_file, &self.ca_pem)?;
+        }
         fs::write(&files.cert_file, cert.pem())?;
         fs::write(&files.key_file, key.serialize_pem())?;
         Ok(files)
