Demo: the whole path in one process

quetzalworks-demo starts two failure domains, three models, six engines and two booking endpoints with sidecars, and one entry, and prints access data as JSON once a chat request has succeeded. The folder with certificates is removed on SIGINT and SIGTERM.

--- a/src/bin/quetzalworks-demo.rs
+++ b/src/bin/quetzalworks-demo.rs
@@ -1,2 +1,7 @@
 //! The whole path in one process, for development.
-fn main() {}
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    quetzalworks::demo::main()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod catalog;
 pub mod control;
 pub mod daemon;
+pub mod demo;
 pub mod entry;
 pub mod errors;
 pub mod estimate;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
 mod catalog;
+mod demo;
 mod harness;
 mod standins;
 mod testing;
--- a/tests/integration/testing/process.rs
+++ b/tests/integration/testing/process.rs
@@ -47,17 +47,17 @@
 
     /// Stops the process's execution (SIGSTOP).
     pub fn freeze(&self) {
-        self.signal("STOP");
+        signal("STOP", self.child.id());
     }
 
     /// Continues a frozen process (SIGCONT).
     pub fn thaw(&self) {
-        self.signal("CONT");
+        signal("CONT", self.child.id());
     }
 
     /// Asks for a planned stop (SIGTERM).
     pub fn terminate(&self) {
-        self.signal("TERM");
+        signal("TERM", self.child.id());
     }
 
     /// Waits until the process has ended by itself.
@@ -81,15 +81,16 @@
         let lines = logged.lines().filter(|line| line.contains(part));
         lines.map(str::to_owned).collect()
     }
+}
 
-    fn signal(&self, name: &str) {
-        let status = Command::new("kill")
-            .arg(format!("-{name}"))
-            .arg(self.child.id().to_string())
-            .status()
-            .unwrap();
-        assert!(status.success(), "signal {name} was not sent");
-    }
+/// Sends a signal to a process that this test has started.
+pub fn signal(name: &str, pid: u32) {
+    let status = Command::new("kill")
+        .arg(format!("-{name}"))
+        .arg(pid.to_string())
+        .status()
+        .unwrap();
+    assert!(status.success(), "signal {name} was not sent");
 }
 
 fn run(settings: &PathBuf, output: File) -> Child {
