--- a/src/standin/faults.rs
+++ b/src/standin/faults.rs
@@ -1,6 +1,7 @@
 //! Faults that the proxies inject.
 
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use event_listener::Event;
 
@@ -10,8 +11,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Faults {
-    /// Delay in each direction.
-    pub delay_ms: units::Millis,
+    /// Delay of each direction.
+    pub delay: Duration,
     /// Nothing passes from the client to the target. TCP holds the bytes
     /// until the cut ends, as retransmission would; UDP drops them.
     pub cut_to_target: bool,
--- a/src/standin/tcp_proxy.rs
+++ b/src/standin/tcp_proxy.rs
@@ -146,7 +146,7 @@
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
         buf.truncate(len);
-        let due = Instant::now() + faults.delay_ms.duration();
+        let due = Instant::now() + faults.delay;
         if tx.send((due, buf)).await.is_err() {
             return Ok(());
         }
--- a/src/standin/udp_proxy.rs
+++ b/src/standin/udp_proxy.rs
@@ -146,7 +146,7 @@
             return;
         }
         let copies = 1 + usize::from(fastrand::f64() < faults.duplicate.get());
-        let mut delay = faults.delay_ms.duration();
+        let mut delay = faults.delay;
         if fastrand::f64() < faults.reorder.get() {
             delay += REORDER_DELAY;
         }
