Load tool: load, route and overhead

quetzalworks-bench drives daemons as child processes on loopback: open-loop load of the two deployments in bench/, the time of routing decisions, and the latency that entry and sidecar add at half of the measured peak. A signal ends the child processes and removes the folder.

--- /dev/null
+++ b/src/bench/latency.rs
@@ -0,0 +1,62 @@
+//! Distributions of latencies.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+/// Longest latency that is told apart.
+const MAX: Duration = Duration::from_mins(10);
+/// Decimal digits that are kept of each value.
+const DIGITS: u8 = 3;
+
+/// A distribution of latencies, kept in nanoseconds.
+#[derive(Clone, Debug)]
+pub struct Latency(Histogram<u64>);
+
+/// Quantiles in microseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, serde::Serialize)]
+pub struct Quantiles {
+    /// Values recorded.
+    pub count: u64,
+    /// Mean.
+    pub mean_us: f64,
+    /// Median.
+    pub p50_us: f64,
+    /// 95th percentile.
+    pub p95_us: f64,
+    /// 99th percentile.
+    pub p99_us: f64,
+}
+
+impl Latency {
+    /// An empty distribution.
+    pub fn new() -> Result<Self, hdrhistogram::CreationError> {
+        Histogram::new_with_bounds(1, nanos(MAX), DIGITS).map(Self)
+    }
+
+    /// Adds a value; one above the bound counts as the bound.
+    pub fn record(&mut self, latency: Duration) {
+        self.0.saturating_record(nanos(latency).max(1));
+    }
+
+    /// The quantiles.
+    #[must_use]
+    pub fn quantiles(&self) -> Quantiles {
+        let at = |quantile| micros(Duration::from_nanos(self.0.value_at_quantile(quantile)));
+        Quantiles {
+            count: self.0.len(),
+            mean_us: self.0.mean() / 1_000.0,
+            p50_us: at(0.5),
+            p95_us: at(0.95),
+            p99_us: at(0.99),
+        }
+    }
+}
+
+fn nanos(duration: Duration) -> u64 {
+    u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX)
+}
+
+fn micros(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1e6
+}
--- /dev/null
+++ b/src/bench/main.rs
@@ -0,0 +1,142 @@
+//! Start of the load tool.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use async_signal::{Signal, Signals};
+use smol::future::FutureExt;
+use smol::stream::StreamExt;
+
+use crate::bench;
+use crate::bench::load;
+use crate::bench::overhead;
+use crate::bench::route;
+use crate::runtime;
+
+/// Threads of callers and stand-ins.
+const THREADS: usize = 3;
+/// Seed where none is given.
+const SEED: u64 = 1;
+
+xflags::xflags! {
+    /// Load and measurements on loopback, with daemons as child processes.
+    cmd quetzalworks-bench {
+        /// Open-loop load on a deployment.
+        cmd load {
+            /// Deployment and traffic (JSON).
+            required --mix path: PathBuf
+            /// Requests a second; 20 where not given.
+            optional --rate rate: f64
+            /// Most requests; 100000 where not given.
+            optional --requests count: u64
+            /// Longest time in seconds; 10 where not given.
+            optional --seconds seconds: u64
+            /// Seed of arrivals and requests.
+            optional --seed seed: u64
+            /// Prints JSON in place of a table.
+            optional --json
+        }
+        /// Time of a routing decision.
+        cmd route {
+            /// Endpoints; 600 where not given.
+            optional --endpoints count: usize
+            /// Decisions; 100000 where not given.
+            optional --count count: u64
+            /// Seed of the requests.
+            optional --seed seed: u64
+            /// Prints JSON in place of text.
+            optional --json
+        }
+        /// Latency that entry and sidecar add, at half of the measured peak.
+        cmd overhead {
+            /// Engines; 4 where not given.
+            optional --engines count: usize
+            /// Time of each part in seconds; 5 where not given.
+            optional --seconds seconds: u64
+            /// Seed of the arrivals.
+            optional --seed seed: u64
+            /// Prints JSON in place of text.
+            optional --json
+        }
+    }
+}
+
+/// Runs an experiment.
+#[must_use]
+pub fn main() -> ExitCode {
+    let flags = QuetzalworksBench::from_env_or_exit();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
+    match smol::block_on(run(flags.subcommand).or(interrupted())) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            log::error!("standin: the experiment failed: {err}.");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Ends on a signal, so that the child processes are ended and the temporary
+/// folder is removed.
+async fn interrupted() -> Result<(), bench::BenchError> {
+    let mut signals = Signals::new([Signal::Int, Signal::Term])?;
+    signals.next().await;
+    Err("interrupted".into())
+}
+
+async fn run(command: QuetzalworksBenchCmd) -> Result<(), bench::BenchError> {
+    match command {
+        QuetzalworksBenchCmd::Load(flags) => run_load(flags).await,
+        QuetzalworksBenchCmd::Route(flags) => run_route(&flags),
+        QuetzalworksBenchCmd::Overhead(flags) => run_overhead(flags).await,
+    }
+}
+
+async fn run_load(flags: Load) -> Result<(), bench::BenchError> {
+    let traffic = runtime::Traffic::spawn_threads(THREADS)?;
+    let mix = bench::Mix::open(&flags.mix)?;
+    let bounds = load::Bounds {
+        rate: flags.rate.unwrap_or(20.0),
+        requests: flags.requests.unwrap_or(100_000),
+        time: Duration::from_secs(flags.seconds.unwrap_or(10)),
+        seed: flags.seed.unwrap_or(SEED),
+    };
+    let report = load::run(&mix, bounds, &traffic).await?;
+    if flags.json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        print!("{report}");
+    }
+    Ok(())
+}
+
+fn run_route(flags: &Route) -> Result<(), bench::BenchError> {
+    let endpoints = flags.endpoints.unwrap_or(600);
+    let count = flags.count.unwrap_or(100_000);
+    let quantiles = route::run(endpoints, count, flags.seed.unwrap_or(SEED))?;
+    if flags.json {
+        println!("{}", serde_json::to_string_pretty(&quantiles)?);
+    } else {
+        println!(
+            "{count} decisions with {endpoints} endpoints: mean {:.2} us, p50 {:.2} us, p99 {:.2} us",
+            quantiles.mean_us, quantiles.p50_us, quantiles.p99_us
+        );
+    }
+    Ok(())
+}
+
+async fn run_overhead(flags: Overhead) -> Result<(), bench::BenchError> {
+    let traffic = runtime::Traffic::spawn_threads(THREADS)?;
+    let time = Duration::from_secs(flags.seconds.unwrap_or(5));
+    let seed = flags.seed.unwrap_or(SEED);
+    let overhead = overhead::run(flags.engines.unwrap_or(4), time, seed, &traffic).await?;
+    if flags.json {
+        println!("{}", serde_json::to_string_pretty(&overhead)?);
+    } else {
+        println!(
+            "peak {:.0} req/s; at {:.0} req/s added: p50 {:.0} us, p99 {:.0} us",
+            overhead.peak, overhead.rate, overhead.added_p50_us, overhead.added_p99_us
+        );
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/bin/quetzalworks-bench.rs
@@ -0,0 +1,7 @@
+//! Load and experiments, for development.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    quetzalworks::bench::main()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admin;
 pub mod admission;
 pub mod attempt;
+pub mod bench;
 pub mod billing;
 pub mod catalog;
 pub mod control;
