Load tool: first token from the first text event

The entry sends an event with the role before the engine has answered, which counted as the first token: 8.3 ms with engines that take 20 ms.

--- a/src/bench/caller.rs
+++ b/src/bench/caller.rs
@@ -7,6 +7,7 @@
 use hyper::body::Bytes;
 use hyper::header::{AUTHORIZATION, CONTENT_TYPE};
 use hyper::{Method, Request};
+use serde_json::Value;
 
 use crate::http;
 use crate::runtime;
@@ -34,9 +35,9 @@
     pub version: Option<String>,
     /// Whether the answer was a stream of events.
     pub streamed: bool,
-    /// Time to the first part of the body.
+    /// Time to the first token of a stream.
     pub first: Duration,
-    /// Times between parts of the body.
+    /// Times between tokens of a stream.
     pub between: Vec<Duration>,
     /// Time to the end.
     pub whole: Duration,
@@ -106,28 +107,44 @@
         .headers
         .get(CONTENT_TYPE)
         .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
-    let mut tail = Vec::new();
+    let mut sse = http::SseReader::default();
+    let mut done = false;
     let mut last = None;
     loop {
         match answer.chunk().await {
-            Ok(Some(chunk)) => {
-                let now = Instant::now();
-                match last {
-                    Some(last) => answered.between.push(now - last),
-                    None => answered.first = now.saturating_duration_since(due),
-                }
-                last = Some(now);
-                tail = chunk.to_vec();
-            }
+            Ok(Some(chunk)) if answered.streamed => sse.push(&chunk),
+            Ok(Some(_)) => {}
             Ok(None) => break,
             Err(_) => return,
         }
+        let now = Instant::now();
+        while let Some(data) = sse.next_data() {
+            done = data == "[DONE]";
+            if !has_token(&data) {
+                continue;
+            }
+            match last {
+                Some(last) => answered.between.push(now - last),
+                None => answered.first = now.saturating_duration_since(due),
+            }
+            last = Some(now);
+        }
     }
     answered.outcome = if !status.is_success() {
         Outcome::Refused(status.as_u16())
-    } else if answered.streamed && !tail.ends_with(b"data: [DONE]\n\n") {
+    } else if answered.streamed && !done {
         Outcome::Broken
     } else {
         Outcome::Whole
     };
 }
+
+/// Whether the event carries text; the first event carries the role alone.
+fn has_token(data: &str) -> bool {
+    serde_json::from_str::<Value>(data).is_ok_and(|event| {
+        let content = event.pointer("/choices/0/delta/content");
+        content
+            .and_then(Value::as_str)
+            .is_some_and(|text| !text.is_empty())
+    })
+}
--- a/src/bench/report.rs
+++ b/src/bench/report.rs
@@ -27,9 +27,9 @@
     pub refused: BTreeMap<u16, u64>,
     /// Whole answers by version.
     pub versions: BTreeMap<String, u64>,
-    /// Time to the first part of streamed answers.
+    /// Time to the first token of streamed answers.
     pub first_token: bench::Quantiles,
-    /// Time between parts of an answer.
+    /// Time between tokens of streamed answers.
     pub between_tokens: bench::Quantiles,
     /// Time to the end of whole answers.
     pub whole_answer: bench::Quantiles,
