--- a/src/standin/engine_api.rs
+++ b/src/standin/engine_api.rs
@@ -3,19 +3,18 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::{Method, Request, StatusCode};
 use serde_json::{Value, json};
 use smol::Timer;
 use smol::channel::{self, Receiver, Sender};
 
-use crate::fleet;
 use crate::http;
 use crate::ids;
 use crate::runtime;
 use crate::standin::answer;
 use crate::standin::engine_core;
+use crate::standin::engine_orders;
 use crate::standin::engine_profile;
 use crate::standin::serve;
 
@@ -23,8 +22,6 @@
 const DEFAULT_TOKENS: u64 = 16;
 /// Events that wait for a slow reader before generation pauses.
 const STREAM_BUFFER: usize = 16;
-/// Time for a load from the weight store.
-const LOAD_TIMEOUT: Duration = Duration::from_mins(10);
 
 /// Control of the engine; the body of `POST /standin/control`.
 #[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
@@ -42,30 +39,7 @@
 pub struct Engine {
     core: Mutex<engine_core::Core>,
     connections: http::Connections,
-    traffic: runtime::Traffic,
-}
-
-#[derive(serde::Deserialize)]
-struct Order {
-    fence: ids::Fence,
-    action: Action,
-}
-
-/// The JSON form of [`fleet::OrderAction`].
-#[derive(serde::Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum Action {
-    Load(ids::VersionName),
-    Unload(ids::VersionName),
-}
-
-impl From<Action> for fleet::OrderAction {
-    fn from(action: Action) -> Self {
-        match action {
-            Action::Load(version) => Self::Load(version),
-            Action::Unload(version) => Self::Unload(version),
-        }
-    }
+    pub(super) traffic: runtime::Traffic,
 }
 
 /// One answer that is being generated; leaves the batch when dropped.
@@ -94,7 +68,7 @@
                 http::json(StatusCode::OK, &status)
             }
             (&Method::POST, "/v1/chat/completions") => complete(engine, req).await,
-            (&Method::POST, "/orders") => order(engine, req).await,
+            (&Method::POST, "/orders") => engine_orders::order(engine, req).await,
             (_, "/standin/control") => serve::control(req, |command| engine.control(command)).await,
             (_, "/standin/stats") => {
                 let stats = engine.lock().stats;
@@ -246,57 +220,3 @@
 async fn send(tx: &Sender<Bytes>, event: &Value) -> Result<(), channel::SendError<Bytes>> {
     tx.send(format!("data: {event}\n\n").into()).await
 }
-
-/// Accepts an order at once and carries it out in the background.
-async fn order(engine: &Arc<Engine>, req: Request<Incoming>) -> http::Reply {
-    let Some(order) = serve::read_json::<Order>(req).await else {
-        return serve::status(StatusCode::BAD_REQUEST);
-    };
-    let mut core = engine.lock();
-    if core.profile.checks_fence && order.fence < core.fence {
-        core.stats.stale_orders += 1;
-        return serve::status(StatusCode::CONFLICT);
-    }
-    core.fence = core.fence.max(order.fence);
-    core.stats.orders += 1;
-    match order.action.into() {
-        fleet::OrderAction::Unload(version) => core.versions.retain(|loaded| *loaded != version),
-        fleet::OrderAction::Load(version) => {
-            let load = load(Arc::clone(engine), version);
-            engine.traffic.spawn(load).detach();
-        }
-    }
-    drop(core);
-    http::json(StatusCode::ACCEPTED, &json!({}))
-}
-
-async fn load(engine: Arc<Engine>, version: ids::VersionName) {
-    let (store, time) = {
-        let core = engine.lock();
-        (core.profile.weights_addr, core.profile.load_ms.duration())
-    };
-    let loaded = if let Some(addr) = store {
-        let client = http::Client::new(addr, engine.traffic.clone());
-        fetch_weights(&client, &version).await.unwrap_or(false)
-    } else {
-        Timer::after(time).await;
-        true
-    };
-    let mut core = engine.lock();
-    if !loaded {
-        core.stats.failed_loads += 1;
-    } else if !core.versions.contains(&version) {
-        core.versions.push(version);
-    }
-}
-
-async fn fetch_weights(
-    store: &http::Client,
-    version: &ids::VersionName,
-) -> Result<bool, http::HttpError> {
-    let req = Request::builder()
-        .uri(format!("/weights/{version}"))
-        .body(Full::default())
-        .map_err(|err| http::HttpError::NotSent(err.to_string().into()))?;
-    Ok(store.send(req, LOAD_TIMEOUT).await?.status.is_success())
-}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod engine_api;
 mod engine_core;
+mod engine_orders;
 mod engine_profile;
 mod faults;
 mod inventory;
