--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 on `smol`: a bounded server and a pooling client.
 
 mod client;
+mod connections;
 mod error;
 mod reply;
 mod server;
@@ -8,6 +9,8 @@
 mod stall;
 
 pub use client::{Answer, Client};
+use connections::is_abandoned;
+pub use connections::{Connections, abandoned};
 pub use error::HttpError;
 pub use reply::{Body, Reply, full, json, read_body, streamed};
 pub use server::{Handler, Server, not_found};
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -54,6 +54,17 @@
         limits: settings::Limits,
         traffic: &runtime::Traffic,
         handler: Arc<H>,
+    ) -> io::Result<Self> {
+        Self::bind_with(addr, limits, traffic, handler, http::Connections::default()).await
+    }
+
+    /// Like [`Server::bind`], with a handle that severs the connections.
+    pub async fn bind_with<H: Handler>(
+        addr: SocketAddr,
+        limits: settings::Limits,
+        traffic: &runtime::Traffic,
+        handler: Arc<H>,
+        connections: http::Connections,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(addr).await?;
         let addr = listener.local_addr()?;
@@ -66,6 +77,7 @@
             handler,
             closed,
             active: Arc::clone(&active),
+            connections,
         };
         Ok(Self {
             addr,
@@ -103,6 +115,7 @@
     handler: Arc<H>,
     closed: Receiver<Infallible>,
     active: Arc<AtomicUsize>,
+    connections: http::Connections,
 }
 
 impl<H: Handler> Acceptor<H> {
@@ -132,6 +145,7 @@
         let limits = self.limits;
         let handler = Arc::clone(&self.handler);
         let closed = self.closed.clone();
+        let severed = self.connections.severed();
         async move {
             if let Err(err) = tcp.set_nodelay(true) {
                 log::debug!("http: cannot set no-delay: {err}");
@@ -139,14 +153,24 @@
             let io = stall::StallLimited::new(tcp, limits.send_timeout_ms.duration());
             let service = service_fn(move |req| {
                 let handler = Arc::clone(&handler);
-                async move { Ok::<_, Infallible>(handler.handle(req).await) }
+                async move {
+                    let reply = handler.handle(req).await;
+                    if http::is_abandoned(&reply) {
+                        return Err(io::Error::from(io::ErrorKind::ConnectionAborted));
+                    }
+                    Ok(reply)
+                }
             });
             let connection = http1::Builder::new()
                 .timer(SmolTimer::new())
                 .header_read_timeout(limits.send_timeout_ms.duration())
                 .max_buf_size(limits.head_bytes.as_usize().max(MIN_BUFFER) + HEAD_SLACK)
                 .serve_connection(FuturesIo::new(io), service);
-            if let Err(err) = serve_until_closed(connection, closed).await {
+            let severed = async {
+                severed.await;
+                Ok(())
+            };
+            if let Err(err) = serve_until_closed(connection, closed).or(severed).await {
                 log::debug!("http: connection ended: {err}");
             }
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,11 +5,13 @@
 pub mod admin;
 pub mod admission;
 pub mod attempt;
+pub mod bench;
 pub mod billing;
 pub mod catalog;
 pub mod cli;
 pub mod control;
 pub mod daemon;
+pub mod demo;
 pub mod entry;
 pub mod errors;
 pub mod estimate;
--- a/tests/integration/admin_log.rs
+++ b/tests/integration/admin_log.rs
@@ -155,7 +155,10 @@
     let (control, _effects, _thread) =
         control::Control::spawn(control::World::new(me.clone()), system::ENTRY).unwrap();
     let client = LogClient::new(front.addr(), traffic.clone());
-    let _feed = traffic.spawn(feed::follow_config(client.clone(), control.clone()));
+    let _feeds = [
+        traffic.spawn(feed::follow_config(client.clone(), control.clone())),
+        traffic.spawn(feed::follow_control(client.clone(), control.clone())),
+    ];
     let api = admin::AdminApi {
         token: ids::Digest::of(b"t"),
         control: control.clone(),
--- a/tests/integration/bad_input.rs
+++ b/tests/integration/bad_input.rs
@@ -12,6 +12,7 @@
 use serde_json::json;
 
 use crate::testing::cluster::Cluster;
+use crate::testing::spec::Spec;
 use crate::testing::{http, place, raw, wait};
 
 /// What the server does.
@@ -166,15 +167,24 @@
     );
 }
 
+/// The limit in the test's settings. Connecting must take far less time than
+/// that after which idle connections are closed.
+const MAX_CONNECTIONS: usize = 200;
+
 /// Guards against idle connections that keep callers out once they are gone.
 #[test]
 fn connections_over_the_limit_are_closed() {
-    let cluster = Cluster::start(1, 1);
+    let limits =
+        json!({ "limits": { "max_connections": MAX_CONNECTIONS, "send_timeout_ms": 60_000 } });
+    let cluster = Cluster::start_spec(Spec {
+        engines: 1,
+        entry: limits,
+        ..Spec::default()
+    });
     let addr = cluster.entry_addr(0);
-    let held: Vec<TcpStream> = (0..4_200)
-        .map_while(|_| TcpStream::connect(addr).ok())
+    let held: Vec<TcpStream> = (0..2 * MAX_CONNECTIONS)
+        .map(|_| TcpStream::connect(addr).unwrap())
         .collect();
-    assert!(held.len() > 4_096, "only {} connections", held.len());
     let mut last = held.last().unwrap().try_clone().unwrap();
     let _ = last.write_all(&with_header(1));
     last.set_read_timeout(Some(Duration::from_mins(1))).unwrap();
--- a/tests/integration/daemon.rs
+++ b/tests/integration/daemon.rs
@@ -1,40 +1,19 @@
 //! Planned stops, readiness, metrics and panics of real processes.
 
 use std::io::Read;
-use std::net::SocketAddr;
 use std::process::Command;
 use std::thread;
 use std::time::Duration;
 
-use quetzalworks::{control, daemon, fleet, ids, settings};
+use quetzalworks::{control, daemon, fleet, ids};
 use serde_json::json;
 
-use crate::testing::cluster::{Cluster, Process};
+use crate::testing::cluster::Cluster;
+use crate::testing::process::Process;
 use crate::testing::{http, raw, wait};
 
-fn operations(process: &Process) -> SocketAddr {
-    let file = process.log_file.with_extension("json");
-    settings::load(&file).unwrap().operations_addr
-}
-
-fn signal(process: &Process) {
-    let kill = format!("kill -TERM {}", process.child.id());
-    assert!(
-        Command::new("sh")
-            .args(["-c", &kill])
-            .status()
-            .unwrap()
-            .success()
-    );
-}
-
 fn exit_code(process: &mut Process) -> Option<i32> {
-    let mut status = None;
-    wait::until("the process ends", || {
-        status = process.child.try_wait().unwrap();
-        status.is_some()
-    });
-    status.unwrap().code()
+    process.wait_exit().code()
 }
 
 fn begin_stream(cluster: &Cluster, tokens: u64) -> std::net::TcpStream {
@@ -53,18 +32,18 @@
 #[test]
 fn a_planned_stop_ends_answers_first() {
     let mut cluster = Cluster::start(1, 1);
-    let addr = operations(&cluster.entries[0].0);
+    let addr = cluster.entries[0].operations;
     assert_eq!(http::try_get(addr, "/readyz", "").unwrap().status, 200);
     let tcp = begin_stream(&cluster, 3_000);
-    signal(&cluster.entries[0].0);
+    cluster.entries[0].process.terminate();
     wait::until("readiness is false", || {
         http::try_get(addr, "/readyz", "").is_ok_and(|answer| answer.status == 503)
     });
     let answer = raw::read_to_close(tcp);
     assert!(answer.contains("data: [DONE]"), "{answer}");
-    assert_eq!(exit_code(&mut cluster.entries[0].0), Some(0));
-    signal(&cluster.sidecars[0]);
-    assert_eq!(exit_code(&mut cluster.sidecars[0]), Some(0));
+    assert_eq!(exit_code(&mut cluster.entries[0].process), Some(0));
+    cluster.sidecars[0].process.terminate();
+    assert_eq!(exit_code(&mut cluster.sidecars[0].process), Some(0));
 }
 
 /// Guards against a stop that an operator cannot cut short.
@@ -72,13 +51,13 @@
 fn a_second_signal_ends_at_once() {
     let mut cluster = Cluster::start(1, 1);
     let _tcp = begin_stream(&cluster, 100_000);
-    let addr = operations(&cluster.entries[0].0);
-    signal(&cluster.entries[0].0);
+    let addr = cluster.entries[0].operations;
+    cluster.entries[0].process.terminate();
     wait::until("readiness is false", || {
         http::try_get(addr, "/readyz", "").is_ok_and(|answer| answer.status == 503)
     });
-    signal(&cluster.entries[0].0);
-    assert_eq!(exit_code(&mut cluster.entries[0].0), Some(1));
+    cluster.entries[0].process.terminate();
+    assert_eq!(exit_code(&mut cluster.entries[0].process), Some(1));
 }
 
 /// Guards against metrics that are registered but never counted.
@@ -86,7 +65,7 @@
 fn metrics_count() {
     let cluster = Cluster::start(1, 1);
     let _ = http::try_get(cluster.entry_addr(0), "/v1/models", "wrong");
-    let text = http::try_get(operations(&cluster.entries[0].0), "/metrics", "")
+    let text = http::try_get(cluster.entries[0].operations, "/metrics", "")
         .unwrap()
         .text();
     let expected = [
@@ -102,7 +81,7 @@
     for name in expected {
         assert!(text.contains(name), "{name} is missing:\n{text}");
     }
-    let sidecar = operations(&cluster.sidecars[0]);
+    let sidecar = cluster.sidecars[0].operations;
     assert_eq!(http::try_get(sidecar, "/healthz", "").unwrap().status, 200);
     assert_eq!(http::try_get(sidecar, "/readyz", "").unwrap().status, 200);
 }
--- a/tests/integration/membership.rs
+++ b/tests/integration/membership.rs
@@ -184,10 +184,8 @@
 fn entries_connect_and_one_leads() {
     let cluster = Cluster::start(2, 2);
     let logs = || {
-        let read = |(process, _): &(crate::testing::cluster::Process, _)| {
-            std::fs::read_to_string(&process.log_file).unwrap()
-        };
-        cluster.entries.iter().map(read).collect::<Vec<String>>()
+        let logged = cluster.entries.iter().map(|entry| entry.process.logged());
+        logged.collect::<Vec<String>>()
     };
     wait::until("entries are connected", || {
         logs()
--- a/tests/integration/testing/mod.rs
+++ b/tests/integration/testing/mod.rs
@@ -4,6 +4,9 @@
 
 pub mod cluster;
 pub mod http;
+pub mod load;
 pub mod place;
+pub mod process;
 pub mod raw;
+pub mod spec;
 pub mod wait;
