Entry: usage records, retry budget, sessions, full route decision

Requests were not billed, retries were unbounded but for four attempts, and routing knew neither sessions, prefixes nor suspects.

Each request that ran now puts one usage record with all its attempts into a bounded outbox, which is appended to the usage stream at each flush interval; after an append of unknown outcome the stream is read forward. A refusal after an attempt that may have run no longer says "not run". Retries after a refusal draw on a token bucket; retries of unreachable endpoints are free, since such an endpoint has borne no load. Session tokens keep the version.

--- a/src/entry/ask.rs
+++ b/src/entry/ask.rs
@@ -10,6 +10,9 @@
 use crate::errors;
 use crate::estimate;
 use crate::ids;
+use crate::route;
+use crate::session;
+use crate::units;
 
 /// Tokens that a request is counted with where it states no limit.
 const DEFAULT_MAX_TOKENS: u64 = 512;
@@ -101,28 +104,65 @@
     pub deadline: Instant,
     /// Order of service.
     pub priority: attempt::Priority,
+    /// The version and endpoint of the session.
+    pub pin: Option<route::Pin>,
+    /// Why the session's version was not kept, where it was not.
+    pub moved: Option<session::Moved>,
+    /// The place within the team's limit.
+    pub permit: Arc<route::TeamPermit>,
 }
 
 impl Ask {
     /// A request of `team` with the defaults of its profile.
     #[must_use]
     pub fn new(
+        id: ids::RequestId,
         team: ids::TeamName,
+        permit: Arc<route::TeamPermit>,
         profile: Arc<control::ProfileView>,
         chat: ChatRequest,
         task: Option<&str>,
     ) -> Self {
         let text = chat.messages.as_bytes();
         Self {
-            id: ids::RequestId::generate(),
+            id,
             class: estimate::RequestClass::of(task, text.len(), chat.max_tokens),
             fingerprint: ids::Fingerprint::of(&team, text),
             prefix: ids::Fingerprint::of(&team, &text[..text.len().min(PREFIX_BYTES)]),
             deadline: Instant::now() + profile.profile.deadline_ms.duration(),
             priority: attempt::Priority::default(),
+            pin: None,
+            moved: None,
+            permit,
             team,
             profile,
             chat,
         }
     }
+
+    /// Ties the request to the session of a token.
+    pub fn join(&mut self, token: session::Token) -> Result<(), errors::Refusal> {
+        if token.team != self.team {
+            return Err(errors::Refusal::new(
+                errors::ResultCode::NotAllowed,
+                "the session is one of another team",
+            ));
+        }
+        if token.profile != self.profile.name {
+            self.moved = Some(session::Moved::ProfileChanged);
+            return Ok(());
+        }
+        self.pin = Some(route::Pin {
+            version: token.version,
+            vm: Some(token.vm),
+            reason: route::Reason::Session,
+        });
+        Ok(())
+    }
+
+    /// Time left for the whole answer.
+    #[must_use]
+    pub fn time_left(&self) -> units::Millis {
+        units::Millis::from(self.deadline.saturating_duration_since(Instant::now()))
+    }
 }
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -1,5 +1,6 @@
 //! `POST /v1/chat/completions`.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use hyper::body::{Bytes, Incoming};
@@ -8,65 +9,45 @@
 use smol::channel::{self, Sender};
 
 use crate::control;
-use crate::entry::ask;
-use crate::entry::completion;
-use crate::entry::cx;
-use crate::entry::generation;
+use crate::entry::{ask, bill, completion, cx, generation, input};
 use crate::errors;
 use crate::http;
-use crate::runtime;
+use crate::ids;
+use crate::session;
 use crate::units;
 
 /// Chunks that wait for a slow caller before generation pauses.
 const STREAM_BUFFER: usize = 64;
+/// The session token, in both directions.
+const SESSION: &str = "x-quetzalworks-session";
 
 /// Answers a chat completion.
 pub async fn complete(
     cx: &cx::Shared,
+    id: ids::RequestId,
     team: control::TeamView,
     req: Request<Incoming>,
 ) -> Result<http::Reply, errors::Refusal> {
-    let ask = read_ask(cx, team, req).await?;
+    let ask = read_ask(cx, id, team, req).await?;
     let generation = generation::Generation::start(cx.clone(), ask).await?;
-    let headers = headers(&generation);
-    let mut reply = if generation.ask().chat.stream {
-        stream(cx, generation)
-    } else {
-        whole(generation).await?
-    };
-    reply.headers_mut().extend(headers);
-    Ok(reply)
+    if generation.ask().chat.stream {
+        let headers = headers(cx, &generation);
+        let mut reply = stream(cx, generation);
+        reply.headers_mut().extend(headers);
+        return Ok(reply);
+    }
+    whole(cx, generation).await
 }
 
 async fn read_ask(
     cx: &cx::Shared,
+    id: ids::RequestId,
     team: control::TeamView,
     req: Request<Incoming>,
 ) -> Result<ask::Ask, errors::Refusal> {
+    let permit = cx.admit(&team)?;
     let (head, body) = req.into_parts();
-    let limits = cx.cfg.limits;
-    let deadline = Instant::now() + limits.send_timeout_ms.duration();
-    let body = match runtime::timeout_at(deadline, http::read_body(body, limits.body_bytes)).await {
-        Some(Ok(body)) => body,
-        Some(Err(http::HttpError::TooLarge)) => {
-            return Err(errors::Refusal::new(
-                errors::ResultCode::BodyTooLarge,
-                format!("the body is over {}", limits.body_bytes),
-            ));
-        }
-        Some(Err(err)) => {
-            return Err(errors::Refusal::new(
-                errors::ResultCode::MalformedRequest,
-                err.to_string(),
-            ));
-        }
-        None => {
-            return Err(errors::Refusal::new(
-                errors::ResultCode::SlowRequest,
-                "the body was not sent in time",
-            ));
-        }
-    };
+    let body = input::body(cx, body).await?;
     let chat = ask::ChatRequest::parse(&body)?;
     let snapshot = cx.control.snapshot();
     let profile = snapshot.profiles.get(&chat.profile).ok_or_else(|| {
@@ -81,64 +62,81 @@
             format!("the team may not use profile {}", chat.profile),
         ));
     }
-    let task = text_header(&head.headers, "x-quetzalworks-task");
-    let mut ask = ask::Ask::new(team.name, profile.clone(), chat, task);
-    if let Some(text) = text_header(&head.headers, "x-quetzalworks-deadline-ms") {
-        let limit: units::Millis = parse(text, "x-quetzalworks-deadline-ms")?;
+    let task = input::header(&head.headers, "x-quetzalworks-task");
+    let mut ask = ask::Ask::new(id, team.name, permit, profile.clone(), chat, task);
+    if let Some(text) = input::header(&head.headers, "x-quetzalworks-deadline-ms") {
+        let limit: units::Millis = input::parse(text, "x-quetzalworks-deadline-ms")?;
         ask.deadline = Instant::now() + limit.duration();
     }
-    if let Some(text) = text_header(&head.headers, "x-quetzalworks-priority") {
-        ask.priority = parse(text, "x-quetzalworks-priority")?;
+    if let Some(text) = input::header(&head.headers, "x-quetzalworks-priority") {
+        ask.priority = input::parse(text, "x-quetzalworks-priority")?;
+    }
+    if let Some(text) = input::header(&head.headers, SESSION) {
+        let token = session::Token::open(text, &cx.session_key).map_err(|err| {
+            errors::Refusal::new(errors::ResultCode::MalformedRequest, err.to_string())
+        })?;
+        ask.join(token)?;
     }
     Ok(ask)
 }
 
-fn text_header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name).and_then(|value| value.to_str().ok())
-}
-
-fn parse<T: std::str::FromStr>(text: &str, header: &str) -> Result<T, errors::Refusal>
-where
-    T::Err: std::fmt::Display,
-{
-    text.parse().map_err(|err| {
-        errors::Refusal::new(
-            errors::ResultCode::MalformedRequest,
-            format!("{header}: {err}"),
-        )
-    })
-}
-
-fn headers(generation: &generation::Generation) -> HeaderMap {
+fn headers(cx: &cx::Shared, generation: &generation::Generation) -> HeaderMap {
+    let ask = generation.ask();
+    let token = session::Token {
+        team: ask.team.clone(),
+        profile: ask.profile.name.clone(),
+        version: generation.version().clone(),
+        vm: generation.vm().clone(),
+        made_at: bill::now(),
+    };
     let mut headers = HeaderMap::new();
     let mut put = |name: &'static str, value: String| {
         if let Ok(value) = HeaderValue::from_str(&value) {
             headers.insert(HeaderName::from_static(name), value);
         }
     };
-    put("x-quetzalworks-request-id", generation.ask().id.to_string());
     put("x-quetzalworks-version", generation.version().to_string());
     put("x-quetzalworks-repeatable", "true".into());
+    put(SESSION, token.seal(&cx.session_key));
+    if let Some(moved) = generation.moved() {
+        put("x-quetzalworks-session-moved", moved.to_string());
+    }
     headers
 }
 
-async fn whole(mut generation: generation::Generation) -> Result<http::Reply, errors::Refusal> {
+async fn whole(
+    cx: &cx::Shared,
+    mut generation: generation::Generation,
+) -> Result<http::Reply, errors::Refusal> {
+    let finish = match read_to_end(&mut generation).await {
+        Ok(finish) => finish,
+        Err(refusal) => {
+            generation.close(Some(refusal.code));
+            return Err(refusal);
+        }
+    };
+    let (cost, usage) = generation.totals();
+    generation.close(None);
+    log::info!(
+        "route: request {} answered, {} generated, cost {cost}.",
+        generation.ask().id,
+        usage.output
+    );
     let completion = completion::Completion::new(generation.ask());
-    let mut text = String::new();
+    let body = completion.whole(generation.text(), &finish, usage);
+    let mut reply = http::json(StatusCode::OK, &body);
+    reply.headers_mut().extend(headers(cx, &generation));
+    reply
+        .headers_mut()
+        .insert("x-quetzalworks-cost", HeaderValue::from(cost.0));
+    Ok(reply)
+}
+
+/// Reads the answer; returns why the model stopped.
+async fn read_to_end(generation: &mut generation::Generation) -> Result<Arc<str>, errors::Refusal> {
     loop {
-        match generation.next().await? {
-            generation::Step::Text(part) => text.push_str(&part),
-            generation::Step::End { finish, usage } => {
-                log::info!(
-                    "route: request {} answered, {} generated.",
-                    generation.ask().id,
-                    usage.output
-                );
-                return Ok(http::json(
-                    StatusCode::OK,
-                    &completion.whole(&text, &finish, usage),
-                ));
-            }
+        if let generation::Step::End(finish) = generation.next().await? {
+            return Ok(finish);
         }
     }
 }
@@ -160,18 +158,19 @@
     loop {
         let (event, last) = match generation.next().await {
             Ok(generation::Step::Text(text)) => (completion.text(&text), false),
-            Ok(generation::Step::End { finish, usage }) => {
+            Ok(generation::Step::End(finish)) => {
+                let (cost, usage) = generation.totals();
+                generation.close(None);
                 log::info!(
-                    "route: request {} answered, {} generated.",
+                    "route: request {} answered, {} generated, cost {cost}.",
                     generation.ask().id,
                     usage.output
                 );
-                (
-                    completion.end(&finish, include_usage.then_some(usage)),
-                    true,
-                )
+                let event = completion.end(&finish, include_usage.then_some(usage));
+                (event, true)
             }
             Err(refusal) => {
+                generation.close(Some(refusal.code));
                 log::warn!("route: request {} ended: {refusal}.", generation.ask().id);
                 (completion::Completion::error(&refusal), true)
             }
--- a/src/entry/generation.rs
+++ b/src/entry/generation.rs
@@ -1,74 +1,85 @@
 //! A model's answer over one or more attempts.
 
 use std::sync::Arc;
-use std::time::Instant;
-
-use quinn::{RecvStream, SendStream};
 
 use crate::attempt;
 use crate::control;
 use crate::entry;
-use crate::entry::cx;
+use crate::entry::{cx, dispatcher};
 use crate::errors;
 use crate::ids;
+use crate::poison;
 use crate::route;
 use crate::runtime;
+use crate::session;
 use crate::units;
 use crate::wire;
 
-/// Attempts at one request.
-const MAX_ATTEMPTS: u16 = 4;
+/// Bytes of prompt that are billed as one token where the engine has not said
+/// how many it read, because the attempt was cancelled or lost.
+const BYTES_PER_TOKEN: u64 = 4;
 
 /// A part of the answer.
 #[derive(Clone, Debug)]
 pub enum Step {
     /// The next text.
     Text(Arc<str>),
-    /// The end.
-    End {
-        /// Why the model stopped.
-        finish: Arc<str>,
-        /// What all attempts used.
-        usage: attempt::Usage,
-    },
+    /// The end; the reason is the model's: `stop` or `length`.
+    End(Arc<str>),
 }
 
-/// An answer being generated; dropping it cancels the work.
-#[derive(Debug)]
-pub struct Generation {
-    cx: cx::Shared,
-    ask: entry::Ask,
-    tried: Vec<control::EndpointKey>,
-    attempts: u16,
-    usage: attempt::Usage,
-    text: String,
-    running: Running,
+/// How an attempt goes on.
+enum Progress {
+    Step(Step),
+    Interrupted(errors::Refusal),
+    Ended(errors::Refusal),
 }
 
-/// The present attempt.
+/// An answer being generated; dropping it cancels and bills the work.
 #[derive(Debug)]
-struct Running {
-    attempt: attempt::Attempt<attempt::Streaming>,
-    rx: RecvStream,
-    _tx: SendStream,
-    _in_flight: crate::control::InFlightGuard,
+pub struct Generation {
+    dispatcher: dispatcher::Dispatcher,
+    running: dispatcher::Running,
+    text: String,
+    /// Whether the usage of the present attempt is on the bill.
+    settled: bool,
 }
 
 impl Generation {
     /// Finds an endpoint that takes the request.
     pub async fn start(cx: cx::Shared, ask: entry::Ask) -> Result<Self, errors::Refusal> {
-        let mut tried = Vec::new();
-        let mut attempts = 0;
-        let running = open(&cx, &ask, None, &mut tried, &mut attempts, (0, "")).await?;
-        Ok(Self {
-            cx,
-            ask,
-            tried,
-            attempts,
-            usage: attempt::Usage::default(),
-            text: String::new(),
-            running,
-        })
+        let mut dispatcher = dispatcher::Dispatcher::new(cx, ask);
+        let opened = dispatcher.open(None, dispatcher::Progress::default()).await;
+        match opened {
+            Ok(running) => Ok(Self {
+                dispatcher,
+                running,
+                text: String::new(),
+                settled: false,
+            }),
+            Err(refusal) => {
+                dispatcher.bill.close(Some(refusal.code));
+                Err(refusal)
+            }
+        }
+    }
+
+    /// Starts the answer again on another version.
+    pub async fn restart(&mut self, version: ids::VersionName) -> Result<(), errors::Refusal> {
+        let pin = route::Pin {
+            version,
+            vm: None,
+            reason: route::Reason::Cascade,
+        };
+        self.dispatcher.reset();
+        let opened = self
+            .dispatcher
+            .open(Some(pin), dispatcher::Progress::default())
+            .await;
+        self.running = opened?;
+        self.text.clear();
+        self.settled = false;
+        Ok(())
     }
 
     /// The version that runs.
@@ -77,224 +88,159 @@
         &self.running.attempt.version
     }
 
+    /// The VM of the endpoint that runs the present attempt.
+    #[must_use]
+    pub const fn vm(&self) -> &ids::VmName {
+        &self.running.attempt.vm
+    }
+
     /// The request.
     #[must_use]
     pub const fn ask(&self) -> &entry::Ask {
-        &self.ask
+        &self.dispatcher.ask
+    }
+
+    /// Why the session's version was not kept, where it was not.
+    #[must_use]
+    pub const fn moved(&self) -> Option<session::Moved> {
+        self.dispatcher.moved
+    }
+
+    /// Text of the answer so far.
+    #[must_use]
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Cost and tokens of all attempts so far.
+    #[must_use]
+    pub fn totals(&self) -> (units::MicroCost, attempt::Usage) {
+        self.dispatcher.bill.totals()
+    }
+
+    /// Ends the bill; `None` where the caller has the answer.
+    pub fn close(&mut self, result: Option<errors::ResultCode>) {
+        self.dispatcher.bill.close(result);
     }
 
     /// The next part of the answer. An interrupted attempt is resumed on the
     /// same version where its next token is missing.
     pub async fn next(&mut self) -> Result<Step, errors::Refusal> {
         loop {
-            let read = runtime::timeout_at(
-                self.ask.deadline,
-                wire::read::<wire::Reply>(&mut self.running.rx),
-            )
-            .await;
-            let interruption = match read {
-                None => {
-                    return Err(errors::Refusal::new(
-                        errors::ResultCode::DeadlineExceeded,
-                        "the deadline passed",
-                    ));
+            match self.read().await {
+                Progress::Step(step) => return Ok(step),
+                Progress::Ended(refusal) => {
+                    self.dispatcher.bill.failed(&refusal);
+                    return Err(refusal);
                 }
-                Some(Ok(Some(wire::Reply::Chunk { seq, text }))) => {
-                    match self.running.attempt.chunk(seq) {
-                        Ok(()) => {
-                            self.text.push_str(&text);
-                            return Ok(Step::Text(text));
-                        }
-                        Err(gap) => {
-                            errors::Refusal::new(errors::ResultCode::Interrupted, gap.to_string())
-                        }
-                    }
+                Progress::Interrupted(refusal) => {
+                    self.dispatcher.bill.failed(&refusal);
+                    self.resume(refusal).await?;
                 }
-                Some(Ok(Some(wire::Reply::Done { finish, usage, .. }))) => {
-                    self.add(usage);
-                    return Ok(Step::End {
-                        finish,
-                        usage: self.usage,
-                    });
-                }
-                Some(Ok(Some(wire::Reply::Failed { refusal, usage }))) => {
-                    self.add(usage);
-                    if refusal.code != errors::ResultCode::Interrupted {
-                        return Err(refusal);
-                    }
-                    refusal
-                }
-                Some(Ok(other)) => errors::Refusal::new(
-                    errors::ResultCode::Interrupted,
-                    format!("unexpected reply: {other:?}"),
-                ),
-                Some(Err(err)) => {
-                    errors::Refusal::new(errors::ResultCode::Interrupted, err.to_string())
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Progress {
+        let deadline = self.ask().deadline;
+        let reply = runtime::timeout_at(deadline, wire::read(&mut self.running.rx)).await;
+        let interrupted = |reason| errors::Refusal::new(errors::ResultCode::Interrupted, reason);
+        match reply {
+            Some(Ok(Some(wire::Reply::Chunk { seq, text }))) => self.chunk(seq, text),
+            Some(Ok(Some(wire::Reply::Done { finish, usage, .. }))) => {
+                self.settle(usage);
+                self.exonerate();
+                Progress::Step(Step::End(finish))
+            }
+            Some(Ok(Some(wire::Reply::Failed { refusal, usage }))) => {
+                self.settle(usage);
+                if refusal.code == errors::ResultCode::Interrupted {
+                    Progress::Interrupted(refusal)
+                } else {
+                    Progress::Ended(refusal)
                 }
-            };
-            self.resume(interruption).await?;
+            }
+            None => {
+                self.settle(self.observed());
+                Progress::Ended(errors::Refusal::new(
+                    errors::ResultCode::DeadlineExceeded,
+                    "the deadline passed",
+                ))
+            }
+            Some(other) => {
+                self.settle(self.observed());
+                Progress::Interrupted(interrupted(match other {
+                    Ok(reply) => format!("unexpected reply: {reply:?}"),
+                    Err(err) => err.to_string(),
+                }))
+            }
         }
     }
 
-    fn add(&mut self, usage: attempt::Usage) {
-        self.usage.prompt = self.usage.prompt.max(usage.prompt);
-        self.usage.output = self.usage.output.saturating_add(usage.output);
+    fn chunk(&mut self, seq: u32, text: Arc<str>) -> Progress {
+        if let Err(gap) = self.running.attempt.chunk(seq) {
+            self.settle(self.observed());
+            return Progress::Interrupted(errors::Refusal::new(
+                errors::ResultCode::Interrupted,
+                gap.to_string(),
+            ));
+        }
+        self.running.chunks += 1;
+        self.text.push_str(&text);
+        Progress::Step(Step::Text(text))
     }
 
-    async fn resume(&mut self, interruption: errors::Refusal) -> Result<(), errors::Refusal> {
-        let next_seq = self.running.attempt.next_seq();
-        log::warn!(
-            "route: request {} interrupted after {next_seq} chunks: {interruption}.",
-            self.ask.id
-        );
-        let version = self.version().clone();
-        let resumed = open(
-            &self.cx,
-            &self.ask,
-            Some(version),
-            &mut self.tried,
-            &mut self.attempts,
-            (next_seq, &self.text),
-        )
-        .await;
-        self.running = resumed.map_err(|_| interruption)?;
-        Ok(())
+    /// Puts the usage of the present attempt on the bill, once.
+    fn settle(&mut self, usage: attempt::Usage) {
+        if !self.settled {
+            self.settled = true;
+            self.dispatcher.bill.spend(&self.running.version, usage);
+        }
     }
-}
 
-/// Dispatches the request until an endpoint takes it.
-async fn open(
-    cx: &cx::Shared,
-    ask: &entry::Ask,
-    version: Option<ids::VersionName>,
-    tried: &mut Vec<control::EndpointKey>,
-    attempts: &mut u16,
-    resume: (u32, &str),
-) -> Result<Running, errors::Refusal> {
-    let mut last = None;
-    while *attempts < MAX_ATTEMPTS {
-        let snapshot = cx.control.snapshot();
-        let pin = version
-            .clone()
-            .map(|version| route::Pin { version, vm: None });
-        let req = route::RouteRequest {
-            class: ask.class,
-            pin,
-            prefix: ask.prefix,
-            excluded: tried,
-            domain: &cx.me.domain,
-            region: &cx.me.region,
-        };
-        let route = match route::decide(&snapshot, &ask.profile, &req, &mut fastrand::Rng::new()) {
-            Ok(route) => route,
-            Err(refusal) => return Err(last.unwrap_or(refusal)),
-        };
-        *attempts += 1;
-        tried.push(route.endpoint);
-        match dispatch(cx, ask, &snapshot, &route, *attempts, resume).await {
-            Ok(running) => return Ok(running),
-            Err(refusal) if refusal.code.is_retryable() => last = Some(refusal),
-            Err(refusal) => return Err(refusal),
+    /// What the present attempt has used as far as the entry can see.
+    fn observed(&self) -> attempt::Usage {
+        let prompt = self.ask().chat.messages.len() as u64 / BYTES_PER_TOKEN;
+        attempt::Usage {
+            prompt: units::Tokens(prompt),
+            output: units::Tokens(self.running.chunks),
         }
     }
-    Err(last.unwrap_or_else(|| {
-        errors::Refusal::new(
-            errors::ResultCode::Overloaded,
-            "no endpoint took the request",
-        )
-    }))
-}
 
-async fn dispatch(
-    cx: &cx::Shared,
-    ask: &entry::Ask,
-    snapshot: &control::Snapshot,
-    route: &route::Route,
-    number: u16,
-    resume: (u32, &str),
-) -> Result<Running, errors::Refusal> {
-    let view = snapshot.endpoints.get(route.endpoint).ok_or_else(|| {
-        errors::Refusal::new(errors::ResultCode::Unreachable, "the endpoint has gone")
-    })?;
-    let reason = if resume.0 > 0 {
-        route::Reason::Resume
-    } else {
-        route.reason
-    };
-    log::info!(
-        "route: request {} team {} profile {} attempt {number} to {} in {} on {}, reason {reason}, load {:.2}.",
-        ask.id,
-        ask.team,
-        ask.profile.name,
-        view.vm,
-        view.domain,
-        route.version,
-        view.load()
-    );
-    let attempt = attempt::Attempt::<attempt::Planned>::plan(
-        ask.id,
-        number,
-        view.vm.clone(),
-        route.version.clone(),
-        resume.0,
-    );
-    let in_flight = view.in_flight.enter();
-    let opening = wire::Opening::Dispatch(Box::new(frame(ask, snapshot, route, number, resume)));
-    let unreachable = |err: wire::WireError| {
-        errors::Refusal::new(errors::ResultCode::Unreachable, err.to_string())
-    };
-    let (tx, mut rx) = cx
-        .links
-        .open(&view.vm, &opening)
-        .await
-        .map_err(unreachable)?;
-    let attempt = attempt.dispatched();
-    match runtime::timeout_at(ask.deadline, wire::read::<wire::Reply>(&mut rx)).await {
-        Some(Ok(Some(wire::Reply::Accepted))) => Ok(Running {
-            attempt: attempt.accepted(),
-            rx,
-            _tx: tx,
-            _in_flight: in_flight,
-        }),
-        Some(Ok(Some(wire::Reply::Refused { refusal, .. }))) => Err(refusal),
-        Some(Ok(other)) => Err(errors::Refusal::new(
-            errors::ResultCode::Unreachable,
-            format!("unexpected reply: {other:?}"),
-        )),
-        // A model request may be repeated, so a lost connection is retried
-        // although the work may have begun.
-        Some(Err(err)) => Err(errors::Refusal::new(
-            errors::ResultCode::Unreachable,
-            err.to_string(),
-        )),
-        None => Err(errors::Refusal::new(
-            errors::ResultCode::DeadlineExceeded,
-            "the deadline passed",
-        )),
+    /// Tells that a request which was in flight in a crash has been answered.
+    fn exonerate(&self) {
+        let control = &self.dispatcher.cx.control;
+        let fingerprint = self.ask().fingerprint;
+        let suspicion = control.snapshot().quarantine.suspicion(fingerprint);
+        if suspicion == poison::Suspicion::Suspect {
+            control.send_lossy(control::Event::Completed(fingerprint));
+        }
+    }
+
+    async fn resume(&mut self, interruption: errors::Refusal) -> Result<(), errors::Refusal> {
+        let chunks = self.running.attempt.next_seq();
+        log::warn!(
+            "route: request {} interrupted after {chunks} chunks: {interruption}.",
+            self.ask().id
+        );
+        let pin = route::Pin {
+            version: self.version().clone(),
+            vm: None,
+            reason: route::Reason::Resume,
+        };
+        let progress = dispatcher::Progress {
+            chunks,
+            text: &self.text,
+        };
+        let resumed = self.dispatcher.open(Some(pin), progress).await;
+        self.running = resumed.map_err(|_| interruption)?;
+        self.settled = false;
+        Ok(())
     }
 }
 
-fn frame(
-    ask: &entry::Ask,
-    snapshot: &control::Snapshot,
-    route: &route::Route,
-    number: u16,
-    resume: (u32, &str),
-) -> attempt::Dispatch {
-    attempt::Dispatch {
-        request: ask.id,
-        attempt: number,
-        team: ask.team.clone(),
-        time_left: units::Millis::from(ask.deadline.saturating_duration_since(Instant::now())),
-        priority: ask.priority,
-        fingerprint: ask.fingerprint,
-        config: snapshot.config,
-        work: attempt::Work::Model {
-            profile: ask.profile.name.clone(),
-            version: route.version.clone(),
-            body: Arc::clone(&ask.chat.body),
-            resume_from: resume.0,
-            resume_text: resume.1.into(),
-        },
+impl Drop for Generation {
+    fn drop(&mut self) {
+        self.settle(self.observed());
     }
 }
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -3,14 +3,13 @@
 use std::sync::Arc;
 
 use hyper::body::Incoming;
-use hyper::header::AUTHORIZATION;
+use hyper::header::{AUTHORIZATION, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use serde_json::json;
 
 use crate::admin;
 use crate::control;
-use crate::entry::chat;
-use crate::entry::cx;
+use crate::entry::{chat, cx, input};
 use crate::errors;
 use crate::http;
 use crate::ids;
@@ -29,14 +28,18 @@
         Self { cx, admin }
     }
 
-    async fn answer(&self, req: Request<Incoming>) -> Result<http::Reply, errors::Refusal> {
+    async fn answer(
+        &self,
+        id: ids::RequestId,
+        req: Request<Incoming>,
+    ) -> Result<http::Reply, errors::Refusal> {
         if req.uri().path().starts_with(admin::PREFIX) {
             return self.admin.answer(&req);
         }
         match (req.method(), req.uri().path()) {
             (&Method::POST, "/v1/chat/completions") => {
                 let team = self.team(&req)?;
-                chat::complete(&self.cx, team, req).await
+                chat::complete(&self.cx, id, team, req).await
             }
             (&Method::GET, "/v1/models") => {
                 let team = self.team(&req)?;
@@ -93,12 +96,17 @@
 
 impl http::Handler for CallerApi {
     async fn handle(&self, req: Request<Incoming>) -> http::Reply {
-        match self.answer(req).await {
+        let id = ids::RequestId::generate();
+        let mut reply = match self.answer(id, req).await {
             Ok(reply) => reply,
             Err(refusal) => {
-                log::info!("route: refused: {refusal}.");
+                log::info!("route: request {id} refused: {refusal}.");
                 chat::refused(&refusal)
             }
+        };
+        if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
+            reply.headers_mut().insert(input::REQUEST_ID, value);
         }
+        reply
     }
 }
--- a/src/entry/role.rs
+++ b/src/entry/role.rs
@@ -1,8 +1,9 @@
 //! A running entry.
 
+use std::fs;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use smol::{Task, Timer};
@@ -13,11 +14,14 @@
 use crate::entry::cx;
 use crate::entry::effects;
 use crate::entry::handler;
+use crate::entry::usage;
 use crate::feed;
 use crate::fleet;
 use crate::http;
 use crate::platform;
+use crate::route;
 use crate::runtime;
+use crate::session;
 use crate::settings;
 use crate::system;
 use crate::wire;
@@ -30,6 +34,7 @@
 pub struct Entry {
     cx: cx::Shared,
     server: http::Server,
+    usage: Arc<usage::UsageWriter>,
     _tasks: Vec<Task<()>>,
 }
 
@@ -51,13 +56,19 @@
             control: control.clone(),
             traffic: traffic.clone(),
             links: links.clone(),
+            session_key: session_key(cfg)?,
+            outbox: Mutex::default(),
+            retries: Mutex::default(),
+            teams: route::TeamLoad::default(),
         });
         let log = platform::LogClient::new(settings.platform.log_addr, traffic.clone());
+        let usage = Arc::new(usage::UsageWriter::new(Arc::clone(&cx), log.clone()));
         let inventory = platform::Inventory::new(settings.platform.inventory_addr, traffic.clone());
         let tasks = vec![
             traffic.spawn(feed::follow_config(log.clone(), control.clone())),
             traffic.spawn(feed::follow_inventory(inventory, control)),
             traffic.spawn(effects::run(effect_rx, links)),
+            traffic.spawn(Arc::clone(&usage).run()),
         ];
         let admin = admin::AdminApi {
             token: cfg.operator_token_sha256,
@@ -70,6 +81,7 @@
         Ok(Self {
             cx,
             server,
+            usage,
             _tasks: tasks,
         })
     }
@@ -80,19 +92,31 @@
         self.server.addr()
     }
 
-    /// Stops taking new work and waits until accepted requests have been answered.
+    /// Stops taking new work and waits until accepted requests have been
+    /// answered and their usage is durable.
     pub async fn stop(&self, deadline: Instant) {
         self.cx.control.send(control::Event::Stop).await;
         self.server.close_idle();
-        while self.server.active() > 0 && Instant::now() < deadline {
+        while self.is_busy() && Instant::now() < deadline {
             Timer::after(DRAIN_POLL).await;
         }
+        self.usage.drain(deadline).await;
         self.cx.control.close();
     }
 
+    fn is_busy(&self) -> bool {
+        self.server.active() > 0 || self.cx.teams.total() > 0
+    }
+
     /// What the tasks share.
     #[must_use]
     pub const fn cx(&self) -> &cx::Shared {
         &self.cx
     }
 }
+
+fn session_key(cfg: &settings::EntrySettings) -> io::Result<session::SessionKey> {
+    let bytes = fs::read(&cfg.session_key_file)?;
+    session::SessionKey::new(&bytes)
+        .map_err(|err| io::Error::new(io::ErrorKind::InvalidData, err.to_string()))
+}
--- /dev/null
+++ b/src/entry/usage.rs
@@ -0,0 +1,122 @@
+//! Makes usage records durable.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Instant;
+
+use serde_json::Value;
+use smol::Timer;
+use smol::lock::Mutex;
+
+use crate::billing;
+use crate::entry::appender;
+use crate::entry::cx;
+use crate::ids;
+use crate::platform;
+use crate::runtime;
+use crate::wire;
+
+/// Records in one append; about 150 KB.
+const GROUP: usize = 500;
+/// Request ids in one confirmation.
+const CONFIRMED: usize = 1_000;
+
+/// Appends the outbox to the `usage` stream.
+#[derive(Debug)]
+pub struct UsageWriter {
+    cx: cx::Shared,
+    appender: Mutex<appender::Appender>,
+}
+
+impl UsageWriter {
+    /// A writer of the outbox of `cx`.
+    #[must_use]
+    pub fn new(cx: cx::Shared, log: platform::LogClient) -> Self {
+        let appender = appender::Appender::new(log, platform::Stream::Usage);
+        Self {
+            cx,
+            appender: Mutex::new(appender),
+        }
+    }
+
+    /// Appends at each flush interval.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            Timer::after(self.cx.cfg.usage_flush_ms.duration()).await;
+            if let Err(err) = self.flush().await {
+                let waiting = self.cx.with_outbox(|outbox| outbox.len());
+                log::warn!("billing: {waiting} usage records wait: {err}.");
+            }
+        }
+    }
+
+    /// Appends until nothing waits or the deadline passes.
+    pub async fn drain(&self, deadline: Instant) {
+        loop {
+            match runtime::timeout_at(deadline, self.flush()).await {
+                Some(Ok(())) => return,
+                Some(Err(err)) => log::warn!("billing: flush failed: {err}."),
+                None => break,
+            }
+            Timer::after(self.cx.cfg.usage_flush_ms.duration()).await;
+        }
+        let waiting = self.cx.with_outbox(|outbox| outbox.len());
+        log::warn!("billing: stopped with {waiting} usage records that are not durable.");
+    }
+
+    async fn flush(&self) -> Result<(), platform::PlatformError> {
+        let mut appender = self.appender.lock().await;
+        loop {
+            let group = self.cx.with_outbox(|outbox| outbox.group(GROUP));
+            if group.is_empty() {
+                return Ok(());
+            }
+            let durable = self.append(&mut appender, &group).await?;
+            log::debug!("billing: {} usage records are durable.", durable.len());
+            let by_vm = self.cx.with_outbox(|outbox| outbox.confirm(&durable));
+            self.confirm(by_vm).await;
+        }
+    }
+
+    async fn append(
+        &self,
+        appender: &mut appender::Appender,
+        group: &[Arc<billing::UsageRecord>],
+    ) -> Result<HashSet<ids::RequestId>, platform::PlatformError> {
+        let by_id: HashMap<String, ids::RequestId> = group
+            .iter()
+            .map(|record| (record.request.to_string(), record.request))
+            .collect();
+        if appender.is_unsure() {
+            let wanted = by_id.keys().cloned().collect();
+            let found = appender.find(&wanted, request_of).await?;
+            return Ok(found
+                .iter()
+                .filter_map(|id| by_id.get(id).copied())
+                .collect());
+        }
+        let records: Vec<Value> = group
+            .iter()
+            .filter_map(|record| serde_json::to_value(record).ok())
+            .collect();
+        appender.append(&records).await?;
+        Ok(by_id.into_values().collect())
+    }
+
+    /// Tells the processes beside the endpoints that they may drop their
+    /// copies. One that is not told appends its copy, which readers drop.
+    async fn confirm(&self, durable: billing::Durable) {
+        for (vm, requests) in durable {
+            for part in requests.chunks(CONFIRMED) {
+                let opening = wire::Opening::UsageDurable(part.to_vec());
+                if let Err(err) = self.cx.links.open(&vm, &opening).await {
+                    log::debug!("billing: {vm} was not told of durable records: {err}.");
+                }
+            }
+        }
+    }
+}
+
+fn request_of(record: &Value) -> String {
+    record["request"].as_str().unwrap_or_default().to_owned()
+}
--- a/src/errors/result_code.rs
+++ b/src/errors/result_code.rs
@@ -41,6 +41,8 @@
     Quarantined = 1422,
     /// The headers are over the size limit.
     HeadersTooLarge = 1431,
+    /// The caller went away before the answer was complete; only in records.
+    Cancelled = 1499,
     /// A fault of the router itself; the request may have run.
     Internal = 1500,
     /// The answer broke off after it had begun and could not be resumed.
@@ -117,7 +119,8 @@
     pub const fn is_not_run(self) -> bool {
         !matches!(
             self,
-            Self::Internal
+            Self::Cancelled
+                | Self::Internal
                 | Self::Interrupted
                 | Self::DeadlineExceeded
                 | Self::KeyReused
@@ -156,7 +159,8 @@
             | Self::UnknownPath
             | Self::UnknownService
             | Self::UnknownObject => 404,
-            Self::SlowRequest => 408,
+            // No status reaches a caller that has gone.
+            Self::SlowRequest | Self::Cancelled => 408,
             Self::InProgress => 409,
             Self::KeyExpired => 410,
             Self::Conflict => 412,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod rollout;
 pub mod route;
 pub mod runtime;
+pub mod session;
 pub mod settings;
 pub mod sidecar;
 pub mod standin;
--- a/src/route/chosen.rs
+++ b/src/route/chosen.rs
@@ -3,6 +3,7 @@
 use crate::control;
 use crate::ids;
 use crate::route;
+use crate::session;
 
 /// Where a request goes, and why.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,4 +14,6 @@
     pub endpoint: control::EndpointKey,
     /// Why this version.
     pub reason: route::Reason,
+    /// Why the session's version was not kept, where it was not.
+    pub moved: Option<session::Moved>,
 }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,7 +2,9 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
+mod billing;
 mod catalog;
+mod session;
 mod testing;
 mod thin_path;
 mod values;
