Calls: plain services with at-most-once execution

Plain services were not served at all.

Calls of idempotent methods are tried again on a true refusal and on a lost connection. All others need an Idempotency-Key and are claimed in the calls stream: claims are appended in groups of 10 ms and dispatched only once read back as the winner of their generation. A claim without outcome is settled by fencing it at the process that it names. The ledger keeps only the offset of an answer; a replay reads it again from the log. Links tells whether a connection is up, since a call that was never sent has certainly not run.

--- a/src/entry/cx.rs
+++ b/src/entry/cx.rs
@@ -33,6 +33,8 @@
     pub session_key: session::SessionKey,
     /// Usage records that are not durable yet.
     pub outbox: Mutex<billing::Outbox>,
+    /// Non-idempotent calls.
+    pub calls: Arc<entry::CallBook>,
     /// Bound on the load that retries add.
     pub retries: Mutex<route::RetryBudget>,
     /// Requests of each team that run.
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -9,7 +9,7 @@
 
 use crate::admin;
 use crate::control;
-use crate::entry::{chat, cx, input};
+use crate::entry::{chat, cx, input, service};
 use crate::errors;
 use crate::http;
 use crate::ids;
@@ -36,6 +36,10 @@
         if req.uri().path().starts_with(admin::PREFIX) {
             return self.admin.answer(&req);
         }
+        if req.uri().path().starts_with(service::PREFIX) {
+            let team = self.team(&req)?;
+            return service::call(&self.cx, id, team, req).await;
+        }
         match (req.method(), req.uri().path()) {
             (&Method::POST, "/v1/chat/completions") => {
                 let team = self.team(&req)?;
@@ -97,11 +101,16 @@
 impl http::Handler for CallerApi {
     async fn handle(&self, req: Request<Incoming>) -> http::Reply {
         let id = ids::RequestId::generate();
+        let is_service = req.uri().path().starts_with(service::PREFIX);
         let mut reply = match self.answer(id, req).await {
             Ok(reply) => reply,
             Err(refusal) => {
                 log::info!("route: request {id} refused: {refusal}.");
-                chat::refused(&refusal)
+                if is_service {
+                    service::refused(&refusal)
+                } else {
+                    chat::refused(&refusal)
+                }
             }
         };
         if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -83,6 +83,16 @@
             .remove(vm);
     }
 
+    /// Whether there is a connection to the process on `vm`.
+    #[must_use]
+    pub fn is_up(&self, vm: &ids::VmName) -> bool {
+        self.shared
+            .up
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .contains_key(vm)
+    }
+
     /// Opens a stream to the process on `vm`.
     pub async fn open(
         &self,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,6 +3,7 @@
 mod appender;
 mod ask;
 mod bill;
+mod call_book;
 mod chat;
 mod completion;
 mod cx;
@@ -12,11 +13,17 @@
 mod handler;
 mod input;
 mod links;
+mod once;
 mod role;
+mod service;
+mod service_ask;
+mod service_run;
 mod usage;
 
 pub use ask::{Ask, ChatRequest};
+pub use call_book::CallBook;
 pub use cx::EntryCx;
 pub use generation::{Generation, Step};
 pub use links::Links;
 pub use role::Entry;
+pub use service_ask::ServiceAsk;
--- a/src/entry/role.rs
+++ b/src/entry/role.rs
@@ -50,6 +50,8 @@
         let (control, effect_rx, _thread) =
             control::Control::spawn(control::World::new(me.clone()), system::ENTRY)?;
         let links = entry::Links::new(me.clone(), node, control.clone(), traffic.clone());
+        let log = platform::LogClient::new(settings.platform.log_addr, traffic.clone());
+        let calls = Arc::new(entry::CallBook::new(log.clone()));
         let cx = Arc::new(cx::EntryCx {
             me,
             cfg: cfg.clone(),
@@ -58,10 +60,10 @@
             links: links.clone(),
             session_key: session_key(cfg)?,
             outbox: Mutex::default(),
+            calls: Arc::clone(&calls),
             retries: Mutex::default(),
             teams: route::TeamLoad::default(),
         });
-        let log = platform::LogClient::new(settings.platform.log_addr, traffic.clone());
         let usage = Arc::new(usage::UsageWriter::new(Arc::clone(&cx), log.clone()));
         let inventory = platform::Inventory::new(settings.platform.inventory_addr, traffic.clone());
         let tasks = vec![
@@ -69,6 +71,8 @@
             traffic.spawn(feed::follow_inventory(inventory, control)),
             traffic.spawn(effects::run(effect_rx, links)),
             traffic.spawn(Arc::clone(&usage).run()),
+            traffic.spawn(Arc::clone(&calls).follow()),
+            traffic.spawn(calls.commit()),
         ];
         let admin = admin::AdminApi {
             token: cfg.operator_token_sha256,
@@ -100,6 +104,7 @@
         while self.is_busy() && Instant::now() < deadline {
             Timer::after(DRAIN_POLL).await;
         }
+        self.cx.calls.drain(deadline).await;
         self.usage.drain(deadline).await;
         self.cx.control.close();
     }
--- /dev/null
+++ b/src/entry/service.rs
@@ -0,0 +1,186 @@
+//! `/v1/services/<service>/<path>`.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Request, StatusCode};
+use serde_json::json;
+use smol::channel;
+
+use crate::attempt;
+use crate::calls;
+use crate::catalog;
+use crate::control;
+use crate::entry;
+use crate::entry::{cx, input, once, service_run};
+use crate::errors;
+use crate::http;
+use crate::ids;
+use crate::units;
+
+/// Paths of plain services.
+pub const PREFIX: &str = "/v1/services/";
+
+/// Answers a call.
+pub async fn call(
+    cx: &cx::Shared,
+    id: ids::RequestId,
+    team: control::TeamView,
+    req: Request<Incoming>,
+) -> Result<http::Reply, errors::Refusal> {
+    let ask = read_ask(cx, id, team, req).await?;
+    let repeatable = ask.key.is_none();
+    let answer = run(cx, ask).await?;
+    let mut reply = reply(answer);
+    let repeatable = HeaderValue::from_static(if repeatable { "true" } else { "false" });
+    reply
+        .headers_mut()
+        .insert("x-quetzalworks-repeatable", repeatable);
+    Ok(reply)
+}
+
+/// Runs the call in a task of its own, so that a caller who goes away does
+/// not leave a call without outcome.
+async fn run(
+    cx: &cx::Shared,
+    ask: entry::ServiceAsk,
+) -> Result<attempt::ServiceAnswer, errors::Refusal> {
+    let Some(key) = ask.key.clone() else {
+        let mut run = service_run::ServiceRun::new(cx.clone(), ask);
+        let result = run.repeatable().await;
+        run.bill
+            .close(result.as_ref().err().map(|refusal| refusal.code));
+        return result;
+    };
+    let mut run = service_run::ServiceRun::new(cx.clone(), ask);
+    let (tx, rx) = channel::bounded(1);
+    let task = async move {
+        let result = once::run(&mut run, &key).await;
+        run.bill
+            .close(result.as_ref().err().map(|refusal| refusal.code));
+        let _ = tx.send(result).await;
+    };
+    cx.traffic.spawn(task).detach();
+    rx.recv().await.unwrap_or_else(|_| {
+        Err(errors::Refusal::new(
+            errors::ResultCode::OutcomeUnknown,
+            "the call's task has ended",
+        ))
+    })
+}
+
+async fn read_ask(
+    cx: &cx::Shared,
+    id: ids::RequestId,
+    team: control::TeamView,
+    req: Request<Incoming>,
+) -> Result<entry::ServiceAsk, errors::Refusal> {
+    let (name, path) = target(req.uri())?;
+    let snapshot = cx.control.snapshot();
+    let service = snapshot.services.get(&name).ok_or_else(|| {
+        errors::Refusal::new(
+            errors::ResultCode::UnknownService,
+            format!("no service {name}"),
+        )
+    })?;
+    if !service.teams.contains(&team.name) {
+        return Err(errors::Refusal::new(
+            errors::ResultCode::NotAllowed,
+            format!("the team may not call service {name}"),
+        ));
+    }
+    let permit = cx.admit(&team)?;
+    let (head, body) = req.into_parts();
+    let method: Arc<str> = head.method.as_str().into();
+    let key = key(service, &method, &head.headers)?;
+    let limit = input::header(&head.headers, "x-quetzalworks-deadline-ms")
+        .map(|text| input::parse::<units::Millis>(text, "x-quetzalworks-deadline-ms"))
+        .transpose()?;
+    let priority = input::header(&head.headers, "x-quetzalworks-priority")
+        .map(|text| input::parse(text, "x-quetzalworks-priority"))
+        .transpose()?;
+    let body = input::body(cx, body).await?;
+    Ok(entry::ServiceAsk {
+        id,
+        team: team.name,
+        method,
+        path,
+        content_type: input::header(&head.headers, CONTENT_TYPE.as_str()).map(Arc::from),
+        body: body.to_vec(),
+        key,
+        deadline: Instant::now() + limit.unwrap_or(service.deadline_ms).duration(),
+        priority: priority.unwrap_or_default(),
+        permit,
+        service: name,
+    })
+}
+
+/// The service's name, and path and query at the service.
+fn target(uri: &hyper::Uri) -> Result<(ids::ServiceName, Arc<str>), errors::Refusal> {
+    let whole = uri.path_and_query().map_or("/", |path| path.as_str());
+    let rest = whole.strip_prefix(PREFIX).unwrap_or_default();
+    let split = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (name, path) = rest.split_at(split);
+    let name = name.parse().map_err(|err| {
+        errors::Refusal::new(errors::ResultCode::UnknownService, format!("{err}"))
+    })?;
+    let path = if path.starts_with('/') {
+        path.into()
+    } else {
+        format!("/{path}").into()
+    };
+    Ok((name, path))
+}
+
+/// The key of a call that runs at most once; `None` for one that may be repeated.
+fn key(
+    service: &catalog::Service,
+    method: &str,
+    headers: &hyper::HeaderMap,
+) -> Result<Option<calls::Key>, errors::Refusal> {
+    if service.is_idempotent(method) {
+        return Ok(None);
+    }
+    let text = input::header(headers, "idempotency-key").ok_or_else(|| {
+        errors::Refusal::new(
+            errors::ResultCode::KeyMissing,
+            format!("{method} needs an Idempotency-Key"),
+        )
+    })?;
+    let key = input::parse(text, "Idempotency-Key")?;
+    once::check_key(&key, service.undated_keys)?;
+    Ok(Some(key))
+}
+
+fn reply(answer: attempt::ServiceAnswer) -> http::Reply {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut reply = http::full(status, "application/octet-stream", answer.body);
+    match answer.content_type.map(|text| HeaderValue::from_str(&text)) {
+        Some(Ok(value)) => reply.headers_mut().insert(CONTENT_TYPE, value),
+        _ => reply.headers_mut().remove(CONTENT_TYPE),
+    };
+    reply
+}
+
+/// The response to a refused call.
+#[must_use]
+pub fn refused(refusal: &errors::Refusal) -> http::Reply {
+    let status = StatusCode::from_u16(refusal.code.http_status())
+        .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let body = json!({
+        "type": format!("urn:quetzalworks:result:{}", refusal.code.number()),
+        "title": refusal.code.to_string(),
+        "status": status.as_u16(),
+        "detail": &*refusal.message,
+        "code": refusal.code.number(),
+        "not_run": refusal.code.is_not_run(),
+    });
+    let mut reply = http::full(status, "application/problem+json", body.to_string());
+    if let Some(delay) = refusal.retry_after {
+        let seconds = HeaderValue::from(delay.0.div_ceil(1_000));
+        reply.headers_mut().insert(RETRY_AFTER, seconds);
+    }
+    reply
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod attempt;
 pub mod billing;
+pub mod calls;
 pub mod catalog;
 pub mod control;
 pub mod daemon;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
 mod billing;
+mod calls;
 mod catalog;
 mod session;
 mod testing;
