Tests of the routing decision, retry budget and team limits

The decision's cases were not covered: sessions in roll-outs, withdrawn versions, affinity, distance, exclusion, suspects and deadlines.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -5,6 +5,7 @@
 mod billing;
 mod calls;
 mod catalog;
+mod route;
 mod session;
 mod testing;
 mod thin_path;
