Entry: verified cascade, sampled ratings and evidence

Answers were never rated, so estimates could not learn and verify had no effect.

A whole answer of a profile with verify is rated and, below the target, given again by the next version in order of cost while time permits; one bill covers all runs. Of other answers 5% are rated in the background, of versions in roll-out all. Evidence goes to the log every evidence_flush_ms (10 s) and tells what each roll-out's allotment has spent, for which the view of a roll-out now has its name. Sessions keep their version and are only sampled.

--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -101,6 +101,8 @@
 /// A version that enters a profile.
 #[derive(Clone, Debug)]
 pub struct RolloutView {
+    /// The roll-out's name.
+    pub name: Arc<str>,
     /// The version.
     pub version: VersionView,
     /// Share of requests that it receives at the present step.
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -9,7 +9,7 @@
 use smol::channel::{self, Sender};
 
 use crate::control;
-use crate::entry::{ask, bill, completion, cx, generation, input};
+use crate::entry::{ask, bill, cascade, completion, cx, generation, input};
 use crate::errors;
 use crate::http;
 use crate::ids;
@@ -31,7 +31,7 @@
     let ask = read_ask(cx, id, team, req).await?;
     let generation = generation::Generation::start(cx.clone(), ask).await?;
     if generation.ask().chat.stream {
-        let headers = headers(cx, &generation);
+        let headers = headers(cx, &generation, generation.version(), generation.vm());
         let mut reply = stream(cx, generation);
         reply.headers_mut().extend(headers);
         return Ok(reply);
@@ -80,13 +80,18 @@
     Ok(ask)
 }
 
-fn headers(cx: &cx::Shared, generation: &generation::Generation) -> HeaderMap {
+fn headers(
+    cx: &cx::Shared,
+    generation: &generation::Generation,
+    version: &ids::VersionName,
+    vm: &ids::VmName,
+) -> HeaderMap {
     let ask = generation.ask();
     let token = session::Token {
         team: ask.team.clone(),
         profile: ask.profile.name.clone(),
-        version: generation.version().clone(),
-        vm: generation.vm().clone(),
+        version: version.clone(),
+        vm: vm.clone(),
         made_at: bill::now(),
     };
     let mut headers = HeaderMap::new();
@@ -95,7 +100,7 @@
             headers.insert(HeaderName::from_static(name), value);
         }
     };
-    put("x-quetzalworks-version", generation.version().to_string());
+    put("x-quetzalworks-version", version.to_string());
     put("x-quetzalworks-repeatable", "true".into());
     put(SESSION, token.seal(&cx.session_key));
     if let Some(moved) = generation.moved() {
@@ -108,48 +113,59 @@
     cx: &cx::Shared,
     mut generation: generation::Generation,
 ) -> Result<http::Reply, errors::Refusal> {
-    let finish = match read_to_end(&mut generation).await {
-        Ok(finish) => finish,
+    let answer = match cascade::answer(cx, &mut generation).await {
+        Ok(answer) => answer,
         Err(refusal) => {
-            generation.close(Some(refusal.code));
+            end(cx, &mut generation, Some(&refusal));
             return Err(refusal);
         }
     };
     let (cost, usage) = generation.totals();
-    generation.close(None);
-    log::info!(
-        "route: request {} answered, {} generated, cost {cost}.",
-        generation.ask().id,
-        usage.output
-    );
+    end(cx, &mut generation, None);
     let completion = completion::Completion::new(generation.ask());
-    let body = completion.whole(generation.text(), &finish, usage);
+    let body = completion.whole(&answer.text, &answer.finish, usage);
     let mut reply = http::json(StatusCode::OK, &body);
-    reply.headers_mut().extend(headers(cx, &generation));
+    let headers = headers(cx, &generation, &answer.version, &answer.vm);
+    reply.headers_mut().extend(headers);
     reply
         .headers_mut()
         .insert("x-quetzalworks-cost", HeaderValue::from(cost.0));
     Ok(reply)
 }
 
-/// Reads the answer; returns why the model stopped.
-async fn read_to_end(generation: &mut generation::Generation) -> Result<Arc<str>, errors::Refusal> {
-    loop {
-        if let generation::Step::End(finish) = generation.next().await? {
-            return Ok(finish);
-        }
+/// Closes the bill and logs how the request has ended.
+fn end(
+    cx: &cx::Shared,
+    generation: &mut generation::Generation,
+    refusal: Option<&errors::Refusal>,
+) {
+    let (cost, usage) = generation.totals();
+    generation.close(refusal.map(|refusal| refusal.code));
+    let id = generation.ask().id;
+    let Some(refusal) = refusal else {
+        log::info!(
+            "route: request {id} answered, {} generated, cost {cost}.",
+            usage.output
+        );
+        return;
+    };
+    log::warn!("route: request {id} ended: {refusal}.");
+    if generation.has_failed() {
+        cascade::offer(cx, generation, None);
     }
 }
 
 fn stream(cx: &cx::Shared, generation: generation::Generation) -> http::Reply {
     let (tx, rx) = channel::bounded(STREAM_BUFFER);
-    cx.traffic.spawn(send_events(generation, tx)).detach();
+    cx.traffic
+        .spawn(send_events(Arc::clone(cx), generation, tx))
+        .detach();
     http::streamed(StatusCode::OK, "text/event-stream", rx)
 }
 
 /// Sends the answer's events; ends early where the caller has gone, which
 /// drops the generation and cancels the work.
-async fn send_events(mut generation: generation::Generation, tx: Sender<Bytes>) {
+async fn send_events(cx: cx::Shared, mut generation: generation::Generation, tx: Sender<Bytes>) {
     let completion = completion::Completion::new(generation.ask());
     let include_usage = generation.ask().chat.include_usage;
     if tx.send(completion.first()).await.is_err() {
@@ -159,19 +175,14 @@
         let (event, last) = match generation.next().await {
             Ok(generation::Step::Text(text)) => (completion.text(&text), false),
             Ok(generation::Step::End(finish)) => {
-                let (cost, usage) = generation.totals();
-                generation.close(None);
-                log::info!(
-                    "route: request {} answered, {} generated, cost {cost}.",
-                    generation.ask().id,
-                    usage.output
-                );
+                let usage = generation.totals().1;
+                end(&cx, &mut generation, None);
+                cascade::offer(&cx, &generation, Some(generation.text().into()));
                 let event = completion.end(&finish, include_usage.then_some(usage));
                 (event, true)
             }
             Err(refusal) => {
-                generation.close(Some(refusal.code));
-                log::warn!("route: request {} ended: {refusal}.", generation.ask().id);
+                end(&cx, &mut generation, Some(&refusal));
                 (completion::Completion::error(&refusal), true)
             }
         };
--- a/src/entry/cx.rs
+++ b/src/entry/cx.rs
@@ -35,6 +35,8 @@
     pub outbox: Mutex<billing::Outbox>,
     /// Non-idempotent calls.
     pub calls: Arc<entry::CallBook>,
+    /// Ratings of answers.
+    pub ratings: Arc<entry::Ratings>,
     /// Bound on the load that retries add.
     pub retries: Mutex<route::RetryBudget>,
     /// Requests of each team that run.
--- a/src/entry/generation.rs
+++ b/src/entry/generation.rs
@@ -43,6 +43,8 @@
     text: String,
     /// Whether the usage of the present attempt is on the bill.
     settled: bool,
+    /// Whether the engine has failed the present attempt.
+    failed: bool,
 }
 
 impl Generation {
@@ -56,6 +58,7 @@
                 running,
                 text: String::new(),
                 settled: false,
+                failed: false,
             }),
             Err(refusal) => {
                 dispatcher.bill.close(Some(refusal.code));
@@ -79,6 +82,7 @@
         self.running = opened?;
         self.text.clear();
         self.settled = false;
+        self.failed = false;
         Ok(())
     }
 
@@ -106,6 +110,12 @@
         self.dispatcher.moved
     }
 
+    /// Whether the version, and not the way to it, has failed the request.
+    #[must_use]
+    pub const fn has_failed(&self) -> bool {
+        self.failed
+    }
+
     /// Text of the answer so far.
     #[must_use]
     pub fn text(&self) -> &str {
@@ -155,6 +165,7 @@
             Some(Ok(Some(wire::Reply::Failed { refusal, usage }))) => {
                 self.settle(usage);
                 if refusal.code == errors::ResultCode::Interrupted {
+                    self.failed = true;
                     Progress::Interrupted(refusal)
                 } else {
                     Progress::Ended(refusal)
@@ -235,6 +246,7 @@
         let resumed = self.dispatcher.open(Some(pin), progress).await;
         self.running = resumed.map_err(|_| interruption)?;
         self.settled = false;
+        self.failed = false;
         Ok(())
     }
 }
--- a/src/entry/role.rs
+++ b/src/entry/role.rs
@@ -13,8 +13,10 @@
 use crate::entry;
 use crate::entry::cx;
 use crate::entry::effects;
+use crate::entry::evidence;
 use crate::entry::handler;
 use crate::entry::usage;
+use crate::estimate;
 use crate::feed;
 use crate::fleet;
 use crate::http;
@@ -52,6 +54,7 @@
         let links = entry::Links::new(me.clone(), node, control.clone(), traffic.clone());
         let log = platform::LogClient::new(settings.platform.log_addr, traffic.clone());
         let calls = Arc::new(entry::CallBook::new(log.clone()));
+        let ratings = Arc::new(ratings(settings, &me, &traffic));
         let cx = Arc::new(cx::EntryCx {
             me,
             cfg: cfg.clone(),
@@ -61,6 +64,7 @@
             session_key: session_key(cfg)?,
             outbox: Mutex::default(),
             calls: Arc::clone(&calls),
+            ratings: Arc::clone(&ratings),
             retries: Mutex::default(),
             teams: route::TeamLoad::default(),
         });
@@ -73,6 +77,8 @@
             traffic.spawn(Arc::clone(&usage).run()),
             traffic.spawn(Arc::clone(&calls).follow()),
             traffic.spawn(calls.commit()),
+            traffic.spawn(ratings.run()),
+            traffic.spawn(evidence::run(Arc::clone(&cx), log.clone())),
         ];
         let admin = admin::AdminApi {
             token: cfg.operator_token_sha256,
@@ -120,6 +126,17 @@
     }
 }
 
+fn ratings(
+    settings: &settings::Settings,
+    me: &fleet::Identity,
+    traffic: &runtime::Traffic,
+) -> entry::Ratings {
+    let addr = settings.platform.rating_addr;
+    let client = addr.map(|addr| platform::Rating::new(addr, traffic.clone()));
+    let collector = estimate::Collector::new(me.vm.clone(), me.incarnation);
+    entry::Ratings::new(client, collector)
+}
+
 fn session_key(cfg: &settings::EntrySettings) -> io::Result<session::SessionKey> {
     let bytes = fs::read(&cfg.session_key_file)?;
     session::SessionKey::new(&bytes)
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,8 +4,10 @@
 mod inventory;
 mod log_client;
 mod page;
+mod rating;
 
 pub use error::PlatformError;
 pub use inventory::{Inventory, Vm, VmState};
 pub use log_client::LogClient;
 pub use page::{Append, LogRecord, Page, Stream};
+pub use rating::{RateRequest, Rating};
--- a/src/route/cascade.rs
+++ b/src/route/cascade.rs
@@ -2,25 +2,33 @@
 
 use crate::control;
 use crate::ids;
+use crate::units;
 
-/// The next more expensive version after `last` that has endpoints; versions
-/// in roll-out take no part, since a cascade would evade their allotment.
+/// Token counts by which the costs of versions are compared.
+const TYPICAL: (units::Tokens, units::Tokens) = (units::Tokens(1_000), units::Tokens(500));
+
+/// The cheapest version that has endpoints, has not been tried and costs no
+/// less than the last one tried. Versions in roll-out take no part, since a
+/// cascade would evade their allotment.
 #[must_use]
 pub fn next_by_cost<'a>(
     snapshot: &control::Snapshot,
     profile: &'a control::ProfileView,
-    last: &ids::VersionName,
     tried: &[ids::VersionName],
 ) -> Option<&'a ids::VersionName> {
-    let from = profile
+    let cost = |view: &control::VersionView| view.version.cost(TYPICAL.0, TYPICAL.1);
+    let entering = profile.rollouts.iter().map(|rollout| &rollout.version);
+    let last = profile
         .versions
         .iter()
-        .position(|view| view.name == *last)
-        .map_or(0, |place| place + 1);
-    profile.versions[from..]
+        .chain(entering)
+        .find(|view| Some(&view.name) == tried.last())
+        .map(cost)?;
+    profile
+        .versions
         .iter()
+        .filter(|view| cost(view) >= last && !tried.contains(&view.name))
         .map(|view| &view.name)
-        .filter(|name| !tried.contains(name))
         .find(|name| {
             snapshot
                 .by_version
--- a/src/settings/fields.rs
+++ b/src/settings/fields.rs
@@ -89,6 +89,9 @@
     /// Time between appends of usage records.
     #[serde(default = "default_usage_flush")]
     pub usage_flush_ms: units::Millis,
+    /// Time between appends of ratings.
+    #[serde(default = "default_evidence_flush")]
+    pub evidence_flush_ms: units::Millis,
 }
 
 /// Bounds on what a caller may send.
@@ -166,6 +169,10 @@
     units::Millis(1_000)
 }
 
+const fn default_evidence_flush() -> units::Millis {
+    units::Millis(10_000)
+}
+
 const fn default_cold_limit() -> u32 {
     2
 }
--- a/src/system/snapshot.rs
+++ b/src/system/snapshot.rs
@@ -100,14 +100,15 @@
         .filter_map(|version| version_view(world, version))
         .collect();
     let mut rollouts = Vec::new();
-    for (_, plan) in world
+    for (rollout, plan) in world
         .rollouts
-        .iter()
+        .named()
         .filter(|(_, plan)| plan.profile == *name)
     {
         versions.retain(|version| version.name != plan.version);
         rollouts.extend(
             version_view(world, &plan.version).map(|version| control::RolloutView {
+                name: Arc::clone(rollout),
                 version,
                 share: units::Share::default(),
                 allotment: Arc::default(),
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -5,6 +5,7 @@
 mod billing;
 mod calls;
 mod catalog;
+mod evidence;
 mod route;
 mod session;
 mod testing;
--- a/tests/integration/route.rs
+++ b/tests/integration/route.rs
@@ -10,7 +10,7 @@
 use quetzalworks::errors::ResultCode;
 use quetzalworks::estimate::RequestClass;
 use quetzalworks::fleet::{Report, Warmth};
-use quetzalworks::ids::{Fingerprint, Incarnation};
+use quetzalworks::ids::{Fingerprint, Incarnation, VersionName};
 use quetzalworks::poison::Quarantine;
 use quetzalworks::rollout::Allotment;
 use quetzalworks::route::{self, Pin, Reason, RetryBudget, RouteRequest, TeamLoad};
@@ -48,6 +48,7 @@
         }),
         versions: vec![version("small", 1, 0.6), version("large", 9, 0.9)],
         rollouts: vec![RolloutView {
+            name: "new-in-chat".into(),
             version: version("new", 5, 0.8),
             share: Share::clamped(share),
             allotment: Arc::new(Allotment::new(allotment)),
@@ -364,6 +365,49 @@
     assert_eq!(best, chosen.first());
 }
 
+/// Guards against a cascade that goes back to a cheaper version, to one without
+/// endpoint, or around the allotment of a roll-out.
+#[test]
+fn cascades_go_up_in_cost() {
+    struct Case {
+        tried: &'static [&'static str],
+        next: Option<&'static str>,
+    }
+    let cases = [
+        Case {
+            tried: &["small"],
+            next: Some("large"),
+        },
+        Case {
+            tried: &["new"],
+            next: Some("large"),
+        },
+        Case {
+            tried: &["large"],
+            next: None,
+        },
+        Case {
+            tried: &["small", "large"],
+            next: None,
+        },
+        Case {
+            tried: &["gone"],
+            next: None,
+        },
+    ];
+    let (snapshot, _) = fleet(|_, _| {});
+    for case in cases {
+        let tried: Vec<_> = case
+            .tried
+            .iter()
+            .map(|name| name.parse().unwrap())
+            .collect();
+        let profile = profile(1.0, 9);
+        let next = route::next_by_cost(&snapshot, &profile, &tried);
+        assert_eq!(next.map(VersionName::as_str), case.next, "{:?}", case.tried);
+    }
+}
+
 /// Guards against retries that exceed a tenth of the requests and the burst.
 #[test]
 fn retries_are_bounded() {
