Test that a cancelled answer is billed

A caller that goes away in the middle of a stream must not get the work for free; no test covered this.

--- a/tests/integration/billing.rs
+++ b/tests/integration/billing.rs
@@ -1,6 +1,8 @@
 //! Usage records and the outbox.
 
 use std::collections::HashSet;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::sync::Arc;
 
 use quetzalworks::attempt::Usage;
@@ -230,3 +232,37 @@
         assert!(records[0].cost > MicroCost(0));
     }
 }
+
+/// Guards against work that a caller has cancelled and nobody is billed for.
+#[test]
+fn a_cancelled_answer_is_billed() {
+    let cluster = Cluster::start(1, 1);
+    let body = json!({
+        "model": "chat", "stream": true, "max_tokens": 100_000,
+        "messages": [{ "role": "user", "content": "for ever" }],
+    })
+    .to_string();
+    let mut caller = TcpStream::connect(cluster.entry_addr(0)).unwrap();
+    write!(
+        caller,
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        cluster.team_token,
+        body.len()
+    )
+    .unwrap();
+    let mut buf = [0; 4_096];
+    assert!(caller.read(&mut buf).unwrap() > 0);
+    drop(caller);
+    let cancelled = || {
+        let mut records = cluster.log.records(Stream::Usage).into_iter();
+        records.find(|record| record["result"] == "cancelled")
+    };
+    wait::until("the record of the cancelled answer", || {
+        cancelled().is_some()
+    });
+    let record: UsageRecord = serde_json::from_value(cancelled().unwrap()).unwrap();
+    assert!(record.usage.prompt > Tokens(0));
+    assert!(record.usage.output < Tokens(100_000));
+    assert!(record.cost > MicroCost(0));
+}
