Outbox: confirm from the front

Each confirmation scanned the whole queue, which after an outage holds up to 150,000 records while callers wait for its lock. The durable records are the oldest, so the search now stops at the last of them.

--- a/src/billing/outbox.rs
+++ b/src/billing/outbox.rs
@@ -59,19 +59,28 @@
         self.waiting.iter().take(max).map(Arc::clone).collect()
     }
 
-    /// Drops durable records and tells which VMs ran them.
+    /// Drops durable records and tells which VMs ran them. They are among the
+    /// oldest, so the search ends long before the end of a full outbox.
     pub fn confirm(&mut self, durable: &HashSet<ids::RequestId>) -> Durable {
         let mut by_vm = Durable::new();
-        self.waiting.retain(|record| {
+        let mut kept = Vec::new();
+        let mut left = durable.len();
+        while left > 0
+            && let Some(record) = self.waiting.pop_front()
+        {
             if !durable.contains(&record.request) {
-                return true;
+                kept.push(record);
+                continue;
             }
+            left -= 1;
             let vms: HashSet<_> = record.attempts.iter().map(|attempt| &attempt.vm).collect();
             for vm in vms {
                 by_vm.entry(vm.clone()).or_default().push(record.request);
             }
-            false
-        });
+        }
+        for record in kept.into_iter().rev() {
+            self.waiting.push_front(record);
+        }
         by_vm
     }
 
