Route: explore only other versions than the one chosen anyway

A cheapest version that met the target was drawn by exploration as well, so part of the 2% was spent on nothing and its reason in the record was wrong.

--- a/src/route/versions.rs
+++ b/src/route/versions.rs
@@ -112,16 +112,17 @@
             return Some((&rollout.version.name, route::Reason::Rollout));
         }
     }
-    if rng.f64() < EXPLORE_SHARE
-        && let Some(view) = explored(snapshot, profile, req, rng)
-    {
-        return Some((&view.name, route::Reason::Explore));
-    }
     let target = profile.profile.quality_target;
     let estimate = |view: &control::VersionView| snapshot.estimates.get(&view.name, req.class);
     let meets =
         |view: &&control::VersionView| estimate(view).lower(view.version.prior_quality) >= target;
-    if let Some(view) = profile.versions.iter().filter(served).find(meets) {
+    let cheapest = profile.versions.iter().filter(served).find(meets);
+    if rng.f64() < EXPLORE_SHARE
+        && let Some(view) = explored(snapshot, profile, req, cheapest, rng)
+    {
+        return Some((&view.name, route::Reason::Explore));
+    }
+    if let Some(view) = cheapest {
         return Some((&view.name, route::Reason::CheapestAtTarget));
     }
     let mean = |view: &control::VersionView| estimate(view).mean(view.version.prior_quality).get();
@@ -133,19 +134,25 @@
     best.map(|view| (&view.name, route::Reason::BestBelowTarget))
 }
 
-/// A random version whose prior meets the target. One that is not estimated
-/// to meet it gets the ratings by which it may prove itself again.
+/// A random version whose prior meets the target, other than the cheapest that
+/// is estimated to meet it. One that is estimated below the target gets the
+/// ratings by which it may prove itself again.
 fn explored<'a>(
     snapshot: &control::Snapshot,
     profile: &'a control::ProfileView,
     req: &route::RouteRequest<'_>,
+    cheapest: Option<&control::VersionView>,
     rng: &mut Rng,
 ) -> Option<&'a control::VersionView> {
     let target = profile.profile.quality_target;
     let mut chosen = None;
     let mut count = 0.0;
     for view in &profile.versions {
-        if view.version.prior_quality >= target && has_endpoint(snapshot, &view.name, req) {
+        let chosen_anyway = cheapest.is_some_and(|cheapest| cheapest.name == view.name);
+        if !chosen_anyway
+            && view.version.prior_quality >= target
+            && has_endpoint(snapshot, &view.name, req)
+        {
             count += 1.0;
             if rng.f64() * count < 1.0 {
                 chosen = Some(view);
--- a/tests/integration/route.rs
+++ b/tests/integration/route.rs
@@ -231,6 +231,44 @@
     }
 }
 
+/// Guards against exploration that is absent, that exceeds its share, or that
+/// takes a version whose prior is below the target.
+#[test]
+fn a_small_share_explores() {
+    struct Case {
+        name: &'static str,
+        prior: f64,
+        /// Least and most explorations in 10,000 requests.
+        explored: (usize, usize),
+    }
+    let cases = [
+        Case {
+            name: "prior at the target",
+            prior: 0.8,
+            explored: (120, 280),
+        },
+        Case {
+            name: "prior below the target",
+            prior: 0.6,
+            explored: (0, 0),
+        },
+    ];
+    let (snapshot, _) = fleet(|_, _| {});
+    for case in cases {
+        let mut profile = profile(0.0, 0);
+        profile.versions.push(version("new", 20, case.prior));
+        let reasons = (0..10_000).map(|seed| {
+            let route = decide(&snapshot, &profile, None, &[], 1_000, seed).unwrap();
+            let expected = ["large", "new"][usize::from(route.reason == Reason::Explore)];
+            assert_eq!(route.version.as_str(), expected, "{}", case.name);
+            route.reason
+        });
+        let count = reasons.filter(|reason| *reason == Reason::Explore).count();
+        let (least, most) = case.explored;
+        assert!((least..=most).contains(&count), "{}: {count}", case.name);
+    }
+}
+
 /// Guards against an endpoint that is excluded, too slow, or not the one that
 /// affinity, distance or suspicion ask for.
 #[test]
