--- a/src/entry/dispatcher.rs
+++ b/src/entry/dispatcher.rs
@@ -189,7 +189,9 @@
                     _in_flight: in_flight,
                 })
             }
-            Some(Ok(Some(wire::Reply::Refused { refusal, .. }))) => Err(refusal),
+            Some(Ok(Some(wire::Reply::Refused { refusal, load }))) => {
+                Err(current(refusal, load.config, snapshot.config))
+            }
             None => Err(errors::Refusal::new(
                 errors::ResultCode::DeadlineNotRun,
                 "the deadline passed before an endpoint took the request",
@@ -262,6 +264,28 @@
     }
 }
 
+/// The refusal, where its sender has all the configuration that the entry has.
+/// One that lags refuses what is allowed by now, which another may run.
+fn current(
+    refusal: errors::Refusal,
+    theirs: Option<ids::Offset>,
+    ours: Option<ids::Offset>,
+) -> errors::Refusal {
+    let by_configuration = matches!(
+        refusal.code,
+        errors::ResultCode::NotAllowed
+            | errors::ResultCode::UnknownProfile
+            | errors::ResultCode::VersionWithdrawn
+    );
+    if theirs >= ours || !by_configuration {
+        return refusal;
+    }
+    errors::Refusal {
+        code: errors::ResultCode::NotReady,
+        ..refusal
+    }
+}
+
 fn prices(
     snapshot: &control::Snapshot,
     profile: &ids::ProfileName,
