--- a/src/bench/route.rs
+++ b/src/bench/route.rs
@@ -14,6 +14,7 @@
 use crate::fleet;
 use crate::ids;
 use crate::route;
+use crate::units;
 
 /// Versions over which the endpoints are spread.
 const VERSIONS: usize = 10;
@@ -36,7 +37,9 @@
         let req = route::RouteRequest {
             class: estimate::RequestClass::default(),
             pin: None,
-            prefix: ids::Fingerprint(rng.u64(..)),
+            fingerprint: ids::Fingerprint(rng.u64(..)),
+            prefix: Some(ids::Fingerprint(rng.u64(..))),
+            time_left: units::Millis(60_000),
             excluded: &[],
             domain: &domain,
             region: &region,
--- a/src/demo/node_plan.rs
+++ b/src/demo/node_plan.rs
@@ -80,6 +80,7 @@
             session_key_file,
             limits: settings::Limits::default(),
             usage_flush_ms: units::Millis(1_000),
+            evidence_flush_ms: units::Millis(2_000),
         }))
     }
 }
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -4,14 +4,13 @@
 use std::time::Instant;
 
 use hyper::body::Incoming;
-use hyper::header::AUTHORIZATION;
+use hyper::header::{AUTHORIZATION, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use serde_json::json;
 
 use crate::admin;
 use crate::control;
-use crate::entry::chat;
-use crate::entry::cx;
+use crate::entry::{chat, cx, input, service};
 use crate::errors;
 use crate::http;
 use crate::ids;
@@ -32,15 +31,23 @@
         Self { cx, admin }
     }
 
-    async fn answer(&self, req: Request<Incoming>) -> Result<http::Reply, errors::Refusal> {
+    async fn answer(
+        &self,
+        id: ids::RequestId,
+        req: Request<Incoming>,
+    ) -> Result<http::Reply, errors::Refusal> {
         check_head(&req, self.cx.cfg.limits.head_bytes)?;
         if req.uri().path().starts_with(admin::PREFIX) {
             return Ok(self.admin.answer(req).await);
         }
+        if req.uri().path().starts_with(service::PREFIX) {
+            let team = self.team(&req)?;
+            return service::call(&self.cx, id, team, req).await;
+        }
         match (req.method(), req.uri().path()) {
             (&Method::POST, "/v1/chat/completions") => {
                 let team = self.team(&req)?;
-                chat::complete(&self.cx, team, req).await
+                chat::complete(&self.cx, id, team, req).await
             }
             (&Method::GET, "/v1/models") => {
                 let team = self.team(&req)?;
@@ -119,13 +126,23 @@
 impl http::Handler for CallerApi {
     async fn handle(&self, req: Request<Incoming>) -> http::Reply {
         let arrived = Instant::now();
-        match self.answer(req).await {
+        let id = ids::RequestId::generate();
+        let is_service = req.uri().path().starts_with(service::PREFIX);
+        let mut reply = match self.answer(id, req).await {
             Ok(reply) => reply,
             Err(refusal) => {
                 observe::metrics().ended(Some(refusal.code), arrived.elapsed());
-                log::info!("route: refused: {refusal}.");
-                chat::refused(&refusal)
+                log::info!("route: request {id} refused: {refusal}.");
+                if is_service {
+                    service::refused(&refusal)
+                } else {
+                    chat::refused(&refusal)
+                }
             }
+        };
+        if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
+            reply.headers_mut().insert(input::REQUEST_ID, value);
         }
+        reply
     }
 }
--- a/src/entry/role.rs
+++ b/src/entry/role.rs
@@ -1,8 +1,9 @@
 //! A running entry.
 
+use std::fs;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use smol::{Task, Timer};
@@ -12,13 +13,18 @@
 use crate::entry;
 use crate::entry::cx;
 use crate::entry::effects;
+use crate::entry::evidence;
 use crate::entry::handler;
 use crate::entry::peers;
+use crate::entry::usage;
+use crate::estimate;
 use crate::feed;
 use crate::fleet;
 use crate::http;
 use crate::platform;
+use crate::route;
 use crate::runtime;
+use crate::session;
 use crate::settings;
 use crate::system;
 use crate::wire;
@@ -34,6 +40,7 @@
 pub struct Entry {
     cx: cx::Shared,
     server: http::Server,
+    usage: Arc<usage::UsageWriter>,
     _tasks: Vec<Task<()>>,
 }
 
@@ -49,14 +56,23 @@
         let (control, effect_rx, _thread) =
             control::Control::spawn(control::World::new(me.clone()), system::ENTRY)?;
         let links = entry::Links::new(me.clone(), node.clone(), control.clone(), traffic.clone());
+        let log = platform::LogClient::new(settings.platform.log_addr, traffic.clone());
+        let calls = Arc::new(entry::CallBook::new(log.clone()));
+        let ratings = Arc::new(ratings(settings, &me, &traffic));
         let cx = Arc::new(cx::EntryCx {
             me,
             cfg: cfg.clone(),
             control: control.clone(),
             traffic: traffic.clone(),
             links: links.clone(),
+            session_key: session_key(cfg)?,
+            outbox: Mutex::default(),
+            calls: Arc::clone(&calls),
+            ratings: Arc::clone(&ratings),
+            retries: Mutex::default(),
+            teams: route::TeamLoad::default(),
         });
-        let log = platform::LogClient::new(settings.platform.log_addr, traffic.clone());
+        let usage = Arc::new(usage::UsageWriter::new(Arc::clone(&cx), log.clone()));
         let inventory = platform::Inventory::new(settings.platform.inventory_addr, traffic.clone());
         let tasks = vec![
             traffic.spawn(feed::follow_config(log.clone(), control.clone())),
@@ -70,6 +86,11 @@
             traffic.spawn(feed::follow_evidence(log.clone(), control.clone())),
             traffic.spawn(feed::follow_inventory(inventory, control)),
             traffic.spawn(effects::run(effect_rx, links, log.clone(), traffic.clone())),
+            traffic.spawn(Arc::clone(&usage).run()),
+            traffic.spawn(Arc::clone(&calls).follow()),
+            traffic.spawn(calls.commit()),
+            traffic.spawn(ratings.run()),
+            traffic.spawn(evidence::run(Arc::clone(&cx), log.clone())),
         ];
         let admin = admin::AdminApi {
             token: cfg.operator_token_sha256,
@@ -83,6 +104,7 @@
         Ok(Self {
             cx,
             server,
+            usage,
             _tasks: tasks,
         })
     }
@@ -93,17 +115,24 @@
         self.server.addr()
     }
 
-    /// Stops taking new work and waits until accepted requests have been answered.
+    /// Stops taking new work and waits until accepted requests have been
+    /// answered and their usage is durable.
     pub async fn stop(&self, deadline: Instant) {
         self.cx.control.send(control::Event::Stop).await;
         self.server.close_idle();
-        while self.server.active() > 0 && Instant::now() < deadline {
+        while self.is_busy() && Instant::now() < deadline {
             Timer::after(DRAIN_POLL).await;
         }
+        self.cx.calls.drain(deadline).await;
+        self.usage.drain(deadline).await;
         self.wait_for_release().await;
         self.cx.control.close();
     }
 
+    fn is_busy(&self) -> bool {
+        self.server.active() > 0 || self.cx.teams.total() > 0
+    }
+
     /// Another entry can take a released lease at once, and a lost one after 12 s.
     async fn wait_for_release(&self) {
         let until = Instant::now() + RELEASE_LIMIT;
@@ -118,3 +147,20 @@
         &self.cx
     }
 }
+
+fn ratings(
+    settings: &settings::Settings,
+    me: &fleet::Identity,
+    traffic: &runtime::Traffic,
+) -> entry::Ratings {
+    let addr = settings.platform.rating_addr;
+    let client = addr.map(|addr| platform::Rating::new(addr, traffic.clone()));
+    let collector = estimate::Collector::new(me.vm.clone(), me.incarnation);
+    entry::Ratings::new(client, collector)
+}
+
+fn session_key(cfg: &settings::EntrySettings) -> io::Result<session::SessionKey> {
+    let bytes = fs::read(&cfg.session_key_file)?;
+    session::SessionKey::new(&bytes)
+        .map_err(|err| io::Error::new(io::ErrorKind::InvalidData, err.to_string()))
+}
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -85,7 +85,8 @@
         if let Ok(host) = HeaderValue::from_str(&self.shared.addr.to_string()) {
             req.headers_mut().insert(HOST, host);
         }
-        self.exchange(req)
+        // Boxed: the exchange takes 10 KB, which every caller would hold by value.
+        Box::pin(self.exchange(req))
             .or(async {
                 Timer::after(timeout).await;
                 Err(http::HttpError::TimedOut)
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,9 +5,11 @@
 mod inventory;
 mod log_client;
 mod page;
+mod rating;
 
 pub use append_once::append_once;
 pub use error::PlatformError;
 pub use inventory::{Inventory, Vm, VmState};
 pub use log_client::LogClient;
 pub use page::{Append, LogRecord, Page, Stream};
+pub use rating::{RateRequest, Rating};
--- a/src/sidecar/usage.rs
+++ b/src/sidecar/usage.rs
@@ -209,11 +209,7 @@
             }
         }
     };
-    // Boxed: the futures of a planned stop would otherwise hold it by value.
-    if runtime::timeout_at(deadline, Box::pin(append_all))
-        .await
-        .is_none()
-    {
+    if runtime::timeout_at(deadline, append_all).await.is_none() {
         let left = cx.with_copies(|copies| copies.len());
         log::error!("billing: {left} usage records were not appended before the stop.");
     }
--- a/src/system/snapshot.rs
+++ b/src/system/snapshot.rs
@@ -178,6 +178,7 @@
 ) -> Option<control::RolloutView> {
     let step = profile.rollout_steps.get(usize::try_from(step).ok()?)?;
     Some(control::RolloutView {
+        name: Arc::clone(rollout),
         version: version_view(world, &plan.version)?,
         share: step.share,
         allotment: world.allotments.get(rollout).cloned().unwrap_or_default(),
