Roll-outs exist before their profile lists the version

A listed version without a roll-out serves its profile in full, and a roll-out could only be created for a listed version, so a new version was exposed between the two changes. The documented way around it, a withdrawn version, ended with the roll-out stopped as withdrawn.

The tool creates the roll-out first and lists the version last. Deleting a roll-out that is not complete while its version is listed, and using the name of an ended roll-out for the same version, are refused with 3001; so is deleting a version that a roll-out names. The status shows inactive and loading; a loading one was shown as stopped, which ended `watch rollout`. The check of the listing beside the endpoint existed and now has a test.

--- a/src/admin/api.rs
+++ b/src/admin/api.rs
@@ -171,6 +171,15 @@
         self.carry_out(order).await
     }
 
+    fn check(&self, catalog: &catalog::Catalog, order: &Order) -> Result<(), errors::Refusal> {
+        let (id, content) = (&order.id, order.content.as_ref());
+        let snapshot = self.control.snapshot();
+        let progress = snapshot.rollouts.get(&id.name);
+        catalog::check(catalog, id, content)
+            .and_then(|()| catalog::check_ended(catalog, id, content, progress))
+            .map_err(|err| errors::Refusal::new(errors::ResultCode::InvalidObject, err.to_string()))
+    }
+
     async fn carry_out(&self, order: Order) -> Result<http::Reply, admin::Failure> {
         let catalog = self.catalog().await?;
         let base = order.condition.base(&catalog, &order.id)?;
@@ -178,9 +187,7 @@
         if order.content.is_none() && before.is_none() {
             return Err(missing(&order.id).into());
         }
-        catalog::check(&catalog, &order.id, order.content.as_ref()).map_err(|err| {
-            errors::Refusal::new(errors::ResultCode::InvalidObject, err.to_string())
-        })?;
+        self.check(&catalog, &order)?;
         if order.dry_run {
             if base != catalog.revision(&order.id) {
                 return Err(admin::Failure::conflict(catalog.revision(&order.id), None));
--- a/src/admin/status.rs
+++ b/src/admin/status.rs
@@ -6,6 +6,7 @@
 use crate::catalog;
 use crate::control;
 use crate::ids;
+use crate::rollout;
 
 /// The status as JSON.
 pub async fn read(control: &control::Control, vm: &ids::VmName) -> Value {
@@ -36,22 +37,22 @@
     })
 }
 
-/// A roll-out is complete once its version serves the profile like any other.
+/// The row of a roll-out; `inactive` until the profile lists its version.
 fn rollout(snapshot: &control::Snapshot, name: &str, plan: &catalog::RolloutPlan) -> Value {
     let view = snapshot.profiles.get(&plan.profile);
     let entering = view.and_then(|view| {
         let mut rollouts = view.rollouts.iter();
         rollouts.find(|rollout| rollout.version.name == plan.version)
     });
-    let serves = view.is_some_and(|view| {
-        let mut versions = view.versions.iter();
-        versions.any(|version| version.name == plan.version)
-    });
-    let state = match (entering, serves) {
-        (Some(_), _) if plan.paused => "paused",
-        (Some(_), _) => "stepping",
-        (None, true) => "complete",
-        (None, false) => "stopped",
+    let listed = view.is_some_and(|view| view.profile.versions.contains(&plan.version));
+    let progress = snapshot.rollouts.get(name).filter(|row| row.is_of(plan));
+    let state = match progress {
+        Some(rollout::Progress::Complete(_)) => "complete",
+        Some(rollout::Progress::Stopped(_)) => "stopped",
+        _ if !listed => "inactive",
+        _ if plan.paused => "paused",
+        Some(rollout::Progress::Stepping(_)) => "stepping",
+        Some(rollout::Progress::Loading(_)) | None => "loading",
     };
     json!({
         "name": name,
--- a/src/catalog/check.rs
+++ b/src/catalog/check.rs
@@ -5,6 +5,7 @@
 
 use crate::catalog;
 use crate::ids;
+use crate::rollout;
 use crate::units;
 
 /// A value that an object must not have.
@@ -120,19 +121,12 @@
 ) -> Result<(), InvalidValue> {
     let profile_id =
         catalog::ObjectId::new(catalog::ObjectKind::Profiles, plan.profile.to_string());
-    let Some((_, catalog::Object::Profile(profile))) = catalog.get(&profile_id) else {
+    if catalog.get(&profile_id).is_none() {
         let reason = format!("no profile {}", plan.profile);
         return Err(InvalidValue::new("profile", reason));
-    };
-    if !profile.versions.contains(&plan.version) {
-        let reason = format!(
-            "profile {} does not list version {}",
-            plan.profile, plan.version
-        );
-        return Err(InvalidValue::new("version", reason));
     }
-    // A withdrawn version is allowed, so that a roll-out can begin before the
-    // version is published and gets its first work.
+    // The profile need not list the version yet: a listed version without a
+    // roll-out serves in full, so the roll-out has to exist first.
     if !exists(
         catalog,
         catalog::ObjectKind::Versions,
@@ -155,6 +149,59 @@
     }
 }
 
+/// Checks a change of a roll-out against how far the ledger says it is.
+///
+/// A listed version without a roll-out serves its profile in full, so an order
+/// that is not complete stays as long as the profile lists its version. A name
+/// whose roll-out has ended is not used again for the same version, since that
+/// version would be complete, or stopped, from its start.
+pub fn check_ended(
+    catalog: &catalog::Catalog,
+    id: &catalog::ObjectId,
+    content: Option<&catalog::Object>,
+    progress: Option<&rollout::Progress>,
+) -> Result<(), InvalidValue> {
+    let present = match catalog.get(id) {
+        Some((_, catalog::Object::Rollout(plan))) => Some(plan),
+        _ => None,
+    };
+    let next = match content {
+        Some(catalog::Object::Rollout(plan)) => Some(plan),
+        _ => None,
+    };
+    match (present, next) {
+        (Some(present), next) if next.is_none_or(|next| !next.is_same_entry(present)) => {
+            let is_complete = progress.is_some_and(|row| {
+                row.is_of(present) && matches!(row, rollout::Progress::Complete(_))
+            });
+            if is_complete || !is_listed(catalog, present) {
+                return Ok(());
+            }
+            let reason = format!(
+                "profile {} lists version {}, which would serve it in full; unlist it first",
+                present.profile, present.version
+            );
+            Err(InvalidValue::new("version", reason))
+        }
+        (None, Some(next)) => match progress {
+            Some(row @ (rollout::Progress::Complete(_) | rollout::Progress::Stopped(_)))
+                if row.is_of(next) =>
+            {
+                let reason = "an ended roll-out of this version has this name; use another name";
+                Err(InvalidValue::new("name", reason))
+            }
+            _ => Ok(()),
+        },
+        _ => Ok(()),
+    }
+}
+
+fn is_listed(catalog: &catalog::Catalog, plan: &catalog::RolloutPlan) -> bool {
+    let id = catalog::ObjectId::new(catalog::ObjectKind::Profiles, plan.profile.to_string());
+    matches!(catalog.get(&id), Some((_, catalog::Object::Profile(profile)))
+        if profile.versions.contains(&plan.version))
+}
+
 /// An object that others name must stay, or they would name nothing.
 fn check_unused(catalog: &catalog::Catalog, id: &catalog::ObjectId) -> Result<(), InvalidValue> {
     let user = catalog.iter().find(|(_, _, object)| uses(object, id));
@@ -174,6 +221,9 @@
             .versions
             .iter()
             .any(|version| version.as_str() == name),
+        (catalog::ObjectKind::Versions, catalog::Object::Rollout(plan)) => {
+            plan.version.as_str() == name
+        }
         (catalog::ObjectKind::Profiles, catalog::Object::Rollout(plan)) => {
             plan.profile.as_str() == name
         }
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -14,7 +14,7 @@
 mod version;
 
 pub use change::Change;
-pub use check::{InvalidValue, check};
+pub use check::{InvalidValue, check, check_ended};
 pub use checkpoint::Checkpoint;
 pub use object::{Availability, Object, ObjectId, ObjectKind, UnknownKind};
 pub use profile::{Profile, RolloutStep};
--- a/src/cli/change.rs
+++ b/src/cli/change.rs
@@ -68,17 +68,37 @@
     submit(cx, &id, condition, Some(&content), false).await
 }
 
-/// Starts a roll-out.
+/// Starts a roll-out. The profile lists the version last, since a listed
+/// version without a roll-out serves the profile in full.
 pub async fn start_rollout(cx: &cli::Context, flags: flags::Start) -> Result<(), cli::Failure> {
-    let content = json!({ "profile": flags.profile, "version": flags.version });
-    submit(
-        cx,
-        &rollout_id(&flags.name),
-        admin::Condition::Absent,
-        Some(&content),
-        false,
-    )
-    .await
+    let id = rollout_id(&flags.name);
+    let version = json!(flags.version);
+    let profile_id = catalog::ObjectId::new(catalog::ObjectKind::Profiles, flags.profile.as_str());
+    let (profile_base, mut profile) = show::present(cx, &profile_id).await?;
+    let versions = profile["versions"].as_array_mut();
+    let unlisted = versions.filter(|versions| !versions.contains(&version));
+    let content = json!({ "profile": flags.profile, "version": version });
+    if unlisted.is_none() || !is_created(cx, &id, &content).await? {
+        submit(cx, &id, admin::Condition::Absent, Some(&content), false).await?;
+    }
+    let Some(versions) = unlisted else {
+        return Ok(());
+    };
+    versions.push(version);
+    let condition = admin::Condition::Match(profile_base);
+    submit(cx, &profile_id, condition, Some(&profile), false).await
+}
+
+/// Whether a start that ended half-way has created the roll-out before.
+async fn is_created(
+    cx: &cli::Context,
+    id: &catalog::ObjectId,
+    content: &Value,
+) -> Result<bool, cli::Failure> {
+    let present = cx.client.object(id).await?;
+    Ok(present.is_some_and(|(_, plan)| {
+        plan["profile"] == content["profile"] && plan["version"] == content["version"]
+    }))
 }
 
 /// Pauses or resumes a roll-out.
--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -80,7 +80,7 @@
         }
         /// Roll a version out to a profile.
         cmd rollout {
-            /// Start a roll-out. The profile must list the version.
+            /// Start a roll-out, then list the version in the profile.
             cmd start {
                 /// Name of the roll-out.
                 required name: ProfileName
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -61,6 +61,8 @@
     pub versions: HashMap<ids::VersionName, Arc<catalog::Version>>,
     /// Versions that are withdrawn.
     pub withdrawn: Vec<ids::VersionName>,
+    /// How far each roll-out of the ledger is, also of those that have ended.
+    pub rollouts: HashMap<Arc<str>, rollout::Progress>,
     /// Services.
     pub services: HashMap<ids::ServiceName, Arc<catalog::Service>>,
     /// Endpoints.
--- a/src/control/world.rs
+++ b/src/control/world.rs
@@ -119,8 +119,19 @@
         name: &str,
         plan: &catalog::RolloutPlan,
     ) -> Option<&ledger::RolloutRow> {
-        self.ledger.state().rollouts.get(name).filter(|row| {
-            *row.progress.profile() == plan.profile && *row.progress.version() == plan.version
+        self.ledger
+            .state()
+            .rollouts
+            .get(name)
+            .filter(|row| row.progress.is_of(plan))
+    }
+
+    /// Roll-outs whose version the profile lists; the others are inactive.
+    pub fn active_rollouts(&self) -> impl Iterator<Item = (&Arc<str>, &catalog::RolloutPlan)> {
+        self.rollouts.named().filter(|(_, plan)| {
+            self.profiles
+                .by_name(&plan.profile)
+                .is_some_and(|profile| profile.versions.contains(&plan.version))
         })
     }
 
--- a/src/rollout/progress.rs
+++ b/src/rollout/progress.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::catalog;
 use crate::ids;
 use crate::ledger;
 use crate::rollout;
@@ -66,6 +67,12 @@
         }
     }
 
+    /// Whether this is how far the order has come.
+    #[must_use]
+    pub fn is_of(&self, plan: &catalog::RolloutPlan) -> bool {
+        *self.profile() == plan.profile && *self.version() == plan.version
+    }
+
     /// The entering version.
     #[must_use]
     pub const fn version(&self) -> &ids::VersionName {
--- a/src/system/allotment.rs
+++ b/src/system/allotment.rs
@@ -18,8 +18,7 @@
         return;
     };
     let bodies: Vec<ledger::Body> = world
-        .rollouts
-        .named()
+        .active_rollouts()
         .filter(|(_, plan)| !plan.paused)
         .filter_map(|(name, plan)| grants(world, fence, name, plan))
         .collect();
--- a/src/system/placement.rs
+++ b/src/system/placement.rs
@@ -82,7 +82,7 @@
 /// Loads that are wanted and may be ordered now.
 fn wanted(world: &control::World, now: Instant) -> Vec<(ids::VmName, ids::VersionName)> {
     let mut wanted = Vec::new();
-    for (name, plan) in world.rollouts.named() {
+    for (name, plan) in world.active_rollouts() {
         let Some(row) = world.rollout_row(name, plan) else {
             continue;
         };
--- a/src/system/rollout.rs
+++ b/src/system/rollout.rs
@@ -14,8 +14,7 @@
         return;
     };
     let moves: Vec<(Arc<str>, ledger::Move)> = world
-        .rollouts
-        .named()
+        .active_rollouts()
         .filter_map(|(name, plan)| Some((Arc::clone(name), next(world, cx, name, plan)?)))
         .collect();
     for (rollout, to) in moves {
@@ -37,7 +36,8 @@
     let profile = world.profiles.by_name(&plan.profile)?;
     let version = world.versions.by_name(&plan.version)?;
     let Some(row) = world.rollout_row(name, plan) else {
-        return Some(ledger::Move::Start {
+        // A start would only be stopped again.
+        return (!version.withdrawn).then(|| ledger::Move::Start {
             profile: plan.profile.clone(),
             version: plan.version.clone(),
         });
--- a/src/system/snapshot.rs
+++ b/src/system/snapshot.rs
@@ -1,5 +1,6 @@
 //! Makes the immutable view of the tables.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -36,6 +37,7 @@
         self_out: world.is_out(&world.me.vm, &world.me.domain),
         estimates: Arc::clone(&world.estimates),
         quarantine: Arc::clone(&world.quarantine),
+        rollouts: rollouts(world),
         ..control::Snapshot::default()
     };
     add_objects(world, &mut snapshot);
@@ -74,6 +76,12 @@
     is_mine.then_some(row.fence)
 }
 
+fn rollouts(world: &control::World) -> HashMap<Arc<str>, rollout::Progress> {
+    let rows = world.ledger.state().rollouts.iter();
+    rows.map(|(name, row)| (Arc::clone(name), row.progress.clone()))
+        .collect()
+}
+
 fn in_force(world: &control::World) -> Vec<control::InForce> {
     let row = |vm: &ids::VmName, role, config| control::InForce {
         vm: vm.clone(),
@@ -148,8 +156,7 @@
         .collect();
     let mut rollouts = Vec::new();
     let plans = world
-        .rollouts
-        .named()
+        .active_rollouts()
         .filter(|(_, plan)| plan.profile == *name);
     for (rollout, plan) in plans {
         let row = world.rollout_row(rollout, plan);
--- a/tests/integration/sidecar/engine.rs
+++ b/tests/integration/sidecar/engine.rs
@@ -6,7 +6,7 @@
 use quetzalworks::fleet::{OrderAction, Warmth};
 use quetzalworks::ids::{Fence, Fingerprint, RequestId};
 use quetzalworks::wire::{Opening, Reply};
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::sidecar::beside::{Beside, model, publish_change, read};
 use crate::testing::wait;
@@ -120,39 +120,64 @@
     );
 }
 
-/// Guards against work that starts on a withdrawn version because it
-/// arrived before the withdrawal.
+/// Guards against work that starts on a version which was withdrawn, or which
+/// the profile ceased to list, after the work had arrived.
 #[test]
 fn waiting_work_is_checked_again() {
-    let beside = start(1);
-    let (_tx1, mut running) = beside.dispatch(1, model());
-    assert!(matches!(read(&mut running), Reply::Accepted));
-    let (_tx2, mut waiting) = beside.dispatch(2, model());
-    let cx = beside.sidecar.cx();
-    wait::until("a request waits", || cx.report().queued == 1);
-    let version = json!({
-        "model": "small",
-        "prompt_cost": 100,
-        "output_cost": 300,
-        "prior_quality": 0.8,
-        "withdrawn": true,
-    });
-    publish_change(
-        &beside.log,
-        "versions/small-1",
-        1,
-        json!({ "version": version }),
-    );
-    wait::until("the withdrawal is in force", || {
-        !cx.control.snapshot().withdrawn.is_empty()
-    });
-    beside.endpoint.release.try_send(()).unwrap();
-    let refused: Reply = read(&mut waiting);
-    assert!(
-        matches!(&refused, Reply::Refused { refusal, .. } if refusal.code == ResultCode::VersionWithdrawn),
-        "{refused:?}"
-    );
-    assert_eq!(beside.calls(), 1);
+    struct Case {
+        name: &'static str,
+        object: &'static str,
+        base: u64,
+        content: Value,
+        code: ResultCode,
+    }
+    let cases = [
+        Case {
+            name: "withdrawn",
+            object: "versions/small-1",
+            base: 1,
+            content: json!({ "version": {
+                "model": "small",
+                "prompt_cost": 100,
+                "output_cost": 300,
+                "prior_quality": 0.8,
+                "withdrawn": true,
+            }}),
+            code: ResultCode::VersionWithdrawn,
+        },
+        Case {
+            name: "unlisted",
+            object: "profiles/chat",
+            base: 2,
+            content: json!({ "profile": {
+                "teams": ["red"],
+                "versions": ["other-1"],
+                "quality_target": 0.7,
+            }}),
+            code: ResultCode::NotAllowed,
+        },
+    ];
+    for case in cases {
+        let beside = start(1);
+        let (_tx1, mut running) = beside.dispatch(1, model());
+        assert!(matches!(read(&mut running), Reply::Accepted));
+        let (_tx2, mut waiting) = beside.dispatch(2, model());
+        let cx = beside.sidecar.cx();
+        wait::until("a request waits", || cx.report().queued == 1);
+        let before = cx.control.snapshot().config;
+        publish_change(&beside.log, case.object, case.base, case.content);
+        wait::until("the change is in force", || {
+            cx.control.snapshot().config > before
+        });
+        beside.endpoint.release.try_send(()).unwrap();
+        let refused: Reply = read(&mut waiting);
+        assert!(
+            matches!(&refused, Reply::Refused { refusal, .. } if refusal.code == case.code),
+            "{}: {refused:?}",
+            case.name
+        );
+        assert_eq!(beside.calls(), 1, "{}", case.name);
+    }
 }
 
 /// Guards against the load of a warm engine on one that has just started
