One appender with one rule for lost answers

Four places read a stream forward after an append of unknown outcome, each in its own way, and they did not agree on what is unknown: only the operators' API counted the statuses 500, 502 and 504.

platform::Appender now serves usage of entries and sidecars, evidence, records of the control thread and operators' changes. PlatformError::may_have_taken_effect holds the rule, for all of them and for claims. An appender stays unsure until an append succeeds, also where the future is dropped before the answer. The gauge quetzalworks_outbox was never set; the writer of usage records sets it at each flush.

--- a/src/admin/explain.rs
+++ b/src/admin/explain.rs
@@ -24,10 +24,7 @@
                     format!("cannot read usage records: {err}"),
                 )
             })?;
-        from = page
-            .records
-            .last()
-            .map_or(page.end, |record| record.offset.next());
+        from = page.next_offset();
         let found = page
             .records
             .into_iter()
--- a/src/admin/submit.rs
+++ b/src/admin/submit.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use serde_json::Value;
 use smol::Timer;
 
 use crate::admin;
@@ -40,12 +41,6 @@
         .map_err(|_| errors::Refusal::new(errors::ResultCode::Draining, "the process is stopping"))
 }
 
-/// Whether the log holds the record of a change from `from` on.
-enum Sought {
-    Present,
-    Absent,
-}
-
 /// Appends `change` until its record is certainly in the log, and waits until
 /// it is applied. `from` is an offset that was not applied when it was made.
 pub async fn submit(
@@ -58,18 +53,12 @@
     let record = serde_json::to_value(catalog::Body::Change(change))
         .map_err(|err| errors::Refusal::new(errors::ResultCode::Internal, err.to_string()))?;
     let deadline = Instant::now() + LIMIT;
-    let mut maybe_appended = false;
+    let records = [record];
+    let mut appender = platform::Appender::starting_at(log.clone(), platform::Stream::Config, from);
     while Instant::now() < deadline {
-        match log
-            .append(platform::Stream::Config, std::slice::from_ref(&record))
-            .await
-        {
-            Ok(_) => return applied(control, id, deadline).await,
-            Err(err) if may_have_appended(&err) => {
-                log::warn!("catalog: outcome of the append of change {id} unknown: {err}.");
-                maybe_appended = true;
-            }
-            Err(err) if !maybe_appended => {
+        match appender.append(&records).await {
+            Ok(()) => return applied(control, id, deadline).await,
+            Err(err) if !appender.is_unsure() => {
                 log::warn!("catalog: change {id} not appended: {err}.");
                 return Err(errors::Refusal::new(
                     errors::ResultCode::NotAccepted,
@@ -77,11 +66,11 @@
                 )
                 .into());
             }
-            Err(err) => log::warn!("catalog: change {id} not appended again: {err}."),
+            Err(err) => log::warn!("catalog: outcome of the append of change {id} unknown: {err}."),
         }
-        match seek(log, id, from, deadline).await {
-            Some(Sought::Present) => return applied(control, id, deadline).await,
-            Some(Sought::Absent) => {
+        match is_present(&mut appender, id, deadline).await {
+            Some(true) => return applied(control, id, deadline).await,
+            Some(false) => {
                 Timer::after(RETRY_PAUSE).await;
             }
             None => break,
@@ -90,41 +79,17 @@
     Err(admin::Failure::unknown(id))
 }
 
-/// A log that answers with a fault of its own or of a gateway may have
-/// appended before; one that says that it is unavailable has not.
-const fn may_have_appended(err: &platform::PlatformError) -> bool {
-    match err {
-        platform::PlatformError::Unknown(_) => true,
-        platform::PlatformError::Status(status) => matches!(status, 500 | 502 | 504),
-        platform::PlatformError::Refused(_) => false,
-    }
-}
-
-/// Reads forward for the record of a change until the log answers; `None`
-/// where it does not do so before the deadline.
-async fn seek(
-    log: &platform::LogClient,
+/// Whether the log holds the record of a change, read until the log answers;
+/// `None` where it does not do so before the deadline.
+async fn is_present(
+    appender: &mut platform::Appender,
     id: ids::ChangeId,
-    mut from: ids::Offset,
     deadline: Instant,
-) -> Option<Sought> {
+) -> Option<bool> {
     while Instant::now() < deadline {
-        match log
-            .read(platform::Stream::Config, from, Duration::ZERO)
-            .await
-        {
-            Ok(page) => {
-                if page.records.iter().any(|record| is_change(record, id)) {
-                    return Some(Sought::Present);
-                }
-                from = page
-                    .records
-                    .last()
-                    .map_or(page.end, |record| record.offset.next());
-                if from >= page.end {
-                    return Some(Sought::Absent);
-                }
-            }
+        let own = |record: &Value| is_change(record, id).then_some(());
+        match appender.settle(own).await {
+            Ok(found) => return Some(!found.is_empty()),
             Err(err) => {
                 log::warn!("catalog: cannot read forward for change {id}: {err}.");
                 Timer::after(RETRY_PAUSE).await;
@@ -134,8 +99,8 @@
     None
 }
 
-fn is_change(record: &platform::LogRecord, id: ids::ChangeId) -> bool {
-    let found = record.body.pointer("/change/id").and_then(|id| id.as_str());
+fn is_change(record: &Value, id: ids::ChangeId) -> bool {
+    let found = record.pointer("/change/id").and_then(|id| id.as_str());
     found.is_some_and(|text| text == id.to_string())
 }
 
--- a/src/billing/mod.rs
+++ b/src/billing/mod.rs
@@ -6,4 +6,4 @@
 
 pub use draft::Draft;
 pub use outbox::{Durable, Outbox};
-pub use record::{AttemptRecord, UsageRecord};
+pub use record::{AttemptRecord, UsageRecord, request_of};
--- a/src/billing/record.rs
+++ b/src/billing/record.rs
@@ -57,3 +57,9 @@
     /// What the endpoint said, where it did not give the answer.
     pub message: Option<Arc<str>>,
 }
+
+/// The request of an encoded record; `None` where it is none.
+#[must_use]
+pub fn request_of(record: &serde_json::Value) -> Option<ids::RequestId> {
+    record.get("request")?.as_str()?.parse().ok()
+}
--- a/src/entry/call_book.rs
+++ b/src/entry/call_book.rs
@@ -138,7 +138,7 @@
     /// effect. A claim is never appended again: the follower finds it if its
     /// append took effect, and otherwise the call is refused.
     fn not_appended(&self, group: &mut Vec<calls::CallRecord>, err: &platform::PlatformError) {
-        let unknown = matches!(err, platform::PlatformError::Unknown(_));
+        let unknown = err.may_have_taken_effect();
         group.retain(|record| {
             let calls::CallRecord::Claim(claim) = record else {
                 return true;
--- a/src/entry/evidence.rs
+++ b/src/entry/evidence.rs
@@ -1,18 +1,17 @@
 //! Puts ratings on record.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 
 use serde_json::Value;
 use smol::Timer;
 
-use crate::entry::{appender, cx};
+use crate::entry::cx;
 use crate::estimate;
 use crate::platform;
 
 /// Appends evidence at each interval.
 pub async fn run(cx: cx::Shared, log: platform::LogClient) {
-    let mut appender = appender::Appender::new(log, platform::Stream::Evidence);
+    let mut appender = platform::Appender::new(log, platform::Stream::Evidence);
     let mut waiting = None;
     loop {
         Timer::after(cx.cfg.evidence_flush_ms.duration()).await;
@@ -28,17 +27,16 @@
 }
 
 async fn append(
-    appender: &mut appender::Appender,
+    appender: &mut platform::Appender,
     evidence: &estimate::Evidence,
 ) -> Result<(), platform::PlatformError> {
     let Ok(record) = serde_json::to_value(evidence) else {
         return Ok(());
     };
-    if appender.is_unsure() {
-        let wanted = HashSet::from([identity(&record)]);
-        if !appender.find(&wanted, identity).await?.is_empty() {
-            return Ok(());
-        }
+    let own = identity(&record);
+    let is_own = |record: &Value| (identity(record) == own).then_some(());
+    if !appender.settle(is_own).await?.is_empty() {
+        return Ok(());
     }
     appender.append(&[record]).await
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,6 +1,5 @@
 //! The role that serves callers.
 
-mod appender;
 mod ask;
 mod bill;
 mod call_book;
--- a/src/entry/usage.rs
+++ b/src/entry/usage.rs
@@ -1,6 +1,6 @@
 //! Makes usage records durable.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -9,9 +9,9 @@
 use smol::lock::Mutex;
 
 use crate::billing;
-use crate::entry::appender;
 use crate::entry::cx;
 use crate::ids;
+use crate::observe;
 use crate::platform;
 use crate::runtime;
 use crate::wire;
@@ -25,14 +25,14 @@
 #[derive(Debug)]
 pub struct UsageWriter {
     cx: cx::Shared,
-    appender: Mutex<appender::Appender>,
+    appender: Mutex<platform::Appender>,
 }
 
 impl UsageWriter {
     /// A writer of the outbox of `cx`.
     #[must_use]
     pub fn new(cx: cx::Shared, log: platform::LogClient) -> Self {
-        let appender = appender::Appender::new(log, platform::Stream::Usage);
+        let appender = platform::Appender::new(log, platform::Stream::Usage);
         Self {
             cx,
             appender: Mutex::new(appender),
@@ -67,7 +67,10 @@
     async fn flush(&self) -> Result<(), platform::PlatformError> {
         let mut appender = self.appender.lock().await;
         loop {
-            let group = self.cx.with_outbox(|outbox| outbox.group(GROUP));
+            let (waiting, group) = self
+                .cx
+                .with_outbox(|outbox| (outbox.len(), outbox.group(GROUP)));
+            observe::metrics().set_outbox(waiting);
             if group.is_empty() {
                 return Ok(());
             }
@@ -78,29 +81,27 @@
         }
     }
 
+    /// Appends the group, except where a lost append turns out to have put
+    /// records of it into the stream. Returns those known to be durable.
     async fn append(
         &self,
-        appender: &mut appender::Appender,
+        appender: &mut platform::Appender,
         group: &[Arc<billing::UsageRecord>],
     ) -> Result<HashSet<ids::RequestId>, platform::PlatformError> {
-        let by_id: HashMap<String, ids::RequestId> = group
-            .iter()
-            .map(|record| (record.request.to_string(), record.request))
-            .collect();
-        if appender.is_unsure() {
-            let wanted = by_id.keys().cloned().collect();
-            let found = appender.find(&wanted, request_of).await?;
-            return Ok(found
-                .iter()
-                .filter_map(|id| by_id.get(id).copied())
-                .collect());
+        let requests: HashSet<ids::RequestId> = group.iter().map(|record| record.request).collect();
+        let own = |record: &Value| {
+            billing::request_of(record).filter(|request| requests.contains(request))
+        };
+        let found = appender.settle(own).await?;
+        if !found.is_empty() {
+            return Ok(found);
         }
         let records: Vec<Value> = group
             .iter()
             .filter_map(|record| serde_json::to_value(record).ok())
             .collect();
         appender.append(&records).await?;
-        Ok(by_id.into_values().collect())
+        Ok(requests)
     }
 
     /// Tells the processes beside the endpoints that they may drop their
@@ -116,7 +117,3 @@
         }
     }
 }
-
-fn request_of(record: &Value) -> String {
-    record["request"].as_str().unwrap_or_default().to_owned()
-}
--- a/src/platform/append_once.rs
+++ b/src/platform/append_once.rs
@@ -1,7 +1,9 @@
-//! Appends whose answer may be lost.
+//! Appends of single records with an id.
 
 use std::time::{Duration, Instant};
 
+use serde_json::Value;
+
 use crate::feed;
 use crate::ids;
 use crate::platform;
@@ -17,20 +19,16 @@
     stream: platform::Stream,
     id: &str,
     from: ids::Offset,
-    record: serde_json::Value,
+    record: Value,
     deadline: Instant,
 ) -> bool {
     let records = [record];
+    let mut appender = platform::Appender::starting_at(log.clone(), stream, from);
     let mut backoff = feed::Backoff::new(PAUSES.0, PAUSES.1);
-    let mut is_unsure = false;
     while Instant::now() < deadline {
-        match try_once(log, stream, id, from, &records, is_unsure).await {
+        match try_once(&mut appender, id, &records).await {
             Ok(()) => return true,
-            Err(err) => {
-                // A failed look-up leaves the append before it as unsure as it was.
-                is_unsure |= matches!(err, platform::PlatformError::Unknown(_));
-                log::warn!("control: append to {stream}: {err}.");
-            }
+            Err(err) => log::warn!("control: append to {stream}: {err}."),
         }
         backoff.wait().await;
     }
@@ -38,35 +36,13 @@
 }
 
 async fn try_once(
-    log: &platform::LogClient,
-    stream: platform::Stream,
+    appender: &mut platform::Appender,
     id: &str,
-    from: ids::Offset,
-    records: &[serde_json::Value],
-    is_unsure: bool,
+    records: &[Value],
 ) -> Result<(), platform::PlatformError> {
-    if is_unsure && contains(log, stream, id, from).await? {
+    let is_it = |record: &Value| (record["id"].as_str() == Some(id)).then_some(());
+    if !appender.settle(is_it).await?.is_empty() {
         return Ok(());
     }
-    log.append(stream, records).await.map(|_| ())
-}
-
-/// Whether the record with this id lies at `from` or behind it.
-async fn contains(
-    log: &platform::LogClient,
-    stream: platform::Stream,
-    id: &str,
-    mut from: ids::Offset,
-) -> Result<bool, platform::PlatformError> {
-    loop {
-        let page = log.read(stream, from, Duration::ZERO).await?;
-        let found = |record: &platform::LogRecord| record.body["id"].as_str() == Some(id);
-        if page.records.iter().any(found) {
-            return Ok(true);
-        }
-        match page.records.last() {
-            Some(last) if last.offset.next() < page.end => from = last.offset.next(),
-            _ => return Ok(false),
-        }
-    }
+    appender.append(records).await
 }
--- a/src/platform/page.rs
+++ b/src/platform/page.rs
@@ -51,6 +51,16 @@
     pub records: Vec<LogRecord>,
 }
 
+impl Page {
+    /// Where to read on; at or beyond [`Self::end`] once all has been read.
+    #[must_use]
+    pub fn next_offset(&self) -> ids::Offset {
+        self.records
+            .last()
+            .map_or(self.end, |record| record.offset.next())
+    }
+}
+
 /// Answer to an append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Append {
--- a/src/sidecar/cx.rs
+++ b/src/sidecar/cx.rs
@@ -15,7 +15,6 @@
 use crate::settings;
 use crate::sidecar;
 use crate::sidecar::place;
-use crate::sidecar::usage;
 use crate::units;
 
 /// Bounds of the table of non-idempotent calls.
@@ -50,7 +49,7 @@
     /// Orders are checked and forwarded one at a time, so that none overtakes a later one.
     pub fences: smol::lock::Mutex<admission::Fences>,
     /// Appends usage records.
-    pub outbox: smol::lock::Mutex<usage::Outbox>,
+    pub outbox: smol::lock::Mutex<platform::Appender>,
     admission: Mutex<admission::Controller<Waiter>>,
     calls: Mutex<admission::Calls>,
     crashes: Mutex<admission::Crashes>,
@@ -84,7 +83,7 @@
             service: sidecar::ServiceClient::new(cfg.endpoint_addr, traffic.clone()),
             streams: Arc::default(),
             fences: smol::lock::Mutex::default(),
-            outbox: smol::lock::Mutex::new(usage::Outbox::new(log)),
+            outbox: smol::lock::Mutex::new(platform::Appender::new(log, platform::Stream::Usage)),
             admission: Mutex::new(admission::Controller::new(limits, queue, Instant::now())),
             calls: Mutex::new(admission::Calls::new(me.incarnation, CALL_BOUNDS)),
             crashes: Mutex::default(),
@@ -124,11 +123,6 @@
         self.with_crashes(|crashes| crashes.pending())
     }
 
-    /// The incident of this run is on record, so its report is dropped.
-    pub fn crash_recorded(&self, incident: u32) {
-        self.with_crashes(|crashes| crashes.recorded(incident));
-    }
-
     /// What the endpoint said of itself last; `None` while it does not answer.
     #[must_use]
     pub fn engine_status(&self) -> Option<sidecar::EngineStatus> {
--- a/src/sidecar/usage.rs
+++ b/src/sidecar/usage.rs
@@ -123,68 +123,6 @@
         .into()
 }
 
-/// Appends to the `usage` stream.
-#[derive(Debug)]
-pub struct Outbox {
-    log: platform::LogClient,
-    /// The stream's end before the last append.
-    end: Option<ids::Offset>,
-    /// Whether the answer to the last append was lost.
-    unsure: bool,
-}
-
-impl Outbox {
-    /// An outbox to this log.
-    #[must_use]
-    pub const fn new(log: platform::LogClient) -> Self {
-        Self {
-            log,
-            end: None,
-            unsure: false,
-        }
-    }
-
-    /// Prepares an append: afterwards the end of the stream is known. Returns
-    /// the requests of a lost append that are in the stream.
-    async fn read_forward(&mut self) -> Result<Vec<ids::RequestId>, platform::PlatformError> {
-        let mut found = Vec::new();
-        let mut from = self.end.unwrap_or_default();
-        loop {
-            let page = self
-                .log
-                .read(platform::Stream::Usage, from, Duration::ZERO)
-                .await?;
-            let last = page.records.last().filter(|_| self.unsure);
-            let Some(last) = last else {
-                self.end = Some(page.end);
-                self.unsure = false;
-                return Ok(found);
-            };
-            from = last.offset.next();
-            found.extend(page.records.iter().filter_map(request));
-        }
-    }
-
-    async fn append(
-        &mut self,
-        records: &[billing::UsageRecord],
-    ) -> Result<(), platform::PlatformError> {
-        let bodies: Vec<serde_json::Value> = records
-            .iter()
-            .filter_map(|record| serde_json::to_value(record).ok())
-            .collect();
-        // Also holds where this future is dropped before the answer comes.
-        self.unsure = true;
-        let result = self.log.append(platform::Stream::Usage, &bodies).await;
-        self.unsure = matches!(&result, Err(platform::PlatformError::Unknown(_)));
-        result.map(|_| ())
-    }
-}
-
-fn request(record: &platform::LogRecord) -> Option<ids::RequestId> {
-    record.body.get("request")?.as_str()?.parse().ok()
-}
-
 /// Appends copies that the entry has not confirmed in time.
 pub async fn follow(cx: cx::Shared) {
     loop {
@@ -220,13 +158,21 @@
     batch: impl Fn(&cx::Shared) -> Vec<billing::UsageRecord>,
 ) -> Result<(), platform::PlatformError> {
     let mut outbox = cx.outbox.lock().await;
-    let found = outbox.read_forward().await?;
+    let found: Vec<ids::RequestId> = outbox
+        .settle(billing::request_of)
+        .await?
+        .into_iter()
+        .collect();
     cx.with_copies(|copies| copies.confirm(&found));
     let records = batch(cx);
     if records.is_empty() {
         return Ok(());
     }
-    outbox.append(&records).await?;
+    let bodies: Vec<serde_json::Value> = records
+        .iter()
+        .filter_map(|record| serde_json::to_value(record).ok())
+        .collect();
+    outbox.append(&bodies).await?;
     let requests: Vec<ids::RequestId> = records.iter().map(|record| record.request).collect();
     cx.with_copies(|copies| copies.confirm(&requests));
     log::info!(
