Remove duplicates and dead code beside the endpoint

Crash reports that wait for an entry were kept twice: in the table of requests in flight, which nothing but tests read, and in the control state, from which they are sent. The first copy and its accessors are gone; the test of the sidecar reads the second, and the systems test already checks that it is kept until the crash is on record. Rows of the platform's list and bodies of requests are each made or read in one place for both users.

--- a/src/admin/api.rs
+++ b/src/admin/api.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 
 use crate::admin;
-use crate::admin::{body, explain, object_json, status, submit};
+use crate::admin::{explain, object_json, status, submit};
 use crate::catalog;
 use crate::control;
 use crate::errors;
@@ -144,7 +144,7 @@
     ) -> Result<http::Reply, admin::Failure> {
         let (head, body) = req.into_parts();
         let condition = admin::Condition::from_headers(&head.headers)?;
-        let body = body::read(body, self.limits).await?;
+        let body = http::read_request_body(body, self.limits).await?;
         let object = object_json::parse(id.kind, &body)?;
         let order = Order {
             id,
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -1,7 +1,6 @@
 //! The operators' JSON API.
 
 mod api;
-mod body;
 mod condition;
 mod explain;
 mod failure;
--- a/src/admission/crashes.rs
+++ b/src/admission/crashes.rs
@@ -1,13 +1,10 @@
 //! Requests in flight and crashes of the endpoint.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use crate::fleet;
 
-/// Reports that are kept for entries; older ones are dropped.
-const MAX_PENDING: usize = 64;
-
 /// A request in flight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Flight(u64);
@@ -26,7 +23,6 @@
     next_flight: u64,
     losses: u32,
     in_flight: HashMap<Flight, (fleet::Suspect, Option<u32>)>,
-    pending: VecDeque<fleet::CrashReport>,
 }
 
 impl Crashes {
@@ -76,28 +72,12 @@
 
     /// The endpoint has crashed.
     pub fn confirm(&mut self, loss: Loss, me: &fleet::Identity) -> fleet::CrashReport {
-        let report = fleet::CrashReport {
+        fleet::CrashReport {
             vm: me.vm.clone(),
             domain: me.domain.clone(),
             incarnation: me.incarnation,
             incident: loss.number,
             in_flight: loss.in_flight,
-        };
-        if self.pending.len() == MAX_PENDING {
-            self.pending.pop_front();
         }
-        self.pending.push_back(report.clone());
-        report
-    }
-
-    /// Reports that no entry has put on record yet.
-    #[must_use]
-    pub fn pending(&self) -> Vec<fleet::CrashReport> {
-        self.pending.iter().cloned().collect()
-    }
-
-    /// An entry has put the incident on record.
-    pub fn recorded(&mut self, incident: u32) {
-        self.pending.retain(|report| report.incident != incident);
     }
 }
--- a/src/control/row.rs
+++ b/src/control/row.rs
@@ -42,6 +42,23 @@
     pub in_flight: Arc<InFlight>,
 }
 
+impl EndpointRow {
+    /// A listed endpoint that has not been heard of yet.
+    #[must_use]
+    pub fn unheard(vm: &platform::Vm) -> Self {
+        Self {
+            vm: vm.vm.clone(),
+            domain: vm.domain.clone(),
+            region: vm.region.clone(),
+            addr: vm.peer_addr,
+            state: vm.state,
+            link: None,
+            report: fleet::Report::default(),
+            in_flight: Arc::default(),
+        }
+    }
+}
+
 /// Another entry.
 #[derive(Clone, Debug)]
 pub struct EntryRow {
@@ -66,6 +83,22 @@
 }
 
 impl EntryRow {
+    /// A listed entry that has not been heard of yet.
+    #[must_use]
+    pub fn unheard(vm: &platform::Vm) -> Self {
+        Self {
+            vm: vm.vm.clone(),
+            domain: vm.domain.clone(),
+            region: vm.region.clone(),
+            addr: vm.peer_addr,
+            state: vm.state,
+            link: None,
+            member: None,
+            config: None,
+            control: None,
+        }
+    }
+
     /// The last `config` record that the present run of the entry is known to
     /// have applied. What an earlier run had in force says nothing of this one.
     #[must_use]
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -48,7 +48,7 @@
 ) -> Result<ask::Ask, errors::Refusal> {
     let permit = cx.admit(&team)?;
     let (head, body) = req.into_parts();
-    let body = input::body(cx, body).await?;
+    let body = http::read_request_body(body, cx.cfg.limits).await?;
     let chat = ask::ChatRequest::parse(&body)?;
     let snapshot = cx.control.snapshot();
     let profile = snapshot.profiles.get(&chat.profile).ok_or_else(|| {
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -101,7 +101,7 @@
     let priority = input::header(&head.headers, "x-quetzalworks-priority")
         .map(|text| input::parse(text, "x-quetzalworks-priority"))
         .transpose()?;
-    let body = input::body(cx, body).await?;
+    let body = http::read_request_body(body, cx.cfg.limits).await?;
     Ok(entry::ServiceAsk {
         id,
         team: team.name,
--- a/src/admin/body.rs
+++ b/src/http/request_body.rs
@@ -1,4 +1,4 @@
-//! Reading of bodies.
+//! Bodies of requests from outside.
 
 use std::time::Instant;
 
@@ -10,7 +10,10 @@
 use crate::settings;
 
 /// Reads a body within the limits on size and time.
-pub async fn read(body: Incoming, limits: settings::Limits) -> Result<Bytes, errors::Refusal> {
+pub async fn read_request_body(
+    body: Incoming,
+    limits: settings::Limits,
+) -> Result<Bytes, errors::Refusal> {
     let deadline = Instant::now() + limits.send_timeout_ms.duration();
     let (code, reason) =
         match runtime::timeout_at(deadline, http::read_body(body, limits.body_bytes)).await {
--- a/src/sidecar/cx.rs
+++ b/src/sidecar/cx.rs
@@ -117,12 +117,6 @@
         f(&mut lock(&self.copies))
     }
 
-    /// Crash reports that no entry has put on record yet, oldest first.
-    #[must_use]
-    pub fn pending_crashes(&self) -> Vec<fleet::CrashReport> {
-        self.with_crashes(|crashes| crashes.pending())
-    }
-
     /// What the endpoint said of itself last; `None` while it does not answer.
     #[must_use]
     pub fn engine_status(&self) -> Option<sidecar::EngineStatus> {
--- a/src/system/inventory.rs
+++ b/src/system/inventory.rs
@@ -50,24 +50,9 @@
         row.state = vm.state;
         return;
     }
-    world.endpoints.put(
-        vm.vm.clone(),
-        control::EndpointRow {
-            vm: vm.vm.clone(),
-            domain: vm.domain.clone(),
-            region: vm.region.clone(),
-            addr: vm.peer_addr,
-            state: vm.state,
-            link: None,
-            report: fleet::Report::default(),
-            in_flight: std::sync::Arc::default(),
-        },
-    );
-    cx.effects.push(control::Effect::Connect {
-        vm: vm.vm.clone(),
-        addr: vm.peer_addr,
-        role: fleet::NodeRole::Sidecar,
-    });
+    let row = control::EndpointRow::unheard(vm);
+    world.endpoints.put(vm.vm.clone(), row);
+    connect(cx, vm);
 }
 
 fn put_entry(world: &mut control::World, cx: &mut control::TickCx, vm: &platform::Vm) {
@@ -80,23 +65,15 @@
         row.state = vm.state;
         return;
     }
-    world.entries.put(
-        vm.vm.clone(),
-        control::EntryRow {
-            vm: vm.vm.clone(),
-            domain: vm.domain.clone(),
-            region: vm.region.clone(),
-            addr: vm.peer_addr,
-            state: vm.state,
-            link: None,
-            member: None,
-            config: None,
-            control: None,
-        },
-    );
+    let row = control::EntryRow::unheard(vm);
+    world.entries.put(vm.vm.clone(), row);
+    connect(cx, vm);
+}
+
+fn connect(cx: &mut control::TickCx, vm: &platform::Vm) {
     cx.effects.push(control::Effect::Connect {
         vm: vm.vm.clone(),
         addr: vm.peer_addr,
-        role: fleet::NodeRole::Entry,
+        role: vm.role,
     });
 }
--- a/tests/integration/admission/orders.rs
+++ b/tests/integration/admission/orders.rs
@@ -109,7 +109,4 @@
     let mut in_flight = report.in_flight.to_vec();
     in_flight.sort_unstable();
     assert_eq!(in_flight, [suspect(2), suspect(3)]);
-    assert_eq!(crashes.pending().len(), 1, "kept until it is on record");
-    crashes.recorded(report.incident);
-    assert_eq!(crashes.pending(), Vec::<fleet::CrashReport>::new());
 }
--- a/tests/integration/sidecar/engine.rs
+++ b/tests/integration/sidecar/engine.rs
@@ -104,8 +104,9 @@
         let before = asked();
         wait::until("the engine's status is read", || asked() >= before + 3);
         if case.crash {
-            wait::until("the crash is reported", || !cx.pending_crashes().is_empty());
-            let crashes = cx.pending_crashes();
+            let reported = || cx.control.snapshot().unrecorded.clone();
+            wait::until("the crash is reported", || !reported().is_empty());
+            let crashes = reported();
             assert_eq!(crashes.len(), 1, "{}", case.name);
             let mut suspects = crashes[0].in_flight.to_vec();
             suspects.sort_unstable();
