Loads at a time become a setting

The weight store's rate was a constant of placement. It is now role.entry.parallel_loads, 2 by default and at least 1. A table of rates tests that placement keeps to it.

--- a/src/control/world.rs
+++ b/src/control/world.rs
@@ -69,6 +69,8 @@
     pub counted_crashes: HashSet<fleet::Incident>,
     /// Crashes that are not on record yet.
     pub unrecorded: Vec<fleet::CrashReport>,
+    /// Loads of versions at a time that the weight store bears.
+    pub parallel_loads: usize,
     /// The evidence that the estimates include.
     pub estimated: Option<ids::Offset>,
 }
@@ -108,6 +110,7 @@
             quarantine: Arc::default(),
             counted_crashes: HashSet::new(),
             unrecorded: Vec::new(),
+            parallel_loads: 1,
             estimated: None,
         }
     }
--- a/src/demo/node_plan.rs
+++ b/src/demo/node_plan.rs
@@ -81,6 +81,7 @@
             limits: settings::Limits::default(),
             usage_flush_ms: units::Millis(1_000),
             evidence_flush_ms: units::Millis(2_000),
+            parallel_loads: 2,
         }))
     }
 }
--- a/src/entry/role.rs
+++ b/src/entry/role.rs
@@ -53,8 +53,9 @@
         node: wire::Node,
         traffic: runtime::Traffic,
     ) -> io::Result<Self> {
-        let (control, effect_rx, _thread) =
-            control::Control::spawn(control::World::new(me.clone()), system::ENTRY)?;
+        let mut world = control::World::new(me.clone());
+        world.parallel_loads = cfg.parallel_loads;
+        let (control, effect_rx, _thread) = control::Control::spawn(world, system::ENTRY)?;
         let links = entry::Links::new(me.clone(), node.clone(), control.clone(), traffic.clone());
         let log = platform::LogClient::new(settings.platform.log_addr, traffic.clone());
         let calls = Arc::new(entry::CallBook::new(log.clone()));
--- a/src/settings/fields.rs
+++ b/src/settings/fields.rs
@@ -92,6 +92,9 @@
     /// Time between appends of ratings.
     #[serde(default = "default_evidence_flush")]
     pub evidence_flush_ms: units::Millis,
+    /// Loads of versions at a time that the weight store bears.
+    #[serde(default = "default_parallel_loads")]
+    pub parallel_loads: usize,
 }
 
 /// Bounds on what a caller may send.
@@ -174,6 +177,10 @@
     units::Millis(10_000)
 }
 
+const fn default_parallel_loads() -> usize {
+    2
+}
+
 const fn default_cold_limit() -> u32 {
     2
 }
--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -92,6 +92,9 @@
         settings::Role::Entry(entry) if entry.evidence_flush_ms == units::Millis(0) => {
             inconsistent("role.entry.evidence_flush_ms", "must be at least 1")
         }
+        settings::Role::Entry(entry) if entry.parallel_loads == 0 => {
+            inconsistent("role.entry.parallel_loads", "must be at least 1")
+        }
         settings::Role::Sidecar(sidecar) if sidecar.cold_limit == 0 => {
             inconsistent("role.sidecar.cold_limit", "must be at least 1")
         }
--- a/src/system/placement.rs
+++ b/src/system/placement.rs
@@ -10,8 +10,6 @@
 use crate::platform;
 use crate::rollout;
 
-/// Loads at a time that the weight store bears.
-const PARALLEL_LOADS: usize = 2;
 /// Time after which a load without a result counts as failed.
 const LOAD_TIMEOUT: Duration = Duration::from_mins(2);
 /// First pause after a failed load; doubled after each further failure.
@@ -33,7 +31,8 @@
         .filter(|load| !load.failed)
         .count();
     let wanted = wanted(world, cx.now);
-    for (vm, version) in wanted.into_iter().take(PARALLEL_LOADS.saturating_sub(busy)) {
+    let free = world.parallel_loads.saturating_sub(busy);
+    for (vm, version) in wanted.into_iter().take(free) {
         let key = (vm.clone(), version.clone());
         let tries = world.driver.loads.get(&key).map_or(0, |load| load.tries) + 1;
         log::info!("placement: {vm} is to load {version}, try {tries}, fence {fence}.");
--- a/tests/integration/systems.rs
+++ b/tests/integration/systems.rs
@@ -519,6 +519,7 @@
     for case in cases {
         let now = Instant::now();
         let mut world = holder(&case.rows, now);
+        world.parallel_loads = 2;
         let later = now + Duration::from_secs(case.at);
         let found = orders(run(&mut world, later, reports(&case.rows)));
         assert_eq!(found, case.expected, "{}", case.name);
@@ -540,6 +541,38 @@
     }
 }
 
+/// Guards against more loads at a time than the settings allow.
+#[test]
+fn loads_at_a_time_follow_the_settings() {
+    struct Case {
+        parallel: usize,
+        expected: &'static [&'static str],
+    }
+    const OLD: &[&str] = &["old"];
+    let cases = [
+        Case {
+            parallel: 1,
+            expected: &["e0"],
+        },
+        Case {
+            parallel: 2,
+            expected: &["e0", "e2"],
+        },
+        Case {
+            parallel: 9,
+            expected: &["e0", "e2", "e4"],
+        },
+    ];
+    let rows = ["d0", "d0", "d1", "d1", "d2", "d2"].map(|domain| (domain, OLD));
+    for case in cases {
+        let now = Instant::now();
+        let mut world = holder(&rows, now);
+        world.parallel_loads = case.parallel;
+        let found = orders(run(&mut world, now + SECOND, reports(&rows)));
+        assert_eq!(found, case.expected, "{} at a time", case.parallel);
+    }
+}
+
 /// Guards against more connections than the budget allows, against a subset
 /// in one failure domain only, and against an endpoint without any entry.
 #[test]
