--- a/src/admin/api.rs
+++ b/src/admin/api.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 
 use crate::admin;
-use crate::admin::{body, explain, object_json, status, submit};
+use crate::admin::{explain, object_json, status, submit};
 use crate::catalog;
 use crate::control;
 use crate::errors;
@@ -144,7 +144,7 @@
     ) -> Result<http::Reply, admin::Failure> {
         let (head, body) = req.into_parts();
         let condition = admin::Condition::from_headers(&head.headers)?;
-        let body = body::read(body, self.limits).await?;
+        let body = http::read_request_body(body, self.limits).await?;
         let object = object_json::parse(id.kind, &body)?;
         let order = Order {
             id,
@@ -171,6 +171,15 @@
         self.carry_out(order).await
     }
 
+    fn check(&self, catalog: &catalog::Catalog, order: &Order) -> Result<(), errors::Refusal> {
+        let (id, content) = (&order.id, order.content.as_ref());
+        let snapshot = self.control.snapshot();
+        let progress = snapshot.rollouts.get(&id.name);
+        catalog::check(catalog, id, content)
+            .and_then(|()| catalog::check_ended(catalog, id, content, progress))
+            .map_err(|err| errors::Refusal::new(errors::ResultCode::InvalidObject, err.to_string()))
+    }
+
     async fn carry_out(&self, order: Order) -> Result<http::Reply, admin::Failure> {
         let catalog = self.catalog().await?;
         let base = order.condition.base(&catalog, &order.id)?;
@@ -178,9 +187,7 @@
         if order.content.is_none() && before.is_none() {
             return Err(missing(&order.id).into());
         }
-        catalog::check(&catalog, &order.id, order.content.as_ref()).map_err(|err| {
-            errors::Refusal::new(errors::ResultCode::InvalidObject, err.to_string())
-        })?;
+        self.check(&catalog, &order)?;
         if order.dry_run {
             if base != catalog.revision(&order.id) {
                 return Err(admin::Failure::conflict(catalog.revision(&order.id), None));
--- a/src/control/world.rs
+++ b/src/control/world.rs
@@ -69,6 +69,8 @@
     pub counted_crashes: HashSet<fleet::Incident>,
     /// Crashes that are not on record yet.
     pub unrecorded: Vec<fleet::CrashReport>,
+    /// Loads of versions at a time that the weight store bears.
+    pub parallel_loads: usize,
     /// The evidence that the estimates include.
     pub estimated: Option<ids::Offset>,
 }
@@ -108,6 +110,7 @@
             quarantine: Arc::default(),
             counted_crashes: HashSet::new(),
             unrecorded: Vec::new(),
+            parallel_loads: 1,
             estimated: None,
         }
     }
@@ -119,8 +122,19 @@
         name: &str,
         plan: &catalog::RolloutPlan,
     ) -> Option<&ledger::RolloutRow> {
-        self.ledger.state().rollouts.get(name).filter(|row| {
-            *row.progress.profile() == plan.profile && *row.progress.version() == plan.version
+        self.ledger
+            .state()
+            .rollouts
+            .get(name)
+            .filter(|row| row.progress.is_of(plan))
+    }
+
+    /// Roll-outs whose version the profile lists; the others are inactive.
+    pub fn active_rollouts(&self) -> impl Iterator<Item = (&Arc<str>, &catalog::RolloutPlan)> {
+        self.rollouts.named().filter(|(_, plan)| {
+            self.profiles
+                .by_name(&plan.profile)
+                .is_some_and(|profile| profile.versions.contains(&plan.version))
         })
     }
 
