--- a/src/standin/udp_proxy.rs
+++ b/src/standin/udp_proxy.rs
@@ -1,9 +1,9 @@
 //! Fault-injecting proxy for UDP.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use smol::net::UdpSocket;
@@ -22,9 +22,13 @@
 pub struct UdpProxy {
     addr: SocketAddr,
     link: faults::Link,
+    cut_clients: CutClients,
     _receive: Task<()>,
 }
 
+/// Clients whose datagrams are dropped in both directions.
+type CutClients = Arc<Mutex<HashSet<SocketAddr>>>;
+
 impl UdpProxy {
     /// Receives on `listen` and passes datagrams on to `target`; each client
     /// has its own socket towards the target.
@@ -36,16 +40,19 @@
         let socket = UdpSocket::bind(listen).await?;
         let addr = socket.local_addr()?;
         let link = faults::Link::default();
+        let cut_clients = CutClients::default();
         let relay = Relay {
             socket,
             target,
             link: link.clone(),
+            cut_clients: Arc::clone(&cut_clients),
             traffic: traffic.clone(),
             clients: HashMap::new(),
         };
         Ok(Self {
             addr,
             link,
+            cut_clients,
             _receive: traffic.spawn(relay.run()),
         })
     }
@@ -60,12 +67,22 @@
     pub fn set(&self, faults: faults::Faults) {
         self.link.set(faults);
     }
+
+    /// Cuts these clients off, and no others.
+    pub fn cut_clients(&self, clients: impl IntoIterator<Item = SocketAddr>) {
+        let mut cut = self
+            .cut_clients
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *cut = clients.into_iter().collect();
+    }
 }
 
 struct Relay {
     socket: UdpSocket,
     target: SocketAddr,
     link: faults::Link,
+    cut_clients: CutClients,
     traffic: runtime::Traffic,
     clients: HashMap<SocketAddr, Client>,
 }
@@ -94,7 +111,9 @@
             let way = Way {
                 socket: out,
                 to: self.target,
+                client: from,
                 link: self.link.clone(),
+                cut_clients: Arc::clone(&self.cut_clients),
                 direction: faults::Direction::ToTarget,
             };
             way.pass(&buf[..len], &self.traffic).await;
@@ -107,7 +126,9 @@
             let way = Way {
                 socket: self.socket.clone(),
                 to: from,
+                client: from,
                 link: self.link.clone(),
+                cut_clients: Arc::clone(&self.cut_clients),
                 direction: faults::Direction::ToClient,
             };
             let answers = answers(socket.clone(), way, self.traffic.clone());
@@ -135,14 +156,21 @@
 struct Way {
     socket: UdpSocket,
     to: SocketAddr,
+    client: SocketAddr,
     link: faults::Link,
+    cut_clients: CutClients,
     direction: faults::Direction,
 }
 
 impl Way {
     async fn pass(&self, datagram: &[u8], traffic: &runtime::Traffic) {
         let faults = self.link.faults();
-        if faults.is_cut(self.direction) {
+        let is_cut_off = self
+            .cut_clients
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .contains(&self.client);
+        if is_cut_off || faults.is_cut(self.direction) {
             return;
         }
         let copies = 1 + usize::from(fastrand::f64() < faults.duplicate.get());
--- /dev/null
+++ b/tests/integration/control_proofs/i1_allowed.rs
@@ -0,0 +1,100 @@
+//! I1: a request runs only on a model and version that its team's profile allows.
+
+use serde_json::{Value, json};
+
+use crate::testing::cluster::Cluster;
+use crate::testing::spec::{Spec, serving};
+use crate::testing::{operator, traffic, wait};
+
+/// Requests after each change, to each entry.
+const REQUESTS: usize = 10;
+
+struct Case {
+    profile: &'static str,
+    /// The profile after the change; `null` deletes it.
+    after: Value,
+    /// Versions on which no request may begin any more.
+    forbidden: &'static [&'static str],
+}
+
+/// Guards against an entry that lags behind the configuration, cut off from
+/// the log and from the other entry, and so has work run that is no longer allowed.
+#[test]
+fn lagging_entries_run_nothing_forbidden() {
+    let cases = [
+        Case {
+            profile: "fewer-versions",
+            after: json!({ "profile": { "teams": ["red"], "versions": ["large-1"], "quality_target": 0.7 } }),
+            forbidden: &["small-1", "other-1"],
+        },
+        Case {
+            profile: "other-team",
+            after: json!({ "profile": { "teams": ["blue"], "versions": ["small-1"], "quality_target": 0.7 } }),
+            forbidden: &["small-1", "large-1", "other-1"],
+        },
+        Case {
+            profile: "deleted",
+            after: Value::Null,
+            forbidden: &["small-1", "large-1", "other-1"],
+        },
+    ];
+    let cluster = Cluster::start_spec(Spec {
+        entries: 2,
+        engines: 3,
+        engine: Box::new(|_| serving(&["small-1", "large-1", "other-1"])),
+        proxy_log: true,
+        proxy_peers: true,
+        ..Spec::default()
+    });
+    let large =
+        json!({ "model": "large", "prompt_cost": 900, "output_cost": 900, "prior_quality": 0.9 });
+    cluster.publish("versions/large-1", 0, json!({ "version": large }));
+    cluster.publish("versions/other-1", 0, json!({ "version": large }));
+    cluster.publish("teams/blue", 0, json!({ "team": { "token_sha256": [] } }));
+    let before = json!({ "profile": { "teams": ["red"], "versions": ["small-1", "large-1"], "quality_target": 0.7 } });
+    for case in &cases {
+        cluster.publish(&format!("profiles/{}", case.profile), 0, before.clone());
+    }
+    for case in &cases {
+        wait::until("both entries answer", || {
+            (0..2).all(|entry| {
+                let answer = traffic::ask(&cluster, entry, case.profile, "before", None);
+                answer.is_some_and(|answer| answer.status == 200)
+            })
+        });
+    }
+    operator::cut_log([&cluster.entries[1]], true);
+    operator::cut_peers(&cluster.entries, true);
+    for case in &cases {
+        check(&cluster, case);
+    }
+}
+
+fn check(cluster: &Cluster, case: &Case) {
+    let id = format!("profiles/{}", case.profile);
+    let (base, _) = operator::get(cluster, 0, &id).unwrap();
+    cluster.publish(&id, base, case.after.clone());
+    let offset = cluster
+        .log
+        .records(quetzalworks::platform::Stream::Config)
+        .len() as u64
+        - 1;
+    wait::until("the sidecars know", || {
+        operator::have(&cluster.sidecars, offset)
+    });
+    assert!(
+        !operator::have([&cluster.entries[1]], offset),
+        "{}: the entry is meant to lag",
+        case.profile
+    );
+    let text = format!("after {}", case.profile);
+    for entry in [0, 1] {
+        for _ in 0..REQUESTS {
+            traffic::ask(cluster, entry, case.profile, &text, None).unwrap();
+        }
+    }
+    for version in case.forbidden {
+        let begun = traffic::begun(cluster, version, &text);
+        assert_eq!(begun, 0, "{}: requests on {version}", case.profile);
+    }
+}
--- /dev/null
+++ b/tests/integration/control_proofs/i2_withdrawn.rs
@@ -0,0 +1,144 @@
+//! I2: a withdrawn version receives no new work.
+
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use crate::testing::cluster::{Cluster, Node};
+use crate::testing::spec::{Spec, serving};
+use crate::testing::{operator, traffic, wait};
+
+/// The target for a change to be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(9);
+/// Time for which the load goes on after the version must be out of use.
+const WATCH: Duration = Duration::from_secs(1);
+const CALLERS: usize = 4;
+
+/// Which links to the log are cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cut {
+    Nothing,
+    /// One entry's.
+    OneEntry,
+    /// One entry's, which hears nothing from other entries either.
+    OneEntryAlone,
+    /// Those of all sidecars.
+    Sidecars,
+    /// Those of all processes but the entry that takes the change.
+    AllButOne,
+}
+
+struct Case {
+    version: &'static str,
+    cut: Cut,
+}
+
+/// Guards against new work on a withdrawn version by a process that has lost the log.
+#[test]
+fn withdrawn_versions_get_no_new_work() {
+    let cases = [
+        Case {
+            version: "v-nothing",
+            cut: Cut::Nothing,
+        },
+        Case {
+            version: "v-entry",
+            cut: Cut::OneEntry,
+        },
+        Case {
+            version: "v-alone",
+            cut: Cut::OneEntryAlone,
+        },
+        Case {
+            version: "v-sidecars",
+            cut: Cut::Sidecars,
+        },
+        Case {
+            version: "v-all",
+            cut: Cut::AllButOne,
+        },
+    ];
+    let mut versions = vec!["small-1"];
+    versions.extend(cases.iter().map(|case| case.version));
+    let cluster = Cluster::start_spec(Spec {
+        entries: 3,
+        engines: 3,
+        engine: Box::new(move |_| serving(&versions)),
+        proxy_log: true,
+        proxy_peers: true,
+        ..Spec::default()
+    });
+    for case in &cases {
+        publish(&cluster, case.version);
+    }
+    for case in &cases {
+        wait::until("the version serves through each entry", || {
+            (0..3).all(|entry| {
+                traffic::ask(&cluster, entry, case.version, "before", None)
+                    .is_some_and(|answer| answer.status == 200)
+            })
+        });
+    }
+    for case in &cases {
+        traffic::during(&cluster, case.version, CALLERS, |_| check(&cluster, case));
+    }
+}
+
+/// A profile of the version's name in which it is the cheapest.
+fn publish(cluster: &Cluster, version: &str) {
+    let cheap =
+        json!({ "model": "small", "prompt_cost": 1, "output_cost": 1, "prior_quality": 0.9 });
+    cluster.publish(
+        &format!("versions/{version}"),
+        0,
+        json!({ "version": cheap }),
+    );
+    let profile =
+        json!({ "teams": ["red"], "versions": [version, "small-1"], "quality_target": 0.7 });
+    cluster.publish(
+        &format!("profiles/{version}"),
+        0,
+        json!({ "profile": profile }),
+    );
+}
+
+fn check(cluster: &Cluster, case: &Case) {
+    let begun = || traffic::begun(cluster, case.version, "");
+    wait::until("the version is in use", || begun() > 20);
+    set(cluster, case.cut, true);
+    let withdrawn = Instant::now();
+    let id = format!("versions/{}", case.version);
+    let offset = operator::change(cluster, 0, &id, &json!({ "withdrawn": true }));
+    // An entry that is alone cannot know; the sidecars then refuse its work.
+    let entries = if case.cut == Cut::OneEntryAlone { 2 } else { 3 };
+    let nodes: Vec<&Node> = cluster.entries[..entries]
+        .iter()
+        .chain(&cluster.sidecars)
+        .collect();
+    wait::until("in force", || operator::have(nodes.iter().copied(), offset));
+    let took = withdrawn.elapsed();
+    assert!(took < IN_FORCE, "{:?}: in force after {took:?}", case.cut);
+    let before = begun();
+    std::thread::sleep(WATCH);
+    assert_eq!(begun(), before, "{:?}: new work after {took:?}", case.cut);
+    set(cluster, case.cut, false);
+}
+
+fn set(cluster: &Cluster, cut: Cut, is_cut: bool) {
+    match cut {
+        Cut::Nothing => {}
+        Cut::OneEntry => operator::cut_log([&cluster.entries[2]], is_cut),
+        Cut::OneEntryAlone => {
+            operator::cut_log([&cluster.entries[2]], is_cut);
+            operator::cut_peers([&cluster.entries[2]], is_cut);
+            let alone = is_cut.then_some(cluster.entries[2].peer_addr);
+            for entry in &cluster.entries[..2] {
+                entry.peer_proxy.as_ref().unwrap().cut_clients(alone);
+            }
+        }
+        Cut::Sidecars => operator::cut_log(&cluster.sidecars, is_cut),
+        Cut::AllButOne => {
+            operator::cut_log(cluster.entries[1..].iter().chain(&cluster.sidecars), is_cut);
+        }
+    }
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -12,6 +12,7 @@
 mod cascade;
 mod catalog;
 mod cli;
+mod control_proofs;
 mod daemon;
 mod demo;
 mod docs;
--- a/tests/integration/testing/cluster.rs
+++ b/tests/integration/testing/cluster.rs
@@ -13,6 +13,7 @@
     StandinWeights, TcpProxy, UdpProxy,
 };
 use quetzalworks::units::Millis;
+use quetzalworks::wire;
 use serde_json::{Value, json};
 use smol::block_on;
 
@@ -38,6 +39,10 @@
     pub peer_proxy: Option<UdpProxy>,
     /// The link from this process to the log.
     pub log_proxy: Option<TcpProxy>,
+    /// The link from this process to the list of VMs.
+    pub list_proxy: TcpProxy,
+    /// The address from which this process connects to others.
+    pub peer_addr: SocketAddr,
     /// The link from this sidecar to its endpoint.
     pub endpoint_proxy: Option<TcpProxy>,
     /// The address for callers, of an entry.
@@ -211,17 +216,20 @@
         let tls = self.authority.issue(&vm, &self.dir).unwrap();
         let (peer_addr, operations) = (place::addr(), place::addr());
         let log_proxy = self.spec.proxy_log.then(|| tcp_proxy(self.log.addr()));
+        let list_proxy = tcp_proxy(self.inventory.addr());
         let peer_proxy = self.spec.proxy_peers.then(|| udp_proxy(peer_addr));
-        let domain = format!("domain-{}", i % self.spec.domains);
+        let domain = i % self.spec.domains;
+        let region = format!("region-{}", 1 + domain % self.spec.regions);
+        let domain = format!("domain-{domain}");
         let mut settings = json!({
             "vm": vm,
             "domain": domain,
-            "region": "region-1",
+            "region": region,
             "peer_addr": peer_addr,
             "operations_addr": operations,
             "platform": {
                 "log_addr": log_proxy.as_ref().map_or(self.log.addr(), TcpProxy::addr),
-                "inventory_addr": self.inventory.addr(),
+                "inventory_addr": list_proxy.addr(),
                 "rating_addr": self.rating.addr(),
                 "weights_addr": self.weights.addr(),
             },
@@ -236,7 +244,7 @@
         vms.push(Vm {
             vm,
             domain: domain.parse().unwrap(),
-            region: "region-1".parse().unwrap(),
+            region: region.parse().unwrap(),
             role,
             peer_addr: peer_proxy.as_ref().map_or(peer_addr, UdpProxy::addr),
             state: VmState::Live,
@@ -248,11 +256,21 @@
             operations,
             peer_proxy,
             log_proxy,
+            list_proxy,
+            peer_addr,
             endpoint_proxy: None,
             callers: None,
         }
     }
 
+    /// A node with a certificate of the cluster, to speak to its processes.
+    pub fn peer(&self, name: &str) -> wire::Node {
+        let vm = name.parse().unwrap();
+        let files = self.authority.issue(&vm, &self.dir).unwrap();
+        let tls = wire::Tls::open(&files).unwrap();
+        wire::Node::bind(place::addr(), &tls, &traffic()).unwrap()
+    }
+
     /// Sends one chat request with one token.
     pub fn ask(&self, entry: usize) -> Result<http::Answer, quetzalworks::http::HttpError> {
         let body = json!({ "model": "chat", "max_tokens": 1, "messages": [{ "role": "user", "content": "ready?" }] });
--- a/tests/integration/testing/mod.rs
+++ b/tests/integration/testing/mod.rs
@@ -5,8 +5,10 @@
 pub mod cluster;
 pub mod http;
 pub mod load;
+pub mod operator;
 pub mod place;
 pub mod process;
 pub mod raw;
 pub mod spec;
+pub mod traffic;
 pub mod wait;
--- /dev/null
+++ b/tests/integration/testing/operator.rs
@@ -0,0 +1,110 @@
+//! An operator who changes objects, and what the processes have in force.
+
+use hyper::Method;
+use quetzalworks::standin::{Faults, TcpProxy, UdpProxy};
+use serde_json::{Value, json};
+
+use crate::testing::cluster::{Cluster, Node};
+use crate::testing::http::{self, Answer};
+use crate::testing::wait;
+
+/// Reads an object through an entry, with its revision; `None` where it is not there.
+pub fn get(cluster: &Cluster, entry: usize, id: &str) -> Option<(u64, Value)> {
+    let path = format!("/admin/v1/{id}");
+    let answer = http::try_get(cluster.entry_addr(entry), &path, &cluster.operator_token).ok()?;
+    let revision = answer.header("etag")?.trim_matches('"').parse().ok()?;
+    (answer.status == 200).then(|| (revision, answer.json()))
+}
+
+/// Writes an object through an entry on a base revision, where 0 creates it.
+pub fn put(
+    cluster: &Cluster,
+    entry: usize,
+    id: &str,
+    base: u64,
+    content: &Value,
+) -> Option<Answer> {
+    let bearer = format!("Bearer {}", cluster.operator_token);
+    let quoted = format!("\"{base}\"");
+    let condition = if base == 0 {
+        ("if-none-match", "*")
+    } else {
+        ("if-match", quoted.as_str())
+    };
+    http::send(
+        cluster.entry_addr(entry),
+        &Method::PUT,
+        &format!("/admin/v1/{id}"),
+        &[("authorization", bearer.as_str()), condition],
+        content.to_string().as_bytes(),
+    )
+    .ok()
+}
+
+/// Changes members of an object, which must be accepted. Returns the offset of the record.
+pub fn change(cluster: &Cluster, entry: usize, id: &str, members: &Value) -> u64 {
+    let (base, mut content) = get(cluster, entry, id).unwrap_or((0, json!({})));
+    crate::testing::spec::merge(&mut content, members);
+    let answer = put(cluster, entry, id, base, &content).unwrap();
+    assert!(answer.status < 300, "{id}: {}", answer.text());
+    let revision = answer.header("etag").unwrap().trim_matches('"');
+    revision.parse::<u64>().unwrap() - 1
+}
+
+/// The last configuration record that a process has in force.
+pub fn config(node: &Node) -> Option<u64> {
+    let answer = http::try_get(node.operations, "/metrics", "").ok()?;
+    let text = answer.text();
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("quetzalworks_config_offset"))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
+
+/// Whether all of these processes have the record at `offset` in force.
+pub fn have<'a>(nodes: impl IntoIterator<Item = &'a Node>, offset: u64) -> bool {
+    nodes.into_iter().all(|node| config(node) >= Some(offset))
+}
+
+/// What an entry says of the system.
+pub fn status(cluster: &Cluster, entry: usize) -> Value {
+    let addr = cluster.entry_addr(entry);
+    http::try_get(addr, "/admin/v1/status", &cluster.operator_token)
+        .map(|answer| answer.json())
+        .unwrap_or_default()
+}
+
+/// State of the only roll-out, as an entry sees it.
+pub fn rollout_state(cluster: &Cluster, entry: usize) -> String {
+    let state = &status(cluster, entry)["rollouts"][0]["state"];
+    state.as_str().unwrap_or_default().to_owned()
+}
+
+/// Waits until an entry sees the only roll-out in this state.
+pub fn wait_rollout(cluster: &Cluster, entry: usize, state: &str) {
+    wait::until(state, || rollout_state(cluster, entry) == state);
+}
+
+/// Cuts or restores the links of these processes to the log.
+pub fn cut_log<'a>(nodes: impl IntoIterator<Item = &'a Node>, cut: bool) {
+    nodes
+        .into_iter()
+        .filter_map(|node| node.log_proxy.as_ref())
+        .for_each(|proxy: &TcpProxy| proxy.set(faults(cut)));
+}
+
+/// Cuts or restores all links of other entries to these processes.
+pub fn cut_peers<'a>(nodes: impl IntoIterator<Item = &'a Node>, cut: bool) {
+    nodes
+        .into_iter()
+        .filter_map(|node| node.peer_proxy.as_ref())
+        .for_each(|proxy: &UdpProxy| proxy.set(faults(cut)));
+}
+
+fn faults(cut: bool) -> Faults {
+    if cut {
+        Faults::cut()
+    } else {
+        Faults::default()
+    }
+}
--- a/tests/integration/testing/place.rs
+++ b/tests/integration/testing/place.rs
@@ -4,8 +4,9 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU16, Ordering};
 
-/// Below the ephemeral ports, so that no outgoing connection takes one.
-const FIRST_PORT: u16 = 2_000;
+/// Below the ephemeral ports, so that no outgoing connection takes one. Ports
+/// from 2000 on were refused where another program listens on all addresses (2024).
+const FIRST_PORT: u16 = 20_000;
 
 static NEXT: AtomicU16 = AtomicU16::new(0);
 
--- a/tests/integration/testing/process.rs
+++ b/tests/integration/testing/process.rs
@@ -45,6 +45,11 @@
         self.child = run(&self.settings, output.unwrap());
     }
 
+    /// Ends the process without warning while others use the cluster.
+    pub fn crash(&self) {
+        signal("KILL", self.child.id());
+    }
+
     /// Stops the process's execution (SIGSTOP).
     pub fn freeze(&self) {
         signal("STOP", self.child.id());
--- a/tests/integration/testing/spec.rs
+++ b/tests/integration/testing/spec.rs
@@ -11,6 +11,8 @@
     pub services: usize,
     /// Failure domains, over which the VMs of each kind are spread in turn.
     pub domains: usize,
+    /// Regions, over which the failure domains are spread in turn.
+    pub regions: usize,
     /// The behaviour of each engine by its number.
     pub engine: Box<dyn Fn(usize) -> EngineProfile + Send + Sync>,
     /// Puts a fault proxy between the entries and each sidecar (UDP).
@@ -34,6 +36,7 @@
             engines: 2,
             services: 0,
             domains: 4,
+            regions: 1,
             engine: Box::new(|_| serving(&["small-1"])),
             proxy_peers: false,
             proxy_log: false,
--- /dev/null
+++ b/tests/integration/testing/traffic.rs
@@ -0,0 +1,96 @@
+//! Callers that go on while a test acts.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use quetzalworks::standin::StandinEngine;
+use serde_json::json;
+
+use crate::testing::cluster::Cluster;
+use crate::testing::http::{self, Answer};
+
+/// Pause of a caller between requests, so that the load is bounded.
+const PAUSE: Duration = Duration::from_millis(15);
+
+/// Sends one chat request of one token; `None` where the exchange breaks off.
+pub fn ask(
+    cluster: &Cluster,
+    entry: usize,
+    profile: &str,
+    text: &str,
+    session: Option<&str>,
+) -> Option<Answer> {
+    let body = json!({
+        "model": profile, "max_tokens": 1,
+        "messages": [{ "role": "user", "content": text }],
+    });
+    let bearer = format!("Bearer {}", cluster.team_token);
+    let mut headers = vec![("authorization", bearer.as_str())];
+    headers.extend(session.map(|token| ("x-quetzalworks-session", token)));
+    http::send(
+        cluster.entry_addr(entry),
+        &hyper::Method::POST,
+        "/v1/chat/completions",
+        &headers,
+        body.to_string().as_bytes(),
+    )
+    .ok()
+}
+
+/// Answers to the callers of [`during`].
+#[derive(Debug, Default)]
+pub struct Count {
+    pub answered: AtomicUsize,
+    pub failed: AtomicUsize,
+}
+
+/// Runs `act` while each caller sends requests of a profile to all entries in turn.
+pub fn during<T>(
+    cluster: &Cluster,
+    profile: &str,
+    callers: usize,
+    act: impl FnOnce(&Count) -> T,
+) -> T {
+    let stop = AtomicBool::new(false);
+    let count = Count::default();
+    std::thread::scope(|scope| {
+        for caller in 0..callers {
+            let (stop, count) = (&stop, &count);
+            scope.spawn(move || {
+                let mut n = caller;
+                while !stop.load(Ordering::Relaxed) {
+                    n += 1;
+                    let text = format!("{profile} {caller} {n}");
+                    let answer = ask(cluster, n % cluster.entries.len(), profile, &text, None);
+                    let ok = answer.is_some_and(|answer| answer.status == 200);
+                    let counter = if ok { &count.answered } else { &count.failed };
+                    counter.fetch_add(1, Ordering::Relaxed);
+                    std::thread::sleep(PAUSE);
+                }
+            });
+        }
+        let guard = Stop(&stop);
+        let result = act(&count);
+        drop(guard);
+        result
+    })
+}
+
+/// Ends the callers, also where an assertion has failed.
+struct Stop<'a>(&'a AtomicBool);
+
+impl Drop for Stop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Requests that engines have begun on a version, of messages that contain `text`.
+pub fn begun(cluster: &Cluster, version: &str, text: &str) -> u64 {
+    let served = cluster.engines.iter().flat_map(StandinEngine::served);
+    served
+        .filter(|served| served.version.as_str() == version)
+        .filter(|served| served.messages.to_string().contains(text))
+        .map(|served| served.started)
+        .sum()
+}
