Sidecar: check that the profile allows the team

The lag itself was ruled out as the fault: an entry cut off from all others cannot know, so the process beside the endpoint has to decide.

--- a/src/sidecar/check.rs
+++ b/src/sidecar/check.rs
@@ -73,7 +73,7 @@
             },
             settings::EndpointSettings::Engine { .. },
         ) => {
-            check_version(snapshot, profile, version)?;
+            check_version(snapshot, &dispatch.team, profile, version)?;
             let status = status.ok_or_else(unreachable)?;
             check_loaded(&status.versions, version)
         }
@@ -106,6 +106,7 @@
 
 fn check_version(
     snapshot: &control::Snapshot,
+    team: &ids::TeamName,
     profile: &ids::ProfileName,
     version: &ids::VersionName,
 ) -> Result<(), errors::Refusal> {
@@ -115,14 +116,13 @@
             "the version is withdrawn",
         ));
     }
-    let allowed = snapshot
-        .profiles
-        .get(profile)
-        .is_some_and(|view| view.profile.versions.contains(version));
+    let allowed = snapshot.profiles.get(profile).is_some_and(|view| {
+        view.profile.teams.contains(team) && view.profile.versions.contains(version)
+    });
     if !allowed {
         return Err(errors::Refusal::new(
             errors::ResultCode::NotAllowed,
-            "the profile does not allow the version",
+            "the profile does not allow the version, or the team may not use it",
         ));
     }
     Ok(())
