Admission: idle time does not raise a cold limit

Cause: an interval of the ramp began at the reset and counted time in which no request ran. An engine that came back cold and idled past `ramp_interval` got twice its cold limit with its first answer, and failed. Ruled out: a lost reset (the log shows the new boot id and the cold limit before the domain returned) and requests dispatched before the crash (they had ended 400 ms earlier).

Change: the interval counts only time in which requests run. `Gate` tells the warmth when the first request enters and the last one leaves.

Tests: the table of the gate stated each request as one instant, which let idle time count by construction. Cases now have the times at which a request comes and goes, the bounds are the same, and three cases are new: idle before an answer, idle between answers, an interval in parts.

--- a/src/admission/controller.rs
+++ b/src/admission/controller.rs
@@ -54,9 +54,9 @@
 impl<T> Controller<T> {
     /// A controller in front of a cold endpoint.
     #[must_use]
-    pub fn new(limits: admission::Limits, queue: usize, now: Instant) -> Self {
+    pub fn new(limits: admission::Limits, queue: usize) -> Self {
         Self {
-            gate: admission::Gate::new(limits, now),
+            gate: admission::Gate::new(limits),
             queue: admission::Queue::new(queue),
             service_time: service_time::ServiceTime::default(),
         }
--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -50,10 +50,10 @@
 impl Gate {
     /// A gate in front of a cold endpoint.
     #[must_use]
-    pub fn new(limits: admission::Limits, now: Instant) -> Self {
+    pub fn new(limits: admission::Limits) -> Self {
         Self {
             running: 0,
-            warmth: admission::AnyWarmth::Cold(admission::Warmth::new(limits, now)),
+            warmth: admission::AnyWarmth::Cold(admission::Warmth::new(limits, None)),
             epoch: 0,
             boot: None,
             first_tokens: first_token::FirstTokens::default(),
@@ -69,6 +69,9 @@
             return None;
         }
         self.running += 1;
+        if self.running == 1 {
+            self.warmth = self.warmth.with_load(true, now);
+        }
         self.occupied = alone;
         Some(Permit {
             epoch: self.epoch,
@@ -108,6 +111,9 @@
             Outcome::Error if counts => self.reset(now),
             _ => {}
         }
+        if self.running == 0 {
+            self.warmth = self.warmth.with_load(false, now);
+        }
         counts && outcome == Outcome::Error
     }
 
@@ -127,7 +133,8 @@
     /// none enters until they are fewer than the limit.
     pub fn reset(&mut self, now: Instant) {
         self.epoch += 1;
-        self.warmth = self.warmth.cooled(now);
+        let is_loaded = self.running > 0;
+        self.warmth = self.warmth.cooled(is_loaded.then_some(now));
     }
 
     /// Returns to the cold limit so far.
--- a/src/admission/warmth.rs
+++ b/src/admission/warmth.rs
@@ -11,7 +11,7 @@
     pub cold: u32,
     /// Concurrent requests that the endpoint bears when warm.
     pub max: u32,
-    /// Time with only successes after which the limit doubles.
+    /// Time under load with only successes after which the limit doubles.
     pub ramp_interval: Duration,
 }
 
@@ -25,24 +25,41 @@
     }
 }
 
-/// An interval of the ramp.
+/// An interval of the ramp. Only time in which requests run counts: an
+/// endpoint that idled through the interval has proven nothing.
 #[derive(Clone, Copy, Debug)]
 pub struct Interval {
-    since: Instant,
+    loaded: Duration,
+    loaded_since: Option<Instant>,
     successes: u32,
 }
 
 impl Interval {
-    const fn begin(since: Instant) -> Self {
+    const fn begin(loaded_since: Option<Instant>) -> Self {
         Self {
-            since,
+            loaded: Duration::ZERO,
+            loaded_since,
             successes: 0,
         }
     }
 
+    fn loaded(&self, now: Instant) -> Duration {
+        let running = self.loaded_since;
+        self.loaded + running.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
+    fn set_loaded(&mut self, is_loaded: bool, now: Instant) {
+        self.loaded = self.loaded(now);
+        self.loaded_since = is_loaded.then_some(now);
+    }
+
+    fn following(&self, now: Instant) -> Self {
+        Self::begin(self.loaded_since.map(|_| now))
+    }
+
     /// An interval without any answer proves nothing, so it does not count.
     fn is_earned(&self, length: Duration, now: Instant) -> bool {
-        self.successes > 0 && now.saturating_duration_since(self.since) >= length
+        self.successes > 0 && self.loaded(now) >= length
     }
 }
 
@@ -69,19 +86,23 @@
 }
 
 impl Warmth<Cold> {
-    /// Cold from `now` on.
+    /// Cold; requests run since `loaded_since`, where any do.
     #[must_use]
-    pub const fn new(limits: Limits, now: Instant) -> Self {
+    pub const fn new(limits: Limits, loaded_since: Option<Instant>) -> Self {
         Self {
             limits,
-            state: Cold(Interval::begin(now)),
+            state: Cold(Interval::begin(loaded_since)),
         }
     }
 
     /// The first doubling.
     #[must_use]
     pub fn ramp(self, now: Instant) -> AnyWarmth {
-        raised(self.limits, self.limits.cold_limit(), now)
+        raised(
+            self.limits,
+            self.limits.cold_limit(),
+            self.state.0.following(now),
+        )
     }
 }
 
@@ -89,19 +110,23 @@
     /// The next doubling.
     #[must_use]
     pub fn ramp(self, now: Instant) -> AnyWarmth {
-        raised(self.limits, self.state.limit, now)
+        raised(
+            self.limits,
+            self.state.limit,
+            self.state.interval.following(now),
+        )
     }
 }
 
 impl<S> Warmth<S> {
     /// The endpoint has lost its warmth.
     #[must_use]
-    pub fn cooled(self, now: Instant) -> Warmth<Cold> {
-        Warmth::new(self.limits, now)
+    pub fn cooled(self, loaded_since: Option<Instant>) -> Warmth<Cold> {
+        Warmth::new(self.limits, loaded_since)
     }
 }
 
-fn raised(limits: Limits, from: u32, now: Instant) -> AnyWarmth {
+fn raised(limits: Limits, from: u32, interval: Interval) -> AnyWarmth {
     let limit = from.saturating_mul(2);
     if limit >= limits.full_limit() {
         return AnyWarmth::Warm(Warmth {
@@ -111,10 +136,7 @@
     }
     AnyWarmth::Ramping(Warmth {
         limits,
-        state: Ramping {
-            limit,
-            interval: Interval::begin(now),
-        },
+        state: Ramping { limit, interval },
     })
 }
 
@@ -180,13 +202,24 @@
         }
     }
 
-    /// Back to the cold limit.
+    /// Whether requests run from `now` on.
+    #[must_use]
+    pub fn with_load(mut self, is_loaded: bool, now: Instant) -> Self {
+        match &mut self {
+            Self::Cold(warmth) => warmth.state.0.set_loaded(is_loaded, now),
+            Self::Ramping(warmth) => warmth.state.interval.set_loaded(is_loaded, now),
+            Self::Warm(_) => {}
+        }
+        self
+    }
+
+    /// Back to the cold limit; requests run since `loaded_since`, where any do.
     #[must_use]
-    pub fn cooled(self, now: Instant) -> Self {
+    pub fn cooled(self, loaded_since: Option<Instant>) -> Self {
         Self::Cold(match self {
-            Self::Cold(warmth) => warmth.cooled(now),
-            Self::Ramping(warmth) => warmth.cooled(now),
-            Self::Warm(warmth) => warmth.cooled(now),
+            Self::Cold(warmth) => warmth.cooled(loaded_since),
+            Self::Ramping(warmth) => warmth.cooled(loaded_since),
+            Self::Warm(warmth) => warmth.cooled(loaded_since),
         })
     }
 }
--- a/src/settings/fields.rs
+++ b/src/settings/fields.rs
@@ -137,7 +137,7 @@
     /// Requests that may wait for a place.
     #[serde(default = "default_queue")]
     pub queue: u32,
-    /// Time with only successes after which a cold limit doubles.
+    /// Time under load with only successes after which a cold limit doubles.
     #[serde(default = "default_ramp_interval")]
     pub ramp_interval_ms: units::Millis,
 }
--- a/src/sidecar/cx.rs
+++ b/src/sidecar/cx.rs
@@ -85,7 +85,7 @@
             streams: Arc::default(),
             fences: smol::lock::Mutex::default(),
             outbox: smol::lock::Mutex::new(usage::Outbox::new(log)),
-            admission: Mutex::new(admission::Controller::new(limits, queue, Instant::now())),
+            admission: Mutex::new(admission::Controller::new(limits, queue)),
             calls: Mutex::new(admission::Calls::new(me.incarnation, CALL_BOUNDS)),
             crashes: Mutex::default(),
             copies: Mutex::new(admission::UsageCopies::new(MAX_COPIES)),
--- a/tests/integration/admission/controller.rs
+++ b/tests/integration/admission/controller.rs
@@ -11,7 +11,7 @@
 #[test]
 fn suspects_run_alone() {
     let now = Instant::now();
-    let mut adm = Controller::new(LIMITS, 4, now);
+    let mut adm = Controller::new(LIMITS, 4);
     let normal = Ask {
         priority: Priority::Normal,
         deadline: now + INTERVAL,
@@ -49,7 +49,7 @@
     arbtest::arbtest(|u| {
         let start = Instant::now();
         let mut now = start;
-        let mut adm = Controller::new(LIMITS, 3, start);
+        let mut adm = Controller::new(LIMITS, 3);
         let mut running: Vec<Permit> = Vec::new();
         let mut boot = 0_u32;
         for _ in 0..u.int_in_range(1..=80)? {
--- a/tests/integration/admission/gate.rs
+++ b/tests/integration/admission/gate.rs
@@ -7,28 +7,32 @@
 
 use crate::admission::{INTERVAL, LIMITS};
 
-fn pass(gate: &mut Gate, outcome: Outcome, now: Instant) {
-    let permit = gate.try_enter(false, now).unwrap();
-    gate.leave(permit, outcome, now);
+/// Lets a request in at one time and out at another.
+fn pass(gate: &mut Gate, outcome: Outcome, from: Instant, to: Instant) {
+    let permit = gate.try_enter(false, from).unwrap();
+    gate.leave(permit, outcome, to);
 }
 
 /// A gate that has reached its full limit of 7 over 2 and 4.
 fn warm_gate(start: Instant) -> Gate {
-    let mut gate = Gate::new(LIMITS, start);
-    pass(&mut gate, Outcome::Success, start + INTERVAL);
+    let mut gate = Gate::new(LIMITS);
+    pass(&mut gate, Outcome::Success, start, start + INTERVAL);
     assert_eq!((gate.limit(), gate.warmth()), (4, fleet::Warmth::Ramping));
-    pass(&mut gate, Outcome::Success, start + INTERVAL * 2);
+    let ramping = start + INTERVAL;
+    pass(&mut gate, Outcome::Success, ramping, ramping + INTERVAL);
     assert_eq!((gate.limit(), gate.warmth()), (7, fleet::Warmth::Warm));
     gate
 }
 
-/// Guards against a limit that rises without evidence of success.
+/// Guards against a limit that rises without evidence of success under load:
+/// idle time let the limit rise with the first answer after it.
 #[test]
 fn gate_ramps_only_on_successes() {
+    use Outcome::{Error, Neutral, Success};
     struct Case {
         name: &'static str,
-        /// Outcomes with the milliseconds at which they come.
-        outcomes: &'static [(Outcome, u64)],
+        /// Outcomes with the milliseconds at which the requests come and go.
+        outcomes: &'static [(Outcome, u64, u64)],
         limit: u32,
     }
     let cases = [
@@ -39,44 +43,56 @@
         },
         Case {
             name: "too early",
-            outcomes: &[(Outcome::Success, 999)],
+            outcomes: &[(Success, 0, 999)],
             limit: 2,
         },
         Case {
             name: "one interval",
-            outcomes: &[(Outcome::Success, 1_000)],
+            outcomes: &[(Success, 0, 1_000)],
             limit: 4,
         },
+        Case {
+            name: "an interval in parts",
+            outcomes: &[(Success, 0, 400), (Success, 5_000, 5_600)],
+            limit: 4,
+        },
+        Case {
+            name: "idle before an answer",
+            outcomes: &[(Success, 60_000, 60_010)],
+            limit: 2,
+        },
+        Case {
+            name: "idle between answers",
+            outcomes: &[(Success, 0, 10), (Success, 60_000, 60_010)],
+            limit: 2,
+        },
         Case {
             name: "a long interval counts once",
-            outcomes: &[(Outcome::Success, 60_000), (Outcome::Success, 60_000)],
+            outcomes: &[(Success, 0, 60_000), (Success, 60_000, 60_000)],
             limit: 4,
         },
         Case {
             name: "neutral ends",
-            outcomes: &[(Outcome::Neutral, 5_000)],
+            outcomes: &[(Neutral, 0, 5_000)],
             limit: 2,
         },
         Case {
             name: "an error begins again",
-            outcomes: &[
-                (Outcome::Success, 900),
-                (Outcome::Error, 950),
-                (Outcome::Success, 1_900),
-            ],
+            outcomes: &[(Success, 0, 900), (Error, 900, 950), (Success, 950, 1_900)],
             limit: 2,
         },
         Case {
             name: "an error after a doubling",
-            outcomes: &[(Outcome::Success, 1_000), (Outcome::Error, 1_001)],
+            outcomes: &[(Success, 0, 1_000), (Error, 1_000, 1_001)],
             limit: 2,
         },
     ];
     for case in cases {
         let start = Instant::now();
-        let mut gate = Gate::new(LIMITS, start);
-        for (outcome, ms) in case.outcomes {
-            pass(&mut gate, *outcome, start + Duration::from_millis(*ms));
+        let mut gate = Gate::new(LIMITS);
+        for (outcome, from, to) in case.outcomes {
+            let at = |ms| start + Duration::from_millis(ms);
+            pass(&mut gate, *outcome, at(*from), at(*to));
         }
         assert_eq!(gate.limit(), case.limit, "{}", case.name);
     }
@@ -186,11 +202,11 @@
 #[test]
 fn warmth_doubles_up_to_the_maximum() {
     let now = Instant::now();
-    let AnyWarmth::Ramping(ramping) = Warmth::new(LIMITS, now).ramp(now) else {
+    let AnyWarmth::Ramping(ramping) = Warmth::new(LIMITS, None).ramp(now) else {
         panic!("not ramping after the first doubling");
     };
     assert!(matches!(ramping.ramp(now), AnyWarmth::Warm(_)));
     let flat = Limits { cold: 9, ..LIMITS };
-    let cold = AnyWarmth::Cold(Warmth::new(flat, now));
+    let cold = AnyWarmth::Cold(Warmth::new(flat, None));
     assert_eq!(cold.limit(), 7, "the cold limit never exceeds the maximum");
 }
--- a/tests/integration/admission/queue.rs
+++ b/tests/integration/admission/queue.rs
@@ -77,7 +77,7 @@
     for case in cases {
         let now = Instant::now();
         let limits = Limits { cold: 1, ..LIMITS };
-        let mut adm = Controller::new(limits, case.capacity, now);
+        let mut adm = Controller::new(limits, case.capacity);
         let (Arrival::Enter(mut permit), None) = adm.arrive(ask(&HIGH, now), "first", now) else {
             panic!("{}: not let in", case.name);
         };
@@ -167,7 +167,7 @@
             ramp_interval: Duration::from_hours(1),
             ..LIMITS
         };
-        let mut adm = Controller::new(long, 10, start);
+        let mut adm = Controller::new(long, 10);
         let of = |ms| Ask {
             priority: Priority::Normal,
             deadline: now + Duration::from_millis(ms),
@@ -234,7 +234,6 @@
                 ..LIMITS
             },
             4,
-            start,
         );
         let due = |s| Ask {
             priority: Priority::Normal,
