Entry: a request that crashes engines gets one retry

Cause: an entry resumed an interrupted request at once, up to its four attempts. The sidecars' reports of the crashes reach the log some milliseconds later, so neither the isolation of suspects nor the bound of two incidents applied to the attempts of one request, and a caller that sent it again at once lost two further endpoints. Seen in the new test of poison requests: "6 lost" of 6 engines, where 2 is the bound. Ruled out: lost reports (each incident was on record) and differing fingerprints (the third send was refused with 1422).

Change: after an engine has failed an attempt, the entry waits up to 500 ms for the report to be on record, so the retry is isolated, and makes no third attempt after two such failures.

--- a/src/entry/generation.rs
+++ b/src/entry/generation.rs
@@ -1,6 +1,9 @@
 //! A model's answer over one or more attempts.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use smol::Timer;
 
 use crate::attempt;
 use crate::control;
@@ -20,6 +23,15 @@
 /// how many it read, because the attempt was cancelled or lost.
 const BYTES_PER_TOKEN: u64 = 4;
 
+/// Attempts at one request that engines may fail: one and a single retry. A
+/// request that crashes engines would otherwise take as many as it has attempts.
+const MAX_ENGINE_FAILURES: u32 = 2;
+/// Longest wait for the report of a crash to be on record, about ten times
+/// what it takes. An engine that has only closed a connection is not reported.
+const REPORT_WAIT: Duration = Duration::from_millis(500);
+/// Interval at which the wait looks for the report.
+const REPORT_POLL: Duration = Duration::from_millis(10);
+
 /// A part of the answer.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -46,6 +58,8 @@
     settled: bool,
     /// Whether the engine has failed the present attempt.
     failed: bool,
+    /// Attempts that engines have failed.
+    engine_failures: u32,
 }
 
 impl Generation {
@@ -60,6 +74,7 @@
                 text: String::new(),
                 settled: false,
                 failed: false,
+                engine_failures: 0,
             }),
             Err(refusal) => {
                 dispatcher.bill.close(Some(refusal.code));
@@ -146,6 +161,12 @@
                 }
                 Progress::Interrupted(refusal) => {
                     self.dispatcher.bill.failed(&refusal);
+                    if self.failed {
+                        self.wait_for_report().await;
+                    }
+                    if self.engine_failures >= MAX_ENGINE_FAILURES {
+                        return Err(refusal);
+                    }
                     self.resume(refusal).await?;
                 }
             }
@@ -167,6 +188,7 @@
                 self.settle(usage);
                 if refusal.code == errors::ResultCode::Interrupted {
                     self.failed = true;
+                    self.engine_failures += 1;
                     Progress::Interrupted(refusal)
                 } else {
                     Progress::Ended(refusal)
@@ -232,6 +254,26 @@
         }
     }
 
+    /// Waits until the crash that may have ended the present attempt is on
+    /// record. A retry before that would not be kept apart from other
+    /// requests, and a caller who is refused earlier could send a request
+    /// that crashes engines to a third one.
+    async fn wait_for_report(&self) {
+        let control = &self.dispatcher.cx.control;
+        let fingerprint = self.ask().fingerprint;
+        let wanted = if self.engine_failures < MAX_ENGINE_FAILURES {
+            [poison::Suspicion::Suspect, poison::Suspicion::Quarantined]
+        } else {
+            [poison::Suspicion::Quarantined; 2]
+        };
+        let until = self.ask().deadline.min(Instant::now() + REPORT_WAIT);
+        while !wanted.contains(&control.snapshot().quarantine.suspicion(fingerprint))
+            && Instant::now() < until
+        {
+            Timer::after(REPORT_POLL).await;
+        }
+    }
+
     async fn resume(&mut self, interruption: errors::Refusal) -> Result<(), errors::Refusal> {
         let chunks = self.running.attempt.next_seq();
         log::warn!(
