Entry: retries after draining or taken-out endpoints are free

Cause: a refusal by an endpoint that takes no work at all was paid from the retry budget. While all entries had lost the log, a domain was taken out; its sidecar refused truly, and the entries used the budget up before its next report told them to route elsewhere. Callers got 1508 although three domains had room. Ruled out: new work in the domain (none began) and a lack of room (load under 10% elsewhere).

--- a/src/entry/cx.rs
+++ b/src/entry/cx.rs
@@ -68,12 +68,20 @@
     }
 
     /// Whether a request may be tried again after this refusal. An endpoint
-    /// that could not be reached has borne no load, so the retry is free.
+    /// that could not be reached or takes no work at all has borne no load,
+    /// so the retry is free. Where it was not, a domain taken out while the
+    /// entries had lost the log used the budget up, and callers were refused
+    /// although other domains had room.
     pub fn may_retry(&self, refusal: errors::Refusal) -> Result<errors::Refusal, errors::Refusal> {
         if !refusal.code.is_retryable() {
             return Err(refusal);
         }
-        let free = refusal.code == errors::ResultCode::Unreachable;
+        let free = matches!(
+            refusal.code,
+            errors::ResultCode::Unreachable
+                | errors::ResultCode::TakenOut
+                | errors::ResultCode::Draining
+        );
         if free || self.with_retries(route::RetryBudget::try_spend) {
             return Ok(refusal);
         }
