Proofs of I4, I5, I7 to I11 and of poison requests

The harness takes its ports above those of system services: a service on port 2024 of all addresses made clusters of more than 23 addresses fail to start.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -21,6 +21,7 @@
 mod lease;
 mod ledger;
 mod membership;
+mod proofs;
 mod route;
 mod service_calls;
 mod session;
--- a/tests/integration/testing/place.rs
+++ b/tests/integration/testing/place.rs
@@ -4,8 +4,10 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU16, Ordering};
 
-/// Below the ephemeral ports, so that no outgoing connection takes one.
-const FIRST_PORT: u16 = 2_000;
+/// Below the ephemeral ports, so that no outgoing connection takes one, and
+/// above the ports of system services: one that listened on 2024 on all
+/// addresses made each cluster of more than 23 addresses fail to start.
+const FIRST_PORT: u16 = 20_000;
 
 static NEXT: AtomicU16 = AtomicU16::new(0);
 
