--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -22,6 +22,7 @@
 mod lease;
 mod ledger;
 mod membership;
+mod proofs;
 mod rollouts;
 mod route;
 mod service_calls;
--- a/tests/integration/testing/place.rs
+++ b/tests/integration/testing/place.rs
@@ -4,8 +4,9 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU16, Ordering};
 
-/// Below the ephemeral ports, so that no outgoing connection takes one. Ports
-/// from 2000 on were refused where another program listens on all addresses (2024).
+/// Below the ephemeral ports, so that no outgoing connection takes one, and
+/// above the ports of system services: one that listened on 2024 on all
+/// addresses made each cluster of more than 23 addresses fail to start.
 const FIRST_PORT: u16 = 20_000;
 
 static NEXT: AtomicU16 = AtomicU16::new(0);
@@ -13,11 +14,14 @@
 /// An address of this test process alone: the runner gives each test a
 /// process, and the loopback address is made from its id.
 pub fn addr() -> SocketAddr {
+    // A loopback address ends in 1 to 254; the other two get other ports.
     let [_, high, mid, low] = std::process::id().to_be_bytes();
     let ip = IpAddr::V4(Ipv4Addr::new(127, 64 + high % 64, mid, low.clamp(1, 254)));
     SocketAddr::new(
         ip,
-        FIRST_PORT + u16::from(low == 255) * 10_000 + NEXT.fetch_add(1, Ordering::Relaxed),
+        FIRST_PORT
+            + u16::from(low == 0 || low == 255) * 10_000
+            + NEXT.fetch_add(1, Ordering::Relaxed),
     )
 }
 
