Load tool: cost and domain experiments against two baselines

Cause: no figures existed for cost at the quality target and for a failure domain that leaves and returns. Change: subcommands cost and domain run the system and two baselines (always the most expensive version, a random one) on new processes; the rating stand-in takes a quality per class, and the mixes have tasks on which the cheap version suffices or does not.

--- a/src/bench/caller.rs
+++ b/src/bench/caller.rs
@@ -33,6 +33,10 @@
     pub outcome: Outcome,
     /// The version that answered, where there is one.
     pub version: Option<String>,
+    /// Id of the request, where an entry answered.
+    pub request: Option<String>,
+    /// Number of the result code, where the request was refused.
+    pub code: Option<u64>,
     /// Whether the answer was a stream of events.
     pub streamed: bool,
     /// Time to the first token of a stream.
@@ -43,6 +47,19 @@
     pub whole: Duration,
 }
 
+/// A request as a caller sends it.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// HTTP method.
+    pub method: Method,
+    /// Path on the server.
+    pub path: String,
+    /// Headers besides token and content type.
+    pub headers: Vec<(&'static str, String)>,
+    /// The body.
+    pub body: String,
+}
+
 /// A caller of one server.
 #[derive(Clone, Debug)]
 pub struct Caller {
@@ -70,23 +87,37 @@
         body: String,
         due: Instant,
     ) -> Answered {
+        let key = key.map(|key| ("idempotency-key", key.to_owned()));
+        let call = Call {
+            method,
+            path: path.to_owned(),
+            headers: key.into_iter().collect(),
+            body,
+        };
+        self.call(call, due).await
+    }
+
+    /// As [`Self::send`], with more headers.
+    pub async fn call(&self, call: Call, due: Instant) -> Answered {
         let mut answered = Answered {
             outcome: Outcome::Broken,
             version: None,
+            request: None,
+            code: None,
             streamed: false,
             first: Duration::ZERO,
             between: Vec::new(),
             whole: Duration::ZERO,
         };
         let mut req = Request::builder()
-            .method(method)
-            .uri(path)
+            .method(call.method)
+            .uri(call.path)
             .header(AUTHORIZATION, format!("Bearer {}", self.token))
             .header(CONTENT_TYPE, "application/json");
-        if let Some(key) = key {
-            req = req.header("idempotency-key", key);
+        for (name, value) in call.headers {
+            req = req.header(name, value);
         }
-        let Ok(req) = req.body(Full::new(Bytes::from(body))) else {
+        let Ok(req) = req.body(Full::new(Bytes::from(call.body))) else {
             return answered;
         };
         if let Ok(answer) = self.client.send(req, TIMEOUT).await {
@@ -98,21 +129,25 @@
 }
 
 async fn read(mut answer: http::Answer, answered: &mut Answered, due: Instant) {
-    let header = answer.headers.get("x-quetzalworks-version");
-    answered.version = header
-        .and_then(|value| value.to_str().ok())
-        .map(str::to_owned);
+    let header = |name: &str| {
+        let value = answer.headers.get(name)?.to_str().ok()?;
+        Some(value.to_owned())
+    };
+    answered.version = header("x-quetzalworks-version");
+    answered.request = header("x-quetzalworks-request-id");
     let status = answer.status;
     answered.streamed = answer
         .headers
         .get(CONTENT_TYPE)
         .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"));
     let mut sse = http::SseReader::default();
+    let mut refusal = Vec::new();
     let mut done = false;
     let mut last = None;
     loop {
         match answer.chunk().await {
             Ok(Some(chunk)) if answered.streamed => sse.push(&chunk),
+            Ok(Some(chunk)) if !status.is_success() => refusal.extend_from_slice(&chunk),
             Ok(Some(_)) => {}
             Ok(None) => break,
             Err(_) => return,
@@ -120,6 +155,7 @@
         let now = Instant::now();
         while let Some(data) = sse.next_data() {
             done = data == "[DONE]";
+            answered.code = number(data.as_bytes());
             if !has_token(&data) {
                 continue;
             }
@@ -130,6 +166,9 @@
             last = Some(now);
         }
     }
+    if !status.is_success() {
+        answered.code = number(&refusal);
+    }
     answered.outcome = if !status.is_success() {
         Outcome::Refused(status.as_u16())
     } else if answered.streamed && !done {
@@ -139,6 +178,13 @@
     };
 }
 
+/// Number of the result code in the body of an error.
+fn number(body: &[u8]) -> Option<u64> {
+    let body: Value = serde_json::from_slice(body).ok()?;
+    let number = body.pointer("/error/number").or_else(|| body.get("code"));
+    number.and_then(Value::as_u64)
+}
+
 /// Whether the event carries text; the first event carries the role alone.
 fn has_token(data: &str) -> bool {
     serde_json::from_str::<Value>(data).is_ok_and(|event| {
--- a/src/bench/children.rs
+++ b/src/bench/children.rs
@@ -1,9 +1,7 @@
 //! Processes of the system and stand-ins that an experiment runs on.
 
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use hyper::Method;
@@ -11,10 +9,8 @@
 use smol::Timer;
 
 use crate::bench;
-use crate::catalog;
+use crate::bench::{daemon, operator, publication};
 use crate::demo;
-use crate::ids;
-use crate::platform;
 use crate::runtime;
 use crate::settings;
 use crate::standin;
@@ -24,18 +20,8 @@
 const START_LIMIT: Duration = Duration::from_mins(1);
 /// Pause between requests that look whether an entry is ready.
 const START_POLL: Duration = Duration::from_millis(50);
-/// Concurrent requests of an engine.
-const ENGINE_CONCURRENT: u32 = 64;
-
-/// A daemon that is killed when dropped.
-struct Daemon(Child);
-
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
+/// Concurrent calls of an endpoint of the booking service.
+const SERVICE_CONCURRENT: u32 = 64;
 
 /// Daemons as child processes on stand-ins of this process.
 pub struct Children {
@@ -45,12 +31,15 @@
     pub tokens: Vec<String>,
     /// The engines.
     pub engines: Vec<standin::StandinEngine>,
-    daemons: Vec<Daemon>,
+    /// Endpoints of the booking service.
+    pub services: Vec<standin::StandinService>,
+    /// The platform's log.
+    pub log: standin::StandinLog,
+    daemons: Mutex<Vec<daemon::Daemon>>,
     proxies: Vec<standin::UdpProxy>,
-    services: Vec<standin::StandinService>,
-    log: standin::StandinLog,
     inventory: standin::StandinInventory,
     rating: standin::StandinRating,
+    domains: usize,
     folder: demo::Folder,
     traffic: runtime::Traffic,
 }
@@ -69,75 +58,77 @@
             entries: Vec::new(),
             tokens: Vec::new(),
             engines: Vec::new(),
-            daemons: Vec::new(),
+            daemons: Mutex::default(),
             proxies: Vec::new(),
             services: Vec::new(),
             log: standin::StandinLog::bind(any(), traffic).await?,
             inventory: standin::StandinInventory::bind(any(), traffic).await?,
             rating: standin::StandinRating::bind(any(), 1, traffic).await?,
+            domains: mix.domains,
             folder: demo::Folder::create("quetzalworks-bench")?,
             traffic: traffic.clone(),
         };
-        children.publish(mix)?;
+        let publication = publication::Publication {
+            mix,
+            log: &children.log,
+            rating: &children.rating,
+        };
+        children.tokens = publication.publish()?;
         children.start(mix).await?;
         children.wait_until_ready(mix).await?;
         Ok(children)
     }
 
-    fn put(&self, id: &str, content: catalog::Object) -> Result<(), bench::BenchError> {
-        let id = id.parse::<catalog::ObjectId>()?;
-        let record = demo::change(id, content);
-        self.log.append(platform::Stream::Config, &record)?;
-        Ok(())
+    /// An operator at an entry.
+    #[must_use]
+    pub fn operator(&self, entry: usize) -> operator::Operator {
+        operator::Operator::new(self.entries[entry], &self.traffic)
     }
 
-    fn publish(&mut self, mix: &bench::Mix) -> Result<(), bench::BenchError> {
-        let mut teams = Vec::new();
-        for i in 0..mix.team_shares.len() {
-            let token = format!("bench-{i}");
-            let team = catalog::Team {
-                token_sha256: vec![ids::Digest::of(token.as_bytes())],
-                max_concurrent: 4_096,
-            };
-            self.put(
-                &format!("teams/team-{i}"),
-                catalog::Object::Team(Arc::new(team)),
-            )?;
-            self.tokens.push(token);
-            teams.push(format!("team-{i}"));
-        }
-        let mut versions = Vec::new();
-        for model in &mix.models {
-            let version = format!("{}-1", model.name);
-            let content = demo::version(model.name.parse()?, model.cost, model.quality);
-            self.put(&format!("versions/{version}"), content)?;
-            self.rating.control(standin::RatingCommand::Quality {
-                version: version.parse()?,
-                quality: units::Quality::clamped(model.quality),
-            });
-            versions.push(version);
+    /// The engines of a failure domain.
+    pub fn engines_of(&self, domain: usize) -> impl Iterator<Item = &standin::StandinEngine> {
+        self.engines.iter().skip(domain).step_by(self.domains)
+    }
+
+    /// Requests begun so far by the endpoints of a failure domain.
+    #[must_use]
+    pub fn work_of(&self, domain: usize) -> u64 {
+        let engines = self.engines_of(domain);
+        let models: u64 = engines.map(|engine| engine.stats().requests).sum();
+        let services = self.services.iter().skip(domain).step_by(self.domains);
+        let calls = services.map(|service| {
+            let executions: u64 = service.executions().values().sum();
+            executions + service.lookups()
+        });
+        models + calls.sum::<u64>()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<daemon::Daemon>> {
+        self.daemons.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Ends all processes of a failure domain without notice.
+    pub fn kill_domain(&self, domain: usize) {
+        self.engines_of(domain)
+            .for_each(standin::StandinEngine::kill);
+        let mut daemons = self.lock();
+        let daemons = daemons.iter_mut();
+        daemons
+            .filter(|daemon| daemon.domain == domain)
+            .for_each(daemon::Daemon::kill);
+    }
+
+    /// Starts all processes of a failure domain again; its engines are cold.
+    pub async fn restart_domain(&self, domain: usize) -> Result<(), bench::BenchError> {
+        for engine in self.engines_of(domain) {
+            engine.restart().await?;
         }
-        for request in &mix.requests {
-            let bench::Kind::Chat {
-                profile,
-                quality_target,
-                ..
-            } = &request.kind
-            else {
-                continue;
-            };
-            let content = json!({
-                "teams": teams,
-                "versions": versions,
-                "quality_target": quality_target,
-                "deadline_ms": request.deadline_ms,
-            });
-            let content = catalog::Object::Profile(serde_json::from_value(content)?);
-            self.put(&format!("profiles/{profile}"), content)?;
+        for daemon in self.lock().iter_mut() {
+            if daemon.domain == domain {
+                daemon.restart()?;
+            }
         }
-        let service = json!({ "teams": teams, "undated_keys": "accept" });
-        let service = catalog::Object::Service(serde_json::from_value(service)?);
-        self.put("services/bookings", service)
+        Ok(())
     }
 
     async fn start(&mut self, mix: &bench::Mix) -> Result<(), bench::BenchError> {
@@ -156,7 +147,11 @@
         for i in 0..mix.engines {
             let engine = bind_engine(mix, i, &self.traffic).await?;
             let endpoint = settings::EndpointSettings::Engine { checks_fence: true };
-            let role = demo::sidecar(engine.addr(), endpoint, ENGINE_CONCURRENT);
+            let mut role = demo::sidecar(engine.addr(), endpoint, mix.engine_concurrent);
+            if let (settings::Role::Sidecar(sidecar), Some(cold)) = (&mut role, mix.cold) {
+                // Operators set the ramp to the time that their engines take to warm up.
+                sidecar.ramp_interval_ms = cold.warm_ms;
+            }
             self.engines.push(engine);
             self.run(&site, &format!("engine-{i}"), i, role, mix)
                 .await?;
@@ -166,7 +161,7 @@
             let endpoint = settings::EndpointSettings::Service {
                 name: "bookings".parse()?,
             };
-            let role = demo::sidecar(service.addr(), endpoint, ENGINE_CONCURRENT);
+            let role = demo::sidecar(service.addr(), endpoint, SERVICE_CONCURRENT);
             self.services.push(service);
             self.run(&site, &format!("bookings-{i}"), i, role, mix)
                 .await?;
@@ -174,7 +169,7 @@
         for i in 0..mix.entries {
             // Held only until the daemon takes the port.
             let callers = TcpListener::bind(any())?.local_addr()?;
-            let role = site.entry(callers, "bench-operator")?;
+            let role = site.entry(callers, operator::TOKEN)?;
             self.run(&site, &format!("entry-{i}"), i, role, mix).await?;
             self.entries.push(callers);
         }
@@ -203,15 +198,8 @@
         }
         let file = site.dir.join(format!("{vm}.json"));
         std::fs::write(&file, serde_json::to_string(&plan.release())?)?;
-        let child = Command::new(daemon_path()?)
-            .arg("--settings")
-            .arg(&file)
-            .env("RUST_LOG", "warn")
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
-            .spawn()?;
-        self.daemons.push(Daemon(child));
+        let daemon = daemon::Daemon::spawn(file, i % mix.domains)?;
+        self.lock().push(daemon);
         let mut vms = self.inventory.vms();
         vms.push(listed);
         self.inventory.set(vms);
@@ -250,23 +238,20 @@
     traffic: &runtime::Traffic,
 ) -> Result<standin::StandinEngine, bench::BenchError> {
     let model = &mix.models[mix.model_of(i)];
+    let mut versions = vec![model.version().parse()?];
+    if let Some(entering) = mix.entering.as_ref().filter(|new| new.model == model.name) {
+        versions.push(entering.version.clone());
+    }
+    let default = standin::EngineProfile::default();
     let profile = standin::EngineProfile {
-        versions: vec![format!("{}-1", model.name).parse()?],
+        versions,
         first_token_ms: model.first_token_ms,
         cached_first_token_ms: units::Millis(model.first_token_ms.0 / 2),
         between_tokens_ms: model.between_tokens_ms,
-        slots: ENGINE_CONCURRENT,
-        ..standin::EngineProfile::default()
+        batch: default.batch.min(mix.engine_concurrent),
+        slots: mix.engine_concurrent,
+        cold: mix.cold,
+        ..default
     };
     Ok(standin::StandinEngine::bind(any(), profile, traffic).await?)
 }
-
-/// The daemon next to this program.
-fn daemon_path() -> Result<PathBuf, bench::BenchError> {
-    let path = std::env::current_exe()?.with_file_name("quetzalworksd");
-    if path.exists() {
-        Ok(path)
-    } else {
-        Err("quetzalworksd is not built; run cargo build first".into())
-    }
-}
--- /dev/null
+++ b/src/bench/cost.rs
@@ -0,0 +1,193 @@
+//! Cost of answers at the profiles' quality targets.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use smol::Timer;
+use strum::IntoEnumIterator;
+
+use crate::bench;
+use crate::bench::drive;
+use crate::billing;
+use crate::ids;
+use crate::platform;
+use crate::runtime;
+
+/// Greatest share of the cost of always using the most expensive version.
+const GOAL: f64 = 0.6;
+/// Time for usage records to be appended after the last answer.
+const USAGE_LIMIT: Duration = Duration::from_secs(20);
+/// Pause between looks at the usage records.
+const USAGE_POLL: Duration = Duration::from_millis(100);
+
+/// Results for all policies.
+#[derive(Debug, serde::Serialize)]
+pub struct Cost {
+    /// The deployment.
+    pub mix: String,
+    /// Seed of arrivals and requests.
+    pub seed: u64,
+    /// Requests a second.
+    pub rate: f64,
+    /// Time of each policy, from the first request on.
+    pub seconds: u64,
+    /// Results by policy.
+    pub policies: BTreeMap<bench::Policy, PolicyCost>,
+    /// Cost of the system as a share of the dearest version's.
+    pub share: f64,
+    /// Whether the goal is met.
+    pub met: bool,
+}
+
+/// Results of one policy.
+#[derive(Debug, Default, serde::Serialize)]
+pub struct PolicyCost {
+    /// Whole model answers.
+    pub answers: u64,
+    /// Requests without a whole answer.
+    pub unanswered: u64,
+    /// Cost of an answer, in millionths.
+    pub cost: f64,
+    /// Mean quality less target, by team and profile.
+    pub margins: BTreeMap<String, f64>,
+    /// Teams and profiles with answers below the target on average.
+    pub below: u64,
+    /// Least margin.
+    pub least_margin: f64,
+    /// Answers by task and version.
+    pub versions: BTreeMap<String, u64>,
+}
+
+/// Runs the system and both baselines, each on new processes that know nothing.
+pub async fn run(
+    mix: &bench::Mix,
+    bounds: drive::Bounds,
+    traffic: &runtime::Traffic,
+) -> Result<Cost, bench::BenchError> {
+    let mut policies = BTreeMap::new();
+    for policy in bench::Policy::iter() {
+        let children = bench::Children::spawn(mix, traffic).await?;
+        let samples = drive::drive(&children, mix, policy, bounds, traffic).await?;
+        let costs = costs(&children, &samples).await?;
+        policies.insert(policy, measure(mix, &samples, &costs));
+    }
+    let dearest = policies[&bench::Policy::Dearest].cost;
+    let system = &policies[&bench::Policy::System];
+    let share = system.cost / dearest;
+    Ok(Cost {
+        mix: mix.name.clone(),
+        seed: bounds.seed,
+        rate: bounds.rate,
+        seconds: bounds.time.as_secs(),
+        share,
+        met: share <= GOAL && system.below == 0,
+        policies,
+    })
+}
+
+/// Billed cost by request; waits until each answer is billed.
+async fn costs(
+    children: &bench::Children,
+    samples: &[drive::Sample],
+) -> Result<HashMap<String, u64>, bench::BenchError> {
+    let deadline = Instant::now() + USAGE_LIMIT;
+    let whole = samples
+        .iter()
+        .filter(|sample| sample.answered.outcome == bench::Outcome::Whole);
+    let ids: Vec<&String> = whole
+        .filter_map(|sample| sample.answered.request.as_ref())
+        .collect();
+    loop {
+        let mut costs = HashMap::new();
+        for record in children.log.records(platform::Stream::Usage) {
+            let record: billing::UsageRecord = serde_json::from_value(record)?;
+            let cost = costs.entry(record.request.to_string());
+            cost.or_insert(record.cost.0);
+        }
+        if ids.iter().all(|id| costs.contains_key(*id)) {
+            return Ok(costs);
+        }
+        if Instant::now() > deadline {
+            return Err("answers are not billed in time".into());
+        }
+        Timer::after(USAGE_POLL).await;
+    }
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn measure(
+    mix: &bench::Mix,
+    samples: &[drive::Sample],
+    costs: &HashMap<String, u64>,
+) -> PolicyCost {
+    let mut measured = PolicyCost::default();
+    let mut cost = 0;
+    let mut sums: BTreeMap<(usize, &ids::ProfileName), (f64, f64, f64)> = BTreeMap::new();
+    for sample in samples {
+        let bench::Kind::Chat {
+            profile,
+            quality_target,
+            task,
+            ..
+        } = &mix.requests[sample.kind].kind
+        else {
+            continue;
+        };
+        let answered = &sample.answered;
+        let (bench::Outcome::Whole, Some(version)) = (answered.outcome, &answered.version) else {
+            measured.unanswered += 1;
+            continue;
+        };
+        measured.answers += 1;
+        let billed = answered.request.as_ref().and_then(|id| costs.get(id));
+        cost += billed.copied().unwrap_or(0);
+        let quality = mix.quality(version, task.as_deref());
+        let sum = sums.entry((sample.team, profile)).or_default();
+        *sum = (sum.0 + quality, sum.1 + 1.0, quality_target.get());
+        let name = format!("{}/{version}", task.as_deref().unwrap_or("-"));
+        *measured.versions.entry(name).or_default() += 1;
+    }
+    measured.cost = cost as f64 / measured.answers as f64;
+    for ((team, profile), (sum, count, target)) in sums {
+        let margin = sum / count - target;
+        let name = format!("team-{team}/{profile}");
+        measured.margins.insert(name, margin);
+    }
+    let margins = measured.margins.values();
+    // Sums of decimal fractions are off by less than this.
+    measured.below = margins.clone().filter(|margin| **margin < -1e-9).count() as u64;
+    measured.least_margin = margins.copied().fold(f64::INFINITY, f64::min);
+    measured
+}
+
+impl fmt::Display for Cost {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{}, seed {}, {} req/s for {} s",
+            self.mix, self.seed, self.rate, self.seconds
+        )?;
+        for (policy, measured) in &self.policies {
+            writeln!(
+                f,
+                "{policy:8} {:6} answers, {} unanswered, cost {:7.1}, below target {} of {}, least margin {:+.3}",
+                measured.answers,
+                measured.unanswered,
+                measured.cost,
+                measured.below,
+                measured.margins.len(),
+                measured.least_margin
+            )?;
+        }
+        for (name, count) in &self.policies[&bench::Policy::System].versions {
+            writeln!(f, "  system {name}: {count}")?;
+        }
+        let met = if self.met { "met" } else { "not met" };
+        writeln!(
+            f,
+            "share of the dearest {:.3}, goal {GOAL}: {met}",
+            self.share
+        )
+    }
+}
--- /dev/null
+++ b/src/bench/drive.rs
@@ -0,0 +1,204 @@
+//! Open-loop load on running processes.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use hyper::Method;
+use serde_json::json;
+use smol::Timer;
+use smol::channel;
+
+use crate::bench;
+use crate::bench::caller;
+use crate::runtime;
+
+/// Times that a caller sends a repeatable request again, each through another entry.
+const MAX_REPEATS: usize = 2;
+
+/// Bounds of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Requests a second.
+    pub rate: f64,
+    /// Most requests.
+    pub requests: u64,
+    /// Longest time in which requests are due.
+    pub time: Duration,
+    /// Seed of arrivals and requests.
+    pub seed: u64,
+}
+
+/// A request of the load, with its answer.
+#[derive(Clone, Debug)]
+pub struct Sample {
+    /// When its answer was complete, since the start.
+    pub end: Duration,
+    /// The team.
+    pub team: usize,
+    /// Index of its kind in the mix.
+    pub kind: usize,
+    /// The last answer.
+    pub answered: caller::Answered,
+    /// Entries whose answers broke off, after which the caller sent the request again.
+    pub broken_at: Vec<usize>,
+}
+
+/// A request that is due.
+struct Due {
+    call: caller::Call,
+    repeatable: bool,
+}
+
+/// Callers of all teams at all entries.
+struct Callers {
+    by_entry: Vec<caller::Caller>,
+    entries: usize,
+    teams: usize,
+}
+
+impl Callers {
+    fn of(&self, entry: usize, team: usize) -> &caller::Caller {
+        &self.by_entry[entry * self.teams + team]
+    }
+
+    /// Sends a request; the platform's load balancer gives a repeat to another entry.
+    async fn send(
+        &self,
+        due: Due,
+        mut entry: usize,
+        team: usize,
+        arrival: Instant,
+    ) -> (caller::Answered, Vec<usize>) {
+        let mut broken_at = Vec::new();
+        loop {
+            let sent = self.of(entry, team).call(due.call.clone(), arrival);
+            let answered = sent.await;
+            let broken = answered.outcome == caller::Outcome::Broken;
+            if !broken || !due.repeatable || broken_at.len() >= MAX_REPEATS {
+                return (answered, broken_at);
+            }
+            broken_at.push(entry);
+            entry = (entry + 1) % self.entries;
+        }
+    }
+}
+
+/// Runs the load and waits for all answers.
+pub async fn drive(
+    children: &bench::Children,
+    mix: &bench::Mix,
+    policy: bench::Policy,
+    bounds: Bounds,
+    traffic: &runtime::Traffic,
+) -> Result<Vec<Sample>, bench::BenchError> {
+    let callers = Arc::new(callers(children, traffic));
+    let (tx, rx) = channel::unbounded();
+    let mut rng = Rng::with_seed(bounds.seed);
+    // Separate, so that all policies see the same arrivals and requests.
+    let mut versions = Rng::with_seed(bounds.seed.wrapping_add(1));
+    let start = Instant::now();
+    let mut at = Duration::ZERO;
+    for i in 0..bounds.requests {
+        // Exponential times between arrivals: a Poisson process.
+        at += Duration::from_secs_f64(-(1.0 - rng.f64()).ln() / bounds.rate);
+        if at > bounds.time {
+            break;
+        }
+        let team = mix.draw_team(&mut rng);
+        let entry = rng.usize(..callers.entries);
+        let kind = mix.draw_request(&mut rng);
+        let due = due(
+            mix,
+            policy,
+            kind,
+            &format!("{}.{i}", bounds.seed),
+            &mut versions,
+        )?;
+        let (callers, tx, delay) = (Arc::clone(&callers), tx.clone(), mix.client_delay());
+        let request = async move {
+            let arrival = start + at;
+            Timer::at(arrival + delay).await;
+            let (mut answered, broken_at) = callers.send(due, entry, team, arrival).await;
+            answered.first += delay;
+            answered.whole += delay;
+            let sample = Sample {
+                end: start.elapsed(),
+                team,
+                kind,
+                answered,
+                broken_at,
+            };
+            let _ = tx.send(sample).await;
+        };
+        Timer::at(start + at).await;
+        traffic.spawn(request).detach();
+    }
+    drop(tx);
+    let mut samples = Vec::new();
+    while let Ok(sample) = rx.recv().await {
+        samples.push(sample);
+    }
+    Ok(samples)
+}
+
+fn callers(children: &bench::Children, traffic: &runtime::Traffic) -> Callers {
+    let entries = children.entries.iter();
+    let callers = entries
+        .flat_map(|entry| children.tokens.iter().map(move |token| (entry, token)))
+        .map(|(entry, token)| caller::Caller::new(*entry, token, traffic));
+    Callers {
+        by_entry: callers.collect(),
+        entries: children.entries.len(),
+        teams: children.tokens.len(),
+    }
+}
+
+fn due(
+    mix: &bench::Mix,
+    policy: bench::Policy,
+    kind: usize,
+    name: &str,
+    versions: &mut Rng,
+) -> Result<Due, bench::BenchError> {
+    let request = mix.requests.get(kind).ok_or("the mix has no requests")?;
+    let deadline = request.deadline_ms.0.to_string();
+    let mut headers = vec![("x-quetzalworks-deadline-ms", deadline)];
+    let (method, path, body) = match &request.kind {
+        bench::Kind::Chat {
+            profile,
+            stream,
+            max_tokens,
+            task,
+            ..
+        } => {
+            headers.extend(task.clone().map(|task| ("x-quetzalworks-task", task)));
+            let body = json!({
+                "model": policy.profile(mix, profile, versions),
+                "messages": [{ "role": "user", "content": name }],
+                "stream": stream,
+                "max_tokens": max_tokens,
+            });
+            let path = "/v1/chat/completions".to_owned();
+            (Method::POST, path, body.to_string())
+        }
+        bench::Kind::Call { path } => {
+            headers.push(("idempotency-key", format!("bench-{name}")));
+            let path = format!("/v1/services/bookings/{path}");
+            (Method::POST, path, json!({ "item": name }).to_string())
+        }
+        bench::Kind::LookUp { path } => {
+            let path = format!("/v1/services/bookings/{path}/{name}");
+            (Method::GET, path, String::new())
+        }
+    };
+    Ok(Due {
+        repeatable: !matches!(request.kind, bench::Kind::Call { .. }),
+        call: caller::Call {
+            method,
+            path,
+            headers,
+            body,
+        },
+    })
+}
--- /dev/null
+++ b/src/bench/entering.rs
@@ -0,0 +1,41 @@
+//! A version that enters during an experiment.
+
+use crate::bench;
+use crate::catalog;
+use crate::demo;
+use crate::ids;
+use crate::units;
+
+/// A version that enters during an experiment.
+#[derive(Clone, Debug)]
+pub struct Entering {
+    /// Its name.
+    pub version: ids::VersionName,
+    /// The model whose engines serve it, at the model's cost.
+    pub model: String,
+    /// True quality of its answers.
+    pub quality: units::Quality,
+    /// What operators expect.
+    pub prior: f64,
+}
+
+impl Entering {
+    /// The version as operators publish it.
+    pub fn content(
+        &self,
+        mix: &bench::Mix,
+        withdrawn: bool,
+    ) -> Result<catalog::Object, bench::BenchError> {
+        let model = mix.models.iter().find(|model| model.name == self.model);
+        let cost = model.map_or(0, |model| model.cost);
+        let content = demo::version(self.model.parse()?, cost, self.prior);
+        Ok(match content {
+            catalog::Object::Version(version) => {
+                let mut version = (*version).clone();
+                version.withdrawn = withdrawn;
+                catalog::Object::Version(version.into())
+            }
+            other => other,
+        })
+    }
+}
--- a/src/bench/main.rs
+++ b/src/bench/main.rs
@@ -9,6 +9,9 @@
 use smol::stream::StreamExt;
 
 use crate::bench;
+use crate::bench::cost;
+use crate::bench::domain;
+use crate::bench::drive;
 use crate::bench::load;
 use crate::bench::overhead;
 use crate::bench::route;
@@ -37,6 +40,32 @@
             /// Prints JSON in place of a table.
             optional --json
         }
+        /// Cost of answers at the quality targets, against both baselines.
+        cmd cost {
+            /// Deployment and traffic (JSON).
+            required --mix path: PathBuf
+            /// Requests a second; 20 where not given.
+            optional --rate rate: f64
+            /// Time of each policy in seconds; 60 where not given.
+            optional --seconds seconds: u64
+            /// Seed of arrivals and requests.
+            optional --seed seed: u64
+            /// Prints JSON in place of a table.
+            optional --json
+        }
+        /// A failure domain leaves without notice, returns, is taken out and returns.
+        cmd domain {
+            /// Deployment and traffic (JSON).
+            required --mix path: PathBuf
+            /// Requests a second; 40 where not given.
+            optional --rate rate: f64
+            /// Time of each of five phases in seconds; 8 where not given.
+            optional --phase seconds: u64
+            /// Seed of arrivals and requests.
+            optional --seed seed: u64
+            /// Prints JSON in place of a table.
+            optional --json
+        }
         /// Time of a routing decision.
         cmd route {
             /// Endpoints; 600 where not given.
@@ -87,6 +116,8 @@
 async fn run(command: QuetzalworksBenchCmd) -> Result<(), bench::BenchError> {
     match command {
         QuetzalworksBenchCmd::Load(flags) => run_load(flags).await,
+        QuetzalworksBenchCmd::Cost(flags) => run_cost(flags).await,
+        QuetzalworksBenchCmd::Domain(flags) => run_domain(flags).await,
         QuetzalworksBenchCmd::Route(flags) => run_route(&flags),
         QuetzalworksBenchCmd::Overhead(flags) => run_overhead(flags).await,
     }
@@ -95,17 +126,47 @@
 async fn run_load(flags: Load) -> Result<(), bench::BenchError> {
     let traffic = runtime::Traffic::spawn_threads(THREADS)?;
     let mix = bench::Mix::open(&flags.mix)?;
-    let bounds = load::Bounds {
+    let bounds = drive::Bounds {
         rate: flags.rate.unwrap_or(20.0),
         requests: flags.requests.unwrap_or(100_000),
         time: Duration::from_secs(flags.seconds.unwrap_or(10)),
         seed: flags.seed.unwrap_or(SEED),
     };
     let report = load::run(&mix, bounds, &traffic).await?;
-    if flags.json {
-        println!("{}", serde_json::to_string_pretty(&report)?);
+    print(&report, flags.json)
+}
+
+async fn run_cost(flags: Cost) -> Result<(), bench::BenchError> {
+    let traffic = runtime::Traffic::spawn_threads(THREADS)?;
+    let mix = bench::Mix::open(&flags.mix)?;
+    let bounds = drive::Bounds {
+        rate: flags.rate.unwrap_or(20.0),
+        requests: u64::MAX,
+        time: Duration::from_secs(flags.seconds.unwrap_or(60)),
+        seed: flags.seed.unwrap_or(SEED),
+    };
+    print(&cost::run(&mix, bounds, &traffic).await?, flags.json)
+}
+
+async fn run_domain(flags: Domain) -> Result<(), bench::BenchError> {
+    let traffic = runtime::Traffic::spawn_threads(THREADS)?;
+    let mix = bench::Mix::open(&flags.mix)?;
+    let rate = flags.rate.unwrap_or(40.0);
+    let phase = Duration::from_secs(flags.phase.unwrap_or(8));
+    let seed = flags.seed.unwrap_or(SEED);
+    let result = domain::run(&mix, rate, phase, seed, &traffic).await?;
+    print(&result, flags.json)
+}
+
+/// Prints JSON or a table.
+fn print(
+    result: &(impl serde::Serialize + std::fmt::Display),
+    json: bool,
+) -> Result<(), bench::BenchError> {
+    if json {
+        println!("{}", serde_json::to_string_pretty(result)?);
     } else {
-        print!("{report}");
+        print!("{result}");
     }
     Ok(())
 }
--- a/src/bench/mix.rs
+++ b/src/bench/mix.rs
@@ -1,5 +1,6 @@
 //! A deployment and its traffic.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::path::Path;
 use std::time::Duration;
@@ -8,8 +9,12 @@
 
 use crate::bench;
 use crate::ids;
+use crate::standin;
 use crate::units;
 
+/// Concurrent requests of an engine where the mix states none.
+const ENGINE_CONCURRENT: u32 = 64;
+
 /// A deployment and its traffic, read from a JSON file.
 #[derive(Clone, Debug, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -34,6 +39,26 @@
     pub models: Vec<Model>,
     /// Kinds of requests with their shares.
     pub requests: Vec<RequestMix>,
+    /// Concurrent requests of an engine.
+    #[serde(default = "default_concurrent")]
+    pub engine_concurrent: u32,
+    /// Bound of the profiles on the answers of a version in roll-out.
+    #[serde(default = "default_exposure")]
+    pub max_exposure: u64,
+    /// A version that is listed and loaded, but withdrawn at the start.
+    #[serde(skip)]
+    pub entering: Option<bench::Entering>,
+    /// Behaviour of cold engines; without it engines are always warm.
+    #[serde(default)]
+    pub cold: Option<standin::ColdStart>,
+}
+
+const fn default_exposure() -> u64 {
+    200
+}
+
+const fn default_concurrent() -> u32 {
+    ENGINE_CONCURRENT
 }
 
 /// A model of the deployment.
@@ -46,8 +71,11 @@
     pub share: f64,
     /// Cost of 1,000 prompt tokens, in millionths.
     pub cost: u64,
-    /// Quality of its answers.
+    /// Quality of its answers, which is also the operators' prior.
     pub quality: f64,
+    /// Quality of its answers to tasks on which it is better or worse.
+    #[serde(default)]
+    pub task_quality: BTreeMap<String, f64>,
     /// Time to the first token.
     pub first_token_ms: units::Millis,
     /// Time between tokens.
@@ -80,6 +108,9 @@
         stream: bool,
         /// Tokens of the answer.
         max_tokens: u64,
+        /// Label of the kind of work.
+        #[serde(default)]
+        task: Option<String>,
     },
     /// A call of the booking service that must not be repeated.
     Call {
@@ -93,6 +124,14 @@
     },
 }
 
+impl Model {
+    /// Name of its version.
+    #[must_use]
+    pub fn version(&self) -> String {
+        format!("{}-1", self.name)
+    }
+}
+
 impl Mix {
     /// Reads a file.
     pub fn open(path: &Path) -> Result<Self, bench::BenchError> {
@@ -108,6 +147,42 @@
         pick(self.models.iter().map(|model| model.share), place)
     }
 
+    /// True quality of a model's answers to a task.
+    #[must_use]
+    pub fn quality(&self, version: &str, task: Option<&str>) -> f64 {
+        let model = self.models.iter().find(|model| model.version() == version);
+        model.map_or(0.0, |model| {
+            let of_task = task.and_then(|task| model.task_quality.get(task));
+            of_task.copied().unwrap_or(model.quality)
+        })
+    }
+
+    /// All versions.
+    #[must_use]
+    pub fn versions(&self) -> Vec<String> {
+        let models = self.models.iter().map(Model::version);
+        let entering = self.entering.iter().map(|new| new.version.to_string());
+        models.chain(entering).collect()
+    }
+
+    /// The model whose answers cost most.
+    #[must_use]
+    pub fn dearest(&self) -> Option<&Model> {
+        self.models.iter().max_by_key(|model| model.cost)
+    }
+
+    /// The most expensive version; of two that cost the same, the entering one.
+    #[must_use]
+    pub fn newest_dearest(&self) -> String {
+        let dearest = self.dearest();
+        let entering = self.entering.as_ref();
+        let entering = entering.filter(|new| dearest.is_some_and(|model| model.name == new.model));
+        entering.map_or_else(
+            || dearest.map(Model::version).unwrap_or_default(),
+            |new| new.version.to_string(),
+        )
+    }
+
     /// Draws a team by its share.
     pub fn draw_team(&self, rng: &mut Rng) -> usize {
         let total: f64 = self.team_shares.iter().sum();
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -2,19 +2,29 @@
 
 mod caller;
 mod children;
+mod cost;
+mod daemon;
+mod domain;
+mod drive;
+mod entering;
 mod latency;
 mod load;
 mod main;
 mod mix;
+mod operator;
 mod overhead;
+mod policy;
+mod publication;
 mod report;
 mod route;
 
-pub use caller::{Answered, Caller, Outcome};
+pub use caller::{Answered, Call, Caller, Outcome};
 pub use children::Children;
+pub use entering::Entering;
 pub use latency::{Latency, Quantiles};
 pub use main::main;
 pub use mix::{Kind, Mix, Model, RequestMix};
+pub use policy::Policy;
 pub use report::Report;
 
 /// An experiment that could not be run.
--- /dev/null
+++ b/src/bench/publication.rs
@@ -0,0 +1,138 @@
+//! Configuration of a deployment, as operators would publish it.
+
+use std::sync::Arc;
+
+use serde_json::json;
+
+use crate::bench;
+use crate::bench::policy;
+use crate::catalog;
+use crate::demo;
+use crate::estimate;
+use crate::ids;
+use crate::platform;
+use crate::standin;
+use crate::units;
+
+/// Where the configuration goes.
+pub struct Publication<'a> {
+    /// The deployment.
+    pub mix: &'a bench::Mix,
+    /// The platform's log.
+    pub log: &'a standin::StandinLog,
+    /// The rating service, which is told the qualities.
+    pub rating: &'a standin::StandinRating,
+}
+
+impl Publication<'_> {
+    /// Publishes everything; returns the tokens of the teams.
+    pub fn publish(&self) -> Result<Vec<String>, bench::BenchError> {
+        let count = self.mix.team_shares.len();
+        let tokens: Vec<String> = (0..count).map(|i| format!("bench-{i}")).collect();
+        let teams: Vec<String> = (0..count).map(|i| format!("team-{i}")).collect();
+        for (team, token) in teams.iter().zip(&tokens) {
+            let content = catalog::Team {
+                token_sha256: vec![ids::Digest::of(token.as_bytes())],
+                max_concurrent: 4_096,
+            };
+            let content = catalog::Object::Team(Arc::new(content));
+            self.put(&format!("teams/{team}"), content)?;
+        }
+        self.versions()?;
+        self.profiles(&teams)?;
+        let service = json!({ "teams": teams, "undated_keys": "accept" });
+        let service = catalog::Object::Service(serde_json::from_value(service)?);
+        self.put("services/bookings", service)?;
+        Ok(tokens)
+    }
+
+    fn put(&self, id: &str, content: catalog::Object) -> Result<(), bench::BenchError> {
+        let id = id.parse::<catalog::ObjectId>()?;
+        let record = demo::change(id, content);
+        self.log.append(platform::Stream::Config, &record)?;
+        Ok(())
+    }
+
+    fn versions(&self) -> Result<(), bench::BenchError> {
+        for model in &self.mix.models {
+            let version = model.version();
+            let content = demo::version(model.name.parse()?, model.cost, model.quality);
+            self.put(&format!("versions/{version}"), content)?;
+            self.rating.control(standin::RatingCommand::Quality {
+                version: version.parse()?,
+                quality: units::Quality::clamped(model.quality),
+            });
+            self.task_qualities(&version)?;
+        }
+        let Some(entering) = &self.mix.entering else {
+            return Ok(());
+        };
+        let content = entering.content(self.mix, true)?;
+        self.put(&format!("versions/{}", entering.version), content)?;
+        self.rating.control(standin::RatingCommand::Quality {
+            version: entering.version.clone(),
+            quality: entering.quality,
+        });
+        Ok(())
+    }
+
+    fn task_qualities(&self, version: &str) -> Result<(), bench::BenchError> {
+        for request in &self.mix.requests {
+            let bench::Kind::Chat {
+                task: Some(task),
+                max_tokens,
+                ..
+            } = &request.kind
+            else {
+                continue;
+            };
+            let quality = self.mix.quality(version, Some(task));
+            self.rating.control(standin::RatingCommand::ClassQuality {
+                version: version.parse()?,
+                // Prompts of the load are short.
+                class: estimate::RequestClass::of(Some(task), 0, *max_tokens),
+                quality: units::Quality::clamped(quality),
+            });
+        }
+        Ok(())
+    }
+
+    /// Each profile once, and for the baselines one for each version.
+    fn profiles(&self, teams: &[String]) -> Result<(), bench::BenchError> {
+        let versions = self.mix.versions();
+        let mut published = Vec::new();
+        for request in &self.mix.requests {
+            let bench::Kind::Chat {
+                profile,
+                quality_target,
+                ..
+            } = &request.kind
+            else {
+                continue;
+            };
+            if published.contains(&profile) {
+                continue;
+            }
+            published.push(profile);
+            let put = |name: &str, versions: &[String]| {
+                let content = json!({
+                    "teams": teams,
+                    "versions": versions,
+                    "quality_target": quality_target,
+                    "deadline_ms": request.deadline_ms,
+                    "max_exposure": self.mix.max_exposure,
+                });
+                let content = catalog::Object::Profile(serde_json::from_value(content)?);
+                self.put(&format!("profiles/{name}"), content)
+            };
+            put(profile.as_str(), &versions)?;
+            for version in &versions {
+                put(
+                    &policy::single(profile, version),
+                    std::slice::from_ref(version),
+                )?;
+            }
+        }
+        Ok(())
+    }
+}
--- a/src/bench/report.rs
+++ b/src/bench/report.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::bench;
+use crate::bench::drive;
 
 /// Results of a load run.
 #[derive(Debug, Default, serde::Serialize)]
@@ -35,6 +36,25 @@
     pub whole_answer: bench::Quantiles,
 }
 
+/// The report on these samples.
+pub fn of(
+    mix: &bench::Mix,
+    bounds: drive::Bounds,
+    samples: &[drive::Sample],
+) -> Result<Report, bench::BenchError> {
+    let mut collector = Collector::new(Report {
+        mix: mix.name.clone(),
+        seed: bounds.seed,
+        rate: bounds.rate,
+        ..Report::default()
+    })?;
+    for sample in samples {
+        let deadline = mix.requests[sample.kind].deadline_ms.duration();
+        collector.add(&sample.answered, deadline);
+    }
+    Ok(collector.finish())
+}
+
 /// Distributions that a run collects.
 #[derive(Debug)]
 pub struct Collector {
--- a/src/standin/rating.rs
+++ b/src/standin/rating.rs
@@ -10,6 +10,7 @@
 use hyper::{Method, Request, StatusCode};
 use serde_json::{Value, json};
 
+use crate::estimate;
 use crate::http;
 use crate::ids;
 use crate::runtime;
@@ -37,6 +38,15 @@
         /// Mean of its ratings.
         quality: units::Quality,
     },
+    /// Sets the quality of a version in one class of requests.
+    ClassQuality {
+        /// The version.
+        version: ids::VersionName,
+        /// The class.
+        class: estimate::RequestClass,
+        /// Mean of its ratings in the class.
+        quality: units::Quality,
+    },
 }
 
 /// A running rating service; dropping it stops it.
@@ -52,6 +62,7 @@
 #[derive(Debug)]
 struct State {
     qualities: HashMap<ids::VersionName, units::Quality>,
+    class_qualities: HashMap<(ids::VersionName, estimate::RequestClass), units::Quality>,
     rated: HashMap<ids::VersionName, u64>,
     noise: f64,
     outage: bool,
@@ -62,6 +73,8 @@
 #[derive(serde::Deserialize)]
 struct Rate {
     version: ids::VersionName,
+    #[serde(default)]
+    class: estimate::RequestClass,
     #[serde(rename = "messages")]
     _messages: Value,
     #[serde(rename = "answer")]
@@ -69,11 +82,15 @@
 }
 
 impl State {
-    fn rate(&mut self, version: &ids::VersionName) -> units::Quality {
+    fn rate(
+        &mut self,
+        version: &ids::VersionName,
+        class: estimate::RequestClass,
+    ) -> units::Quality {
         *self.rated.entry(version.clone()).or_default() += 1;
-        let mean = self
-            .qualities
-            .get(version)
+        let of_class = self.class_qualities.get(&(version.clone(), class));
+        let mean = of_class
+            .or_else(|| self.qualities.get(version))
             .map_or(DEFAULT_QUALITY, |quality| quality.get());
         let noise = (self.rng.f64() * 2.0 - 1.0) * self.noise;
         units::Quality::clamped(mean + noise)
@@ -93,6 +110,13 @@
             RatingCommand::Quality { version, quality } => {
                 state.qualities.insert(version, quality);
             }
+            RatingCommand::ClassQuality {
+                version,
+                class,
+                quality,
+            } => {
+                state.class_qualities.insert((version, class), quality);
+            }
         }
     }
 
@@ -103,7 +127,7 @@
         let Some(rate) = serve::read_json::<Rate>(req).await else {
             return serve::status(StatusCode::BAD_REQUEST);
         };
-        let quality = self.lock().rate(&rate.version);
+        let quality = self.lock().rate(&rate.version, rate.class);
         http::json(StatusCode::OK, &json!({ "quality": quality }))
     }
 }
@@ -127,6 +151,7 @@
     pub async fn bind(addr: SocketAddr, seed: u64, traffic: &runtime::Traffic) -> io::Result<Self> {
         let rating = Arc::new(Rating(Mutex::new(State {
             qualities: HashMap::new(),
+            class_qualities: HashMap::new(),
             rated: HashMap::new(),
             noise: DEFAULT_NOISE,
             outage: false,
