Admission: a doubling of the limit needs a number of answers

Cause: cold_engines_get_what_they_sustain failed on a machine at load 68 with 3 overloads where 1 is allowed: within ramp_interval a slow engine gave fewer answers than it needs to warm up, and one answer sufficed to double. A later run at load 121 showed a second cause in the stand-in: it left its batch after the end of an answer was sent, so a new request could find the place still taken. Ruled out: places given back early by the sidecar; it waits for the engine's end.

Change: setting ramp_answers (4 by default), checked with the interval; the stand-in leaves the batch before it sends the end. The test sets ramp_answers to what its engines need; its bounds stay.

--- a/src/admission/warmth.rs
+++ b/src/admission/warmth.rs
@@ -13,6 +13,9 @@
     pub max: u32,
     /// Time under load with only successes after which the limit doubles.
     pub ramp_interval: Duration,
+    /// Answers that each doubling needs besides; time alone proves little on
+    /// a slow endpoint.
+    pub ramp_answers: u32,
 }
 
 impl Limits {
@@ -58,8 +61,8 @@
     }
 
     /// An interval without any answer proves nothing, so it does not count.
-    fn is_earned(&self, length: Duration, now: Instant) -> bool {
-        self.successes > 0 && self.loaded(now) >= length
+    fn is_earned(&self, limits: &Limits, now: Instant) -> bool {
+        self.successes >= limits.ramp_answers.max(1) && self.loaded(now) >= limits.ramp_interval
     }
 }
 
@@ -187,15 +190,8 @@
     #[must_use]
     pub fn advanced(self, now: Instant) -> Self {
         match self {
-            Self::Cold(warmth) if warmth.state.0.is_earned(warmth.limits.ramp_interval, now) => {
-                warmth.ramp(now)
-            }
-            Self::Ramping(warmth)
-                if warmth
-                    .state
-                    .interval
-                    .is_earned(warmth.limits.ramp_interval, now) =>
-            {
+            Self::Cold(warmth) if warmth.state.0.is_earned(&warmth.limits, now) => warmth.ramp(now),
+            Self::Ramping(warmth) if warmth.state.interval.is_earned(&warmth.limits, now) => {
                 warmth.ramp(now)
             }
             other => other,
--- a/src/demo/node_plan.rs
+++ b/src/demo/node_plan.rs
@@ -100,6 +100,7 @@
         max_concurrent,
         queue: 4 * max_concurrent,
         ramp_interval_ms: units::Millis(500),
+        ramp_answers: 2,
     })
 }
 
--- a/src/settings/fields.rs
+++ b/src/settings/fields.rs
@@ -143,6 +143,9 @@
     /// Time under load with only successes after which a cold limit doubles.
     #[serde(default = "default_ramp_interval")]
     pub ramp_interval_ms: units::Millis,
+    /// Answers that each doubling of the limit needs besides that time.
+    #[serde(default = "default_ramp_answers")]
+    pub ramp_answers: u32,
 }
 
 /// The kind of an endpoint.
@@ -193,6 +196,10 @@
     64
 }
 
+const fn default_ramp_answers() -> u32 {
+    4
+}
+
 const fn default_ramp_interval() -> units::Millis {
     units::Millis(1_000)
 }
--- a/src/sidecar/cx.rs
+++ b/src/sidecar/cx.rs
@@ -76,6 +76,7 @@
             cold: cfg.cold_limit,
             max: cfg.max_concurrent,
             ramp_interval: cfg.ramp_interval_ms.duration(),
+            ramp_answers: cfg.ramp_answers,
         };
         let queue = usize::try_from(cfg.queue).unwrap_or(usize::MAX);
         Self {
--- a/src/standin/engine_api.rs
+++ b/src/standin/engine_api.rs
@@ -51,11 +51,25 @@
     done: bool,
 }
 
-impl Drop for Generation {
-    fn drop(&mut self) {
+impl Generation {
+    /// Counts the answer and leaves the batch. Both come before the end is
+    /// sent, so that a caller that has the whole answer finds it counted and
+    /// its place free.
+    fn end(&mut self) {
         let mut core = self.engine.lock();
+        core.answered(&self.version, &self.body["messages"]);
         core.leave(self.ticket.epoch);
-        core.stats.cancelled += u64::from(!self.done);
+        self.done = true;
+    }
+}
+
+impl Drop for Generation {
+    fn drop(&mut self) {
+        if !self.done {
+            let mut core = self.engine.lock();
+            core.leave(self.ticket.epoch);
+            core.stats.cancelled += 1;
+        }
     }
 }
 
@@ -171,11 +185,13 @@
         body,
         done: false,
     };
-    generation.done = !tx.is_closed() && stream(&generation, &tx).await.is_ok();
+    if !tx.is_closed() && stream(&mut generation, &tx).await.is_err() {
+        log::debug!("standin: a caller of the engine has gone.");
+    }
 }
 
 async fn stream(
-    generation: &Generation,
+    generation: &mut Generation,
     tx: &Sender<Bytes>,
 ) -> Result<(), channel::SendError<Bytes>> {
     let body = &generation.body;
@@ -199,12 +215,7 @@
         "usage": { "prompt_tokens": prompt, "completion_tokens": tokens.saturating_sub(from) },
     });
     send(tx, &last).await?;
-    // Counted before the end is sent, so that a caller that has the whole
-    // answer finds it counted.
-    generation
-        .engine
-        .lock()
-        .answered(&generation.version, messages);
+    generation.end();
     tx.send(Bytes::from_static(b"data: [DONE]\n\n")).await
 }
 
--- a/tests/integration/admission/mod.rs
+++ b/tests/integration/admission/mod.rs
@@ -16,4 +16,5 @@
     cold: 2,
     max: 7,
     ramp_interval: INTERVAL,
+    ramp_answers: 1,
 };
--- a/tests/integration/proofs/cold_start.rs
+++ b/tests/integration/proofs/cold_start.rs
@@ -14,6 +14,8 @@
 
 /// Concurrent requests that a cold engine bears; the sidecar's cold limit.
 const BEARS: u32 = 2;
+/// Answers after which an engine is warm, and those that the sidecar asks for.
+const WARM_ANSWERS: u32 = 8;
 /// Time of the load before a fault begins.
 const BEFORE: Duration = Duration::from_millis(300);
 
@@ -76,7 +78,7 @@
     EngineProfile {
         cold: Some(ColdStart {
             bears: BEARS,
-            answers: 8,
+            answers: WARM_ANSWERS,
             warm_ms: Millis(60_000),
         }),
         first_token_ms: Millis(10),
@@ -94,6 +96,7 @@
         engine: Box::new(|_| engine()),
         sidecar: json!({
             "cold_limit": BEARS, "max_concurrent": 16, "queue": 64, "ramp_interval_ms": 700,
+            "ramp_answers": WARM_ANSWERS,
         }),
         ..Spec::default()
     });
