Bounded explain; watch of a returning domain ends

explain read the usage stream from its start without bound. It now begins near the time in the request's id, found by bisection over ended_at, stops after 10 s or 200 pages, and says whether the record has expired. Request ids without a time are sought from the first retained record.

watch of a failure domain that came back waited until all endpoints were warm, which an endpoint without requests never becomes: in the demo it did not end. An endpoint without work for 10 s now counts as idle.

--- a/src/admin/explain.rs
+++ b/src/admin/explain.rs
@@ -1,11 +1,18 @@
 //! Finds the usage record of a request.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::billing;
 use crate::errors;
 use crate::ids;
 use crate::platform;
+use crate::runtime;
+use crate::units;
+
+/// Time for a search; an operator waits for it.
+const LIMIT: Duration = Duration::from_secs(10);
+/// Most pages read for a search; at 500 records each, 100,000 records.
+const MAX_PAGES: u32 = 200;
 
 /// The first record of the request in the `usage` stream, which is the one
 /// that counts.
@@ -13,9 +20,107 @@
     log: &platform::LogClient,
     request: ids::RequestId,
 ) -> Result<billing::UsageRecord, errors::Refusal> {
-    let mut from = ids::Offset(0);
-    loop {
-        let page = log
+    let search = Search {
+        log,
+        request,
+        pages_left: MAX_PAGES,
+    };
+    runtime::timeout_at(Instant::now() + LIMIT, search.run())
+        .await
+        .unwrap_or_else(|| Err(unfinished(request)))
+}
+
+/// A search through the stream.
+struct Search<'a> {
+    log: &'a platform::LogClient,
+    request: ids::RequestId,
+    pages_left: u32,
+}
+
+impl Search<'_> {
+    async fn run(mut self) -> Result<billing::UsageRecord, errors::Refusal> {
+        let first = self.page(ids::Offset(0)).await?;
+        let begin = first.first_retained;
+        let made_at = self.request.made_at();
+        let start = match made_at {
+            Some(made_at) => self.offset_of(made_at, begin, first.end).await?,
+            None => begin,
+        };
+        if let Some(record) = self.scan(start, first.end).await? {
+            return Ok(record);
+        }
+        // Clocks of VMs differ, so the record may lie before.
+        if let Some(record) = self.scan(begin, start).await? {
+            return Ok(record);
+        }
+        let oldest = first.records.iter().find_map(ended_at);
+        let is_older = made_at
+            .zip(oldest)
+            .is_some_and(|(made, oldest)| made < oldest);
+        let reason = if begin > ids::Offset(0) && is_older {
+            "the record has expired"
+        } else {
+            "the request has not ended, never ran, or was answered from a record"
+        };
+        Err(errors::Refusal::new(
+            errors::ResultCode::UnknownObject,
+            format!("no usage record of request {}: {reason}", self.request),
+        ))
+    }
+
+    /// Where records of requests that ended at `time` begin, as far as the
+    /// order of the records shows it.
+    async fn offset_of(
+        &mut self,
+        time: units::Millis,
+        begin: ids::Offset,
+        end: ids::Offset,
+    ) -> Result<ids::Offset, errors::Refusal> {
+        let (mut low, mut high) = (begin, end);
+        while low < high {
+            let middle = ids::Offset(low.0 + (high.0 - low.0) / 2);
+            let page = self.page(middle).await?;
+            if page
+                .records
+                .iter()
+                .filter_map(ended_at)
+                .any(|at| at >= time)
+            {
+                high = middle;
+            } else {
+                low = page.next_offset().max(middle.next());
+            }
+        }
+        Ok(low.min(end))
+    }
+
+    async fn scan(
+        &mut self,
+        mut from: ids::Offset,
+        until: ids::Offset,
+    ) -> Result<Option<billing::UsageRecord>, errors::Refusal> {
+        while from < until {
+            let page = self.page(from).await?;
+            from = page.next_offset();
+            let request = self.request;
+            let found = page
+                .records
+                .into_iter()
+                .find(|record| billing::request_of(&record.body) == Some(request))
+                .and_then(|record| serde_json::from_value(record.body).ok());
+            if found.is_some() {
+                return Ok(found);
+            }
+        }
+        Ok(None)
+    }
+
+    async fn page(&mut self, from: ids::Offset) -> Result<platform::Page, errors::Refusal> {
+        if self.pages_left == 0 {
+            return Err(unfinished(self.request));
+        }
+        self.pages_left -= 1;
+        self.log
             .read(platform::Stream::Usage, from, Duration::ZERO)
             .await
             .map_err(|err| {
@@ -23,21 +128,20 @@
                     errors::ResultCode::NotReady,
                     format!("cannot read usage records: {err}"),
                 )
-            })?;
-        from = page.next_offset();
-        let found = page
-            .records
-            .into_iter()
-            .filter_map(|record| serde_json::from_value::<billing::UsageRecord>(record.body).ok())
-            .find(|record| record.request == request);
-        if let Some(record) = found {
-            return Ok(record);
-        }
-        if from >= page.end {
-            return Err(errors::Refusal::new(
-                errors::ResultCode::UnknownObject,
-                format!("no usage record of request {request} yet, or it has expired"),
-            ));
-        }
+            })
     }
 }
+
+fn ended_at(record: &platform::LogRecord) -> Option<units::Millis> {
+    record.body.get("ended_at")?.as_u64().map(units::Millis)
+}
+
+fn unfinished(request: ids::RequestId) -> errors::Refusal {
+    errors::Refusal::new(
+        errors::ResultCode::UnknownObject,
+        format!(
+            "no usage record of request {request} among those read in {} s or {MAX_PAGES} pages",
+            LIMIT.as_secs()
+        ),
+    )
+}
--- a/src/cli/watch.rs
+++ b/src/cli/watch.rs
@@ -1,5 +1,6 @@
 //! Live views that end when what they watch is complete.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -51,6 +52,10 @@
         .unwrap_or_default()
 }
 
+/// Looks in a row without load after which an endpoint counts as idle: 10 s.
+/// An endpoint warms up only by requests, so an idle one never does.
+const IDLE_LOOKS: u32 = 20;
+
 /// Progress of a failure domain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Progress {
@@ -58,16 +63,18 @@
     applied: usize,
     running: u64,
     warm: usize,
+    /// Endpoints that accept work, but get none that would warm them up.
+    idle: usize,
 }
 
 impl Progress {
-    fn of(status: &Value, domain: &ids::ProfileName, offset: u64) -> Self {
+    fn of(status: &Value, domain: &ids::ProfileName, offset: u64, idle: &mut Idle) -> Self {
         let all = status["endpoints"].as_array().into_iter().flatten();
         let rows: Vec<&Value> = all.filter(|row| row["domain"] == domain.as_str()).collect();
         let count = |keep: &dyn Fn(&Value) -> bool| rows.iter().filter(|row| keep(row)).count();
-        let load = |row: &&Value| {
-            row["running"].as_u64().unwrap_or(0) + row["queued"].as_u64().unwrap_or(0)
-        };
+        let is_warm = |row: &Value| row["warmth"] == "warm";
+        let mut is_idle = |row: &Value| idle.is_idle(row) && !is_warm(row);
+        let idle = rows.iter().filter(|row| is_idle(row)).count();
         Self {
             endpoints: rows.len(),
             applied: count(&|row| {
@@ -75,8 +82,9 @@
                     .as_u64()
                     .is_some_and(|config| config >= offset)
             }),
-            running: rows.iter().map(load).sum(),
-            warm: count(&|row| row["accepting"] == true && row["warmth"] == "warm"),
+            running: rows.iter().map(|row| load(row)).sum(),
+            warm: count(&|row| row["accepting"] == true && is_warm(row)),
+            idle,
         }
     }
 
@@ -84,22 +92,45 @@
         let state = if out {
             self.running == 0
         } else {
-            self.warm == self.endpoints
+            self.warm + self.idle == self.endpoints
         };
         self.applied == self.endpoints && state
     }
 }
 
+/// Requests that an endpoint runs or holds.
+fn load(row: &Value) -> u64 {
+    row["running"].as_u64().unwrap_or(0) + row["queued"].as_u64().unwrap_or(0)
+}
+
+/// Looks in a row at which an endpoint accepted work and had none, by VM.
+#[derive(Debug, Default)]
+struct Idle(HashMap<String, u32>);
+
+impl Idle {
+    fn is_idle(&mut self, row: &Value) -> bool {
+        let vm = row["vm"].as_str().unwrap_or_default().to_owned();
+        let looks = self.0.entry(vm).or_default();
+        *looks = if row["accepting"] == true && load(row) == 0 {
+            *looks + 1
+        } else {
+            0
+        };
+        *looks >= IDLE_LOOKS
+    }
+}
+
 /// Watches a failure domain until it is drained, where it is taken out, or
-/// until all its endpoints are warm.
+/// until all its endpoints are warm or idle.
 pub async fn domain(cx: &cli::Context, name: &ids::ProfileName) -> Result<(), cli::Failure> {
     let id = catalog::ObjectId::new(catalog::ObjectKind::Domains, name.as_str());
     let mut last = None;
+    let mut idle = Idle::default();
     loop {
         let (revision, object) = show::present(cx, &id).await?;
         let out = object["out"] == true;
         let status = cx.client.read("status").await?;
-        let progress = Progress::of(&status, name, revision.0.saturating_sub(1));
+        let progress = Progress::of(&status, name, revision.0.saturating_sub(1), &mut idle);
         if progress.endpoints == 0 {
             return Err(cli::Failure::Other(
                 format!("no endpoint is known in failure domain {name}").into(),
@@ -122,10 +153,11 @@
     let value = json!({
         "domain": name, "state": state, "complete": complete, "endpoints": at.endpoints,
         "applied": at.applied, "running": at.running, "warm": at.warm,
+        "idle": at.idle,
     });
     let text = format!(
-        "{name} {state}: in force on {} of {} endpoints, {} requests running, {} warm",
-        at.applied, at.endpoints, at.running, at.warm
+        "{name} {state}: in force on {} of {} endpoints, {} requests running, {} warm, {} idle",
+        at.applied, at.endpoints, at.running, at.warm, at.idle
     );
     cx.say(&value, &text);
 }
--- a/src/ids/request_id.rs
+++ b/src/ids/request_id.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::str::FromStr;
 
+use crate::units;
+
 /// A text that is not 32 hexadecimal digits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct InvalidId;
@@ -74,6 +76,15 @@
     pub fn generate() -> Self {
         Self(uuid::Uuid::now_v7().as_u128())
     }
+
+    /// When the request arrived, since the epoch; `None` where the id is no `UUIDv7`.
+    #[must_use]
+    pub fn made_at(self) -> Option<units::Millis> {
+        let id = uuid::Uuid::from_u128(self.0);
+        let is_timed = id.get_version() == Some(uuid::Version::SortRand);
+        // The first 48 bits of a UUIDv7 are its time in milliseconds.
+        is_timed.then(|| units::Millis(u64::try_from(self.0 >> 80).unwrap_or_default()))
+    }
 }
 
 impl ChangeId {
--- a/tests/integration/admin.rs
+++ b/tests/integration/admin.rs
@@ -1,7 +1,9 @@
 //! The operators' API of a real entry process.
 
 use hyper::Method;
+use quetzalworks::ids::Offset;
 use quetzalworks::platform::Stream;
+use quetzalworks::standin::LogCommand;
 use serde_json::{Value, json};
 
 use crate::testing::cluster::Cluster;
@@ -281,3 +283,57 @@
     );
     assert_eq!(number(&none), 3005, "{}", none.text());
 }
+
+/// Guards against an explanation that reads the whole stream first, misses a
+/// record that an outage delayed, or does not tell that a record has expired.
+#[test]
+fn explanations_are_found_by_the_time_of_the_request() {
+    struct Case {
+        name: &'static str,
+        /// Milliseconds since the epoch in the request's id.
+        made_at: u128,
+        says: &'static str,
+    }
+    const RECORDS: u64 = 3_000;
+    const EXPIRED: u64 = 1_200;
+    let case = |name, made_at, says| Case {
+        name,
+        made_at,
+        says,
+    };
+    let cases = [
+        case("oldest that is kept", 1_200_000, "\"cost\":1200,"),
+        case("in the middle", 2_000_000, "\"cost\":2000,"),
+        case("last", 2_999_000, "\"cost\":2999,"),
+        case("delayed by an outage", 1_500_500, "\"cost\":7,"),
+        case("expired", 5_000, "expired"),
+        case("never ran", 2_500_500, "never ran"),
+    ];
+    let id = |made_at: u128| format!("{:032x}", made_at << 80 | 7 << 76 | 2 << 62);
+    let cluster = Cluster::start(1, 1);
+    let append = |request: String, ended_at: u128, cost: u64| {
+        let record = json!({
+            "request": request, "team": "red", "profile": "chat", "service": null, "class": null,
+            "usage": { "prompt": 1, "output": 2 }, "cost": cost, "result": null,
+            "ended_at": u64::try_from(ended_at).unwrap(), "written_by": "entry-0", "attempts": [],
+        });
+        cluster.log.append(Stream::Usage, &record).unwrap();
+    };
+    for n in 0..RECORDS {
+        let made_at = u128::from(n) * 1_000;
+        append(id(made_at), made_at + 10, n);
+        if n == 2_800 {
+            append(id(1_500_500), 1_500_510, 7);
+        }
+    }
+    cluster.log.control(LogCommand::RetainFrom {
+        stream: Stream::Usage,
+        offset: Offset(EXPIRED),
+    });
+    for case in cases {
+        let path = format!("explain/{}", id(case.made_at));
+        let found = call(&cluster, &Method::GET, &path, None, "");
+        let text = found.text();
+        assert!(text.contains(case.says), "{}: {text}", case.name);
+    }
+}
--- a/tests/integration/cli.rs
+++ b/tests/integration/cli.rs
@@ -145,3 +145,25 @@
     );
     assert!(text.contains(case.says), "{:?}: {text}", case.args);
 }
+
+/// Guards against a watch of a returning failure domain that ends before its
+/// endpoints take work, or waits for ever where no work comes.
+#[test]
+fn a_returning_domain_is_watched_until_it_serves() {
+    let cluster = Cluster::start(1, 1);
+    let server = cluster.entry_addr(0).to_string();
+    let cases = [
+        case(&["out", "domain", "domain-0"], 0, "accepted"),
+        case(
+            &["watch", "domain", "domain-0"],
+            0,
+            "domain-0 out: in force on 1 of 1",
+        ),
+        case(&["back", "domain", "domain-0"], 0, "accepted"),
+        case(&["watch", "domain", "domain-0"], 0, "0 warm, 1 idle"),
+    ];
+    for case in &cases {
+        check(case, &tool(&server, case.args));
+    }
+    assert_eq!(cluster.ask(0).unwrap().status, 200);
+}
--- a/tests/integration/rollouts.rs
+++ b/tests/integration/rollouts.rs
@@ -401,3 +401,49 @@
         assert_eq!(changed, case.changed, "{:?}", case.args);
     }
 }
+
+/// Guards against a watch that ends before its roll-out does, or never.
+#[test]
+fn the_tool_watches_a_roll_out_to_its_end() {
+    let cluster = Cluster::start(1, 1);
+    let dir = place::dir();
+    let file = |name: &str, content: Value| {
+        let file = dir.join(name);
+        std::fs::write(&file, content.to_string()).unwrap();
+        file.to_str().unwrap().to_owned()
+    };
+    let version = file(
+        "version.json",
+        json!({ "model": "m", "prompt_cost": 1, "output_cost": 1, "prior_quality": 0.8 }),
+    );
+    let profile = file(
+        "profile.json",
+        json!({
+            "teams": ["red"],
+            "versions": ["other-1"],
+            "quality_target": 0.5,
+            "rollout_steps": [{ "share": 0.1, "min_ratings": 0 }, { "share": 0.5, "min_ratings": 0 }],
+        }),
+    );
+    let steps: [&[&str]; 4] = [
+        &["publish", "other-1", "--file", &version],
+        &["put", "profiles", "trial", "--file", &profile],
+        &[
+            "rollout",
+            "start",
+            "r",
+            "--profile",
+            "trial",
+            "--version",
+            "small-1",
+        ],
+        &["watch", "rollout", "r"],
+    ];
+    let said = steps.map(|args| {
+        let (exit, text) = tool(&cluster, args);
+        assert_eq!(exit, Some(0), "{args:?}: {text}");
+        text
+    });
+    let last = said[3].lines().last().unwrap_or_default();
+    assert!(last.starts_with("r: complete"), "{}", said[3]);
+}
