--- a/src/entry/dispatcher.rs
+++ b/src/entry/dispatcher.rs
@@ -10,7 +10,7 @@
 use crate::catalog;
 use crate::control;
 use crate::entry;
-use crate::entry::{bill, cx};
+use crate::entry::{bill, cx, lag};
 use crate::errors;
 use crate::ids;
 use crate::observe;
@@ -197,7 +197,7 @@
                 })
             }
             Some(Ok(Some(wire::Reply::Refused { refusal, load }))) => {
-                Err(current(refusal, load.config, snapshot.config))
+                Err(lag::current(refusal, load.config, snapshot.config))
             }
             None => {
                 self.bill.mark_ran();
@@ -274,28 +274,6 @@
     }
 }
 
-/// The refusal, where its sender has all the configuration that the entry has.
-/// One that lags refuses what is allowed by now, which another may run.
-fn current(
-    refusal: errors::Refusal,
-    theirs: Option<ids::Offset>,
-    ours: Option<ids::Offset>,
-) -> errors::Refusal {
-    let by_configuration = matches!(
-        refusal.code,
-        errors::ResultCode::NotAllowed
-            | errors::ResultCode::UnknownProfile
-            | errors::ResultCode::VersionWithdrawn
-    );
-    if theirs >= ours || !by_configuration {
-        return refusal;
-    }
-    errors::Refusal {
-        code: errors::ResultCode::NotReady,
-        ..refusal
-    }
-}
-
 fn prices(
     snapshot: &control::Snapshot,
     profile: &ids::ProfileName,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod generation;
 mod handler;
 mod input;
+mod lag;
 mod links;
 mod once;
 mod peers;
