Estimates: learn a class from its own first ratings, and sooner

Change: ratings of the class count from the first on, filled up with those of all classes; all answers of a class with few ratings are rated; such ratings are published after 2 s in place of 10 s.

--- a/src/entry/cascade.rs
+++ b/src/entry/cascade.rs
@@ -113,7 +113,13 @@
             let mut rollouts = profile.rollouts.iter();
             rollouts.any(|rollout| rollout.version.name == *version)
         });
-    cx.ratings.offer(sample(generation, answer), in_rollout);
+    let class = generation.ask().class;
+    let sampling = if in_rollout || snapshot.estimates.is_sparse(version, class) {
+        ratings::Sampling::All
+    } else {
+        ratings::Sampling::Share
+    };
+    cx.ratings.offer(sample(generation, answer), sampling);
 }
 
 fn sample(generation: &generation::Generation, answer: Option<Arc<str>>) -> ratings::Sample {
--- a/src/entry/ratings.rs
+++ b/src/entry/ratings.rs
@@ -10,7 +10,7 @@
 use crate::platform;
 use crate::units;
 
-/// Share of answers that are rated; those of versions in roll-out all are.
+/// Share of answers that are rated where the estimate is settled.
 const SAMPLE_SHARE: f64 = 0.05;
 /// Answers that wait for a rating; more are left unrated.
 const QUEUE: usize = 256;
@@ -32,6 +32,16 @@
     pub answer: Option<Arc<str>>,
 }
 
+/// How many answers are rated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sampling {
+    /// All, while a decision waits for ratings: the version is in roll-out, or
+    /// has few ratings in the class. The queue bounds the load on the service.
+    All,
+    /// A small share.
+    Share,
+}
+
 /// Rates answers and collects the ratings.
 #[derive(Debug)]
 pub struct Ratings {
@@ -83,8 +93,8 @@
     }
 
     /// Rates a sample of answers in the background.
-    pub fn offer(&self, sample: Sample, in_rollout: bool) {
-        if !in_rollout && fastrand::f64() >= SAMPLE_SHARE {
+    pub fn offer(&self, sample: Sample, sampling: Sampling) {
+        if sampling == Sampling::Share && fastrand::f64() >= SAMPLE_SHARE {
             return;
         }
         if sample.answer.is_none() {
--- a/src/estimate/estimates.rs
+++ b/src/estimate/estimates.rs
@@ -99,20 +99,42 @@
             .insert(class, estimate);
     }
 
-    /// The estimate of a version in a class; where the class has fewer ratings
-    /// than the prior weighs, the ratings of all classes together.
+    /// The estimate of a version in a class. What the class lacks to the weight
+    /// of the prior is filled up with the ratings of all classes, so that a few
+    /// ratings of the class count at once but do not decide alone.
     #[must_use]
     pub fn get(&self, version: &ids::VersionName, class: estimate::RequestClass) -> Estimate {
-        let cell = self
-            .cells
+        let mut cell = self.cell(version, class);
+        let missing = PRIOR_WEIGHT - cell.weight;
+        if let Some(totals) = self.totals.get(version)
+            && missing > 0.0
+            && totals.weight > 0.0
+        {
+            let mut filling = *totals;
+            filling.decay((missing / totals.weight).min(1.0));
+            cell.merge(&filling);
+        }
+        cell
+    }
+
+    /// Whether a version has fewer ratings in a class than the prior weighs.
+    #[must_use]
+    pub fn is_sparse(&self, version: &ids::VersionName, class: estimate::RequestClass) -> bool {
+        self.weight(version, class) < PRIOR_WEIGHT
+    }
+
+    /// Weight of the ratings of a version in a class.
+    #[must_use]
+    pub fn weight(&self, version: &ids::VersionName, class: estimate::RequestClass) -> f64 {
+        self.cell(version, class).weight
+    }
+
+    fn cell(&self, version: &ids::VersionName, class: estimate::RequestClass) -> Estimate {
+        self.cells
             .get(version)
             .and_then(|classes| classes.get(&class))
             .copied()
-            .unwrap_or_default();
-        if cell.weight >= PRIOR_WEIGHT {
-            return cell;
-        }
-        self.totals.get(version).copied().unwrap_or_default()
+            .unwrap_or_default()
     }
 
     /// All cells.
--- a/src/system/estimates.rs
+++ b/src/system/estimates.rs
@@ -10,6 +10,11 @@
 
 /// Least time between publications.
 const PUBLISH_INTERVAL: Duration = Duration::from_secs(10);
+/// Least time between publications where a cell with few ratings has got some:
+/// until they are published, its class runs on a version that may miss the target.
+const SPARSE_INTERVAL: Duration = Duration::from_secs(2);
+/// Ratings that a cell must have got for that; bounds the early publications of a cell.
+const SPARSE_STEP: f64 = 4.0;
 /// Time in which the weight of a rating halves.
 const HALF_LIFE: Duration = Duration::from_mins(30);
 /// Weight below which a cell is dropped; bounds the published record.
@@ -143,7 +148,17 @@
         return;
     };
     let elapsed = cx.now.saturating_duration_since(folding.published);
-    if !folding.changed || elapsed < PUBLISH_INTERVAL {
+    let estimates = &world.estimates;
+    let has_learnt = |((version, class), cell): (&(_, _), &estimate::Estimate)| {
+        let known = estimates.weight(version, *class);
+        estimates.is_sparse(version, *class) && cell.weight >= known + SPARSE_STEP
+    };
+    let interval = if folding.cells.iter().any(has_learnt) {
+        SPARSE_INTERVAL
+    } else {
+        PUBLISH_INTERVAL
+    };
+    if !folding.changed || elapsed < interval {
         return;
     }
     let factor = 0.5_f64.powf(elapsed.as_secs_f64() / HALF_LIFE.as_secs_f64());
