--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,6 +16,7 @@
 mod input;
 mod links;
 mod once;
+mod patience;
 mod peers;
 mod ratings;
 mod role;
