Revert "Entry: wait for an endpoint, and give up a silent one before the deadline"

A retry after silence is free of the retry budget although the silent endpoint may be running the request, so stalls under load could multiply it.

--- a/src/entry/dispatcher.rs
+++ b/src/entry/dispatcher.rs
@@ -4,14 +4,13 @@
 use std::time::{Duration, Instant};
 
 use quinn::{RecvStream, SendStream};
-use smol::future::FutureExt;
 
 use crate::attempt;
 use crate::billing;
 use crate::catalog;
 use crate::control;
 use crate::entry;
-use crate::entry::{bill, cx, patience};
+use crate::entry::{bill, cx};
 use crate::errors;
 use crate::ids;
 use crate::observe;
@@ -98,19 +97,10 @@
         progress: Progress<'_>,
     ) -> Result<Running, errors::Refusal> {
         let mut last: Option<errors::Refusal> = None;
-        let patience = patience::Patience::new(self.ask.deadline);
         while self.left > 0 {
             let snapshot = self.cx.control.snapshot();
             let route = match self.route(&snapshot, pin.clone()) {
                 Ok(route) => route,
-                Err(refusal)
-                    if patience
-                        .wait(&refusal, &snapshot, self.ask.fingerprint)
-                        .await =>
-                {
-                    self.tried.clear();
-                    continue;
-                }
                 Err(refusal) => return Err(self.refuse(last.unwrap_or(refusal))),
             };
             self.left -= 1;
@@ -194,8 +184,7 @@
         let (tx, mut rx) = opened.map_err(|err| unreachable(err.to_string()))?;
         let dispatched = planned.dispatched();
         let until = self.ask.deadline + REFUSAL_GRACE;
-        let read = wire::read::<wire::Reply>(&mut rx).or(self.cx.links.lost(&view.vm));
-        match runtime::timeout_at(until, read).await {
+        match runtime::timeout_at(until, wire::read::<wire::Reply>(&mut rx)).await {
             Some(Ok(Some(wire::Reply::Accepted))) => {
                 self.bill.mark_ran();
                 Ok(Running {
--- a/src/entry/links.rs
+++ b/src/entry/links.rs
@@ -7,7 +7,6 @@
 
 use quinn::{Connection, RecvStream, SendStream};
 use smol::Task;
-use smol::Timer;
 use smol::channel::{self, Sender};
 use smol::future::FutureExt;
 
@@ -23,11 +22,6 @@
 /// First and longest pause between connection attempts.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
 
-/// Time in which a dispatch must be acknowledged; a round trip takes milliseconds.
-const FIRST_SILENCE: Duration = Duration::from_millis(500);
-/// Time without a packet after that; keep-alive packets come every 800 ms.
-const SILENCE: Duration = Duration::from_millis(1_500);
-
 /// Updates that may wait for a connection; more are dropped.
 const MAX_WAITING: usize = 64;
 
@@ -134,30 +128,6 @@
         Ok((tx, rx))
     }
 
-    /// Ends once the process on `vm` is silent after a dispatch. The idle
-    /// timeout of the connection is longer than the deadline of short calls.
-    async fn silence(&self, vm: &ids::VmName) {
-        let Ok(connection) = self.shared.connection(vm) else {
-            return;
-        };
-        let mut limit = FIRST_SILENCE;
-        loop {
-            let heard = connection.stats().udp_rx.datagrams;
-            Timer::after(limit).await;
-            if connection.stats().udp_rx.datagrams == heard {
-                log::warn!("peer: {vm} is silent.");
-                return;
-            }
-            limit = SILENCE;
-        }
-    }
-
-    /// As [`Self::silence`], as the failure of a read.
-    pub async fn lost<T>(&self, vm: &ids::VmName) -> Result<T, wire::WireError> {
-        self.silence(vm).await;
-        Err(wire::WireError::Lost("the process is silent".into()))
-    }
-
     /// Gives an order to the endpoint on `vm`, unless the lease has run out,
     /// and tells the control thread what came of it.
     pub async fn order(
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,7 +16,6 @@
 mod input;
 mod links;
 mod once;
-mod patience;
 mod peers;
 mod ratings;
 mod role;
--- a/src/entry/service_run.rs
+++ b/src/entry/service_run.rs
@@ -3,13 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use smol::future::FutureExt;
-
 use crate::attempt;
 use crate::billing;
 use crate::control;
 use crate::entry;
-use crate::entry::{bill, cx, patience};
+use crate::entry::{bill, cx};
 use crate::errors;
 use crate::estimate;
 use crate::route;
@@ -59,18 +57,10 @@
     /// Runs a call that may be repeated.
     pub async fn repeatable(&mut self) -> Result<attempt::ServiceAnswer, errors::Refusal> {
         let mut last: Option<errors::Refusal> = None;
-        let patience = patience::Patience::new(self.ask.deadline);
         while !self.is_exhausted() {
             let snapshot = self.cx.control.snapshot();
             let endpoint = match self.choose(&snapshot) {
                 Ok(endpoint) => endpoint,
-                Err(refusal)
-                    if patience
-                        .wait(&refusal, &snapshot, self.ask.fingerprint())
-                        .await =>
-                {
-                    continue;
-                }
                 Err(refusal) => return Err(self.refuse(last.unwrap_or(refusal))),
             };
             let refusal = match self.attempt(&snapshot, endpoint, None).await {
@@ -167,14 +157,7 @@
             }
         };
         loop {
-            let lost = async {
-                // A call that must not be repeated gains nothing from an early end.
-                if call.is_some() {
-                    std::future::pending::<()>().await;
-                }
-                self.cx.links.lost(&view.vm).await
-            };
-            let read = wire::read::<wire::Reply>(&mut rx).or(lost);
+            let read = wire::read::<wire::Reply>(&mut rx);
             match runtime::timeout_at(self.ask.deadline + GRACE, read).await {
                 Some(Ok(Some(wire::Reply::Accepted))) => self.bill.mark_ran(),
                 Some(Ok(Some(wire::Reply::Answer(answer)))) => {
