--- a/src/bench/children.rs
+++ b/src/bench/children.rs
@@ -122,6 +122,8 @@
     pub async fn restart_domain(&self, domain: usize) -> Result<(), bench::BenchError> {
         for engine in self.engines_of(domain) {
             engine.restart().await?;
+            // It has been cold since its end, and would be warm by now.
+            engine.turn_cold();
         }
         for daemon in self.lock().iter_mut() {
             if daemon.domain == domain {
--- a/src/bench/domain.rs
+++ b/src/bench/domain.rs
@@ -25,7 +25,7 @@
 const COLD: standin::ColdStart = standin::ColdStart {
     bears: 2,
     answers: 1_000,
-    warm_ms: units::Millis(1_000),
+    warm_ms: units::Millis(3_000),
 };
 
 /// Results for all policies.
@@ -61,12 +61,16 @@
     /// Requests that were refused at last, by result code, also calls that
     /// must not be repeated; 0 where there is no code.
     pub codes: BTreeMap<u64, u64>,
+    /// The repeatable requests that were lost: kind, end and result code.
+    pub lost_requests: Vec<String>,
     /// Longest time without the end of an answer.
     pub longest_gap_ms: u128,
     /// Last new work in the domain after the operator's order was sent.
     pub last_work_ms: u128,
     /// Requests begun in the domain after the operator's order was sent.
     pub work_after_order: u64,
+    /// Requests begun in the domain between its return and the order.
+    pub work_before_order: u64,
     /// Failures of cold engines for more load than they bear.
     pub overloads: u64,
     /// Most requests at a time on a cold engine.
@@ -76,6 +80,7 @@
 /// Work in the domain after it is taken out.
 #[derive(Debug, Default)]
 struct Work {
+    before: u64,
     last: Duration,
     begun: u64,
 }
@@ -122,15 +127,17 @@
     Timer::after(phase).await;
     children.kill_domain(DOMAIN);
     Timer::after(phase).await;
+    let at_return = children.work_of(DOMAIN);
     children.restart_domain(DOMAIN).await?;
     Timer::after(phase).await;
+    let before = children.work_of(DOMAIN) - at_return;
     let order = |out| order(children, out);
     let start = Instant::now();
     let watch = watch(children, start, phase);
     let (work, taken_out) = future::zip(watch, order(true)).await;
     taken_out?;
     order(false).await?;
-    Ok(work)
+    Ok(Work { before, ..work })
 }
 
 async fn order(children: &bench::Children, out: bool) -> Result<(), bench::BenchError> {
@@ -165,6 +172,7 @@
     let mut left = Left {
         last_work_ms: work.last.as_millis(),
         work_after_order: work.begun,
+        work_before_order: work.before,
         longest_gap_ms: longest_gap(samples).as_millis(),
         ..Left::default()
     };
@@ -180,6 +188,11 @@
         }
         left.sent += 1;
         left.lost += u64::from(!whole);
+        if !whole {
+            let (end, code) = (sample.end.as_secs_f32(), sample.answered.code);
+            let line = format!("{:?} at {end:.1} s: {code:?}", request.kind);
+            left.lost_requests.push(line);
+        }
         left.repeated += u64::from(!sample.broken_at.is_empty());
         let elsewhere = |entry: &usize| entry % mix.domains != DOMAIN;
         left.broken_elsewhere += u64::from(sample.broken_at.iter().any(elsewhere));
@@ -218,10 +231,14 @@
                 left.sent, left.lost, left.broken_elsewhere, left.repeated, left.late
             )?;
             writeln!(f, "  refused or broken by code {:?}", left.codes)?;
+            for line in &left.lost_requests {
+                writeln!(f, "  lost {line}")?;
+            }
             writeln!(
                 f,
-                "  longest gap {} ms, after the order {} begun, the last at {} ms, overloads {}, cold peak {}",
+                "  longest gap {} ms, begun in the domain: {} before the order, {} after it, the last at {} ms, overloads {}, cold peak {}",
                 left.longest_gap_ms,
+                left.work_before_order,
                 left.work_after_order,
                 left.last_work_ms,
                 left.overloads,
--- a/src/bench/main.rs
+++ b/src/bench/main.rs
@@ -12,10 +12,14 @@
 use crate::bench::cost;
 use crate::bench::domain;
 use crate::bench::drive;
+use crate::bench::exposure;
 use crate::bench::load;
+use crate::bench::outage;
 use crate::bench::overhead;
+use crate::bench::response;
 use crate::bench::route;
 use crate::runtime;
+use crate::units;
 
 /// Threads of callers and stand-ins.
 const THREADS: usize = 3;
@@ -66,6 +70,45 @@
             /// Prints JSON in place of a table.
             optional --json
         }
+        /// Answers of a bad version between its entry and its stop.
+        cmd exposure {
+            /// Deployment and traffic (JSON).
+            required --mix path: PathBuf
+            /// Requests a second; 30 where not given.
+            optional --rate rate: f64
+            /// True quality of the version; 0.3 where not given.
+            optional --quality quality: f64
+            /// Time of the system in seconds; 40 where not given.
+            optional --seconds seconds: u64
+            /// Seed of arrivals and requests.
+            optional --seed seed: u64
+            /// Prints JSON in place of a table.
+            optional --json
+        }
+        /// An outage of the platform's log under load.
+        cmd outage {
+            /// Deployment and traffic (JSON).
+            required --mix path: PathBuf
+            /// Requests a second; 20 where not given.
+            optional --rate rate: f64
+            /// Length of the outage in seconds; 30 where not given.
+            optional --seconds seconds: u64
+            /// Seed of arrivals and requests.
+            optional --seed seed: u64
+            /// Prints JSON in place of a table.
+            optional --json
+        }
+        /// Latency and goodput at shares of the measured capacity.
+        cmd latency {
+            /// Deployment and traffic (JSON).
+            required --mix path: PathBuf
+            /// Time of each step in seconds; 5 where not given.
+            optional --seconds seconds: u64
+            /// Seed of arrivals and requests.
+            optional --seed seed: u64
+            /// Prints JSON in place of a table.
+            optional --json
+        }
         /// Time of a routing decision.
         cmd route {
             /// Endpoints; 600 where not given.
@@ -118,6 +161,9 @@
         QuetzalworksBenchCmd::Load(flags) => run_load(flags).await,
         QuetzalworksBenchCmd::Cost(flags) => run_cost(flags).await,
         QuetzalworksBenchCmd::Domain(flags) => run_domain(flags).await,
+        QuetzalworksBenchCmd::Exposure(flags) => run_exposure(flags).await,
+        QuetzalworksBenchCmd::Outage(flags) => run_outage(flags).await,
+        QuetzalworksBenchCmd::Latency(flags) => run_latency(flags).await,
         QuetzalworksBenchCmd::Route(flags) => run_route(&flags),
         QuetzalworksBenchCmd::Overhead(flags) => run_overhead(flags).await,
     }
@@ -158,6 +204,36 @@
     print(&result, flags.json)
 }
 
+async fn run_exposure(flags: Exposure) -> Result<(), bench::BenchError> {
+    let traffic = runtime::Traffic::spawn_threads(THREADS)?;
+    let mix = bench::Mix::open(&flags.mix)?;
+    let rate = flags.rate.unwrap_or(30.0);
+    let time = Duration::from_secs(flags.seconds.unwrap_or(40));
+    let seed = flags.seed.unwrap_or(SEED);
+    let quality = units::Quality::clamped(flags.quality.unwrap_or(0.3));
+    let result = exposure::run(&mix, rate, time, seed, quality, &traffic).await?;
+    print(&result, flags.json)
+}
+
+async fn run_outage(flags: Outage) -> Result<(), bench::BenchError> {
+    let traffic = runtime::Traffic::spawn_threads(THREADS)?;
+    let mix = bench::Mix::open(&flags.mix)?;
+    let rate = flags.rate.unwrap_or(20.0);
+    let time = Duration::from_secs(flags.seconds.unwrap_or(30));
+    let seed = flags.seed.unwrap_or(SEED);
+    let result = outage::run(&mix, rate, time, seed, &traffic).await?;
+    print(&result, flags.json)
+}
+
+async fn run_latency(flags: Latency) -> Result<(), bench::BenchError> {
+    let traffic = runtime::Traffic::spawn_threads(THREADS)?;
+    let mix = bench::Mix::open(&flags.mix)?;
+    let time = Duration::from_secs(flags.seconds.unwrap_or(5));
+    let seed = flags.seed.unwrap_or(SEED);
+    let result = response::run(&mix, time, seed, &traffic).await?;
+    print(&result, flags.json)
+}
+
 /// Prints JSON or a table.
 fn print(
     result: &(impl serde::Serialize + std::fmt::Display),
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -7,15 +7,18 @@
 mod domain;
 mod drive;
 mod entering;
+mod exposure;
 mod latency;
 mod load;
 mod main;
 mod mix;
 mod operator;
+mod outage;
 mod overhead;
 mod policy;
 mod publication;
 mod report;
+mod response;
 mod route;
 
 pub use caller::{Answered, Call, Caller, Outcome};
--- /dev/null
+++ b/src/bench/outage.rs
@@ -0,0 +1,179 @@
+//! An outage of the platform's log under load.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use smol::Timer;
+use smol::future;
+
+use crate::bench;
+use crate::bench::drive;
+use crate::billing;
+use crate::platform;
+use crate::runtime;
+use crate::standin;
+
+/// Time before and after the outage.
+const AROUND: Duration = Duration::from_secs(5);
+/// Time for usage records to be appended after the last answer; a record that
+/// only the process beside the endpoint has is appended after 60 s.
+const USAGE_LIMIT: Duration = Duration::from_secs(70);
+/// Pause between looks at the usage records.
+const USAGE_POLL: Duration = Duration::from_millis(200);
+
+/// Results of the run.
+#[derive(Debug, Default, serde::Serialize)]
+pub struct Outage {
+    /// The deployment.
+    pub mix: String,
+    /// Seed of arrivals and requests.
+    pub seed: u64,
+    /// Requests a second.
+    pub rate: f64,
+    /// Length of the outage in seconds.
+    pub seconds: u64,
+    /// Requests by kind and end: answered, or the number of the result code.
+    pub ends: BTreeMap<String, u64>,
+    /// Result code of a change of configuration during the outage.
+    pub change: Option<u64>,
+    /// Answered requests.
+    pub answered: u64,
+    /// Answered requests without a usage record.
+    pub unbilled: u64,
+    /// Requests with more than one usage record; readers keep the first.
+    pub repeated_records: u64,
+    /// Time from the end of the load to the last missing record.
+    pub billed_ms: u128,
+    /// Whether model requests and look-ups were all answered, each answered
+    /// request has a usage record, and none has two.
+    pub met: bool,
+}
+
+/// Runs the system; the baselines use the same log and are of no interest here.
+pub async fn run(
+    mix: &bench::Mix,
+    rate: f64,
+    outage: Duration,
+    seed: u64,
+    traffic: &runtime::Traffic,
+) -> Result<Outage, bench::BenchError> {
+    let children = bench::Children::spawn(mix, traffic).await?;
+    let bounds = drive::Bounds {
+        rate,
+        requests: u64::MAX,
+        time: outage + 2 * AROUND,
+        seed,
+    };
+    let drive = drive::drive(&children, mix, bench::Policy::System, bounds, traffic);
+    let (samples, change) = future::zip(drive, fail(&children, outage)).await;
+    let mut result = Outage {
+        mix: mix.name.clone(),
+        seed,
+        rate,
+        seconds: outage.as_secs(),
+        change: change?,
+        ..Outage::default()
+    };
+    let samples = samples?;
+    let lost = count_ends(mix, &samples, &mut result);
+    bill(&children, &samples, &mut result).await;
+    result.met = lost == 0 && result.unbilled == 0 && result.repeated_records == 0;
+    Ok(result)
+}
+
+/// The outage, with a change of configuration in the middle.
+async fn fail(
+    children: &bench::Children,
+    time: Duration,
+) -> Result<Option<u64>, bench::BenchError> {
+    Timer::after(AROUND).await;
+    let set = |outage| {
+        let command = standin::LogCommand::Outage(outage);
+        children.log.control(command);
+    };
+    set(standin::Outage::Refusing);
+    let end = Instant::now() + time;
+    Timer::after(time / 2).await;
+    let operator = children.operator(0);
+    let change = operator.put("vms/spare", &json!({ "out": true })).await;
+    Timer::at(end).await;
+    set(standin::Outage::Up);
+    change
+}
+
+/// Counts how requests ended; returns those that may be repeated and were not answered.
+fn count_ends(mix: &bench::Mix, samples: &[drive::Sample], result: &mut Outage) -> u64 {
+    let mut lost = 0;
+    for sample in samples {
+        let kind = &mix.requests[sample.kind].kind;
+        let name = match kind {
+            bench::Kind::Chat { profile, .. } => profile.to_string(),
+            bench::Kind::Call { .. } => "call".into(),
+            bench::Kind::LookUp { .. } => "look-up".into(),
+        };
+        let whole = sample.answered.outcome == bench::Outcome::Whole;
+        let end = match sample.answered.code {
+            _ if whole => "answered".into(),
+            Some(code) => code.to_string(),
+            None => "broken".into(),
+        };
+        *result.ends.entry(format!("{name} {end}")).or_default() += 1;
+        result.answered += u64::from(whole);
+        lost += u64::from(!whole && !matches!(kind, bench::Kind::Call { .. }));
+    }
+    lost
+}
+
+/// Waits for the usage records of all answered requests.
+async fn bill(children: &bench::Children, samples: &[drive::Sample], result: &mut Outage) {
+    let start = Instant::now();
+    let whole = samples
+        .iter()
+        .filter(|sample| sample.answered.outcome == bench::Outcome::Whole);
+    let answered: BTreeSet<&String> = whole
+        .filter_map(|sample| sample.answered.request.as_ref())
+        .collect();
+    loop {
+        let records = children.log.records(platform::Stream::Usage);
+        let mut counts = HashMap::<String, u64>::new();
+        for record in records {
+            if let Ok(record) = serde_json::from_value::<billing::UsageRecord>(record) {
+                *counts.entry(record.request.to_string()).or_default() += 1;
+            }
+        }
+        let unbilled = answered.iter().filter(|id| !counts.contains_key(**id));
+        result.unbilled = unbilled.count() as u64;
+        result.repeated_records = counts.values().filter(|count| **count > 1).count() as u64;
+        result.billed_ms = start.elapsed().as_millis();
+        if result.unbilled == 0 || start.elapsed() > USAGE_LIMIT {
+            return;
+        }
+        Timer::after(USAGE_POLL).await;
+    }
+}
+
+impl fmt::Display for Outage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{}, seed {}, {} req/s, outage of {} s",
+            self.mix, self.seed, self.rate, self.seconds
+        )?;
+        for (end, count) in &self.ends {
+            writeln!(f, "  {end}: {count}")?;
+        }
+        writeln!(
+            f,
+            "change of configuration during the outage: {:?}",
+            self.change
+        )?;
+        let met = if self.met { "met" } else { "not met" };
+        writeln!(
+            f,
+            "answered {}, unbilled {}, with more than one record {}, all billed after {} ms: {met}",
+            self.answered, self.unbilled, self.repeated_records, self.billed_ms
+        )
+    }
+}
