--- /dev/null
+++ b/tests/integration/control_proofs/i3_session.rs
@@ -0,0 +1,187 @@
+//! I3: a session keeps its version.
+
+use std::sync::Mutex;
+
+use quetzalworks::standin::{EngineCommand, Faults};
+use serde_json::json;
+
+use crate::testing::cluster::Cluster;
+use crate::testing::spec::{Spec, serving};
+use crate::testing::{operator, traffic, wait};
+
+/// Sessions that are followed.
+const SESSIONS: usize = 6;
+
+/// A session as its caller sees it.
+struct Session {
+    token: String,
+    version: String,
+}
+
+/// What happens to the cluster while the sessions go on.
+struct Case {
+    name: &'static str,
+    act: fn(&mut Cluster),
+}
+
+/// Guards against a session that changes its version because of a roll-out
+/// step, the loss of an entry, a new entry or a retry.
+#[test]
+fn sessions_keep_their_version() {
+    let cases = [
+        Case {
+            name: "no fault",
+            act: |_| {},
+        },
+        Case {
+            name: "a roll-out step",
+            act: step,
+        },
+        Case {
+            name: "an entry is replaced",
+            act: replace_entry,
+        },
+        Case {
+            name: "an engine crashes",
+            act: |cluster| cluster.engines[0].control(EngineCommand::Crash),
+        },
+        Case {
+            name: "an endpoint is cut off",
+            act: cut_endpoint,
+        },
+        Case {
+            name: "a domain is taken out",
+            act: |cluster| {
+                operator::change(cluster, 0, "domains/domain-0", &json!({ "out": true }));
+            },
+        },
+        Case {
+            name: "the roll-out is complete",
+            act: |cluster| {
+                traffic::during(cluster, "chat", 4, |_| {
+                    operator::wait_rollout(cluster, 0, "complete");
+                });
+            },
+        },
+    ];
+    let mut cluster = Cluster::start_spec(Spec {
+        entries: 2,
+        engines: 4,
+        engine: Box::new(|_| serving(&["small-1", "small-2"])),
+        proxy_peers: true,
+        entry: json!({ "evidence_flush_ms": 200 }),
+        ..Spec::default()
+    });
+    start_rollout(&cluster);
+    let sessions: Vec<Mutex<Session>> = open(&cluster).into_iter().map(Mutex::new).collect();
+    for case in &cases {
+        (case.act)(&mut cluster);
+        for _ in 0..2 {
+            for (entry, session) in (0..2).flat_map(|i| sessions.iter().map(move |s| (i, s))) {
+                go_on(&cluster, entry, &mut session.lock().unwrap(), case.name);
+            }
+        }
+    }
+    withdraw(&cluster, &sessions);
+}
+
+fn start_rollout(cluster: &Cluster) {
+    let version =
+        json!({ "model": "small", "prompt_cost": 50, "output_cost": 50, "prior_quality": 0.9 });
+    cluster.publish("versions/small-2", 0, json!({ "version": version }));
+    let steps = json!([{ "share": 0.5, "min_ratings": 10 }, { "share": 0.6, "min_ratings": 10 }]);
+    let members = json!({
+        "versions": ["small-1", "small-2"], "max_exposure": 400, "rollout_steps": steps,
+    });
+    operator::change(cluster, 0, "profiles/chat", &members);
+    let plan = json!({ "profile": "chat", "version": "small-2" });
+    operator::change(cluster, 0, "rollouts/r", &plan);
+    operator::wait_rollout(cluster, 0, "stepping");
+}
+
+/// Sessions on the version in service and on the one that enters.
+fn open(cluster: &Cluster) -> Vec<Session> {
+    let mut sessions: Vec<Session> = Vec::new();
+    wait::until("sessions on both versions", || {
+        let answer = traffic::ask(cluster, 0, "chat", "open", None).unwrap();
+        if answer.status != 200 {
+            return false;
+        }
+        let version = answer.header("x-quetzalworks-version").unwrap().to_owned();
+        let same = sessions.iter().filter(|session| session.version == version);
+        if same.count() < SESSIONS / 2 {
+            let token = answer.header("x-quetzalworks-session").unwrap().to_owned();
+            sessions.push(Session { token, version });
+        }
+        sessions.len() == SESSIONS
+    });
+    sessions
+}
+
+/// One more request of the session; refusals may be retried, a move may not happen.
+fn go_on(cluster: &Cluster, entry: usize, session: &mut Session, case: &str) {
+    wait::until("the session is answered", || {
+        let answer = traffic::ask(cluster, entry, "chat", case, Some(&session.token));
+        let Some(answer) = answer.filter(|answer| answer.status == 200) else {
+            return false;
+        };
+        let version = answer.header("x-quetzalworks-version").unwrap();
+        assert_eq!(version, session.version, "{case}");
+        assert_eq!(
+            answer.header("x-quetzalworks-session-moved"),
+            None,
+            "{case}"
+        );
+        answer
+            .header("x-quetzalworks-session")
+            .unwrap()
+            .clone_into(&mut session.token);
+        true
+    });
+}
+
+fn step(cluster: &mut Cluster) {
+    let share = |cluster: &Cluster| operator::status(cluster, 0)["rollouts"][0]["share"].clone();
+    traffic::during(cluster, "chat", 4, |_| {
+        wait::until("the second step", || share(cluster) != 0.5);
+    });
+}
+
+fn replace_entry(cluster: &mut Cluster) {
+    cluster.entries[1].process.kill();
+    let gone = cluster.entries.remove(1);
+    cluster.inventory.remove(&gone.vm);
+    cluster.add_entry();
+    cluster.wait_until_ready();
+}
+
+fn cut_endpoint(cluster: &mut Cluster) {
+    let proxy = cluster.sidecars[1].peer_proxy.as_ref();
+    proxy.unwrap().set(Faults::cut());
+}
+
+/// Guards against a session that stays on a withdrawn version, or moves without being told.
+fn withdraw(cluster: &Cluster, sessions: &[Mutex<Session>]) {
+    let offset = operator::change(
+        cluster,
+        0,
+        "versions/small-1",
+        &json!({ "withdrawn": true }),
+    );
+    wait::until("in force", || operator::have(&cluster.entries, offset));
+    for session in sessions {
+        let mut session = session.lock().unwrap();
+        let was_withdrawn = session.version == "small-1";
+        let answer = traffic::ask(cluster, 1, "chat", "moved", Some(&session.token)).unwrap();
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        assert_eq!(answer.header("x-quetzalworks-version"), Some("small-2"));
+        let told = was_withdrawn.then_some("version_withdrawn");
+        assert_eq!(answer.header("x-quetzalworks-session-moved"), told);
+        answer
+            .header("x-quetzalworks-session")
+            .unwrap()
+            .clone_into(&mut session.token);
+        "small-2".clone_into(&mut session.version);
+        go_on(cluster, 0, &mut session, "after the move");
+    }
+}
--- a/tests/integration/control_proofs/mod.rs
+++ b/tests/integration/control_proofs/mod.rs
@@ -1,5 +1,9 @@
 //! Proofs of the control invariants with real processes behind faulty links.
 
+mod i12_in_force;
+mod i12_races;
+mod i12_retention;
 mod i1_allowed;
 mod i2_withdrawn;
+mod i3_session;
 mod i6_domain_out;
