--- a/tests/integration/control_proofs/i12_in_force.rs
+++ b/tests/integration/control_proofs/i12_in_force.rs
@@ -12,6 +12,8 @@
 
 /// The target for a change to be in force everywhere.
 const IN_FORCE: Duration = Duration::from_secs(9);
+/// Longer than the idle timeout of connections, which is 2.5 s.
+const STOPPED: Duration = Duration::from_secs(4);
 
 struct Case {
     name: &'static str,
@@ -108,5 +110,6 @@
         let members = json!({ "deadline_ms": 9_000 + n });
         operator::change(cluster, n % 2, "profiles/chat", &members);
     }
+    std::thread::sleep(STOPPED);
     cluster.entries[2].process.thaw();
 }
--- /dev/null
+++ b/tests/integration/control_proofs/regions.rs
@@ -0,0 +1,105 @@
+//! Regions that lose each other serve on and catch up.
+
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use crate::testing::cluster::{Cluster, Node};
+use crate::testing::spec::Spec;
+use crate::testing::{operator, traffic, wait};
+
+const IN_FORCE: Duration = Duration::from_secs(9);
+/// Longer than all timeouts of connections.
+const PARTITION: Duration = Duration::from_secs(5);
+/// Requests to each region while the regions are apart.
+const REQUESTS: usize = 30;
+
+/// Nodes of the second region have odd numbers, as the domains are given in turn.
+fn of_region(nodes: &[Node], region: usize) -> impl Iterator<Item = &Node> {
+    nodes.iter().skip(region).step_by(2)
+}
+
+/// Cuts the second region off from the log and the first region, or joins them.
+fn part(cluster: &Cluster, is_cut: bool) {
+    let second = of_region(&cluster.entries, 1).chain(of_region(&cluster.sidecars, 1));
+    operator::cut_log(second, is_cut);
+    for region in [0, 1] {
+        let others: Vec<_> = of_region(&cluster.entries, 1 - region)
+            .map(|entry| entry.peer_addr)
+            .filter(|_| is_cut)
+            .collect();
+        for node in of_region(&cluster.entries, region).chain(of_region(&cluster.sidecars, region))
+        {
+            node.peer_proxy
+                .as_ref()
+                .unwrap()
+                .cut_clients(others.clone());
+        }
+    }
+}
+
+/// Guards against a region that stops serving without the log and the other
+/// region, takes changes that it cannot record, or keeps what it missed.
+#[test]
+fn regions_apart_serve_on_and_catch_up() {
+    struct Case {
+        name: &'static str,
+        deadline: u64,
+        /// Whether a change is tried in the region without the log.
+        writes: bool,
+    }
+    let cases = [
+        Case {
+            name: "first partition",
+            deadline: 20_001,
+            writes: true,
+        },
+        Case {
+            name: "second partition",
+            deadline: 20_002,
+            writes: false,
+        },
+    ];
+    let cluster = Cluster::start_spec(Spec {
+        entries: 2,
+        engines: 4,
+        regions: 2,
+        proxy_log: true,
+        proxy_peers: true,
+        ..Spec::default()
+    });
+    for case in cases {
+        part(&cluster, true);
+        std::thread::sleep(PARTITION);
+        let members = json!({ "deadline_ms": case.deadline });
+        let offset = operator::change(&cluster, 0, "profiles/chat", &members);
+        let region = || of_region(&cluster.entries, 0).chain(of_region(&cluster.sidecars, 0));
+        wait::until("in force in the region with the log", || {
+            operator::have(region(), offset)
+        });
+        assert!(
+            !operator::have([&cluster.entries[1]], offset),
+            "{}",
+            case.name
+        );
+        for (entry, n) in (0..2).flat_map(|entry| (0..REQUESTS).map(move |n| (entry, n))) {
+            let answer = traffic::ask(&cluster, entry, "chat", &n.to_string(), None).unwrap();
+            assert_eq!(answer.status, 200, "{}: {}", case.name, answer.text());
+        }
+        if case.writes {
+            let domain = json!({ "out": true });
+            let refused = operator::put(&cluster, 1, "domains/domain-3", 0, &domain);
+            assert!(refused.unwrap().status >= 500, "{}", case.name);
+        }
+        part(&cluster, false);
+        let since = Instant::now();
+        let all = || cluster.entries.iter().chain(&cluster.sidecars);
+        wait::until("all catch up", || operator::have(all(), offset));
+        assert!(
+            since.elapsed() < IN_FORCE,
+            "{}: {:?}",
+            case.name,
+            since.elapsed()
+        );
+    }
+}
--- a/tests/integration/testing/mod.rs
+++ b/tests/integration/testing/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod cluster;
 pub mod http;
+pub mod ledger;
 pub mod load;
 pub mod operator;
 pub mod place;
