Sidecar: refuse orders below the fence on record

A sidecar knew only the fences of orders that it had received. A former holder that was paused between the check of its lease and the send could still have its order carried out where the successor had given none yet. Seen in control_proofs::lease: an order with the old fence after the successor's claim was answered Ok; now StaleFence at both engines. The sidecar follows the control stream anyway, so the claim on record counts. The engine's own check was ruled out: some engines ignore fences.

--- a/src/admission/fences.rs
+++ b/src/admission/fences.rs
@@ -22,6 +22,11 @@
 }
 
 impl Fences {
+    /// Notes a fencing number that is on record.
+    pub fn saw(&mut self, fence: ids::Fence) {
+        self.highest = self.highest.max(Some(fence));
+    }
+
     /// Checks an order against the fencing numbers seen and the engine's state.
     /// A number that is refused for another reason has been seen all the same.
     pub fn check(
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -50,6 +50,8 @@
     /// Fencing number where this process is the holder in the ledger; `None`
     /// once a release is on record.
     pub leased: Option<ids::Fence>,
+    /// Fencing number of the last accepted claim, whoever made it.
+    pub fence: Option<ids::Fence>,
     /// Crashes of this endpoint that are not on record yet.
     pub unrecorded: Vec<fleet::CrashReport>,
     /// Whether operators have taken this process's VM or failure domain out.
--- a/src/sidecar/order.rs
+++ b/src/sidecar/order.rs
@@ -35,6 +35,11 @@
         ));
     }
     let mut fences = cx.fences.lock().await;
+    // The holder before may have been paused between its check and its order,
+    // and its successor may have had no order for this endpoint yet.
+    if let Some(fence) = cx.control.snapshot().fence {
+        fences.saw(fence);
+    }
     let report = cx.report();
     fences
         .check(fence, action, &report.versions, report.running)
--- a/src/system/snapshot.rs
+++ b/src/system/snapshot.rs
@@ -31,6 +31,7 @@
             .as_ref()
             .map(|folding| (folding.fence, folding.next)),
         leased: leased(world),
+        fence: world.ledger.state().lease.as_ref().map(|row| row.fence),
         unrecorded: world.unrecorded.clone(),
         in_force: in_force(world),
         self_out: world.is_out(&world.me.vm, &world.me.domain),
