--- a/tests/integration/testing/place.rs
+++ b/tests/integration/testing/place.rs
@@ -1,24 +1,27 @@
 //! Addresses and folders that no other test uses.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU16, Ordering};
 
-/// Below the ephemeral ports, so that no outgoing connection takes one. Ports
-/// from 2000 on were refused where another program listens on all addresses (2024).
+/// Below the ephemeral ports, so that no outgoing connection takes one.
 const FIRST_PORT: u16 = 20_000;
 
 static NEXT: AtomicU16 = AtomicU16::new(0);
 
 /// An address of this test process alone: the runner gives each test a
-/// process, and the loopback address is made from its id.
+/// process, and the loopback address is made from its id. Ports on which
+/// another program listens on all addresses are left out.
 pub fn addr() -> SocketAddr {
     let [_, high, mid, low] = std::process::id().to_be_bytes();
     let ip = IpAddr::V4(Ipv4Addr::new(127, 64 + high % 64, mid, low.clamp(1, 254)));
-    SocketAddr::new(
-        ip,
-        FIRST_PORT + u16::from(low == 255) * 10_000 + NEXT.fetch_add(1, Ordering::Relaxed),
-    )
+    loop {
+        let n = NEXT.fetch_add(1, Ordering::Relaxed);
+        let addr = SocketAddr::new(ip, FIRST_PORT + u16::from(low == 255) * 10_000 + n);
+        if TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok() {
+            return addr;
+        }
+    }
 }
 
 /// A new folder of this test.
