--- /dev/null
+++ b/src/bench/encoded.rs
@@ -0,0 +1,76 @@
+//! Sizes of messages and records.
+
+use std::time::Instant;
+
+use crate::bench;
+use crate::bench::sample;
+use crate::catalog;
+use crate::fleet;
+use crate::ids;
+use crate::wire;
+
+/// Sizes in bytes.
+#[derive(Debug, serde::Serialize)]
+pub struct Encoded {
+    report: usize,
+    member: usize,
+    all_members: usize,
+    applied: usize,
+    vm_list: usize,
+    objects: usize,
+    change_mean: usize,
+    checkpoint: usize,
+    evidence: usize,
+    /// Time to apply one change, in microseconds.
+    apply_us: f64,
+    /// Time to decode and apply the checkpoint, in microseconds.
+    checkpoint_us: f64,
+}
+
+fn frame(update: &wire::Update) -> Result<usize, bench::BenchError> {
+    Ok(postcard::to_stdvec(update)?.len() + 4)
+}
+
+/// Encodes messages of a fleet of this size.
+pub fn run(entries: usize, endpoints: usize) -> Result<Encoded, bench::BenchError> {
+    let members: Vec<fleet::Member> = (0..entries).map(sample::member).collect::<Result<_, _>>()?;
+    let records = sample::records()?;
+    let mut change_bytes = 0;
+    for record in &records {
+        change_bytes += serde_json::to_string(&record.body)?.len();
+    }
+    let mut catalog = catalog::Catalog::default();
+    let start = Instant::now();
+    for record in &records {
+        catalog.apply(record);
+    }
+    let apply = start.elapsed() / u32::try_from(records.len())?;
+    let checkpoint = catalog.checkpoint().map(catalog::Body::Checkpoint);
+    let checkpoint = serde_json::to_string(&checkpoint)?;
+    let start = Instant::now();
+    let decoded: Option<catalog::Body> = serde_json::from_str(&checkpoint)?;
+    if let Some(catalog::Body::Checkpoint(checkpoint)) = &decoded {
+        catalog::Catalog::default().apply_checkpoint(checkpoint);
+    }
+    let restore = start.elapsed();
+    let offset = Some(ids::Offset(9_000_000));
+    let evidence = serde_json::json!({
+        "entry": members[0].vm, "incarnation": members[0].incarnation, "sequence": 1, "cells": [], "spent": [],
+    });
+    Ok(Encoded {
+        report: frame(&wire::Update::Report(sample::report(0)?))?,
+        member: frame(&wire::Update::Members(members[..1].to_vec()))?,
+        all_members: frame(&wire::Update::Members(members))?,
+        applied: frame(&wire::Update::Applied {
+            config: offset,
+            control: offset,
+        })?,
+        vm_list: serde_json::to_string(&sample::list(entries, endpoints)?)?.len(),
+        objects: records.len(),
+        change_mean: change_bytes / records.len(),
+        checkpoint: checkpoint.len(),
+        evidence: evidence.to_string().len(),
+        apply_us: apply.as_secs_f64() * 1e6,
+        checkpoint_us: restore.as_secs_f64() * 1e6,
+    })
+}
--- a/src/bench/mix.rs
+++ b/src/bench/mix.rs
@@ -22,6 +22,9 @@
     pub entries: usize,
     /// Model engines, spread over the domains.
     pub engines: usize,
+    /// Whether each engine is a process of its own.
+    #[serde(default)]
+    pub engine_processes: bool,
     /// Endpoints of the booking service, spread over the domains.
     pub booking_servers: usize,
     /// One-way delay between failure domains, in microseconds.
--- a/src/daemon/process.rs
+++ b/src/daemon/process.rs
@@ -34,6 +34,7 @@
         let traffic = runtime::Traffic::spawn_threads(settings.traffic_threads)?;
         let tls = wire::Tls::open(&settings.tls)?;
         let node = wire::Node::bind(settings.peer_addr, &tls, &traffic)?;
+        observe::metrics().watch_bytes(&settings.vm, node.bytes());
         let me = identity(settings);
         log::info!(
             "control: {} {} starts, run {}.",
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of a process.
 
-use std::sync::LazyLock;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, LazyLock};
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
@@ -13,6 +13,7 @@
 use crate::errors;
 use crate::fleet;
 use crate::ids;
+use crate::runtime;
 
 /// Upper bounds of the latency buckets, in seconds. They hold the targets of
 /// 1.7 s to the first token and the default deadline of 60 s.
@@ -131,6 +132,21 @@
             .build();
     }
 
+    /// Reports the bytes between own processes until the end of the program.
+    pub fn watch_bytes(&'static self, vm: &ids::VmName, bytes: Arc<runtime::PeerBytes>) {
+        let label = KeyValue::new("vm", vm.to_string());
+        self.meter
+            .u64_observable_counter("quetzalworks_peer_bytes")
+            .with_description("Bytes from and to own processes, without IP and UDP headers.")
+            .with_callback(move |counter| {
+                for (direction, count) in [("out", bytes.sent()), ("in", bytes.received())] {
+                    let direction = KeyValue::new("direction", direction);
+                    counter.observe(count, &[label.clone(), direction]);
+                }
+            })
+            .build();
+    }
+
     /// A request has ended; `None` where it was answered.
     pub fn ended(&self, result: Option<errors::ResultCode>, after: Duration) {
         let code = result.map_or(0, errors::ResultCode::number);
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -1,9 +1,11 @@
 //! Threads that carry traffic.
 
+mod counted_socket;
 mod quic_runtime;
 mod timeout;
 mod traffic;
 
+pub use counted_socket::{CountedSocket, PeerBytes};
 pub use quic_runtime::QuicRuntime;
 pub use timeout::timeout_at;
 pub use traffic::Traffic;
--- a/src/runtime/quic_runtime.rs
+++ b/src/runtime/quic_runtime.rs
@@ -14,13 +14,14 @@
 #[derive(Debug)]
 pub struct QuicRuntime {
     traffic: runtime::Traffic,
+    bytes: Arc<runtime::PeerBytes>,
 }
 
 impl QuicRuntime {
-    /// A runtime on these threads.
+    /// A runtime on these threads that counts the bytes of its sockets.
     #[must_use]
-    pub const fn new(traffic: runtime::Traffic) -> Self {
-        Self { traffic }
+    pub const fn new(traffic: runtime::Traffic, bytes: Arc<runtime::PeerBytes>) -> Self {
+        Self { traffic, bytes }
     }
 }
 
@@ -34,6 +35,8 @@
     }
 
     fn wrap_udp_socket(&self, socket: UdpSocket) -> io::Result<Arc<dyn quinn::AsyncUdpSocket>> {
-        quinn::SmolRuntime.wrap_udp_socket(socket)
+        let socket = quinn::SmolRuntime.wrap_udp_socket(socket)?;
+        let bytes = Arc::clone(&self.bytes);
+        Ok(Arc::new(runtime::CountedSocket::new(socket, bytes)))
     }
 }
--- a/src/wire/node.rs
+++ b/src/wire/node.rs
@@ -29,6 +29,7 @@
 #[derive(Clone, Debug)]
 pub struct Node {
     endpoint: Endpoint,
+    bytes: Arc<runtime::PeerBytes>,
 }
 
 impl Node {
@@ -41,10 +42,18 @@
         let mut client = tls.client().map_err(invalid)?;
         client.transport_config(transport);
         let socket = UdpSocket::bind(addr)?;
-        let runtime = Arc::new(runtime::QuicRuntime::new(traffic.clone()));
+        let bytes = Arc::new(runtime::PeerBytes::default());
+        let runtime = runtime::QuicRuntime::new(traffic.clone(), Arc::clone(&bytes));
+        let runtime = Arc::new(runtime);
         let mut endpoint = Endpoint::new(EndpointConfig::default(), Some(server), socket, runtime)?;
         endpoint.set_default_client_config(client);
-        Ok(Self { endpoint })
+        Ok(Self { endpoint, bytes })
+    }
+
+    /// Bytes that the socket has carried.
+    #[must_use]
+    pub fn bytes(&self) -> Arc<runtime::PeerBytes> {
+        Arc::clone(&self.bytes)
     }
 
     /// The address that is bound.
