--- a/src/feed/inventory.rs
+++ b/src/feed/inventory.rs
@@ -12,11 +12,11 @@
 const INTERVAL: Duration = Duration::from_secs(1);
 
 /// Reads the list for ever and hands it to the control thread when it has changed.
-pub async fn follow_inventory(inventory: platform::Inventory, control: control::Control) {
+pub async fn follow_inventory(mut inventory: platform::Inventory, control: control::Control) {
     let mut last = Vec::new();
     loop {
-        match inventory.list().await {
-            Ok(vms) if vms != last => {
+        match inventory.changed().await {
+            Ok(Some(vms)) if vms != last => {
                 last.clone_from(&vms);
                 control.send(control::Event::Inventory(vms)).await;
             }
--- a/src/platform/inventory.rs
+++ b/src/platform/inventory.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use http_body_util::Full;
-use hyper::Request;
+use hyper::header::{ETAG, HeaderValue, IF_NONE_MATCH};
+use hyper::{Request, StatusCode};
 
 use crate::fleet;
 use crate::http;
@@ -61,6 +62,8 @@
 #[derive(Clone, Debug)]
 pub struct Inventory {
     http: http::Client,
+    /// Tag of the list that was read last.
+    tag: Option<HeaderValue>,
 }
 
 impl Inventory {
@@ -69,19 +72,32 @@
     pub fn new(addr: SocketAddr, traffic: runtime::Traffic) -> Self {
         Self {
             http: http::Client::new(addr, traffic),
+            tag: None,
         }
     }
 
-    /// Reads the whole list.
-    pub async fn list(&self) -> Result<Vec<Vm>, platform::PlatformError> {
-        let req = Request::builder()
+    /// Reads the whole list; `None` where it is the one that was read last.
+    /// A list of 960 VMs takes 120 KB, far above the budget of a read each second.
+    pub async fn changed(&mut self) -> Result<Option<Vec<Vm>>, platform::PlatformError> {
+        let mut req = Request::builder()
             .uri("/vms")
             .body(Full::default())
             .map_err(|err| http::HttpError::NotSent(err.to_string().into()))?;
-        let answer = self.http.send(req, TIMEOUT).await?;
+        if let Some(tag) = &self.tag {
+            req.headers_mut().insert(IF_NONE_MATCH, tag.clone());
+        }
+        let mut answer = self.http.send(req, TIMEOUT).await?;
+        if answer.status == StatusCode::NOT_MODIFIED {
+            // Read to its end, so that the connection is used again.
+            while answer.chunk().await?.is_some() {}
+            return Ok(None);
+        }
         if !answer.status.is_success() {
             return Err(platform::PlatformError::Status(answer.status.as_u16()));
         }
-        Ok(answer.json(MAX_LIST).await?)
+        let tag = answer.headers.get(ETAG).cloned();
+        let list = answer.json(MAX_LIST).await?;
+        self.tag = tag;
+        Ok(Some(list))
     }
 }
--- a/src/standin/inventory.rs
+++ b/src/standin/inventory.rs
@@ -1,11 +1,13 @@
 //! Stand-in for the platform's list of VMs.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
 use hyper::body::Incoming;
+use hyper::header::{ETAG, HeaderValue, IF_NONE_MATCH};
 use hyper::{Request, StatusCode};
 
 use crate::http;
@@ -78,6 +80,17 @@
     }
 }
 
+/// The tag of a list's content.
+fn tag(vms: &[platform::Vm]) -> HeaderValue {
+    let mut hasher = DefaultHasher::new();
+    for listed in vms {
+        (&listed.vm, &listed.domain, &listed.region, listed.role).hash(&mut hasher);
+        (listed.peer_addr, listed.state).hash(&mut hasher);
+    }
+    HeaderValue::from_str(&format!("\"{:016x}\"", hasher.finish()))
+        .unwrap_or(HeaderValue::from_static("\"\""))
+}
+
 impl http::Handler for List {
     async fn handle(&self, req: Request<Incoming>) -> http::Reply {
         if req.uri().path() == "/standin/control" {
@@ -87,7 +100,13 @@
         if state.outage {
             return serve::status(StatusCode::SERVICE_UNAVAILABLE);
         }
-        http::json(StatusCode::OK, &state.visible())
+        let tag = tag(state.visible());
+        if req.headers().get(IF_NONE_MATCH) == Some(&tag) {
+            return http::full(StatusCode::NOT_MODIFIED, "application/json", "");
+        }
+        let mut reply = http::json(StatusCode::OK, &state.visible());
+        reply.headers_mut().insert(ETAG, tag);
+        reply
     }
 }
 
