Peers: keep connections to at most 16 entries

Change: the new system peers chooses 16 by rendezvous hashing over the failure domains. Grants of roll-outs go by the told run of an entry; one to a dead entry that is still listed is lost, which keeps to the bound. Over 17 entries it was not run with real processes.

--- a/src/control/world.rs
+++ b/src/control/world.rs
@@ -1,6 +1,7 @@
 //! The tables of control state.
 
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -45,6 +46,8 @@
     pub choice_due: Option<Instant>,
     /// Other entries.
     pub entries: table::Table<control::EntryKey, ids::VmName, control::EntryRow>,
+    /// Other entries to which a connection is kept, with their addresses.
+    pub peers: HashMap<ids::VmName, SocketAddr>,
     /// Profiles in force.
     pub profiles: table::Table<control::ProfileKey, ids::ProfileName, Arc<catalog::Profile>>,
     /// Versions in force.
@@ -96,6 +99,7 @@
             dropped: HashSet::new(),
             choice_due: None,
             entries: table::Table::default(),
+            peers: HashMap::new(),
             profiles: table::Table::default(),
             versions: table::Table::default(),
             teams: table::Table::default(),
--- a/src/system/allotment.rs
+++ b/src/system/allotment.rs
@@ -99,10 +99,13 @@
     let own = world.allotments.get(name).map_or(0, |own| own.spent());
     let mut live = vec![(world.me.vm.clone(), world.me.incarnation, own)];
     for (_, row) in world.entries.iter() {
-        if let Some(link) = &row.link
+        // Most entries are known only through others. A grant to one that is
+        // dead but still listed is lost, which keeps to the bound.
+        let linked = row.link.as_ref().map(|link| link.incarnation);
+        let told = row.member.as_ref().map(|member| member.incarnation);
+        if let Some(run) = linked.max(told)
             && row.state == platform::VmState::Live
         {
-            let run = link.incarnation;
             live.push((row.vm.clone(), run, spent(&row.vm, run)));
         }
     }
--- a/src/system/inventory.rs
+++ b/src/system/inventory.rs
@@ -20,17 +20,11 @@
     for vm in &vms {
         match vm.role {
             fleet::NodeRole::Sidecar => put_endpoint(world, cx, vm),
-            fleet::NodeRole::Entry => put_entry(world, cx, vm),
+            fleet::NodeRole::Entry => put_entry(world, vm),
         }
     }
     let listed: HashSet<&ids::VmName> = vms.iter().map(|vm| &vm.vm).collect();
-    world.entries.retain(|name, _| {
-        let keep = listed.contains(name);
-        if !keep {
-            cx.effects.push(control::Effect::Disconnect(name.clone()));
-        }
-        keep
-    });
+    world.entries.retain(|name, _| listed.contains(name));
     world.endpoints.retain(|name, row| {
         // A VM that has left the list but still answers may be missing only
         // because the list lags.
@@ -70,7 +64,7 @@
     });
 }
 
-fn put_entry(world: &mut control::World, cx: &mut control::TickCx, vm: &platform::Vm) {
+fn put_entry(world: &mut control::World, vm: &platform::Vm) {
     if vm.vm == world.me.vm {
         return;
     }
@@ -94,9 +88,4 @@
             control: None,
         },
     );
-    cx.effects.push(control::Effect::Connect {
-        vm: vm.vm.clone(),
-        addr: vm.peer_addr,
-        role: fleet::NodeRole::Entry,
-    });
 }
--- a/src/system/mod.rs
+++ b/src/system/mod.rs
@@ -12,6 +12,7 @@
 pub mod ledger;
 pub mod links;
 pub mod membership;
+pub mod peers;
 pub mod placement;
 pub mod poison;
 pub mod rollout;
@@ -27,6 +28,7 @@
     inventory::run,
     links::run,
     subset::run,
+    peers::run,
     membership::run,
     health::run,
     lease::run,
--- a/src/system/subset.rs
+++ b/src/system/subset.rs
@@ -63,26 +63,32 @@
         }
     }
     for rows in groups.into_values() {
-        wanted.extend(choose(&world.me.vm, rows));
+        let nodes = rows.iter().map(|row| (&row.vm, &row.domain)).collect();
+        wanted.extend(choose(&world.me.vm, nodes, MAX_CONNECTIONS));
     }
     wanted
 }
 
-/// Takes the endpoints with the highest scores of each failure domain in turn.
-fn choose(me: &ids::VmName, mut rows: Vec<&control::EndpointRow>) -> Vec<ids::VmName> {
-    rows.sort_by_cached_key(|row| Reverse(score(me, &row.vm)));
+/// Takes up to `max` processes, those with the highest scores of each failure
+/// domain in turn.
+pub(super) fn choose(
+    me: &ids::VmName,
+    mut nodes: Vec<(&ids::VmName, &ids::DomainName)>,
+    max: usize,
+) -> Vec<ids::VmName> {
+    nodes.sort_by_cached_key(|(vm, _)| Reverse(score(me, vm)));
     let mut domains: HashMap<&ids::DomainName, VecDeque<&ids::VmName>> = HashMap::new();
-    for row in rows {
-        domains.entry(&row.domain).or_default().push_back(&row.vm);
+    for (vm, domain) in nodes {
+        domains.entry(domain).or_default().push_back(vm);
     }
     let mut domains: Vec<_> = domains.into_iter().collect();
     domains.sort_by_key(|(name, _)| *name);
     let mut chosen = Vec::new();
-    while chosen.len() < MAX_CONNECTIONS && domains.iter().any(|(_, vms)| !vms.is_empty()) {
+    while chosen.len() < max && domains.iter().any(|(_, vms)| !vms.is_empty()) {
         let next = domains.iter_mut().filter_map(|(_, vms)| vms.pop_front());
         chosen.extend(next.cloned());
     }
-    chosen.truncate(MAX_CONNECTIONS);
+    chosen.truncate(max);
     chosen
 }
 
