Control: reports share a tick, and the control thread polls no sockets

Change: reports, applied offsets and rows wait up to 50 ms for others; the thread blocks outside the reactor.

--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -68,6 +68,17 @@
     Stop,
 }
 
+impl Event {
+    /// Whether the event may wait some tens of milliseconds for others like it.
+    #[must_use]
+    pub const fn can_wait(&self) -> bool {
+        matches!(
+            self,
+            Self::Report(..) | Self::Applied { .. } | Self::Members(_)
+        )
+    }
+}
+
 /// Records read from the log in one call.
 #[derive(Clone, Debug)]
 pub struct LogPage<R> {
--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -18,6 +18,9 @@
 /// Least time between ticks: bounds the work of the control thread when
 /// events come in quick succession.
 const MIN_TICK: Duration = Duration::from_millis(5);
+/// Least time between ticks for reports, which come once a second on each
+/// connection: with 320 connections each would else have a tick of its own.
+const REPORT_TICK: Duration = Duration::from_millis(50);
 /// Events that may wait for the control thread.
 const EVENT_QUEUE: usize = 16_384;
 
@@ -92,7 +95,7 @@
     fn run(mut self) {
         let mut last = Instant::now();
         loop {
-            let Some(events) = smol::block_on(self.wait(last)) else {
+            let Some(events) = smol::future::block_on(self.wait(last)) else {
                 return;
             };
             last = Instant::now();
@@ -116,7 +119,9 @@
         }
     }
 
-    /// Waits for an event or the next tick; `None` once the channel is closed.
+    /// Waits for an event or the next tick, while other threads wait for I/O:
+    /// a control thread that polled sockets would hold up requests during its
+    /// ticks. `None` once the channel is closed.
     async fn wait(&self, last: Instant) -> Option<Vec<control::Event>> {
         let first = async { self.events.recv().await.map(Some) }
             .or(async {
@@ -125,13 +130,29 @@
             })
             .await
             .ok()?;
-        if first.is_some() {
+        let mut events: Vec<control::Event> = first.into_iter().collect();
+        if !events.is_empty() {
             Timer::at(last + MIN_TICK).await;
         }
-        let mut events: Vec<control::Event> = first.into_iter().collect();
+        let until = last + REPORT_TICK;
+        self.take_waiting(&mut events);
+        while !events.is_empty() && events.iter().all(control::Event::can_wait) {
+            let next = async { self.events.recv().await.ok() }
+                .or(async {
+                    Timer::at(until).await;
+                    None
+                })
+                .await;
+            let Some(next) = next else { break };
+            events.push(next);
+            self.take_waiting(&mut events);
+        }
+        Some(events)
+    }
+
+    fn take_waiting(&self, events: &mut Vec<control::Event>) {
         while let Ok(event) = self.events.try_recv() {
             events.push(event);
         }
-        Some(events)
     }
 }
