--- a/src/bench/processes.rs
+++ b/src/bench/processes.rs
@@ -156,13 +156,17 @@
                 let mut plan = site.plan(vm, domain, "region-1".parse()?, settings)?;
                 plan.settings.operations_addr = free_port()?;
                 listed.push(plan.listed());
-                let operations = plan.settings.operations_addr;
                 let file = dir.join(format!("{role}-{i}.json"));
-                std::fs::write(&file, serde_json::to_string(&plan.release())?)?;
-                files.push((role, file, operations));
+                std::fs::write(&file, serde_json::to_string(&plan.settings)?)?;
+                files.push((role, file, plan));
             }
         }
         self.inventory.set(listed);
+        // All ports stay reserved until the last is chosen, so that none is taken twice.
+        let files: Vec<_> = files
+            .into_iter()
+            .map(|(role, file, plan)| (role, file, plan.release().operations_addr))
+            .collect();
         for (role, file, operations) in files {
             self.nodes.push(Node {
                 role,
