--- a/src/bench/children.rs
+++ b/src/bench/children.rs
@@ -9,8 +9,9 @@
 use smol::Timer;
 
 use crate::bench;
-use crate::bench::{daemon, operator, publication};
+use crate::bench::{operator, publication};
 use crate::demo;
+use crate::fleet;
 use crate::runtime;
 use crate::settings;
 use crate::standin;
@@ -23,6 +24,14 @@
 /// Concurrent calls of an endpoint of the booking service.
 const SERVICE_CONCURRENT: u32 = 64;
 
+/// A daemon with what an experiment has to know of it.
+struct Placed {
+    /// Number of its failure domain.
+    domain: usize,
+    role: fleet::NodeRole,
+    daemon: bench::Daemon,
+}
+
 /// Daemons as child processes on stand-ins of this process.
 pub struct Children {
     /// Addresses of the entries.
@@ -35,7 +44,10 @@
     pub services: Vec<standin::StandinService>,
     /// The platform's log.
     pub log: standin::StandinLog,
-    daemons: Mutex<Vec<daemon::Daemon>>,
+    /// Addresses of the engines, also of those in processes of their own.
+    pub engine_addrs: Vec<SocketAddr>,
+    daemons: Mutex<Vec<Placed>>,
+    engine_processes: Vec<bench::EngineProcess>,
     proxies: Vec<standin::UdpProxy>,
     inventory: standin::StandinInventory,
     rating: standin::StandinRating,
@@ -58,7 +70,9 @@
             entries: Vec::new(),
             tokens: Vec::new(),
             engines: Vec::new(),
+            engine_addrs: Vec::new(),
             daemons: Mutex::default(),
+            engine_processes: Vec::new(),
             proxies: Vec::new(),
             services: Vec::new(),
             log: standin::StandinLog::bind(any(), traffic).await?,
@@ -103,7 +117,7 @@
         models + calls.sum::<u64>()
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<daemon::Daemon>> {
+    fn lock(&self) -> MutexGuard<'_, Vec<Placed>> {
         self.daemons.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -114,8 +128,8 @@
         let mut daemons = self.lock();
         let daemons = daemons.iter_mut();
         daemons
-            .filter(|daemon| daemon.domain == domain)
-            .for_each(daemon::Daemon::kill);
+            .filter(|placed| placed.domain == domain)
+            .for_each(|placed| placed.daemon.kill());
     }
 
     /// Starts all processes of a failure domain again; its engines are cold.
@@ -125,9 +139,9 @@
             // It has been cold since its end, and would be warm by now.
             engine.turn_cold();
         }
-        for daemon in self.lock().iter_mut() {
-            if daemon.domain == domain {
-                daemon.restart()?;
+        for placed in self.lock().iter_mut() {
+            if placed.domain == domain {
+                placed.daemon.restart()?;
             }
         }
         Ok(())
@@ -147,14 +161,14 @@
             },
         };
         for i in 0..mix.engines {
-            let engine = bind_engine(mix, i, &self.traffic).await?;
+            let addr = self.start_engine(mix, i).await?;
             let endpoint = settings::EndpointSettings::Engine { checks_fence: true };
-            let mut role = demo::sidecar(engine.addr(), endpoint, mix.engine_concurrent);
+            let mut role = demo::sidecar(addr, endpoint, mix.engine_concurrent);
             if let (settings::Role::Sidecar(sidecar), Some(cold)) = (&mut role, mix.cold) {
                 // Operators set the ramp to the time that their engines take to warm up.
                 sidecar.ramp_interval_ms = cold.warm_ms;
             }
-            self.engines.push(engine);
+            self.engine_addrs.push(addr);
             self.run(&site, &format!("engine-{i}"), i, role, mix)
                 .await?;
         }
@@ -178,6 +192,34 @@
         Ok(())
     }
 
+    async fn start_engine(
+        &mut self,
+        mix: &bench::Mix,
+        i: usize,
+    ) -> Result<SocketAddr, bench::BenchError> {
+        let profile = engine_profile(mix, i)?;
+        if mix.engine_processes {
+            let options = serde_json::to_string(&profile)?;
+            let (process, addr) = bench::EngineProcess::spawn(&options)?;
+            self.engine_processes.push(process);
+            return Ok(addr);
+        }
+        let engine = standin::StandinEngine::bind(any(), profile, &self.traffic).await?;
+        let addr = engine.addr();
+        self.engines.push(engine);
+        Ok(addr)
+    }
+
+    /// Processor time that the daemons of a role have used together.
+    pub fn cpu(&self, role: fleet::NodeRole) -> Result<Duration, bench::BenchError> {
+        let daemons = self.lock();
+        daemons
+            .iter()
+            .filter(|placed| placed.role == role)
+            .map(|placed| Ok(placed.daemon.usage()?.cpu))
+            .sum::<Result<Duration, bench::BenchError>>()
+    }
+
     async fn run(
         &mut self,
         site: &demo::Site<'_>,
@@ -200,8 +242,12 @@
         }
         let file = site.dir.join(format!("{vm}.json"));
         std::fs::write(&file, serde_json::to_string(&plan.release())?)?;
-        let daemon = daemon::Daemon::spawn(file, i % mix.domains)?;
-        self.lock().push(daemon);
+        let placed = Placed {
+            domain: i % mix.domains,
+            role: listed.role,
+            daemon: bench::Daemon::spawn(&file)?,
+        };
+        self.lock().push(placed);
         let mut vms = self.inventory.vms();
         vms.push(listed);
         self.inventory.set(vms);
@@ -234,18 +280,14 @@
     }
 }
 
-async fn bind_engine(
-    mix: &bench::Mix,
-    i: usize,
-    traffic: &runtime::Traffic,
-) -> Result<standin::StandinEngine, bench::BenchError> {
+fn engine_profile(mix: &bench::Mix, i: usize) -> Result<standin::EngineProfile, bench::BenchError> {
     let model = &mix.models[mix.model_of(i)];
     let mut versions = vec![model.version().parse()?];
     if let Some(entering) = mix.entering.as_ref().filter(|new| new.model == model.name) {
         versions.push(entering.version.clone());
     }
     let default = standin::EngineProfile::default();
-    let profile = standin::EngineProfile {
+    Ok(standin::EngineProfile {
         versions,
         first_token_ms: model.first_token_ms,
         cached_first_token_ms: units::Millis(model.first_token_ms.0 / 2),
@@ -254,6 +296,5 @@
         slots: mix.engine_concurrent,
         cold: mix.cold,
         ..default
-    };
-    Ok(standin::StandinEngine::bind(any(), profile, traffic).await?)
+    })
 }
--- a/src/bench/daemon.rs
+++ b/src/bench/daemon.rs
@@ -1,6 +1,6 @@
-//! A daemon as a child process.
+//! A daemon of the system as a child process.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
 use crate::bench;
@@ -8,9 +8,7 @@
 /// A daemon that is killed when dropped.
 #[derive(Debug)]
 pub struct Daemon {
-    /// Number of its failure domain.
-    pub domain: usize,
-    file: PathBuf,
+    settings: PathBuf,
     child: Child,
 }
 
@@ -21,13 +19,11 @@
 }
 
 impl Daemon {
-    /// Starts a daemon with this settings file.
-    pub fn spawn(file: PathBuf, domain: usize) -> Result<Self, bench::BenchError> {
-        let child = start(&file)?;
+    /// Starts a daemon with a settings file.
+    pub fn spawn(settings: &Path) -> Result<Self, bench::BenchError> {
         Ok(Self {
-            domain,
-            file,
-            child,
+            settings: settings.to_owned(),
+            child: start(settings)?,
         })
     }
 
@@ -40,15 +36,20 @@
     /// Starts it again with the same settings.
     pub fn restart(&mut self) -> Result<(), bench::BenchError> {
         self.kill();
-        self.child = start(&self.file)?;
+        self.child = start(&self.settings)?;
         Ok(())
     }
+
+    /// What the process has used so far.
+    pub fn usage(&self) -> Result<bench::ProcessUsage, bench::BenchError> {
+        bench::ProcessUsage::of(self.child.id())
+    }
 }
 
-fn start(file: &PathBuf) -> Result<Child, bench::BenchError> {
-    let child = Command::new(daemon_path()?)
+fn start(settings: &Path) -> Result<Child, bench::BenchError> {
+    let child = Command::new(program("quetzalworksd")?)
         .arg("--settings")
-        .arg(file)
+        .arg(settings)
         .env("RUST_LOG", "warn")
         .stdin(Stdio::null())
         .stdout(Stdio::null())
@@ -57,12 +58,12 @@
     Ok(child)
 }
 
-/// The daemon next to this program.
-fn daemon_path() -> Result<PathBuf, bench::BenchError> {
-    let path = std::env::current_exe()?.with_file_name("quetzalworksd");
+/// A program next to this one.
+pub fn program(name: &str) -> Result<PathBuf, bench::BenchError> {
+    let path = std::env::current_exe()?.with_file_name(name);
     if path.exists() {
         Ok(path)
     } else {
-        Err("quetzalworksd is not built; run cargo build first".into())
+        Err(format!("{name} is not built; run cargo build first").into())
     }
 }
--- a/src/system/mod.rs
+++ b/src/system/mod.rs
@@ -13,6 +13,7 @@
 pub mod ledger;
 pub mod links;
 pub mod membership;
+pub mod peers;
 pub mod placement;
 pub mod poison;
 pub mod rollout;
@@ -29,6 +30,7 @@
     links::run,
     leaving::tell,
     subset::run,
+    peers::run,
     membership::run,
     health::run,
     lease::run,
--- a/src/wire/node.rs
+++ b/src/wire/node.rs
@@ -17,7 +17,9 @@
 /// Interval of keep-alive packets; three fit into the idle timeout.
 const KEEP_ALIVE: Duration = Duration::from_millis(800);
 /// Concurrent streams of one connection; bounds the memory that a peer can use.
-const MAX_STREAMS: u32 = 4_096;
+/// More than the places and the queue of an endpoint. The QUIC library reserves
+/// a place for each: with 4,096 an idle connection took 0.37 MiB.
+const MAX_STREAMS: u32 = 512;
 
 /// The name in the certificate of a VM.
 #[must_use]
@@ -29,6 +31,7 @@
 #[derive(Clone, Debug)]
 pub struct Node {
     endpoint: Endpoint,
+    bytes: Arc<runtime::PeerBytes>,
 }
 
 impl Node {
@@ -41,10 +44,18 @@
         let mut client = tls.client().map_err(invalid)?;
         client.transport_config(transport);
         let socket = UdpSocket::bind(addr)?;
-        let runtime = Arc::new(runtime::QuicRuntime::new(traffic.clone()));
+        let bytes = Arc::new(runtime::PeerBytes::default());
+        let runtime = runtime::QuicRuntime::new(traffic.clone(), Arc::clone(&bytes));
+        let runtime = Arc::new(runtime);
         let mut endpoint = Endpoint::new(EndpointConfig::default(), Some(server), socket, runtime)?;
         endpoint.set_default_client_config(client);
-        Ok(Self { endpoint })
+        Ok(Self { endpoint, bytes })
+    }
+
+    /// Bytes that the socket has carried.
+    #[must_use]
+    pub fn bytes(&self) -> Arc<runtime::PeerBytes> {
+        Arc::clone(&self.bytes)
     }
 
     /// The address that is bound.
