--- a/tests/integration/control_proofs/i3_session.rs
+++ b/tests/integration/control_proofs/i3_session.rs
@@ -88,14 +88,14 @@
 fn start_rollout(cluster: &Cluster) {
     let version =
         json!({ "model": "small", "prompt_cost": 50, "output_cost": 50, "prior_quality": 0.9 });
-    cluster.publish("versions/small-2", 0, json!({ "version": version }));
+    operator::change(cluster, 0, "versions/small-2", &version);
     let steps = json!([{ "share": 0.5, "min_ratings": 10 }, { "share": 0.6, "min_ratings": 10 }]);
     let members = json!({
         "versions": ["small-1", "small-2"], "max_exposure": 400, "rollout_steps": steps,
     });
-    operator::change(cluster, 0, "profiles/chat", &members);
     let plan = json!({ "profile": "chat", "version": "small-2" });
     operator::change(cluster, 0, "rollouts/r", &plan);
+    operator::change(cluster, 0, "profiles/chat", &members);
     operator::wait_rollout(cluster, 0, "stepping");
 }
 
--- a/tests/integration/control_proofs/kit.rs
+++ b/tests/integration/control_proofs/kit.rs
@@ -36,9 +36,9 @@
     let members = json!({
         "versions": ["small-1", ENTERING], "max_exposure": bound, "rollout_steps": steps,
     });
-    operator::change(cluster, 0, "profiles/chat", &members);
     let plan = json!({ "profile": "chat", "version": ENTERING });
-    let offset = operator::change(cluster, 0, "rollouts/r", &plan);
+    operator::change(cluster, 0, "rollouts/r", &plan);
+    let offset = operator::change(cluster, 0, "profiles/chat", &members);
     let nodes = || cluster.entries.iter().chain(&cluster.sidecars);
     wait::until("in force", || operator::have(nodes(), offset));
 }
--- a/tests/integration/control_proofs/rollout_platform.rs
+++ b/tests/integration/control_proofs/rollout_platform.rs
@@ -50,7 +50,7 @@
             name: "outage",
             outage: true,
             load: Millis(50),
-            state: "stopped",
+            state: "loading",
         },
         Case {
             name: "slow loads",
--- a/tests/integration/testing/cluster.rs
+++ b/tests/integration/testing/cluster.rs
@@ -18,6 +18,7 @@
 use smol::block_on;
 
 use crate::testing::http::{self, traffic};
+use crate::testing::operator;
 use crate::testing::process::Process;
 use crate::testing::spec::{Spec, merge};
 use crate::testing::{place, wait};
@@ -287,6 +288,14 @@
             wait::until("an entry answers", || {
                 self.ask(i).is_ok_and(|answer| answer.status == 200)
             });
+            // An entry answers as soon as it is connected to one endpoint.
+            wait::until("an entry reaches all endpoints", || {
+                let status = operator::status(self, i);
+                let endpoints = status["endpoints"].as_array();
+                let accepting = |row: &&Value| row["accepting"] == true;
+                let reached = endpoints.map_or(0, |rows| rows.iter().filter(accepting).count());
+                reached >= self.sidecars.len() + self.service_sidecars.len()
+            });
         }
     }
 }
