One reading of the wall clock

Cause: four places computed the time since 1970 by themselves: bills, usage copies, the number of a run, and the created field of completions.

Change: runtime::since_epoch serves all four. Behaviour is the same.

--- a/src/daemon/process.rs
+++ b/src/daemon/process.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::Instant;
 
 use crate::daemon;
 use crate::entry;
@@ -100,9 +100,7 @@
 /// The number of this run: microseconds since 1970, which grows over restarts
 /// of a VM without anything being kept on it.
 fn incarnation() -> ids::Incarnation {
-    let age = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let age = runtime::since_epoch();
     ids::Incarnation(u64::try_from(age.as_micros()).unwrap_or(u64::MAX))
 }
 
--- a/src/entry/bill.rs
+++ b/src/entry/bill.rs
@@ -1,13 +1,13 @@
 //! The bill of a running request.
 
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use crate::attempt;
 use crate::billing;
 use crate::catalog;
 use crate::entry::cx;
 use crate::errors;
+use crate::runtime;
 use crate::units;
 
 /// Puts exactly one usage record into the outbox for a request that ran. A
@@ -105,8 +105,5 @@
 /// Milliseconds since 1970.
 #[must_use]
 pub fn now() -> units::Millis {
-    let age = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    units::Millis::from(age)
+    units::Millis::from(runtime::since_epoch())
 }
--- a/src/entry/completion.rs
+++ b/src/entry/completion.rs
@@ -1,13 +1,12 @@
 //! Bodies of chat completions, as unmodified client libraries read them.
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
 use hyper::body::Bytes;
 use serde_json::{Value, json};
 
 use crate::attempt;
 use crate::entry;
 use crate::errors;
+use crate::runtime;
 
 /// Builds the bodies of one completion.
 #[derive(Clone, Debug)]
@@ -21,13 +20,10 @@
     /// Bodies for the answer to `ask`.
     #[must_use]
     pub fn new(ask: &entry::Ask) -> Self {
-        let created = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(0, |age| age.as_secs());
         Self {
             id: format!("chatcmpl-{}", ask.id),
             model: ask.profile.name.to_string(),
-            created,
+            created: runtime::since_epoch().as_secs(),
         }
     }
 
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -4,8 +4,10 @@
 mod quic_runtime;
 mod timeout;
 mod traffic;
+mod wall_clock;
 
 pub use counted_socket::{CountedSocket, PeerBytes};
 pub use quic_runtime::QuicRuntime;
 pub use timeout::timeout_at;
 pub use traffic::Traffic;
+pub use wall_clock::since_epoch;
--- a/src/sidecar/usage.rs
+++ b/src/sidecar/usage.rs
@@ -1,7 +1,7 @@
 //! Copies of usage records, and their append where the entry does not confirm its own.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use smol::Timer;
 
@@ -87,7 +87,7 @@
             usage: self.usage,
             cost,
             result: code,
-            ended_at: now_ms(),
+            ended_at: units::Millis::from(runtime::since_epoch()),
             written_by: me.vm.clone(),
             attempts: vec![billing::AttemptRecord {
                 number: self.dispatch.attempt,
@@ -116,13 +116,6 @@
     }
 }
 
-fn now_ms() -> units::Millis {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-        .into()
-}
-
 /// Appends copies that the entry has not confirmed in time.
 pub async fn follow(cx: cx::Shared) {
     loop {
