--- /dev/null
+++ b/src/balance/live.rs
@@ -0,0 +1,228 @@
+//! Load and results of one endpoint, as one entry sees them.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use crate::balance;
+use crate::runtime;
+use crate::units;
+
+/// Weight of a new result in the running means.
+const MEAN_WEIGHT: f64 = 0.15;
+/// First suspension of an endpoint that fails; doubles with each further one.
+const SUSPENSION: Duration = Duration::from_millis(500);
+/// Longest suspension, so that a recovered endpoint is soon in use again.
+const MAX_SUSPENSION: Duration = Duration::from_secs(4);
+/// Share of failures above which an endpoint is suspended.
+const MAX_FAILURE_SHARE: f64 = 0.45;
+/// Time after which a reported load is no longer counted.
+const LOAD_MEMORY: Duration = Duration::from_millis(1_500);
+/// Silence of an endpoint with work of this entry after which it is taken for dark.
+const DARK_SILENCE: Duration = Duration::from_millis(900);
+
+/// Load as an endpoint reports it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportedLoad {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait at it.
+    pub waiting: u32,
+    /// Requests that it can run at a time.
+    pub slots: u32,
+}
+
+/// How a run has failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Failure {
+    /// No connection could be made.
+    Unreachable,
+    /// The connection broke, or the answer made no sense.
+    Broken,
+    /// The endpoint answered with a failure.
+    Answered,
+    /// Nothing came in time.
+    Silent,
+    /// The endpoint refused as it is full or is not the expected one.
+    Refused,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    in_flight: u32,
+    /// Prompt tokens of requests that have not begun to answer.
+    pending_tokens: u64,
+    reported: Option<(ReportedLoad, runtime::Moment, u32)>,
+    /// Running mean of the time to the first byte, in milliseconds.
+    mean_first: Option<f64>,
+    failure_share: f64,
+    suspensions: u32,
+    suspended_until: runtime::Moment,
+    heard: runtime::Moment,
+    asked: runtime::Moment,
+    /// Until when it is taken for cold because it has failed.
+    cold_until: runtime::Moment,
+    gate: balance::ColdGate,
+}
+
+/// Record of one endpoint, shared between the snapshot and requests.
+#[derive(Debug, Default)]
+pub struct Live {
+    state: Mutex<State>,
+}
+
+impl Live {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a request that is about to be sent.
+    #[must_use]
+    pub fn begin(self: &Arc<Self>, tokens: units::Tokens, now: runtime::Moment) -> Permit {
+        let mut state = self.lock();
+        if state.in_flight == 0 {
+            state.heard = now;
+        }
+        state.in_flight += 1;
+        state.asked = now;
+        state.pending_tokens += tokens.0;
+        state.gate.take();
+        drop(state);
+        Permit {
+            live: Arc::clone(self),
+            pending: tokens.0,
+        }
+    }
+
+    /// Records the load that came with an answer.
+    pub fn reported(&self, load: ReportedLoad, now: runtime::Moment) {
+        let mut state = self.lock();
+        state.reported = Some((load, now, state.in_flight));
+    }
+
+    /// The endpoint has sent something.
+    pub fn heard(&self, now: runtime::Moment) {
+        self.lock().heard = now;
+    }
+
+    /// Whether the endpoint has been silent with work of this entry.
+    #[must_use]
+    pub fn is_dark(&self, now: runtime::Moment) -> bool {
+        let state = self.lock();
+        state.in_flight > 0 && now.since(state.heard) > DARK_SILENCE
+    }
+
+    /// A run has been answered; `first` is the time to its first byte.
+    pub fn succeeded(&self, first: Duration) {
+        let mut state = self.lock();
+        let millis = first.as_secs_f64() * 1_000.0;
+        state.mean_first = Some(match state.mean_first {
+            None => millis,
+            Some(mean) => MEAN_WEIGHT.mul_add(millis - mean, mean),
+        });
+        state.failure_share *= 1.0 - MEAN_WEIGHT;
+        if state.failure_share < MAX_FAILURE_SHARE / 2.0 {
+            state.suspensions = 0;
+        }
+    }
+
+    /// A run has failed. `cold` is how long the endpoint may be cold if it has
+    /// started again.
+    pub fn failed(&self, failure: Failure, cold: Duration, now: runtime::Moment) {
+        let mut state = self.lock();
+        if failure == Failure::Refused {
+            return;
+        }
+        state.failure_share = MEAN_WEIGHT.mul_add(1.0 - state.failure_share, state.failure_share);
+        let is_down = matches!(failure, Failure::Unreachable | Failure::Silent);
+        if failure != Failure::Answered {
+            state.cold_until = now.after(cold);
+        }
+        if is_down || state.failure_share > MAX_FAILURE_SHARE {
+            let doubled = SUSPENSION * 2_u32.saturating_pow(state.suspensions.min(4));
+            state.suspended_until = now.after(doubled.min(MAX_SUSPENSION));
+            state.suspensions += 1;
+        }
+    }
+
+    /// Whether the endpoint is left alone for now.
+    #[must_use]
+    pub fn is_suspended(&self, now: runtime::Moment) -> bool {
+        self.lock().suspended_until > now
+    }
+
+    /// Whether it may be sent a request, being cold or having failed lately.
+    #[must_use]
+    pub fn admits(
+        &self,
+        cold_until: runtime::Moment,
+        rate: Option<units::Rate>,
+        now: runtime::Moment,
+    ) -> bool {
+        let Some(rate) = rate else { return true };
+        let mut state = self.lock();
+        cold_until.max(state.cold_until) <= now || state.gate.is_open(rate, now)
+    }
+
+    /// Requests that it runs or that wait at it, by its last report and what
+    /// this entry has sent since.
+    #[must_use]
+    pub fn load(&self, now: runtime::Moment) -> u32 {
+        let state = self.lock();
+        match state.reported {
+            Some((load, at, own)) if now.since(at) < LOAD_MEMORY => {
+                let others = (load.running + load.waiting).saturating_sub(own);
+                others + state.in_flight
+            }
+            _ => state.in_flight,
+        }
+    }
+
+    /// Prompt tokens of this entry that it has not begun to answer.
+    #[must_use]
+    pub fn pending_tokens(&self) -> u64 {
+        self.lock().pending_tokens
+    }
+
+    /// Requests of this entry at it.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        self.lock().in_flight
+    }
+
+    /// Running mean of the time to the first byte.
+    #[must_use]
+    pub fn mean_first(&self) -> Option<Duration> {
+        let millis = self.lock().mean_first?;
+        Some(Duration::from_secs_f64(millis / 1_000.0))
+    }
+
+    /// Share of its runs that failed lately.
+    #[must_use]
+    pub fn failure_share(&self) -> f64 {
+        self.lock().failure_share
+    }
+}
+
+/// A request at an endpoint; dropping it ends the count.
+#[derive(Debug)]
+pub struct Permit {
+    live: Arc<Live>,
+    pending: u64,
+}
+
+impl Permit {
+    /// The endpoint has begun to answer.
+    pub fn answered(&mut self) {
+        let pending = std::mem::take(&mut self.pending);
+        self.live.lock().pending_tokens -= pending;
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let mut state = self.live.lock();
+        state.in_flight -= 1;
+        state.pending_tokens -= self.pending;
+    }
+}
--- /dev/null
+++ b/src/balance/mod.rs
@@ -0,0 +1,14 @@
+//! Choice of an endpoint: its load, its failures, its cold start, and the
+//! bound on repeats. No type of a message encoding is used here.
+
+mod choose;
+mod cold_gate;
+mod live;
+mod retry_window;
+mod sessions;
+
+pub use choose::{Ask, Chosen, VersionWish, choose};
+pub use cold_gate::ColdGate;
+pub use live::{Failure, Live, Permit, ReportedLoad};
+pub use retry_window::RetryWindow;
+pub use sessions::Sessions;
--- /dev/null
+++ b/src/cascade/ladder.rs
@@ -0,0 +1,54 @@
+//! Which model runs first on a route, and which answers are kept.
+
+use crate::ids;
+
+/// Confidence below which an answer of a smaller model is dropped while the
+/// caller has nothing of it.
+const MIN_CONFIDENCE: f64 = 0.5;
+
+/// What to do with an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Keep it.
+    Keep,
+    /// Drop it and run the model with this index.
+    Escalate(usize),
+}
+
+/// The models of one route, smallest first.
+#[derive(Clone, Copy, Debug)]
+pub struct Ladder<'a> {
+    models: &'a [ids::ModelName],
+}
+
+impl<'a> Ladder<'a> {
+    /// The models of a route.
+    #[must_use]
+    pub const fn new(models: &'a [ids::ModelName]) -> Self {
+        Self { models }
+    }
+
+    /// Index of the model that runs first.
+    #[must_use]
+    pub const fn first(&self) -> usize {
+        0
+    }
+
+    /// The model with an index; `None` on a route without models.
+    #[must_use]
+    pub fn model(&self, index: usize) -> Option<&'a ids::ModelName> {
+        self.models.get(index)
+    }
+
+    /// Judges an answer by the model's own confidence.
+    #[must_use]
+    pub fn judge(&self, index: usize, confidence: Option<f64>) -> Step {
+        let largest = self.models.len().saturating_sub(1);
+        match confidence {
+            Some(confidence) if confidence < MIN_CONFIDENCE && index < largest => {
+                Step::Escalate(largest)
+            }
+            _ => Step::Keep,
+        }
+    }
+}
--- /dev/null
+++ b/src/cascade/mod.rs
@@ -0,0 +1,6 @@
+//! Choice of a model: the smallest first, a larger one where its answer is
+//! not trusted.
+
+mod ladder;
+
+pub use ladder::{Ladder, Step};
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -1,27 +1,35 @@
 //! Operator configuration as a replicated state machine over the log.
 
+mod api_key;
 mod change;
 mod check;
 mod checkpoint;
+mod deployment;
 mod object;
 mod profile;
 mod record;
 mod rollout_plan;
+mod route_rule;
 mod service;
 mod store;
 mod team;
+mod upstream;
 mod verdict;
 mod version;
 
+pub use api_key::ApiKey;
 pub use change::Change;
 pub use check::{InvalidValue, check, check_ended};
 pub use checkpoint::Checkpoint;
+pub use deployment::{CallerLimits, Deployment, TeamAccess};
 pub use object::{Availability, Object, ObjectId, ObjectKind, UnknownKind};
 pub use profile::{Profile, RolloutStep};
 pub use record::{Body, Record};
 pub use rollout_plan::RolloutPlan;
+pub use route_rule::{CallKind, RouteRule, WeightedService};
 pub use service::{Service, UndatedKeys};
 pub use store::{Catalog, Entry};
 pub use team::Team;
+pub use upstream::{ColdStart, ModelCost, Upstream};
 pub use verdict::{RejectReason, Verdict};
 pub use version::Version;
--- /dev/null
+++ b/src/catalog/upstream.rs
@@ -0,0 +1,37 @@
+//! Services whose endpoints an entry calls itself.
+
+use crate::ids;
+use crate::units;
+
+/// What a cold endpoint of a service bears.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// How long an endpoint is cold after its start.
+    pub duration: units::Millis,
+    /// Requests a second that it bears meanwhile, from all entries together.
+    pub rate: units::Rate,
+}
+
+/// A model with its price.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelCost {
+    /// The model.
+    pub model: ids::ModelName,
+    /// Cost of 1,000 generated tokens; a token that is read costs a quarter.
+    pub per_1000_tokens: f64,
+}
+
+/// A service with the limits of its endpoints.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Upstream {
+    /// Name of the service.
+    pub name: ids::ServiceName,
+    /// Connections that an endpoint accepts from all callers together.
+    pub max_connections: u32,
+    /// Limits of cold endpoints; `None` where a cold start needs no care.
+    pub cold_start: Option<ColdStart>,
+    /// Prices of its models; empty for a plain service.
+    pub models: Vec<ModelCost>,
+    /// Tokens that an endpoint's memory holds, for model engines.
+    pub kv_capacity: Option<units::Tokens>,
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -20,6 +20,6 @@
 pub use snapshot::{
     EndpointView, InForce, Phase, ProfileView, RolloutView, Snapshot, TeamView, VersionView,
 };
-pub use thread::{Control, Systems};
+pub use thread::{Control, Outcome, Plane, Relayed, Systems};
 pub use tick::TickCx;
 pub use world::World;
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,9 +1,11 @@
 //! The daemon: one process of the system, in the role of its settings.
 
+mod direct;
 mod panics;
 mod process;
 mod start;
 
+pub use direct::run as run_direct;
 pub use panics::install_panic_hook;
 pub use process::Process;
 pub use start::{StartError, main};
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -1,7 +1,7 @@
 //! Start of the daemon.
 
 use std::fmt;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Instant;
@@ -11,6 +11,8 @@
 use smol::stream::StreamExt;
 
 use crate::daemon;
+use crate::observe;
+use crate::platform;
 use crate::settings;
 use crate::wire;
 
@@ -20,10 +22,11 @@
 const EXIT_START: u8 = 1;
 
 xflags::xflags! {
-    /// One process of the router, in the role that its settings name.
+    /// One process of the router, in the role that its settings name. Without
+    /// a settings file of its own it takes the one that the platform names.
     cmd quetzalworksd {
         /// Settings file (JSON).
-        required --settings path: PathBuf
+        optional --settings path: PathBuf
     }
 }
 
@@ -32,6 +35,8 @@
 pub enum StartError {
     /// The settings cannot be used.
     Settings(settings::SettingsError),
+    /// Neither the command line nor the platform names a settings file.
+    NoSettings,
     /// The certificates cannot be used.
     Tls(wire::TlsError),
     /// A socket or thread cannot be had.
@@ -44,6 +49,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Settings(err) => err.fmt(f),
+            Self::NoSettings => f.write_str("no settings file: use --settings"),
             Self::Tls(err) => err.fmt(f),
             Self::Io(err) => err.fmt(f),
             Self::Killed => f.write_str("ended at once by a second signal"),
@@ -69,13 +75,21 @@
 #[must_use]
 pub fn main() -> ExitCode {
     let flags = Quetzalworksd::from_env_or_exit();
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    observe::install_journal();
     daemon::install_panic_hook();
-    match smol::block_on(run(flags)) {
+    let own = flags.settings;
+    let result = match (own, platform::boot::settings_path()) {
+        (Some(path), _) => smol::block_on(run(&path)),
+        // The traffic thread polls the sockets; a second thread that polled
+        // them too would pass each event on to it.
+        (None, Some(path)) => smol::future::block_on(daemon::run_direct(&path)),
+        (None, None) => Err(StartError::NoSettings),
+    };
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             log::error!("control: failed: {err}.");
-            let code = if matches!(err, StartError::Settings(_)) {
+            let code = if matches!(err, StartError::Settings(_) | StartError::NoSettings) {
                 EXIT_SETTINGS
             } else {
                 EXIT_START
@@ -85,8 +99,8 @@
     }
 }
 
-async fn run(flags: Quetzalworksd) -> Result<(), StartError> {
-    let settings = settings::load(&flags.settings)?;
+async fn run(path: &Path) -> Result<(), StartError> {
+    let settings = settings::load(path)?;
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let process = daemon::Process::spawn(&settings).await?;
     if let Some(addr) = process.callers_addr() {
--- /dev/null
+++ b/src/direct/mod.rs
@@ -0,0 +1,24 @@
+//! Control state of an entry that calls endpoints itself: tables, the systems
+//! that run over them each tick, and the snapshot that traffic reads.
+
+mod change;
+mod evidence;
+mod feed;
+mod freshness;
+mod plane;
+mod snapshot;
+mod store_health;
+mod system;
+mod world;
+
+pub use change::{
+    Batch, Effect, EndpointChange, EndpointRecord, Event, OperatorChange, RolloutOrder,
+    RolloutReport, RolloutStage, Source,
+};
+pub use evidence::{Evidence, Sample};
+pub use feed::{follow, report};
+pub use freshness::Freshness;
+pub use plane::Plane;
+pub use snapshot::{EndpointView, ServiceView, Snapshot, VersionSplit};
+pub use store_health::StoreHealth;
+pub use world::{EndpointKey, EndpointRow, RolloutRow, World};
--- /dev/null
+++ b/src/direct/plane.rs
@@ -0,0 +1,53 @@
+//! The control plane of a direct entry.
+
+use std::time::Instant;
+
+use crate::control;
+use crate::direct;
+use crate::direct::system;
+use crate::runtime;
+
+/// The tables with their systems.
+#[derive(Debug)]
+pub struct Plane {
+    world: direct::World,
+}
+
+impl Plane {
+    /// A plane over these tables.
+    #[must_use]
+    pub const fn new(world: direct::World) -> Self {
+        Self { world }
+    }
+
+    /// Runs all systems over `events` at the moment `now`.
+    pub fn step(
+        &mut self,
+        now: runtime::Moment,
+        events: Vec<direct::Event>,
+    ) -> control::Outcome<Self> {
+        let mut cx = system::TickCx::new(now, events);
+        for system in system::ALL {
+            system(&mut self.world, &mut cx);
+        }
+        let snapshot = cx.changed.then(|| system::snapshot(&self.world));
+        control::Outcome {
+            snapshot,
+            effects: cx.effects,
+        }
+    }
+}
+
+impl control::Plane for Plane {
+    type Event = direct::Event;
+    type Effect = direct::Effect;
+    type Snapshot = direct::Snapshot;
+
+    fn can_wait(event: &direct::Event) -> bool {
+        matches!(event, direct::Event::Endpoints(_))
+    }
+
+    fn tick(&mut self, _: Instant, events: Vec<direct::Event>) -> control::Outcome<Self> {
+        self.step(runtime::Moment::now(), events)
+    }
+}
--- /dev/null
+++ b/src/direct/system/reports.rs
@@ -0,0 +1,64 @@
+//! Applies reports of roll-outs that are on record, by whichever entry.
+
+use crate::direct;
+use crate::direct::system::TickCx;
+
+/// Applies the reports of this tick.
+pub fn run(world: &mut direct::World, cx: &mut TickCx) {
+    let events = std::mem::take(&mut cx.events);
+    for event in &events {
+        match event {
+            direct::Event::Reports(batch) => apply(world, cx, batch),
+            direct::Event::Reported { report, done: false } => {
+                if let Some(row) = world.rollouts.get_mut(&report.service) {
+                    row.asked = Some(cx.now);
+                }
+            }
+            _ => {}
+        }
+    }
+    cx.events = events;
+    settle(world, cx);
+}
+
+fn apply(
+    world: &mut direct::World,
+    cx: &TickCx,
+    batch: &direct::Batch<direct::RolloutReport>,
+) {
+    let health = world.health.entry(direct::Source::Reports).or_default();
+    if health.succeeded(cx.now) {
+        log::info!(target: "store", source:% = direct::Source::Reports; "store regained");
+    }
+    if batch.whole {
+        world.reports.clear();
+    }
+    for report in &batch.items {
+        world.reports.insert(report.service.clone(), report.clone());
+    }
+    world.reports_end = Some(batch.end);
+}
+
+/// The first terminal report decides, also against this entry's own view.
+fn settle(world: &mut direct::World, cx: &mut TickCx) {
+    for (service, row) in &mut world.rollouts {
+        let on_record = world
+            .reports
+            .get(service)
+            .filter(|report| report.target == row.order.target)
+            .map(|report| report.stage);
+        if row.reported == on_record {
+            continue;
+        }
+        row.reported = on_record;
+        let completed = match on_record {
+            Some(direct::RolloutStage::Completed) => true,
+            Some(direct::RolloutStage::RolledBack) => false,
+            Some(direct::RolloutStage::Running) | None => continue,
+        };
+        log::info!(target: "rollout", service:% = service, target_version:% = row.order.target,
+            completed = completed; "roll-out is over");
+        row.canary = row.canary.clone().settle(completed);
+        cx.changed = true;
+    }
+}
--- /dev/null
+++ b/src/direct/system/snapshot.rs
@@ -0,0 +1,63 @@
+//! Makes the snapshot for traffic.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::catalog;
+use crate::direct;
+use crate::ids;
+
+/// What traffic sees of the tables.
+#[must_use]
+pub fn take(world: &direct::World) -> direct::Snapshot {
+    let services = world.deployment.as_ref().map_or_else(HashMap::new, |deployment| {
+        deployment
+            .services
+            .iter()
+            .map(|(name, upstream)| (name.clone(), Arc::new(service(world, name, upstream))))
+            .collect()
+    });
+    direct::Snapshot {
+        deployment: world.deployment.clone(),
+        services,
+        freshness: Arc::clone(&world.freshness),
+        stopping: world.stopping,
+        domain_count: world.settings.domains.len(),
+        session: world.settings.bounds.session,
+    }
+}
+
+fn service(
+    world: &direct::World,
+    name: &ids::ServiceName,
+    upstream: &Arc<catalog::Upstream>,
+) -> direct::ServiceView {
+    let rollout = world.rollouts.get(name);
+    let mut endpoints: Vec<_> = world
+        .endpoints
+        .iter()
+        .filter(|(_, row)| {
+            row.record.service == *name
+                && !row.record.draining
+                && !world.domains_out.contains(&row.record.domain)
+        })
+        .map(|(_, row)| {
+            Arc::new(direct::EndpointView {
+                record: row.record.clone(),
+                live: Arc::clone(&row.live),
+                cold_until: row.cold_until,
+            })
+        })
+        .collect();
+    endpoints.sort_by(|a, b| a.record.id.cmp(&b.record.id));
+    direct::ServiceView {
+        upstream: Arc::clone(upstream),
+        endpoints,
+        split: rollout.map_or(direct::VersionSplit::All, |row| {
+            direct::VersionSplit::Canary(row.canary.clone())
+        }),
+        evidence: rollout
+            .filter(|row| !row.canary.is_over())
+            .map(|row| Arc::clone(&row.evidence)),
+    }
+}
--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,192 @@
+//! One request on its way: what it is, and what has been tried for it.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hyper::body::Bytes;
+use hyper::{HeaderMap, Method};
+
+use crate::balance;
+use crate::cascade;
+use crate::catalog;
+use crate::direct;
+use crate::gateway;
+use crate::gateway::trace;
+use crate::ids;
+use crate::rollout;
+use crate::route;
+use crate::runtime;
+use crate::units;
+
+/// Entries for each failure domain among which the rate of a cold endpoint is divided.
+const ENTRIES_PER_DOMAIN: f64 = 2.0;
+
+/// A request with its progress.
+#[derive(Debug)]
+pub struct Call {
+    /// Shared context.
+    pub cx: Arc<gateway::Cx>,
+    /// Id of the caller's attempt.
+    pub id: Arc<str>,
+    /// Method as received.
+    pub method: Method,
+    /// Path and query as received.
+    pub target: Arc<str>,
+    /// Headers as received.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// What the headers say.
+    pub facts: gateway::RequestFacts,
+    /// The route.
+    pub rule: Arc<catalog::RouteRule>,
+    /// The service.
+    pub service: ids::ServiceName,
+    /// The caller's team.
+    pub team: Option<ids::TeamName>,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// When the answer must be complete.
+    pub ends: Instant,
+    /// Endpoints that were tried.
+    pub tried: Vec<ids::EndpointId>,
+    /// Runs that may have happened.
+    pub runs: u16,
+    /// Index of the model in use on a route with several.
+    pub model: usize,
+    /// Record for the log.
+    pub trace: trace::Trace,
+}
+
+impl Call {
+    /// Time until the answer must be complete.
+    #[must_use]
+    pub fn time_left(&self) -> Duration {
+        self.ends.saturating_duration_since(Instant::now())
+    }
+
+    /// The service's endpoints as they are now.
+    #[must_use]
+    pub fn view(&self) -> Option<Arc<direct::ServiceView>> {
+        let snapshot = self.cx.control.snapshot();
+        snapshot.services.get(&self.service).cloned()
+    }
+
+    /// Whether another run is allowed after one that may have happened.
+    #[must_use]
+    pub fn may_run_again(&self) -> bool {
+        self.rule.kind.is_repeatable() && self.runs < self.rule.max_attempts
+    }
+
+    /// Takes a repeat of the shared budget.
+    #[must_use]
+    pub fn try_repeat(&self) -> bool {
+        self.cx.try_repeat(&self.service, runtime::Moment::now())
+    }
+
+    /// Model that the router chooses; `None` where the caller's holds.
+    #[must_use]
+    pub fn chosen_model(&self) -> Option<&ids::ModelName> {
+        if self.facts.model == gateway::WantedModel::Any {
+            cascade::Ladder::new(&self.rule.models).model(self.model)
+        } else {
+            None
+        }
+    }
+
+    /// Chooses an endpoint; `None` where none may be sent a request now.
+    #[must_use]
+    pub fn choose(&self, view: &direct::ServiceView) -> Option<balance::Chosen> {
+        let now = runtime::Moment::now();
+        let wishes = self.version_wishes(view, now);
+        let domains = self.cx.settings.domains.len().max(1);
+        #[allow(clippy::cast_precision_loss)]
+        let entries = domains as f64 * ENTRIES_PER_DOMAIN;
+        let cold_rate = view
+            .upstream
+            .cold_start
+            .map(|cold| units::Rate::clamped(cold.rate.get() / entries));
+        let affinity = self.affinity();
+        wishes.into_iter().flatten().find_map(|version| {
+            let ask = balance::Ask {
+                version,
+                affinity,
+                tried: &self.tried,
+                domain: &self.cx.settings.domain,
+                cold_rate,
+                now,
+            };
+            balance::choose(&view.endpoints, &ask)
+        })
+    }
+
+    /// Fingerprint of what an endpoint may have read already, for this model.
+    fn affinity(&self) -> Option<ids::Fingerprint> {
+        let shared = self.facts.prompt.as_ref()?.shared()?;
+        let model = u64::try_from(self.model).unwrap_or_default();
+        Some(ids::Fingerprint(route::mix(shared.id.0 ^ model)))
+    }
+
+    /// Versions that the request may use, the first that has an endpoint.
+    fn version_wishes<'a>(
+        &self,
+        view: &'a direct::ServiceView,
+        now: runtime::Moment,
+    ) -> [Option<balance::VersionWish<'a>>; 2] {
+        use balance::VersionWish::{Any, Not, Only};
+        let direct::VersionSplit::Canary(canary) = &view.split else {
+            return [Some(Any), None];
+        };
+        let target = canary.target();
+        match canary {
+            rollout::AnyCanary::Completed(_) => [Some(Only(target)), Some(Any)],
+            rollout::AnyCanary::RolledBack(_) => [Some(Not(target)), None],
+            rollout::AnyCanary::Probing(_) | rollout::AnyCanary::Ramping(_) => {
+                if self.goes_to_target(canary, now) {
+                    [Some(Only(target)), Some(Any)]
+                } else {
+                    [Some(Not(target)), Some(Any)]
+                }
+            }
+        }
+    }
+
+    fn goes_to_target(&self, canary: &rollout::AnyCanary, now: runtime::Moment) -> bool {
+        if let Some(session) = self.facts.session
+            && let Some(version) = self.cx.session_version(session, &self.service, now)
+        {
+            if version == *canary.target() {
+                return true;
+            }
+            if canary.keeps_old_sessions() {
+                return false;
+            }
+        }
+        let seed = self
+            .facts
+            .session
+            .unwrap_or_else(|| ids::Fingerprint::of_text(&self.id));
+        #[allow(clippy::cast_precision_loss)]
+        let place = route::mix(seed.0) as f64 / u64::MAX as f64;
+        place < canary.share(now).get()
+    }
+
+    /// Records what a run has shown of an endpoint's version.
+    pub fn observe(
+        &self,
+        view: &direct::ServiceView,
+        endpoint: &direct::EndpointView,
+        answered: bool,
+        first: Option<Duration>,
+    ) {
+        if let Some(evidence) = &view.evidence {
+            evidence.add(direct::Sample {
+                route: self.rule.name.clone(),
+                version: endpoint.record.version.clone(),
+                model: self.chosen_model().cloned(),
+                answered,
+                first,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/handler.rs
@@ -0,0 +1,176 @@
+//! Takes callers' requests.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hyper::body::{Body as _, Incoming};
+use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::{HeaderMap, Request};
+
+use crate::catalog;
+use crate::direct;
+use crate::errors;
+use crate::gateway;
+use crate::gateway::{admit, call, plain, refuse, stream, trace};
+use crate::http;
+use crate::ids;
+use crate::platform;
+use crate::route;
+use crate::runtime;
+use crate::units;
+
+/// Time in which a caller that states no deadline must have sent its body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Answers callers.
+#[derive(Debug)]
+pub struct Front(pub Arc<gateway::Cx>);
+
+impl http::Handler for Front {
+    async fn handle(&self, req: Request<Incoming>) -> http::Reply {
+        let mut reply = self.answer(req).await;
+        if self.0.stopping_for(runtime::Moment::now()).is_some() {
+            let close = HeaderValue::from_static("close");
+            reply.headers_mut().insert(CONNECTION, close);
+        }
+        reply
+    }
+}
+
+impl Front {
+    async fn answer(&self, req: Request<Incoming>) -> http::Reply {
+        let arrived = Instant::now();
+        let now = runtime::Moment::now();
+        let facts = platform::headers::decode_request(req.headers());
+        let id = facts.id.clone().unwrap_or_else(|| "-".into());
+        let mut trace = trace::Trace::begin(Arc::clone(&id));
+        let snapshot = self.0.control.snapshot();
+        let admitted = match self.admit(&req, &snapshot, &facts, now) {
+            Ok(admitted) => admitted,
+            Err(refusal) => return refuse(&mut trace, &refusal),
+        };
+        note(&mut trace, &admitted);
+        let Some(service) = admitted
+            .rule
+            .service_for(route::mix(ids::Fingerprint::of_text(&id).0))
+            .cloned()
+        else {
+            let code = errors::ResultCode::NoEndpoint;
+            return refuse(&mut trace, &errors::Refusal::new(code, "route without service"));
+        };
+        self.0.count_request(&service, now);
+        let timeout = admitted.rule.timeout;
+        let span = facts.deadline.map_or(timeout, |deadline| deadline.min(timeout));
+        let ends = arrived + span.duration();
+        let (head, body) = req.into_parts();
+        let body = match read_body(body, &admitted.deployment.limits, ends).await {
+            Ok(body) => body,
+            Err(refusal) => return refuse(&mut trace, &refusal),
+        };
+        let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
+        let call = call::Call {
+            cx: Arc::clone(&self.0),
+            id,
+            method: head.method,
+            target: target.into(),
+            headers: head.headers,
+            body,
+            facts,
+            service,
+            team: admitted.team,
+            priority: admitted.priority,
+            ends,
+            tried: Vec::new(),
+            runs: 0,
+            model: 0,
+            trace,
+            rule: admitted.rule,
+        };
+        if call.rule.kind.is_stream() {
+            stream::run(call).await
+        } else {
+            plain::run(call).await
+        }
+    }
+
+    fn admit(
+        &self,
+        req: &Request<Incoming>,
+        snapshot: &direct::Snapshot,
+        facts: &gateway::RequestFacts,
+        now: runtime::Moment,
+    ) -> Result<admit::Admitted, errors::Refusal> {
+        let host = host(req);
+        let admitted = admit::admit(&self.0, snapshot, host, req.uri().path(), facts, now)?;
+        let limits = &admitted.deployment.limits;
+        if head_size(req.headers()) > limits.head.as_usize() {
+            let code = errors::ResultCode::HeadersTooLarge;
+            return Err(errors::Refusal::new(code, "the head is too large"));
+        }
+        if req.body().size_hint().lower() > limits.body.0 {
+            let code = errors::ResultCode::BodyTooLarge;
+            return Err(errors::Refusal::new(code, "the stated body is too large"));
+        }
+        if facts.id.is_none() {
+            let code = errors::ResultCode::MalformedRequest;
+            return Err(errors::Refusal::new(code, "the request has no id"));
+        }
+        Ok(admitted)
+    }
+}
+
+/// The host without its port.
+fn host(req: &Request<Incoming>) -> &str {
+    let stated = req.headers().get(HOST).and_then(|host| host.to_str().ok());
+    let host = req.uri().host().or(stated).unwrap_or_default();
+    host.split_once(':').map_or(host, |(host, _)| host)
+}
+
+fn head_size(headers: &HeaderMap) -> usize {
+    /// Colon, space and line end.
+    const SEPARATORS: usize = 4;
+    headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + SEPARATORS)
+        .sum()
+}
+
+fn note(trace: &mut trace::Trace, admitted: &admit::Admitted) {
+    trace.note("route", &admitted.rule.name);
+    trace.note("config", &admitted.deployment.revision);
+    if let Some(age) = admitted.config_age {
+        trace.note("config_age_ms", &age.as_millis());
+    }
+    if let Some(team) = &admitted.team {
+        trace.note("team", team);
+    }
+    trace.note("priority", &admitted.priority);
+}
+
+async fn read_body(
+    body: Incoming,
+    limits: &catalog::CallerLimits,
+    ends: Instant,
+) -> Result<hyper::body::Bytes, errors::Refusal> {
+    if body.is_end_stream() {
+        return Ok(hyper::body::Bytes::new());
+    }
+    let deadline = ends.min(Instant::now() + BODY_TIMEOUT);
+    let (code, reason) = match runtime::timeout_at(deadline, http::read_body(body, limits.body)).await
+    {
+        Some(Ok(body)) => return Ok(body),
+        Some(Err(http::HttpError::TooLarge)) => {
+            (errors::ResultCode::BodyTooLarge, "the body is too large")
+        }
+        Some(Err(_)) => (errors::ResultCode::MalformedRequest, "the body broke off"),
+        None => (errors::ResultCode::SlowRequest, "the body was not sent in time"),
+    };
+    Err(errors::Refusal::new(code, reason).retry_after(units::Millis(0)))
+}
+
+fn refuse(trace: &mut trace::Trace, refusal: &errors::Refusal) -> http::Reply {
+    trace.note("code", &refusal.code);
+    trace.note("reason", &refusal.message);
+    trace.finish(trace::Outcome::Refused, refusal.code.http_status());
+    refuse::reply(refusal)
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,21 @@
+//! Traffic of an entry that calls endpoints itself.
+
+mod admit;
+mod call;
+mod cx;
+mod facts;
+mod handler;
+mod lanes;
+mod plain;
+mod readiness;
+mod refuse;
+mod role;
+mod send;
+mod stream;
+mod trace;
+
+pub use cx::Cx;
+pub use facts::{
+    AnswerFacts, Forward, Prompt, PromptPart, RequestFacts, WantedModel,
+};
+pub use role::Gateway;
--- /dev/null
+++ b/src/gateway/refuse.rs
@@ -0,0 +1,27 @@
+//! Answers of the router itself.
+
+use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::StatusCode;
+
+use crate::errors;
+use crate::http;
+
+/// The reply to a request that the router ends itself.
+#[must_use]
+pub fn reply(refusal: &errors::Refusal) -> http::Reply {
+    let status = StatusCode::from_u16(refusal.code.http_status())
+        .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let body = serde_json::json!({
+        "code": refusal.code.number(),
+        "title": refusal.code.to_string(),
+        "detail": &*refusal.message,
+    });
+    let mut reply = http::json(status, &body);
+    if let Some(after) = refusal.retry_after {
+        let seconds = format!("{:.2}", after.duration().as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            reply.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    reply
+}
--- /dev/null
+++ b/src/gateway/send.rs
@@ -0,0 +1,181 @@
+//! One attempt at one endpoint.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+
+use crate::balance;
+use crate::direct;
+use crate::gateway;
+use crate::gateway::call;
+use crate::http;
+use crate::platform;
+use crate::runtime;
+use crate::units;
+
+/// Largest body of a refusal that is read so that its connection can be kept.
+const REFUSAL_BODY: units::Bytes = units::Bytes(16 * 1_024);
+/// Time to read it.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// An endpoint that has begun to answer.
+#[derive(Debug)]
+pub struct Opened {
+    /// The answer; dropping it ends the work at the endpoint.
+    pub answer: http::Answer,
+    /// What its headers say.
+    pub facts: gateway::AnswerFacts,
+    /// The endpoint.
+    pub endpoint: Arc<direct::EndpointView>,
+    /// Its place in the endpoint's count.
+    pub permit: balance::Permit,
+    /// When the request was sent.
+    pub sent: Instant,
+}
+
+/// An attempt that brought no answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Unanswered {
+    /// The request was not run at this endpoint, and will not be.
+    NotRun(balance::Failure, Arc<str>),
+    /// It may have run.
+    Unknown(balance::Failure, Arc<str>),
+}
+
+impl fmt::Display for Unanswered {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotRun(failure, reason) => write!(f, "not run ({failure}: {reason})"),
+            Self::Unknown(failure, reason) => write!(f, "outcome unknown ({failure}: {reason})"),
+        }
+    }
+}
+
+/// Sends the request to `endpoint` and waits up to `patience` for the head of
+/// the answer. The call's record of runs and tried endpoints follows.
+pub async fn send(
+    call: &mut call::Call,
+    view: &direct::ServiceView,
+    endpoint: Arc<direct::EndpointView>,
+    resume_after: Option<u64>,
+    patience: Duration,
+) -> Result<Opened, Unanswered> {
+    let tokens = call
+        .facts
+        .prompt
+        .as_ref()
+        .map_or(units::Tokens(0), |prompt| prompt.input);
+    let now = runtime::Moment::now();
+    let permit = endpoint.live.begin(tokens, now);
+    let result = exchange(call, view, Arc::clone(&endpoint), permit, resume_after, patience).await;
+    call.tried.push(endpoint.record.id.clone());
+    match &result {
+        Ok(_) => call.runs += 1,
+        Err(unanswered) => {
+            call.trace.attempt(&endpoint.record.id, unanswered);
+            fail(call, view, &endpoint, unanswered);
+        }
+    }
+    result
+}
+
+fn fail(
+    call: &mut call::Call,
+    view: &direct::ServiceView,
+    endpoint: &direct::EndpointView,
+    unanswered: &Unanswered,
+) {
+    let cold = view
+        .upstream
+        .cold_start
+        .map_or(Duration::ZERO, |cold| cold.duration.duration());
+    let now = runtime::Moment::now();
+    match unanswered {
+        Unanswered::NotRun(failure, _) => endpoint.live.failed(*failure, cold, now),
+        Unanswered::Unknown(failure, _) => {
+            call.runs += 1;
+            endpoint.live.failed(*failure, cold, now);
+            call.observe(view, endpoint, false, None);
+        }
+    }
+}
+
+async fn exchange(
+    call: &call::Call,
+    view: &direct::ServiceView,
+    endpoint: Arc<direct::EndpointView>,
+    permit: balance::Permit,
+    resume_after: Option<u64>,
+    patience: Duration,
+) -> Result<Opened, Unanswered> {
+    let req = request(call, &endpoint, resume_after)?;
+    let domains = call.cx.settings.domains.len();
+    let client = call
+        .cx
+        .lanes
+        .client(&endpoint.record, view.upstream.max_connections, domains);
+    let sent = Instant::now();
+    let answer = client.send(req, patience).await.map_err(|err| match err {
+        http::HttpError::NotSent(reason) => {
+            Unanswered::NotRun(balance::Failure::Unreachable, reason)
+        }
+        http::HttpError::TimedOut => Unanswered::Unknown(
+            balance::Failure::Silent,
+            format!("no answer in {} ms", patience.as_millis()).into(),
+        ),
+        err => Unanswered::Unknown(balance::Failure::Broken, err.to_string().into()),
+    })?;
+    let facts = platform::headers::decode_answer(&answer.headers);
+    let now = runtime::Moment::now();
+    endpoint.live.heard(now);
+    if let Some(load) = facts.load {
+        endpoint.live.reported(load, now);
+    }
+    if facts.not_run || answer.status == StatusCode::MISDIRECTED_REQUEST {
+        let status = answer.status;
+        // Read to its end only to keep the connection; what it says does not matter.
+        let rest = answer.bytes(REFUSAL_BODY);
+        let _ = runtime::timeout_at(Instant::now() + REFUSAL_TIMEOUT, rest).await;
+        let reason = format!("status {status}").into();
+        return Err(Unanswered::NotRun(balance::Failure::Refused, reason));
+    }
+    let broken = |reason: &str| Unanswered::Unknown(balance::Failure::Broken, reason.into());
+    if facts.id.as_deref() != Some(&*call.id) {
+        return Err(broken("answer to another request"));
+    }
+    if !facts.signed || facts.encoded {
+        return Err(broken("answer is not the endpoint's own"));
+    }
+    Ok(Opened {
+        answer,
+        facts,
+        endpoint,
+        permit,
+        sent,
+    })
+}
+
+fn request(
+    call: &call::Call,
+    endpoint: &direct::EndpointView,
+    resume_after: Option<u64>,
+) -> Result<Request<Full<hyper::body::Bytes>>, Unanswered> {
+    let forward = gateway::Forward {
+        endpoint: endpoint.record.id.clone(),
+        time_left: units::Millis::from(call.time_left()),
+        team: call.team.clone(),
+        model: call.chosen_model().cloned(),
+        urgency: call.facts.prompt.as_ref().map(|_| call.priority),
+        resume_after,
+    };
+    let mut req = Request::new(Full::new(call.body.clone()));
+    *req.method_mut() = call.method.clone();
+    *req.headers_mut() = platform::headers::encode_forward(&call.headers, &forward);
+    *req.uri_mut() = call.target.parse().map_err(|err| {
+        Unanswered::NotRun(balance::Failure::Refused, format!("target: {err}").into())
+    })?;
+    Ok(req)
+}
--- /dev/null
+++ b/src/gateway/stream.rs
@@ -0,0 +1,411 @@
+//! Requests whose answer is a stream of events.
+
+use std::io;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hyper::StatusCode;
+use hyper::body::Bytes;
+use smol::stream;
+
+use crate::balance;
+use crate::cascade;
+use crate::direct;
+use crate::errors;
+use crate::gateway::{call, plain, send, trace};
+use crate::http;
+use crate::platform;
+use crate::runtime;
+use crate::units;
+
+/// Largest event; more without a separator is not a stream of events.
+const MAX_EVENT: usize = 1_024 * 1_024;
+/// Largest body of a failure that is passed on.
+const MAX_FAILURE: units::Bytes = units::Bytes(64 * 1_024);
+/// Time to read it.
+const FAILURE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Part of the objective that is waited for the first event of an endpoint
+/// before another one is asked.
+const PATIENCE_OBJECTIVES: f64 = 0.8;
+/// The endpoint's usual time to the first byte, this many times, is waited for at least.
+const PATIENCE_USUAL: f64 = 4.0;
+/// Permitted pauses that are waited for the next event.
+const PATIENCE_GAPS: f64 = 2.0;
+/// Interval at which a stream looks whether its endpoint has gone silent for
+/// all requests.
+const DARK_CHECK: Duration = Duration::from_millis(300);
+/// Attempts that are refused as not run before the request is refused.
+const MAX_REFUSALS: usize = 5;
+/// Least time for another attempt.
+const MIN_TIME_LEFT: Duration = Duration::from_millis(50);
+
+/// A stream that has begun.
+#[derive(Debug)]
+struct Source {
+    opened: send::Opened,
+    splitter: http::EventSplitter,
+}
+
+/// Why no stream could be opened.
+enum Closed {
+    /// The reply says it to the caller.
+    Reply(Box<http::Reply>),
+}
+
+/// Runs the request; the reply carries its events as they come.
+pub async fn run(mut call: call::Call) -> http::Reply {
+    let resume_after = call.facts.last_event;
+    let source = match open(&mut call, resume_after).await {
+        Ok(source) => source,
+        Err(Closed::Reply(reply)) => return *reply,
+    };
+    let status = source.opened.answer.status;
+    let headers = platform::headers::encode_answer(&source.opened.answer.headers);
+    let relay = Relay {
+        call,
+        source: Some(source),
+        last_event: resume_after,
+        status,
+    };
+    let chunks = stream::unfold(relay, |mut relay| async move {
+        let chunk = relay.next().await?;
+        Some((chunk, relay))
+    });
+    http::generated(status, headers, chunks)
+}
+
+/// Finds an endpoint whose stream has begun.
+async fn open(call: &mut call::Call, resume_after: Option<u64>) -> Result<Source, Closed> {
+    let closed = |reply| Closed::Reply(Box::new(reply));
+    loop {
+        let Some(view) = call.view() else {
+            let code = errors::ResultCode::NoEndpoint;
+            return Err(closed(plain::refuse(call, code, "the service is unknown")));
+        };
+        let Some(chosen) = call.choose(&view) else {
+            return Err(closed(end(call)));
+        };
+        let patience = patience(call, &chosen);
+        let started = Instant::now();
+        let endpoint = Arc::clone(&chosen.endpoint);
+        let opened = match send::send(call, &view, endpoint, resume_after, patience).await {
+            Ok(opened) => opened,
+            Err(send::Unanswered::NotRun(..)) => {
+                if call.tried.len() > MAX_REFUSALS
+                    || call.time_left() < MIN_TIME_LEFT
+                    || !call.try_repeat()
+                {
+                    return Err(closed(end(call)));
+                }
+                continue;
+            }
+            Err(send::Unanswered::Unknown(..)) => {
+                if !may_repeat(call) {
+                    return Err(closed(end(call)));
+                }
+                continue;
+            }
+        };
+        let status = opened.answer.status;
+        if !status.is_success() {
+            let reply = failed(call, &view, opened).await;
+            if status.is_server_error() && may_repeat(call) {
+                continue;
+            }
+            return Err(closed(deliver_failure(call, status, reply)));
+        }
+        if resume_after.is_none()
+            && let Some(larger) = escalation(call, &opened)
+        {
+            let confidence = opened.facts.confidence.unwrap_or_default();
+            let note = format!("dropped at confidence {confidence}");
+            call.trace.attempt(&opened.endpoint.record.id, &note);
+            opened.endpoint.live.succeeded(opened.sent.elapsed());
+            call.observe(&view, &opened.endpoint, true, Some(opened.sent.elapsed()));
+            call.model = larger;
+            call.tried.clear();
+            continue;
+        }
+        match first_event(call, opened, started + patience).await {
+            Ok(source) => {
+                let first = source.opened.sent.elapsed();
+                source.opened.endpoint.live.succeeded(first);
+                call.observe(&view, &source.opened.endpoint, true, Some(first));
+                return Ok(source);
+            }
+            Err((endpoint, failure)) => {
+                note_break(call, &view, &endpoint, failure);
+                if !may_repeat(call) {
+                    return Err(closed(end(call)));
+                }
+            }
+        }
+    }
+}
+
+fn may_repeat(call: &call::Call) -> bool {
+    call.may_run_again() && call.time_left() >= MIN_TIME_LEFT && call.try_repeat()
+}
+
+/// Ends a request for which no stream could be opened.
+fn end(call: &mut call::Call) -> http::Reply {
+    if call.runs > 0 {
+        return plain::end_unknown(call);
+    }
+    plain::refuse(
+        call,
+        errors::ResultCode::Overloaded,
+        "no endpoint takes the request now",
+    )
+}
+
+fn patience(call: &call::Call, chosen: &balance::Chosen) -> Duration {
+    let left = call.time_left();
+    let is_last = call.runs + 1 >= call.rule.max_attempts;
+    if !call.rule.kind.is_repeatable() || is_last {
+        return left;
+    }
+    let usual = chosen.endpoint.live.mean_first().unwrap_or_default();
+    let objective = call.rule.objective.duration().mul_f64(PATIENCE_OBJECTIVES);
+    objective.max(usual.mul_f64(PATIENCE_USUAL)).min(left)
+}
+
+/// The larger model that must run instead of the one that has answered.
+fn escalation(call: &call::Call, opened: &send::Opened) -> Option<usize> {
+    call.chosen_model()?;
+    let ladder = cascade::Ladder::new(&call.rule.models);
+    match ladder.judge(call.model, opened.facts.confidence) {
+        cascade::Step::Escalate(larger) if may_repeat(call) => Some(larger),
+        _ => None,
+    }
+}
+
+async fn failed(
+    call: &mut call::Call,
+    view: &direct::ServiceView,
+    opened: send::Opened,
+) -> Option<http::Reply> {
+    let status = opened.answer.status;
+    call.trace.attempt(&opened.endpoint.record.id, &status);
+    let now = runtime::Moment::now();
+    opened
+        .endpoint
+        .live
+        .failed(balance::Failure::Answered, Duration::ZERO, now);
+    call.observe(view, &opened.endpoint, !status.is_server_error(), None);
+    let headers = platform::headers::encode_answer(&opened.answer.headers);
+    let body = opened.answer.bytes(MAX_FAILURE);
+    let body = runtime::timeout_at(Instant::now() + FAILURE_TIMEOUT, body).await;
+    Some(http::relayed(status, headers, body?.ok()?))
+}
+
+fn deliver_failure(
+    call: &mut call::Call,
+    status: StatusCode,
+    reply: Option<http::Reply>,
+) -> http::Reply {
+    let promises_not_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
+    match reply {
+        Some(reply) if !promises_not_run => {
+            call.trace.finish(trace::Outcome::Failed, status.as_u16());
+            reply
+        }
+        _ => plain::end_unknown(call),
+    }
+}
+
+fn note_break(
+    call: &mut call::Call,
+    view: &direct::ServiceView,
+    endpoint: &direct::EndpointView,
+    failure: balance::Failure,
+) {
+    let note = format!("stream broke off ({failure})");
+    call.trace.attempt(&endpoint.record.id, &note);
+    let cold = view
+        .upstream
+        .cold_start
+        .map_or(Duration::ZERO, |cold| cold.duration.duration());
+    endpoint
+        .live
+        .failed(failure, cold, runtime::Moment::now());
+    call.observe(view, endpoint, false, None);
+}
+
+/// Waits until the stream has a whole event, or has ended without one.
+async fn first_event(
+    call: &call::Call,
+    mut opened: send::Opened,
+    deadline: Instant,
+) -> Result<Source, (Arc<direct::EndpointView>, balance::Failure)> {
+    let deadline = deadline.min(call.ends);
+    let mut splitter = http::EventSplitter::default();
+    loop {
+        let chunk = read(&mut opened, deadline).await;
+        match chunk {
+            Chunk::Data(bytes) => {
+                splitter.push(&bytes);
+                if splitter.has_event() {
+                    opened.permit.answered();
+                    return Ok(Source { opened, splitter });
+                }
+            }
+            Chunk::End if splitter.pending() == 0 => {
+                opened.permit.answered();
+                return Ok(Source { opened, splitter });
+            }
+            Chunk::End | Chunk::Broken => return Err((opened.endpoint, balance::Failure::Broken)),
+            Chunk::Late => return Err((opened.endpoint, balance::Failure::Silent)),
+        }
+    }
+}
+
+/// What a read of a stream has brought.
+enum Chunk {
+    Data(Bytes),
+    End,
+    Broken,
+    /// Nothing came until the deadline, or the endpoint is silent for all requests.
+    Late,
+}
+
+async fn read(opened: &mut send::Opened, deadline: Instant) -> Chunk {
+    loop {
+        let until = deadline.min(Instant::now() + DARK_CHECK);
+        match runtime::timeout_at(until, opened.answer.chunk()).await {
+            Some(Ok(Some(bytes))) => {
+                opened.endpoint.live.heard(runtime::Moment::now());
+                return Chunk::Data(bytes);
+            }
+            Some(Ok(None)) => return Chunk::End,
+            Some(Err(err)) => {
+                log::debug!(target: "gateway", endpoint:% = opened.endpoint.record.id, error:% = err;
+                    "stream broke off");
+                return Chunk::Broken;
+            }
+            None => {
+                let is_dark = opened.endpoint.live.is_dark(runtime::Moment::now());
+                if Instant::now() >= deadline || is_dark {
+                    return Chunk::Late;
+                }
+            }
+        }
+    }
+}
+
+/// Passes events on, and resumes the stream elsewhere where it breaks off.
+#[derive(Debug)]
+struct Relay {
+    call: call::Call,
+    source: Option<Source>,
+    last_event: Option<u64>,
+    status: StatusCode,
+}
+
+impl Relay {
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        loop {
+            let source = self.source.as_mut()?;
+            if let Some(bytes) = take_events(&mut source.splitter, &mut self.last_event) {
+                self.call.trace.first();
+                return Some(Ok(bytes));
+            }
+            let deadline = gap_deadline(&self.call);
+            match read(&mut source.opened, deadline).await {
+                Chunk::Data(bytes) => {
+                    source.splitter.push(&bytes);
+                    if source.splitter.pending() > MAX_EVENT {
+                        return Some(Err(self.interrupt("event too large")));
+                    }
+                }
+                Chunk::End if source.splitter.pending() == 0 => {
+                    let id = source.opened.endpoint.record.id.clone();
+                    self.call.trace.attempt(&id, &"complete");
+                    let status = self.status.as_u16();
+                    self.call.trace.finish(trace::Outcome::Answered, status);
+                    self.source = None;
+                    return None;
+                }
+                Chunk::End | Chunk::Broken => {
+                    if let Err(err) = self.resume(balance::Failure::Broken).await {
+                        return Some(Err(err));
+                    }
+                }
+                Chunk::Late => {
+                    if let Err(err) = self.resume(balance::Failure::Silent).await {
+                        return Some(Err(err));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Goes on after the last whole event at another endpoint.
+    async fn resume(&mut self, failure: balance::Failure) -> io::Result<()> {
+        // Dropped first: the endpoint must not work on while another one goes on.
+        if let Some(source) = self.source.take() {
+            let endpoint = source.opened.endpoint;
+            if let Some(view) = self.call.view() {
+                note_break(&mut self.call, &view, &endpoint, failure);
+            }
+        }
+        if self.last_event.is_none() {
+            return Err(self.interrupt("the stream has no event ids"));
+        }
+        if !may_repeat(&self.call) {
+            return Err(self.interrupt("no further run is allowed"));
+        }
+        match open(&mut self.call, self.last_event).await {
+            Ok(source) => {
+                self.source = Some(source);
+                Ok(())
+            }
+            Err(Closed::Reply(_)) => Err(self.interrupt("no endpoint goes on")),
+        }
+    }
+
+    fn interrupt(&mut self, reason: &'static str) -> io::Error {
+        self.call.trace.note("interrupted", &reason);
+        self.call.trace.finish(trace::Outcome::Interrupted, self.status.as_u16());
+        io::Error::new(io::ErrorKind::ConnectionAborted, reason)
+    }
+}
+
+/// The whole events that have arrived, leaving out those that the caller has.
+fn take_events(splitter: &mut http::EventSplitter, last: &mut Option<u64>) -> Option<Bytes> {
+    let mut taken: Option<Vec<u8>> = None;
+    let mut single: Option<Bytes> = None;
+    while let Some(event) = splitter.next_event() {
+        if let (Some(id), Some(last)) = (event.id, *last)
+            && id <= last
+        {
+            continue;
+        }
+        if event.id.is_some() {
+            *last = event.id;
+        }
+        match (&mut taken, single.take()) {
+            (Some(taken), _) => taken.extend_from_slice(&event.bytes),
+            (None, Some(first)) => {
+                let mut both = first.to_vec();
+                both.extend_from_slice(&event.bytes);
+                taken = Some(both);
+            }
+            (None, None) => single = Some(event.bytes),
+        }
+    }
+    single.or_else(|| taken.map(Bytes::from))
+}
+
+/// Until when the next event is waited for.
+fn gap_deadline(call: &call::Call) -> Instant {
+    let Some(gap) = call.rule.event_gap else {
+        return call.ends;
+    };
+    let can_resume = call.may_run_again();
+    if !can_resume {
+        return call.ends;
+    }
+    call.ends
+        .min(Instant::now() + gap.duration().mul_f64(PATIENCE_GAPS))
+}
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,15 +1,16 @@
 //! A client of one server that keeps idle connections.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Bytes, Incoming};
+use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::client::conn::http1;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{HeaderMap, Request, StatusCode};
-use smol::Timer;
+use smol::{Task, Timer};
 use smol::future::FutureExt;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
@@ -22,9 +23,33 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Idle connections that are kept.
 const MAX_IDLE: usize = 64;
+/// Longest time for which an idle connection is used again where the server
+/// states none. Servers commonly close idle connections after 5 s or more.
+const MAX_IDLE_AGE: Duration = Duration::from_secs(4);
+/// Part of the server's stated idle time that is not used, so that a request
+/// does not cross the server's close.
+const IDLE_MARGIN: Duration = Duration::from_millis(800);
 
 type Sender = http1::SendRequest<Full<Bytes>>;
 
+/// Bounds of a client.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientLimits {
+    /// Time for a new connection.
+    pub connect_timeout: Duration,
+    /// Connections at a time, idle ones included.
+    pub max_connections: usize,
+}
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        Self {
+            connect_timeout: CONNECT_TIMEOUT,
+            max_connections: usize::MAX,
+        }
+    }
+}
+
 /// Client of one server.
 #[derive(Clone, Debug)]
 pub struct Client {
@@ -35,25 +60,94 @@
 struct Shared {
     addr: SocketAddr,
     traffic: runtime::Traffic,
-    idle: Mutex<Vec<Sender>>,
+    limits: ClientLimits,
+    open: AtomicUsize,
+    idle: Mutex<Vec<Idle>>,
+}
+
+/// A connection with the task that drives it; dropping it closes it.
+#[derive(Debug)]
+struct Connection {
+    sender: Sender,
+    idle_age: Duration,
+    driver: Task<()>,
+    place: Place,
+}
+
+/// One connection of a client's limit.
+#[derive(Debug)]
+struct Place(Arc<Shared>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// An idle connection. It holds no reference to the pool, which holds it.
+#[derive(Debug)]
+struct Idle {
+    sender: Sender,
+    idle_age: Duration,
+    since: Instant,
+    driver: Task<()>,
+}
+
+impl Idle {
+    fn is_usable(&self, now: Instant) -> bool {
+        !self.sender.is_closed()
+            && self.sender.is_ready()
+            && now.saturating_duration_since(self.since) < self.idle_age
+    }
 }
 
 impl Shared {
-    fn take_idle(&self) -> Option<Sender> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        while let Some(sender) = idle.pop() {
-            if !sender.is_closed() && sender.is_ready() {
-                return Some(sender);
+    fn lock(&self) -> MutexGuard<'_, Vec<Idle>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn take_idle(self: &Arc<Self>) -> Option<Connection> {
+        let now = Instant::now();
+        let mut idle = self.lock();
+        while let Some(candidate) = idle.pop() {
+            if candidate.is_usable(now) {
+                return Some(Connection {
+                    sender: candidate.sender,
+                    idle_age: candidate.idle_age,
+                    driver: candidate.driver,
+                    place: Place(Arc::clone(self)),
+                });
             }
+            self.open.fetch_sub(1, Ordering::AcqRel);
         }
         None
     }
 
-    fn give_back(&self, sender: Sender) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        if idle.len() < MAX_IDLE {
-            idle.push(sender);
+    /// Closes connections that were idle for too long.
+    fn expire(&self) {
+        let now = Instant::now();
+        let mut idle = self.lock();
+        let before = idle.len();
+        idle.retain(|candidate| candidate.is_usable(now));
+        self.open.fetch_sub(before - idle.len(), Ordering::AcqRel);
+    }
+}
+
+impl Connection {
+    fn give_back(self) {
+        let shared = Arc::clone(&self.place.0);
+        let mut idle = shared.lock();
+        if idle.len() >= MAX_IDLE || self.sender.is_closed() {
+            return;
         }
+        // The pool counts the connection from here on.
+        shared.open.fetch_add(1, Ordering::AcqRel);
+        idle.push(Idle {
+            sender: self.sender,
+            idle_age: self.idle_age,
+            since: Instant::now(),
+            driver: self.driver,
+        });
     }
 }
 
@@ -61,10 +155,18 @@
     /// A client of the server at `addr`; connects on first use.
     #[must_use]
     pub fn new(addr: SocketAddr, traffic: runtime::Traffic) -> Self {
+        Self::with_limits(addr, traffic, ClientLimits::default())
+    }
+
+    /// A client with bounds of its own.
+    #[must_use]
+    pub fn with_limits(addr: SocketAddr, traffic: runtime::Traffic, limits: ClientLimits) -> Self {
         Self {
             shared: Arc::new(Shared {
                 addr,
                 traffic,
+                limits,
+                open: AtomicUsize::new(0),
                 idle: Mutex::default(),
             }),
         }
@@ -76,13 +178,27 @@
         self.shared.addr
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Closes connections that were idle for too long.
+    pub fn expire_idle(&self) {
+        self.shared.expire();
+    }
+
+    /// Closes all idle connections.
+    pub fn close_idle(&self) {
+        let closed = self.shared.lock().drain(..).count();
+        self.shared.open.fetch_sub(closed, Ordering::AcqRel);
+    }
+
+    /// Sends a request and waits for the head of the response. A request
+    /// without a host is addressed to the server itself.
     pub async fn send(
         &self,
         mut req: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Answer, http::HttpError> {
-        if let Ok(host) = HeaderValue::from_str(&self.shared.addr.to_string()) {
+        if !req.headers().contains_key(HOST)
+            && let Ok(host) = HeaderValue::from_str(&self.shared.addr.to_string())
+        {
             req.headers_mut().insert(HOST, host);
         }
         // Boxed: the exchange takes 10 KB, which every caller would hold by value.
@@ -95,9 +211,9 @@
     }
 
     async fn exchange(&self, mut req: Request<Full<Bytes>>) -> Result<Answer, http::HttpError> {
-        while let Some(mut sender) = self.shared.take_idle() {
-            match sender.try_send_request(req).await {
-                Ok(response) => return Ok(self.answer(response, sender)),
+        while let Some(mut connection) = self.shared.take_idle() {
+            match connection.sender.try_send_request(req).await {
+                Ok(response) => return Ok(Answer::new(response, connection)),
                 // The idle connection was closed before the request was
                 // written, so it is safe to send it on another one.
                 Err(mut err) => match err.take_message() {
@@ -106,15 +222,19 @@
                 },
             }
         }
-        let mut sender = self.connect().await?;
-        let response = sender.send_request(req).await?;
-        Ok(self.answer(response, sender))
+        let mut connection = self.connect().await?;
+        let response = connection.sender.send_request(req).await?;
+        Ok(Answer::new(response, connection))
     }
 
-    async fn connect(&self) -> Result<Sender, http::HttpError> {
+    async fn connect(&self) -> Result<Connection, http::HttpError> {
+        let limits = self.shared.limits;
+        if self.shared.open.load(Ordering::Acquire) >= limits.max_connections {
+            return Err(http::HttpError::NotSent("connection limit".into()));
+        }
         let tcp = TcpStream::connect(self.shared.addr)
             .or(async {
-                Timer::after(CONNECT_TIMEOUT).await;
+                Timer::after(limits.connect_timeout).await;
                 Err(std::io::ErrorKind::TimedOut.into())
             })
             .await?;
@@ -127,20 +247,25 @@
                 log::debug!("http: connection ended: {err}");
             }
         };
-        self.shared.traffic.spawn(driver).detach();
-        Ok(sender)
+        self.shared.open.fetch_add(1, Ordering::AcqRel);
+        Ok(Connection {
+            sender,
+            idle_age: MAX_IDLE_AGE,
+            driver: self.shared.traffic.spawn(driver),
+            place: Place(Arc::clone(&self.shared)),
+        })
     }
+}
 
-    fn answer(&self, response: hyper::Response<Incoming>, sender: Sender) -> Answer {
-        let (head, body) = response.into_parts();
-        Answer {
-            status: head.status,
-            headers: head.headers,
-            body,
-            sender: Some(sender),
-            shared: Arc::clone(&self.shared),
-        }
-    }
+/// Idle time that the server allows, by its `Keep-Alive` header.
+fn stated_idle_age(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = text
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?
+        .parse()
+        .ok()?;
+    Some(Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN))
 }
 
 /// A response. Dropping it before its end closes the connection, which tells
@@ -152,11 +277,29 @@
     /// Headers of the response.
     pub headers: HeaderMap,
     body: Incoming,
-    sender: Option<Sender>,
-    shared: Arc<Shared>,
+    connection: Option<Connection>,
 }
 
 impl Answer {
+    fn new(response: hyper::Response<Incoming>, mut connection: Connection) -> Self {
+        let (head, body) = response.into_parts();
+        if let Some(age) = stated_idle_age(&head.headers) {
+            connection.idle_age = age;
+        }
+        Self {
+            status: head.status,
+            headers: head.headers,
+            body,
+            connection: Some(connection),
+        }
+    }
+
+    /// Length of the body, where the server has stated it.
+    #[must_use]
+    pub fn stated_length(&self) -> Option<u64> {
+        self.body.size_hint().exact()
+    }
+
     /// The next part of the body; `None` at its end.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, http::HttpError> {
         while let Some(frame) = self.body.frame().await {
@@ -191,8 +334,8 @@
     }
 
     fn keep_connection(&mut self) {
-        if let Some(sender) = self.sender.take() {
-            self.shared.give_back(sender);
+        if let Some(connection) = self.connection.take() {
+            connection.give_back();
         }
     }
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -9,11 +9,11 @@
 mod sse;
 mod stall;
 
-pub use client::{Answer, Client};
+pub use client::{Answer, Client, ClientLimits};
 use connections::is_abandoned;
 pub use connections::{Connections, abandoned};
 pub use error::HttpError;
-pub use reply::{Body, Reply, full, json, read_body, streamed};
+pub use reply::{Body, Reply, full, generated, json, read_body, relayed, streamed};
 pub use request_body::read_request_body;
 pub use server::{Handler, Server, not_found};
-pub use sse::SseReader;
+pub use sse::{Event, EventSplitter, SseReader};
--- a/src/http/reply.rs
+++ b/src/http/reply.rs
@@ -1,20 +1,22 @@
 //! Bodies of requests and responses.
 
 use std::convert::Infallible;
+use std::io;
 
-use http_body_util::combinators::BoxBody;
+use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, Limited, StreamBody};
 use hyper::body::{Body as HttpBody, Bytes, Frame};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::{Response, StatusCode};
+use hyper::{HeaderMap, Response, StatusCode};
 use smol::channel::Receiver;
-use smol::stream::StreamExt;
+use smol::stream::{Stream, StreamExt};
 
 use crate::http;
 use crate::units;
 
-/// Body of a response of this process.
-pub type Body = BoxBody<Bytes, Infallible>;
+/// Body of a response of this process. An error breaks the connection off, so
+/// that the caller does not take the answer for complete.
+pub type Body = UnsyncBoxBody<Bytes, io::Error>;
 
 /// A response of this process.
 pub type Reply = Response<Body>;
@@ -22,7 +24,7 @@
 /// A response with a whole body.
 #[must_use]
 pub fn full(status: StatusCode, content_type: &'static str, body: impl Into<Bytes>) -> Reply {
-    let mut reply = Response::new(Full::new(body.into()).boxed());
+    let mut reply = Response::new(whole(body.into()));
     *reply.status_mut() = status;
     reply
         .headers_mut()
@@ -30,6 +32,38 @@
     reply
 }
 
+fn whole(body: Bytes) -> Body {
+    Full::new(body).map_err(never).boxed_unsync()
+}
+
+fn never(never: Infallible) -> io::Error {
+    match never {}
+}
+
+/// A response with these headers and a whole body.
+#[must_use]
+pub fn relayed(status: StatusCode, headers: HeaderMap, body: Bytes) -> Reply {
+    let mut reply = Response::new(whole(body));
+    *reply.status_mut() = status;
+    *reply.headers_mut() = headers;
+    reply
+}
+
+/// A response with these headers whose body comes from `chunks`; an error in
+/// it breaks the connection off. The stream is dropped when the caller leaves.
+#[must_use]
+pub fn generated(
+    status: StatusCode,
+    headers: HeaderMap,
+    chunks: impl Stream<Item = io::Result<Bytes>> + Send + 'static,
+) -> Reply {
+    let frames = chunks.map(|chunk| chunk.map(Frame::data));
+    let mut reply = Response::new(StreamBody::new(frames).boxed_unsync());
+    *reply.status_mut() = status;
+    *reply.headers_mut() = headers;
+    reply
+}
+
 /// A response with a JSON body.
 #[must_use]
 pub fn json(status: StatusCode, value: &impl serde::Serialize) -> Reply {
@@ -47,15 +81,9 @@
 /// is dropped when the caller goes away, which the sender notices.
 #[must_use]
 pub fn streamed(status: StatusCode, content_type: &'static str, chunks: Receiver<Bytes>) -> Reply {
-    let frames = chunks.map(|chunk| Ok::<_, Infallible>(Frame::data(chunk)));
-    let mut reply = Response::new(BodyExt::boxed(StreamBody::new(SyncStream(Box::pin(
-        frames,
-    )))));
-    *reply.status_mut() = status;
-    reply
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
-    reply
+    let mut headers = HeaderMap::new();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    generated(status, headers, chunks.map(Ok))
 }
 
 /// Reads a whole body of at most `limit`.
@@ -70,18 +98,3 @@
         Err(err) => Err(http::HttpError::Broken(err.to_string().into())),
     }
 }
-
-/// Lets a stream that is only `Send` be used where the library asks for `Sync`;
-/// it is polled through `&mut` only.
-struct SyncStream<S>(S);
-
-impl<S: smol::stream::Stream + Unpin> smol::stream::Stream for SyncStream<S> {
-    type Item = S::Item;
-
-    fn poll_next(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Self::Item>> {
-        std::pin::Pin::new(&mut self.0).poll_next(cx)
-    }
-}
--- a/src/ids/fingerprint.rs
+++ b/src/ids/fingerprint.rs
@@ -5,6 +5,11 @@
 
 use crate::ids;
 
+/// Start of the FNV-1a hash.
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+/// Factor of the FNV-1a hash.
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
 /// A 64-bit hash of content, written as 16 hexadecimal digits.
 #[derive(
     Clone,
@@ -29,6 +34,15 @@
         let digest = ids::Digest::of_parts(&[team.as_str().as_bytes(), content]);
         Self((digest.head() >> 64) as u64)
     }
+
+    /// A fingerprint of a short text, without protection against collisions
+    /// that are made on purpose.
+    #[must_use]
+    pub fn of_text(text: &str) -> Self {
+        text.bytes().fold(Self(FNV_OFFSET), |acc, byte| {
+            Self((acc.0 ^ u64::from(byte)).wrapping_mul(FNV_PRIME))
+        })
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- a/src/ids/mod.rs
+++ b/src/ids/mod.rs
@@ -9,8 +9,8 @@
 pub use digest::Digest;
 pub use fingerprint::Fingerprint;
 pub use name::{
-    DomainName, InvalidName, ModelName, ProfileName, RegionName, ServiceName, TeamName,
-    VersionName, VmName,
+    DomainName, EndpointId, InvalidName, ModelName, ProfileName, RegionName, RouteName,
+    ServiceName, TeamName, VersionName, VmName,
 };
 pub use number::{Fence, Generation, Incarnation, InvalidNumber, Offset, Revision};
 pub use request_id::{CallId, ChangeId, InvalidId, RequestId};
--- a/src/ids/name.rs
+++ b/src/ids/name.rs
@@ -105,3 +105,11 @@
     /// A VM; one process of the system runs on each.
     VmName
 }
+name! {
+    /// A route of callers' requests to a service.
+    RouteName
+}
+name! {
+    /// One run of an endpoint, as the endpoint names itself.
+    EndpointId
+}
--- /dev/null
+++ b/src/observe/journal.rs
@@ -0,0 +1,157 @@
+//! The log of a process: JSON lines on standard output.
+
+use std::io::{self, Write};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use env_logger::{Builder, Env, Target};
+use log::kv::{self, VisitSource};
+use serde_json::{Map, Value};
+
+use crate::runtime;
+
+/// Lines a second that are written; more are counted and dropped.
+const LINES_PER_S: u32 = 400;
+/// Bytes that may wait for the writer; more are counted and dropped. A reader
+/// that does not read must cost no memory and hold no request up.
+const MAX_WAITING: usize = 512 * 1_024;
+/// Pause before a write, so that lines are written many at a time.
+const BATCH: Duration = Duration::from_millis(100);
+
+/// Installs the log. The level comes from `RUST_LOG`, else it is `info`.
+pub fn install_journal() {
+    let sink = Sink::spawn(io::stdout());
+    Builder::from_env(Env::default().default_filter_or("info"))
+        .target(Target::Pipe(Box::new(sink)))
+        .write_style(env_logger::WriteStyle::Never)
+        .format(|buf, record| {
+            serde_json::to_writer(&mut *buf, &line(record)).map_err(io::Error::from)?;
+            buf.write_all(b"\n")
+        })
+        .init();
+}
+
+/// A record as a JSON object.
+fn line(record: &log::Record<'_>) -> Map<String, Value> {
+    let mut object = Map::new();
+    let since = runtime::since_epoch();
+    object.insert("ts".into(), Value::from(since.as_secs_f64()));
+    object.insert("level".into(), record.level().as_str().into());
+    object.insert("part".into(), record.target().into());
+    object.insert("msg".into(), record.args().to_string().into());
+    if let Err(err) = record.key_values().visit(&mut Fields(&mut object)) {
+        object.insert("log_error".into(), err.to_string().into());
+    }
+    object
+}
+
+struct Fields<'a>(&'a mut Map<String, Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        let value = if let Some(number) = value.to_u64() {
+            number.into()
+        } else if let Some(number) = value.to_f64() {
+            number.into()
+        } else if let Some(truth) = value.to_bool() {
+            truth.into()
+        } else {
+            value.to_string().into()
+        };
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
+#[derive(Debug, Default)]
+struct Waiting {
+    bytes: Vec<u8>,
+    second: Option<Instant>,
+    lines: u32,
+    dropped: u64,
+}
+
+/// Takes lines without blocking; a thread of its own writes them.
+#[derive(Debug)]
+struct Sink {
+    shared: Arc<(Mutex<Waiting>, Condvar)>,
+}
+
+impl Sink {
+    fn spawn(out: impl Write + Send + 'static) -> Self {
+        let shared = Arc::new((Mutex::new(Waiting::default()), Condvar::new()));
+        let waiting = Arc::clone(&shared);
+        let writer = thread::Builder::new()
+            .name("journal".into())
+            .spawn(move || write_all(&waiting, out));
+        if let Err(err) = writer {
+            // The log cannot tell of its own failure.
+            eprintln!("journal: no thread for the log: {err}");
+        }
+        Self { shared }
+    }
+}
+
+fn lock(waiting: &Mutex<Waiting>) -> MutexGuard<'_, Waiting> {
+    waiting.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn write_all(shared: &(Mutex<Waiting>, Condvar), mut out: impl Write) {
+    let (waiting, changed) = shared;
+    loop {
+        let guard = lock(waiting);
+        let guard = changed
+            .wait_while(guard, |waiting| waiting.bytes.is_empty())
+            .unwrap_or_else(PoisonError::into_inner);
+        drop(guard);
+        thread::sleep(BATCH);
+        let (bytes, dropped) = {
+            let mut waiting = lock(waiting);
+            let dropped = std::mem::take(&mut waiting.dropped);
+            (std::mem::take(&mut waiting.bytes), dropped)
+        };
+        let mut written = out.write_all(&bytes);
+        if dropped > 0 {
+            let line = serde_json::json!({
+                "ts": runtime::since_epoch().as_secs_f64(), "level": "WARN", "part": "journal",
+                "msg": "lines dropped", "dropped": dropped,
+            });
+            written = written.and_then(|()| writeln!(out, "{line}"));
+        }
+        if let Err(err) = written.and_then(|()| out.flush()) {
+            // The log cannot tell of its own failure.
+            eprintln!("journal: the log cannot be written: {err}");
+        }
+    }
+}
+
+impl Write for Sink {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        let (waiting, changed) = &*self.shared;
+        let mut state = lock(waiting);
+        let now = Instant::now();
+        if state
+            .second
+            .is_none_or(|began| now.saturating_duration_since(began).as_secs() >= 1)
+        {
+            state.second = Some(now);
+            state.lines = 0;
+        }
+        state.lines += 1;
+        if state.lines > LINES_PER_S || state.bytes.len() + line.len() > MAX_WAITING {
+            state.dropped += 1;
+        } else {
+            let was_empty = state.bytes.is_empty();
+            state.bytes.extend_from_slice(line);
+            if was_empty {
+                changed.notify_one();
+            }
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/platform/headers.rs
@@ -0,0 +1,198 @@
+//! Headers of requests and answers.
+
+use std::sync::Arc;
+
+use hyper::HeaderMap;
+use hyper::header::{self, HeaderName, HeaderValue};
+
+use crate::balance;
+use crate::catalog;
+use crate::gateway;
+use crate::ids;
+use crate::units;
+
+/// Id of one attempt of a caller; the endpoint echoes it.
+const ATTEMPT_ID: HeaderName = HeaderName::from_static("attempt-id");
+/// Time that the caller still waits, in milliseconds.
+const DEADLINE: HeaderName = HeaderName::from_static("deadline-ms");
+/// The caller's key; stays here.
+const API_KEY: HeaderName = HeaderName::from_static("key");
+/// Name of the team, as this process states it.
+const TEAM: HeaderName = HeaderName::from_static("tenant");
+/// Session of the caller.
+const SESSION: HeaderName = HeaderName::from_static("session");
+/// Wanted model; `*` leaves the choice to the router.
+const MODEL: HeaderName = HeaderName::from_static("model");
+/// Prompt tokens and most output tokens.
+const TOKEN_COUNT: HeaderName = HeaderName::from_static("token-count");
+/// Parts of the prompt, as `id:tokens`.
+const PROMPT_PARTS: HeaderName = HeaderName::from_static("prefix-hash");
+/// Id of the last event that the caller has.
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+/// The endpoint that must run the request; any other refuses it.
+const EXPECTED_ENDPOINT: HeaderName = HeaderName::from_static("expect-instance");
+/// Rank of a request at a model engine, 0 to 9; 0 goes first.
+const URGENCY: HeaderName = HeaderName::from_static("request-urgency");
+/// Signature of the endpoint; an answer without it is not the endpoint's.
+const SIGNATURE: HeaderName = HeaderName::from_static("server-seal");
+/// Mark of an answer whose request was not run.
+const NOT_RUN: HeaderName = HeaderName::from_static("not-executed");
+/// Running and waiting requests and slots of the endpoint.
+const LOAD: HeaderName = HeaderName::from_static("server-load");
+/// The model's own opinion of its answer, 0 to 100.
+const CONFIDENCE: HeaderName = HeaderName::from_static("confidence");
+
+/// Value of the model header that leaves the choice to the router.
+const ANY_MODEL: &str = "*";
+/// Least urgent rank at an engine.
+const LAST_URGENCY: u8 = 9;
+
+/// Headers that only the router may set; a caller's are not passed on.
+const ROUTERS_OWN: [HeaderName; 11] = [
+    API_KEY,
+    TEAM,
+    EXPECTED_ENDPOINT,
+    URGENCY,
+    DEADLINE,
+    HeaderName::from_static("hold"),
+    HeaderName::from_static("pin-ms"),
+    HeaderName::from_static("kv-backup"),
+    HeaderName::from_static("kv-from"),
+    HeaderName::from_static("kv-fetch"),
+    HeaderName::from_static("expect-version"),
+];
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 11] = [
+    header::CONNECTION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+];
+
+/// What a caller's headers say of its request.
+#[must_use]
+pub fn decode_request(headers: &HeaderMap) -> gateway::RequestFacts {
+    gateway::RequestFacts {
+        id: text(headers, &ATTEMPT_ID).map(Arc::from),
+        deadline: number(headers, &DEADLINE).map(units::Millis::rounded),
+        key: text(headers, &API_KEY).map(catalog::ApiKey::new),
+        session: text(headers, &SESSION).map(ids::Fingerprint::of_text),
+        model: match text(headers, &MODEL) {
+            None => gateway::WantedModel::Unstated,
+            Some(ANY_MODEL) => gateway::WantedModel::Any,
+            Some(_) => gateway::WantedModel::Named,
+        },
+        prompt: prompt(headers),
+        last_event: text(headers, &LAST_EVENT).and_then(|text| text.parse().ok()),
+    }
+}
+
+fn prompt(headers: &HeaderMap) -> Option<gateway::Prompt> {
+    let (read, written) = text(headers, &TOKEN_COUNT)?.split_once(',')?;
+    let parts = text(headers, &PROMPT_PARTS).unwrap_or_default();
+    Some(gateway::Prompt {
+        input: units::Tokens(read.trim().parse().ok()?),
+        max_output: units::Tokens(written.trim().parse().ok()?),
+        parts: parts
+            .split(',')
+            .filter_map(|part| {
+                let (id, tokens) = part.trim().split_once(':')?;
+                Some(gateway::PromptPart {
+                    id: ids::Fingerprint::of_text(id),
+                    tokens: units::Tokens(tokens.parse().ok()?),
+                })
+            })
+            .collect(),
+    })
+}
+
+/// The headers with which a request goes to an endpoint.
+#[must_use]
+pub fn encode_forward(received: &HeaderMap, forward: &gateway::Forward) -> HeaderMap {
+    let mut headers = without_hop_by_hop(received);
+    for name in &ROUTERS_OWN {
+        headers.remove(name);
+    }
+    let mut set = |name: HeaderName, text: &str| match HeaderValue::from_str(text) {
+        Ok(value) => {
+            headers.insert(name, value);
+        }
+        Err(err) => log::error!("gateway: header {name} cannot be set: {err}."),
+    };
+    set(DEADLINE, &forward.time_left.0.to_string());
+    set(EXPECTED_ENDPOINT, forward.endpoint.as_str());
+    if let Some(team) = &forward.team {
+        set(TEAM, team.as_str());
+    }
+    if let Some(model) = &forward.model {
+        set(MODEL, model.as_str());
+    }
+    if let Some(rank) = forward.urgency {
+        set(URGENCY, &rank.min(LAST_URGENCY).to_string());
+    }
+    if let Some(event) = forward.resume_after {
+        set(LAST_EVENT, &event.to_string());
+    }
+    headers
+}
+
+/// What an endpoint's headers say of its answer.
+#[must_use]
+pub fn decode_answer(headers: &HeaderMap) -> gateway::AnswerFacts {
+    gateway::AnswerFacts {
+        id: text(headers, &ATTEMPT_ID).map(Arc::from),
+        signed: headers.contains_key(SIGNATURE),
+        not_run: headers.contains_key(NOT_RUN),
+        load: load(headers),
+        confidence: number(headers, &CONFIDENCE).map(|percent| percent / 100.0),
+        encoded: headers.contains_key(header::CONTENT_ENCODING),
+    }
+}
+
+fn load(headers: &HeaderMap) -> Option<balance::ReportedLoad> {
+    let mut parts = text(headers, &LOAD)?.split(',').map(|part| part.trim().parse());
+    let mut next = || parts.next()?.ok();
+    Some(balance::ReportedLoad {
+        running: next()?,
+        waiting: next()?,
+        slots: next()?,
+    })
+}
+
+/// The headers of an endpoint's answer that go to the caller.
+#[must_use]
+pub fn encode_answer(received: &HeaderMap) -> HeaderMap {
+    without_hop_by_hop(received)
+}
+
+fn without_hop_by_hop(received: &HeaderMap) -> HeaderMap {
+    let mut headers = received.clone();
+    let named: Vec<HeaderName> = received
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in HOP_BY_HOP.iter().chain(&named) {
+        headers.remove(name);
+    }
+    headers
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Option<f64> {
+    let number: f64 = text(headers, name)?.trim().parse().ok()?;
+    number.is_finite().then_some(number)
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,12 +1,19 @@
-//! Clients of the platform's services: HTTP with JSON.
+//! What the platform speaks: names, formats and calls. Nothing here decides.
 
 mod append_once;
 mod appender;
+pub mod boot;
+pub mod endpoint_record;
 mod error;
+pub mod headers;
 mod inventory;
 mod log_client;
+pub mod operator;
 mod page;
 mod rating;
+mod record;
+pub mod rollout_status;
+mod store;
 
 pub use append_once::append_once;
 pub use appender::Appender;
@@ -15,3 +22,5 @@
 pub use log_client::LogClient;
 pub use page::{Append, LogRecord, Page, Stream};
 pub use rating::{RateRequest, Rating};
+pub use record::split_key;
+pub use store::{Appended, KeyedRecord, Newest, Read, Records, Store};
--- /dev/null
+++ b/src/platform/operator.rs
@@ -0,0 +1,271 @@
+//! What the operator writes to the store.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use hyper::body::Bytes;
+
+use crate::catalog;
+use crate::direct;
+use crate::ids;
+use crate::units;
+
+/// Topic of the operator's records.
+pub const TOPIC: &str = "keyed.op";
+/// Key of the configuration.
+const CONFIG_KEY: &str = "config";
+/// Start of the keys of roll-outs; the service follows.
+const ROLLOUT_PREFIX: &str = "rollout/";
+/// Start of the keys of evacuations; the failure domain follows.
+const EVACUATE_PREFIX: &str = "evacuate/";
+/// Most urgent rank that is told apart; greater numbers count as this.
+const MAX_PRIORITY: f64 = 255.0;
+
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Config {
+    version: f64,
+    routes: Vec<Route>,
+    services: Vec<Service>,
+    limits: Limits,
+    tenants: Option<Vec<Tenant>>,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Route {
+    name: ids::RouteName,
+    host: Arc<str>,
+    path_prefix: Arc<str>,
+    kind: Kind,
+    timeout_ms: f64,
+    /// Time within which an answer earns its full credit, not a latency that was measured.
+    target_latency_ms: Option<f64>,
+    #[serde(default)]
+    priority: f64,
+    /// Models among which the system chooses, smallest first.
+    #[serde(default)]
+    sizes: Vec<ids::ModelName>,
+    service: Option<ids::ServiceName>,
+    traffic_split: Option<Vec<Split>>,
+    max_attempts: Option<f64>,
+    #[serde(default)]
+    allow_anonymous: bool,
+    #[serde(default)]
+    stream_resume: bool,
+    /// Longest pause between events that is on time.
+    gap_aim_ms: Option<f64>,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Split {
+    service: ids::ServiceName,
+    weight: f64,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Kind {
+    Idempotent,
+    NonIdempotent,
+    /// An answer is remembered by a key; such a request runs at most once.
+    Keyed,
+    Streaming,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Service {
+    name: ids::ServiceName,
+    max_connections: Option<f64>,
+    #[serde(default)]
+    warmup_s: f64,
+    #[serde(default)]
+    warmup_per_s: f64,
+    engine: Option<Engine>,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Engine {
+    kv_capacity: Option<f64>,
+    #[serde(default)]
+    models: Vec<Model>,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Model {
+    name: ids::ModelName,
+    #[serde(default)]
+    cost: f64,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Limits {
+    max_header_bytes: f64,
+    max_body_bytes: f64,
+    header_timeout_ms: f64,
+    idle_timeout_ms: f64,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Tenant {
+    name: ids::TeamName,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    priority: Option<f64>,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Rollout {
+    /// Version that is brought in.
+    target: ids::VersionName,
+    duration_s: f64,
+}
+
+/// Decodes a record of the operator; `None` where it means nothing here.
+#[must_use]
+pub fn decode(key: &str, value: Option<&Bytes>) -> Option<direct::OperatorChange> {
+    if key == CONFIG_KEY {
+        let config = read_json::<Config>(key, value?)?;
+        return Some(direct::OperatorChange::Deployment(Arc::new(deployment(
+            config,
+        ))));
+    }
+    if let Some(service) = key.strip_prefix(ROLLOUT_PREFIX) {
+        let service = service.parse().ok()?;
+        let plan = value
+            .and_then(|value| read_json::<Rollout>(key, value))
+            .map(|order| direct::RolloutOrder {
+                target: order.target,
+                duration: units::Millis::from_seconds(order.duration_s),
+            });
+        return Some(direct::OperatorChange::Rollout { service, plan });
+    }
+    let domain = key.strip_prefix(EVACUATE_PREFIX)?.parse().ok()?;
+    Some(direct::OperatorChange::DomainOut {
+        domain,
+        out: value.is_some(),
+    })
+}
+
+fn read_json<T: serde::de::DeserializeOwned>(key: &str, value: &Bytes) -> Option<T> {
+    let mut json = serde_json::Deserializer::from_slice(value);
+    serde_path_to_error::deserialize(&mut json)
+        .inspect_err(|err| log::warn!("store: operator's record {key} is not usable: {err}."))
+        .ok()
+}
+
+fn deployment(config: Config) -> catalog::Deployment {
+    let limits = catalog::CallerLimits {
+        head: units::Bytes(whole(config.limits.max_header_bytes)),
+        body: units::Bytes(whole(config.limits.max_body_bytes)),
+        head_timeout: units::Millis::rounded(config.limits.header_timeout_ms),
+        idle_timeout: units::Millis::rounded(config.limits.idle_timeout_ms),
+    };
+    catalog::Deployment::new(
+        ids::Revision(whole(config.version)),
+        config.routes.into_iter().map(route).collect(),
+        config.services.into_iter().map(upstream).collect(),
+        config.tenants.map(teams),
+        limits,
+    )
+}
+
+fn route(route: Route) -> catalog::RouteRule {
+    let services = match route.traffic_split {
+        Some(parts) => parts
+            .into_iter()
+            .map(|part| catalog::WeightedService {
+                service: part.service,
+                weight: u32::try_from(whole(part.weight)).unwrap_or(u32::MAX),
+            })
+            .collect(),
+        None => route
+            .service
+            .map(|service| catalog::WeightedService { service, weight: 1 })
+            .into_iter()
+            .collect(),
+    };
+    let timeout = units::Millis::rounded(route.timeout_ms);
+    catalog::RouteRule {
+        name: route.name,
+        host: route.host,
+        path_prefix: route.path_prefix,
+        services,
+        kind: match route.kind {
+            Kind::Idempotent => catalog::CallKind::Idempotent,
+            Kind::NonIdempotent | Kind::Keyed => catalog::CallKind::NonIdempotent,
+            Kind::Streaming => catalog::CallKind::Stream {
+                resumable: route.stream_resume,
+            },
+        },
+        timeout,
+        objective: route
+            .target_latency_ms
+            .map_or(timeout, units::Millis::rounded),
+        event_gap: route.gap_aim_ms.map(units::Millis::rounded),
+        max_attempts: route
+            .max_attempts
+            .map_or(1, |most| u16::try_from(whole(most)).unwrap_or(u16::MAX))
+            .max(1),
+        priority: rank(route.priority),
+        anonymous: route.allow_anonymous,
+        models: route.sizes,
+    }
+}
+
+fn upstream(service: Service) -> catalog::Upstream {
+    let cold_start = (service.warmup_per_s > 0.0).then(|| catalog::ColdStart {
+        duration: units::Millis::from_seconds(service.warmup_s),
+        rate: units::Rate::clamped(service.warmup_per_s),
+    });
+    let (kv_capacity, models) = match service.engine {
+        Some(engine) => (engine.kv_capacity, engine.models),
+        None => (None, Vec::new()),
+    };
+    catalog::Upstream {
+        name: service.name,
+        max_connections: service
+            .max_connections
+            .map_or(u32::MAX, |most| u32::try_from(whole(most)).unwrap_or(u32::MAX)),
+        cold_start,
+        models: models
+            .into_iter()
+            .map(|model| catalog::ModelCost {
+                model: model.name,
+                per_1000_tokens: model.cost,
+            })
+            .collect(),
+        kv_capacity: kv_capacity.map(|tokens| units::Tokens(whole(tokens))),
+    }
+}
+
+fn teams(tenants: Vec<Tenant>) -> HashMap<catalog::ApiKey, Arc<catalog::TeamAccess>> {
+    let mut teams = HashMap::new();
+    for tenant in tenants {
+        let access = Arc::new(catalog::TeamAccess {
+            team: tenant.name,
+            priority: tenant.priority.map(rank),
+        });
+        for key in &tenant.api_keys {
+            teams.insert(catalog::ApiKey::new(key), Arc::clone(&access));
+        }
+    }
+    teams
+}
+
+/// The wire has numbers without a stated type; fractions and signs mean nothing here.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn whole(number: f64) -> u64 {
+    number.max(0.0).round() as u64
+}
+
+fn rank(priority: f64) -> u8 {
+    u8::try_from(whole(priority.min(MAX_PRIORITY))).unwrap_or(u8::MAX)
+}
--- /dev/null
+++ b/src/platform/record.rs
@@ -0,0 +1,56 @@
+//! Framing of records: a length of four bytes, then the content. The content
+//! of a record with a key is the length of the key in one byte, the key and
+//! the value.
+
+use hyper::body::Bytes;
+
+/// Bytes of the length before each record.
+const LENGTH_BYTES: usize = 4;
+
+/// The records one after the other, as an append carries them.
+#[must_use]
+pub fn encode(records: &[Bytes]) -> Bytes {
+    let mut body = Vec::new();
+    for record in records {
+        let length = u32::try_from(record.len()).unwrap_or(u32::MAX);
+        body.extend_from_slice(&length.to_be_bytes());
+        body.extend_from_slice(record);
+    }
+    body.into()
+}
+
+/// The records of a body; `None` where it is truncated.
+#[must_use]
+pub fn decode(body: &Bytes) -> Option<Vec<Bytes>> {
+    let mut records = Vec::new();
+    let mut at = 0;
+    while at < body.len() {
+        let length: [u8; LENGTH_BYTES] = body.get(at..at + LENGTH_BYTES)?.try_into().ok()?;
+        let start = at + LENGTH_BYTES;
+        let end = start.checked_add(usize::try_from(u32::from_be_bytes(length)).ok()?)?;
+        if end > body.len() {
+            return None;
+        }
+        records.push(body.slice(start..end));
+        at = end;
+    }
+    Some(records)
+}
+
+/// Content of a record with a key.
+#[must_use]
+pub fn with_key(key: &str, value: &[u8]) -> Option<Bytes> {
+    let mut content = vec![u8::try_from(key.len()).ok()?];
+    content.extend_from_slice(key.as_bytes());
+    content.extend_from_slice(value);
+    Some(content.into())
+}
+
+/// Key and value of a record with a key; no value where the key was removed.
+#[must_use]
+pub fn split_key(content: &Bytes) -> Option<(&str, Option<Bytes>)> {
+    let length = usize::from(*content.first()?);
+    let key = std::str::from_utf8(content.get(1..=length)?).ok()?;
+    let value = content.slice(1 + length..);
+    Some((key, (!value.is_empty()).then_some(value)))
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,273 @@
+//! Client of the platform's metadata store.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::{Method, Request, StatusCode};
+
+use crate::http;
+use crate::ids;
+use crate::platform;
+use crate::platform::record;
+use crate::runtime;
+use crate::units;
+
+/// Time for a new connection; a round trip takes a few milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time for a call besides the time that it may wait at the store. A slow
+/// store takes some hundred milliseconds.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Largest answer to a read.
+const MAX_ANSWER: units::Bytes = units::Bytes(16 * 1_024 * 1_024);
+/// Bytes before the records of a read: the end and the first retained offset.
+const READ_HEAD: usize = 16;
+
+/// Client of the store; clones share connections.
+#[derive(Clone, Debug)]
+pub struct Store {
+    http: http::Client,
+}
+
+/// Records of one partition, as read in one call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Records {
+    /// Offset of the first record in `records`.
+    pub from: ids::Offset,
+    /// Offset that the next appended record will have.
+    pub end: ids::Offset,
+    /// Offset of the oldest record that is retained.
+    pub first_retained: ids::Offset,
+    /// Contents, in order of their offsets.
+    pub records: Vec<Bytes>,
+}
+
+/// Answer to a read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Read {
+    /// The records, none where the wait ended without one.
+    Records(Records),
+    /// The wanted records are no longer retained.
+    Expired {
+        /// Offset of the oldest record that is.
+        first_retained: ids::Offset,
+    },
+}
+
+/// One page of the newest records of the keys of a topic.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Newest {
+    /// The records in order of their keys.
+    pub records: Vec<KeyedRecord>,
+    /// Whether more keys follow.
+    pub has_more: bool,
+    /// End of the partition when the page was made.
+    pub end: ids::Offset,
+}
+
+/// A record with a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyedRecord {
+    /// The key.
+    pub key: Arc<str>,
+    /// Content; `None` where the key was removed.
+    pub value: Option<Bytes>,
+    /// Position in the partition.
+    pub offset: ids::Offset,
+}
+
+/// Answer to an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Appended {
+    /// The records have been added; offset of the first.
+    At(ids::Offset),
+    /// Nothing was added: the partition ends elsewhere than the caller expects.
+    Moved {
+        /// Where it ends.
+        end: ids::Offset,
+    },
+}
+
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct NewestBody {
+    items: Vec<NewestItem>,
+    #[serde(default)]
+    has_more: bool,
+    end: ids::Offset,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct NewestItem {
+    key: Arc<str>,
+    /// The value in base64.
+    #[serde(default)]
+    value: String,
+    offset: ids::Offset,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct AppendBody {
+    offset: ids::Offset,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct MovedBody {
+    end: ids::Offset,
+}
+
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct ExpiredBody {
+    first: ids::Offset,
+}
+
+impl Store {
+    /// A client of the store at `addr`.
+    #[must_use]
+    pub fn new(addr: SocketAddr, traffic: runtime::Traffic) -> Self {
+        let limits = http::ClientLimits {
+            connect_timeout: CONNECT_TIMEOUT,
+            ..http::ClientLimits::default()
+        };
+        Self {
+            http: http::Client::with_limits(addr, traffic, limits),
+        }
+    }
+
+    /// Reads records from `from` on; waits up to `wait` where there is none yet.
+    pub async fn read(
+        &self,
+        topic: &str,
+        from: ids::Offset,
+        wait: Duration,
+    ) -> Result<Read, platform::PlatformError> {
+        let wait_ms = wait.as_millis();
+        let uri = format!("/log-read?Topic={topic}&part=0&From={from}&WaitMs={wait_ms}");
+        let (status, body) = self
+            .call(Method::GET, uri, Bytes::new(), wait + CALL_TIMEOUT)
+            .await?;
+        match status {
+            StatusCode::OK => decode_read(from, &body),
+            StatusCode::GONE => Ok(Read::Expired {
+                first_retained: parse::<ExpiredBody>(&body)?.first,
+            }),
+            _ => Err(platform::PlatformError::Status(status.as_u16())),
+        }
+    }
+
+    /// A page of the newest records of the keys after `after`.
+    pub async fn newest(
+        &self,
+        topic: &str,
+        after: Option<&str>,
+    ) -> Result<Newest, platform::PlatformError> {
+        let mut uri = format!("/log-newest?Topic={topic}&part=0");
+        if let Some(after) = after {
+            uri.push_str("&After=");
+            uri.push_str(after);
+        }
+        let (status, body) = self
+            .call(Method::GET, uri, Bytes::new(), CALL_TIMEOUT)
+            .await?;
+        if status != StatusCode::OK {
+            return Err(platform::PlatformError::Status(status.as_u16()));
+        }
+        let page: NewestBody = parse(&body)?;
+        let decode = |item: NewestItem| {
+            let value = STANDARD
+                .decode(item.value)
+                .inspect_err(|err| log::warn!("store: value of {topic} is not base64: {err}."))
+                .ok()?;
+            Some(KeyedRecord {
+                key: item.key,
+                value: Some(value.into()),
+                offset: item.offset,
+            })
+        };
+        Ok(Newest {
+            records: page.items.into_iter().filter_map(decode).collect(),
+            has_more: page.has_more,
+            end: page.end,
+        })
+    }
+
+    /// Adds records to a topic, all or none; where `at` is given, only if the
+    /// partition ends there.
+    pub async fn append(
+        &self,
+        topic: &str,
+        at: Option<ids::Offset>,
+        records: &[Bytes],
+    ) -> Result<Appended, platform::PlatformError> {
+        let mut uri = format!("/log-append?Topic={topic}&part=0");
+        if let Some(at) = at {
+            uri.push_str(&format!("&At={at}"));
+        }
+        let body = record::encode(records);
+        let (status, body) = self.call(Method::POST, uri, body, CALL_TIMEOUT).await?;
+        match status {
+            StatusCode::OK => Ok(Appended::At(parse::<AppendBody>(&body)?.offset)),
+            StatusCode::PRECONDITION_FAILED => Ok(Appended::Moved {
+                end: parse::<MovedBody>(&body)?.end,
+            }),
+            _ => Err(platform::PlatformError::Status(status.as_u16())),
+        }
+    }
+
+    /// The time limit covers the body too, since the store may stall after its head.
+    async fn call(
+        &self,
+        method: Method,
+        uri: String,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), platform::PlatformError> {
+        let deadline = Instant::now() + timeout;
+        let req = Request::builder()
+            .method(method)
+            .uri(uri)
+            .body(Full::new(body))
+            .map_err(|err| http::HttpError::NotSent(err.to_string().into()))?;
+        let exchange = async {
+            let answer = self.http.send(req, timeout).await?;
+            let status = answer.status;
+            Ok((status, answer.bytes(MAX_ANSWER).await?))
+        };
+        runtime::timeout_at(deadline, exchange).await.unwrap_or(Err(
+            platform::PlatformError::Unknown(http::HttpError::TimedOut),
+        ))
+    }
+}
+
+fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, platform::PlatformError> {
+    serde_json::from_slice(body).map_err(|err| malformed(&err))
+}
+
+fn malformed(reason: &dyn std::fmt::Display) -> platform::PlatformError {
+    platform::PlatformError::Unknown(http::HttpError::Malformed(reason.to_string().into()))
+}
+
+fn decode_read(from: ids::Offset, body: &Bytes) -> Result<Read, platform::PlatformError> {
+    let number = |at: usize| {
+        body.get(at..at + 8)
+            .and_then(|bytes| <[u8; 8]>::try_from(bytes).ok())
+            .map(|bytes| ids::Offset(u64::from_be_bytes(bytes)))
+            .ok_or_else(|| malformed(&"answer without its offsets"))
+    };
+    let records = record::decode(&body.slice(READ_HEAD.min(body.len())..))
+        .ok_or_else(|| malformed(&"truncated record"))?;
+    Ok(Read::Records(Records {
+        from,
+        end: number(0)?,
+        first_retained: number(8)?,
+        records,
+    }))
+}
--- /dev/null
+++ b/src/rollout/canary.rs
@@ -0,0 +1,233 @@
+//! Life cycle of a roll-out by time: a small share of the sessions first, then
+//! all, then done.
+
+use std::time::Duration;
+
+use crate::ids;
+use crate::runtime;
+use crate::units;
+
+/// Part of the time in which only the first share goes to the new version.
+/// Sessions keep the version that they began with until then.
+const PROBING_PART: f64 = 0.5;
+/// Part of the time over which the share then grows to all.
+const RAMP_PART: f64 = 0.12;
+/// Part of the time after which the old version is given up; streams that
+/// began on it have ended by then.
+const DONE_PART: f64 = 0.8;
+/// Part of the permitted exposure that the first share uses, so that a bad
+/// version stays within the bound although it is judged a little later.
+const PROBING_SHARE_OF_EXPOSURE: f64 = 0.55;
+/// Share at the start of the ramp.
+const RAMP_START: f64 = 0.25;
+
+/// First part: a small share is observed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Probing;
+/// Second part: the share grows to all.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ramping {
+    since: runtime::Moment,
+}
+/// The version is in.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Completed;
+/// The version is out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RolledBack;
+
+/// A roll-out in the state `S`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Canary<S> {
+    target: ids::VersionName,
+    duration: units::Millis,
+    started: runtime::Moment,
+    exposure: units::Share,
+    state: S,
+}
+
+/// A roll-out in any state.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AnyCanary {
+    /// A small share is observed.
+    Probing(Canary<Probing>),
+    /// The share grows to all.
+    Ramping(Canary<Ramping>),
+    /// The version is in.
+    Completed(Canary<Completed>),
+    /// The version is out.
+    RolledBack(Canary<RolledBack>),
+}
+
+/// What a roll-out is judged by at a tick.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Observation {
+    /// The moment.
+    pub now: runtime::Moment,
+    /// Whether answers show that the version is bad.
+    pub bad: bool,
+    /// Whether endpoints of the new version can bear the traffic of the old ones.
+    pub enough_endpoints: bool,
+}
+
+impl<S> Canary<S> {
+    fn with<T>(self, state: T) -> Canary<T> {
+        Canary {
+            target: self.target,
+            duration: self.duration,
+            started: self.started,
+            exposure: self.exposure,
+            state,
+        }
+    }
+
+    fn part_passed(&self, now: runtime::Moment) -> f64 {
+        let passed = now.since(self.started).as_secs_f64();
+        passed / self.duration.duration().as_secs_f64().max(f64::MIN_POSITIVE)
+    }
+
+    /// The version that is brought in.
+    #[must_use]
+    pub const fn target(&self) -> &ids::VersionName {
+        &self.target
+    }
+
+    /// Gives the version up.
+    #[must_use]
+    pub fn roll_back(self) -> Canary<RolledBack> {
+        self.with(RolledBack)
+    }
+
+    /// Gives the old versions up.
+    #[must_use]
+    pub fn complete(self) -> Canary<Completed> {
+        self.with(Completed)
+    }
+}
+
+impl Canary<Probing> {
+    /// A roll-out that begins now. `exposure` is the largest part of the
+    /// requests that a bad version may get.
+    #[must_use]
+    pub const fn begin(
+        target: ids::VersionName,
+        duration: units::Millis,
+        exposure: units::Share,
+        now: runtime::Moment,
+    ) -> Self {
+        Self {
+            target,
+            duration,
+            started: now,
+            exposure,
+            state: Probing,
+        }
+    }
+
+    fn ramp(self, now: runtime::Moment) -> Canary<Ramping> {
+        self.with(Ramping { since: now })
+    }
+}
+
+impl Canary<Ramping> {
+    fn share(&self, now: runtime::Moment) -> f64 {
+        let length = self.duration.duration().as_secs_f64() * RAMP_PART;
+        let passed = now.since(self.state.since).as_secs_f64() / length.max(f64::MIN_POSITIVE);
+        (RAMP_START + (1.0 - RAMP_START) * passed).min(1.0)
+    }
+
+    fn may_complete(&self, now: runtime::Moment) -> bool {
+        self.share(now) >= 1.0 && self.part_passed(now) >= DONE_PART
+    }
+}
+
+impl AnyCanary {
+    /// Begins a roll-out.
+    #[must_use]
+    pub fn begin(
+        target: ids::VersionName,
+        duration: units::Millis,
+        exposure: units::Share,
+        now: runtime::Moment,
+    ) -> Self {
+        Self::Probing(Canary::begin(target, duration, exposure, now))
+    }
+
+    /// The version that is brought in.
+    #[must_use]
+    pub const fn target(&self) -> &ids::VersionName {
+        match self {
+            Self::Probing(canary) => canary.target(),
+            Self::Ramping(canary) => canary.target(),
+            Self::Completed(canary) => canary.target(),
+            Self::RolledBack(canary) => canary.target(),
+        }
+    }
+
+    /// Whether nothing can change any more.
+    #[must_use]
+    pub const fn is_over(&self) -> bool {
+        matches!(self, Self::Completed(_) | Self::RolledBack(_))
+    }
+
+    /// Part of the sessions that go to the new version.
+    #[must_use]
+    pub fn share(&self, now: runtime::Moment) -> units::Share {
+        units::Share::clamped(match self {
+            Self::Probing(canary) => canary.exposure.get() * PROBING_SHARE_OF_EXPOSURE,
+            Self::Ramping(canary) => canary.share(now),
+            Self::Completed(_) => 1.0,
+            Self::RolledBack(_) => 0.0,
+        })
+    }
+
+    /// Whether sessions of the old version stay there for now.
+    #[must_use]
+    pub const fn keeps_old_sessions(&self) -> bool {
+        matches!(self, Self::Probing(_))
+    }
+
+    /// The state after an observation.
+    #[must_use]
+    pub fn advance(self, seen: Observation) -> Self {
+        match self {
+            Self::Probing(canary) if seen.bad => Self::RolledBack(canary.roll_back()),
+            Self::Ramping(canary) if seen.bad => Self::RolledBack(canary.roll_back()),
+            Self::Probing(canary)
+                if seen.enough_endpoints && canary.part_passed(seen.now) >= PROBING_PART =>
+            {
+                Self::Ramping(canary.ramp(seen.now))
+            }
+            Self::Ramping(canary) if canary.may_complete(seen.now) => {
+                Self::Completed(canary.complete())
+            }
+            other => other,
+        }
+    }
+
+    /// The state once the report of another entry is on record.
+    #[must_use]
+    pub fn settle(self, completed: bool) -> Self {
+        match self {
+            Self::Probing(canary) if completed => Self::Completed(canary.complete()),
+            Self::Ramping(canary) if completed => Self::Completed(canary.complete()),
+            Self::RolledBack(canary) if completed => Self::Completed(canary.complete()),
+            Self::Probing(canary) => Self::RolledBack(canary.roll_back()),
+            Self::Ramping(canary) => Self::RolledBack(canary.roll_back()),
+            Self::Completed(canary) if !completed => Self::RolledBack(canary.roll_back()),
+            other => other,
+        }
+    }
+
+    /// Time that the roll-out may still take.
+    #[must_use]
+    pub fn time_left(&self, now: runtime::Moment) -> Duration {
+        let (duration, started) = match self {
+            Self::Probing(canary) => (canary.duration, canary.started),
+            Self::Ramping(canary) => (canary.duration, canary.started),
+            Self::Completed(canary) => (canary.duration, canary.started),
+            Self::RolledBack(canary) => (canary.duration, canary.started),
+        };
+        duration.duration().saturating_sub(now.since(started))
+    }
+}
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -1,13 +1,17 @@
 //! Roll-outs of versions into profiles.
 
 mod allotment;
+mod canary;
 mod division;
 mod judgement;
 mod life;
 mod progress;
+mod tally;
 
 pub use allotment::Allotment;
+pub use canary::{AnyCanary, Canary, Completed, Observation, Probing, Ramping, RolledBack};
 pub use division::divide;
 pub use judgement::Judgement;
 pub use life::{Complete, Loading, Rollout, Stepping, Stopped};
 pub use progress::Progress;
+pub use tally::{Comparison, Tally};
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -1,12 +1,14 @@
 //! Threads that carry traffic.
 
 mod counted_socket;
+mod moment;
 mod quic_runtime;
 mod timeout;
 mod traffic;
 mod wall_clock;
 
 pub use counted_socket::{CountedSocket, PeerBytes};
+pub use moment::Moment;
 pub use quic_runtime::QuicRuntime;
 pub use timeout::timeout_at;
 pub use traffic::Traffic;
--- a/src/units/count.rs
+++ b/src/units/count.rs
@@ -81,6 +81,20 @@
     pub const fn duration(self) -> Duration {
         Duration::from_millis(self.0)
     }
+
+    /// The nearest whole number of milliseconds; 0 where the number is negative.
+    #[must_use]
+    pub fn rounded(millis: f64) -> Self {
+        Self::from_seconds(millis / 1_000.0)
+    }
+
+    /// The nearest whole number of milliseconds; 0 where the number is negative.
+    #[must_use]
+    pub fn from_seconds(seconds: f64) -> Self {
+        Duration::try_from_secs_f64(seconds)
+            .map(|duration| duration + Duration::from_micros(500))
+            .map_or(Self(0), Self::from)
+    }
 }
 
 impl From<Duration> for Millis {
