--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -5,10 +5,8 @@
 mod cold_gate;
 mod live;
 mod retry_window;
-mod sessions;
 
 pub use choose::{Ask, Chosen, VersionWish, choose};
 pub use cold_gate::ColdGate;
 pub use live::{Failure, Live, Permit, ReportedLoad};
 pub use retry_window::RetryWindow;
-pub use sessions::Sessions;
--- a/src/catalog/route_rule.rs
+++ b/src/catalog/route_rule.rs
@@ -77,7 +77,11 @@
     /// The service for a request, by a hash that is spread evenly.
     #[must_use]
     pub fn service_for(&self, hash: u64) -> Option<&ids::ServiceName> {
-        let total: u64 = self.services.iter().map(|part| u64::from(part.weight)).sum();
+        let total: u64 = self
+            .services
+            .iter()
+            .map(|part| u64::from(part.weight))
+            .sum();
         let mut at = if total == 0 { 0 } else { hash % total };
         for part in &self.services {
             let weight = u64::from(part.weight);
--- a/src/daemon/direct.rs
+++ b/src/daemon/direct.rs
@@ -41,7 +41,9 @@
 /// fixed for a run; the next start takes them.
 fn reload(path: &Path, present: &settings::Direct) {
     match platform::boot::load(path) {
-        Ok(read) => log::info!(target: "process", changed = read != *present; "settings read again"),
+        Ok(read) => {
+            log::info!(target: "process", changed = read != *present; "settings read again");
+        }
         Err(err) => log::error!(target: "process", error:% = err; "settings cannot be used"),
     }
 }
--- a/src/direct/change.rs
+++ b/src/direct/change.rs
@@ -5,6 +5,7 @@
 
 use crate::catalog;
 use crate::ids;
+use crate::rollout;
 use crate::runtime;
 use crate::units;
 
@@ -82,18 +83,6 @@
     Removed(ids::EndpointId),
 }
 
-/// How far a roll-out is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "snake_case")]
-pub enum RolloutStage {
-    /// Under way.
-    Running,
-    /// All traffic goes to the new version.
-    Completed,
-    /// No traffic goes to the new version.
-    RolledBack,
-}
-
 /// State of a roll-out as reported to the operator.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RolloutReport {
@@ -102,7 +91,7 @@
     /// The version that was to be brought in.
     pub target: ids::VersionName,
     /// How far it is.
-    pub stage: RolloutStage,
+    pub stage: rollout::Stage,
 }
 
 /// A topic that an entry follows.
@@ -140,8 +129,8 @@
     Endpoints(Batch<EndpointChange>),
     /// Reports of roll-outs.
     Reports(Batch<RolloutReport>),
-    /// A read of a topic failed.
-    ReadFailed(Source),
+    /// A read of a topic failed, and why.
+    ReadFailed(Source, Arc<str>),
     /// A report was written, or not.
     Reported {
         /// The report.
--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -15,9 +15,9 @@
 
 /// Longest wait of a read of the operator's records. A read proves the
 /// configuration current only as of its start, so this bounds the age of the proof.
-const OPERATOR_WAIT: Duration = Duration::from_millis(1_000);
+const OPERATOR_WAIT: Duration = Duration::from_secs(1);
 /// Longest wait of a read of endpoints and reports.
-const IDLE_WAIT: Duration = Duration::from_millis(2_000);
+const IDLE_WAIT: Duration = Duration::from_secs(2);
 /// Pause after a read of endpoints: each of them reports every second or so,
 /// and reading every report by itself would cost a call for each.
 const ENDPOINT_PAUSE: Duration = Duration::from_millis(300);
@@ -52,8 +52,11 @@
                 position = None;
             }
             Err(err) => {
-                log::warn!(target: "store", source:% = source, error:% = err; "read failed");
-                control.send(direct::Event::ReadFailed(source)).await;
+                // The control thread logs when the store is lost and regained.
+                log::debug!(target: "store", source:% = source, error:% = err; "read failed");
+                control
+                    .send(direct::Event::ReadFailed(source, err.to_string().into()))
+                    .await;
                 Timer::after(RETRY_PAUSE).await;
             }
         }
@@ -61,11 +64,7 @@
 }
 
 /// Writes reports of roll-outs as the control thread asks.
-pub async fn report(
-    store: platform::Store,
-    effects: Receiver<direct::Effect>,
-    control: Control,
-) {
+pub async fn report(store: platform::Store, effects: Receiver<direct::Effect>, control: Control) {
     while let Ok(direct::Effect::Report(report, at)) = effects.recv().await {
         let done = match write(&store, &report, at).await {
             Ok(platform::Appended::At(offset)) => {
@@ -190,7 +189,11 @@
         };
         end.get_or_insert(page.end);
         after = page.records.last().map(|record| Arc::clone(&record.key));
-        records.extend(page.records.into_iter().map(|record| (record.key, record.value)));
+        records.extend(
+            page.records
+                .into_iter()
+                .map(|record| (record.key, record.value)),
+        );
         if !page.has_more || after.is_none() {
             break;
         }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -13,7 +13,7 @@
 
 pub use change::{
     Batch, Effect, EndpointChange, EndpointRecord, Event, OperatorChange, RolloutOrder,
-    RolloutReport, RolloutStage, Source,
+    RolloutReport, Source,
 };
 pub use evidence::{Evidence, Sample};
 pub use feed::{follow, report};
--- a/src/direct/snapshot.rs
+++ b/src/direct/snapshot.rs
@@ -9,7 +9,6 @@
 use crate::ids;
 use crate::rollout;
 use crate::runtime;
-use crate::units;
 
 /// An endpoint that may be used.
 #[derive(Clone, Debug)]
@@ -56,8 +55,4 @@
     pub freshness: Arc<direct::Freshness>,
     /// Whether a planned stop has begun.
     pub stopping: bool,
-    /// Failure domains of the deployment.
-    pub domain_count: usize,
-    /// Time for which requests of a session belong together.
-    pub session: units::Millis,
 }
--- a/src/direct/store_health.rs
+++ b/src/direct/store_health.rs
@@ -1,7 +1,5 @@
 //! Whether the store has answered lately.
 
-use std::time::Duration;
-
 use crate::runtime;
 
 /// Record of the reads of one topic.
@@ -27,18 +25,9 @@
         self.well_since.take().is_some()
     }
 
-    /// Whether the store has been away within `span` before `now`.
-    #[must_use]
-    pub fn was_away(&self, now: runtime::Moment, span: Duration) -> bool {
-        match self.well_since {
-            None => true,
-            Some(since) => self.has_failed && now.since(since) < span,
-        }
-    }
-
-    /// Time for which the store has been answering.
+    /// When the store came back after it was away; `None` where it never was.
     #[must_use]
-    pub fn well_for(&self, now: runtime::Moment) -> Option<Duration> {
-        self.well_since.map(|since| now.since(since))
+    pub fn returned_at(&self) -> Option<runtime::Moment> {
+        self.well_since.filter(|_| self.has_failed)
     }
 }
--- a/src/direct/system/endpoints.rs
+++ b/src/direct/system/endpoints.rs
@@ -1,19 +1,24 @@
 //! Keeps the table of endpoints.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::direct;
 use crate::direct::system::TickCx;
 use crate::ids;
-use crate::runtime;
 
-/// Time after which an endpoint that lapsed while the store was away must have
-/// reported again; the platform states about two seconds.
-const RETURN_TIME: Duration = Duration::from_millis(2_500);
-/// Heartbeats after which the platform removes a silent endpoint's record.
-const LAPSE_HEARTBEATS: u32 = 4;
+/// Time after the return of the store in which endpoints whose record lapsed
+/// meanwhile report again; the platform states about two seconds.
+const RETURN_TIME: Duration = Duration::from_millis(2_200);
+/// Part of a service's endpoints whose removal at once is taken for an outage
+/// that this entry has not noticed.
+const MASS_PART: f64 = 0.3;
+/// Removals that are an outage rather than chance.
+const MASS_LEAST: usize = 2;
+/// Part of the time in which a leaving endpoint may still get work, for which
+/// an endpoint stays in use after such a removal.
+const MASS_HOLD_PART: f64 = 0.7;
 
 /// Applies the endpoints' records of this tick, and gives up those that have
 /// not come back after an outage of the store.
@@ -33,33 +38,87 @@
     cx: &mut TickCx,
     batch: &direct::Batch<direct::EndpointChange>,
 ) {
-    let was_away = world
-        .health(direct::Source::Endpoints)
-        .was_away(cx.now, lapse_span(world));
     let health = world.health.entry(direct::Source::Endpoints).or_default();
     if health.succeeded(cx.now) {
         log::info!(target: "store", source:% = direct::Source::Endpoints; "store regained");
     }
+    let mut gone = Vec::new();
     for change in &batch.items {
         match change {
-            direct::EndpointChange::Seen(record) => seen(world, cx, record),
-            direct::EndpointChange::Removed(id) => removed(world, cx, id, was_away),
+            direct::EndpointChange::Seen(record) => {
+                gone.retain(|id| *id != record.id);
+                seen(world, cx, record);
+            }
+            direct::EndpointChange::Removed(id) => gone.push(id.clone()),
             direct::EndpointChange::Unusable(_) => {}
         }
     }
     if batch.whole {
         let listed: HashSet<&ids::EndpointId> = batch.items.iter().map(change_id).collect();
-        let missing: Vec<_> = world
-            .endpoints
-            .named()
-            .filter(|(id, _)| !listed.contains(id))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in missing {
-            removed(world, cx, &id, was_away);
-        }
+        let missing = world.endpoints.named().map(|(id, _)| id);
+        gone.extend(missing.filter(|id| !listed.contains(id)).cloned());
         world.listed = true;
     }
+    remove(world, cx, &gone);
+}
+
+/// Removes endpoints, or keeps them for a while where an outage of the store
+/// may have removed their records.
+fn remove(world: &mut direct::World, cx: &mut TickCx, gone: &[ids::EndpointId]) {
+    let back_by = world
+        .health(direct::Source::Endpoints)
+        .returned_at()
+        .map(|returned| returned.after(RETURN_TIME))
+        .filter(|back_by| *back_by > cx.now);
+    let mass = masses(world, gone);
+    let mass_hold = world
+        .settings
+        .bounds
+        .drain
+        .duration()
+        .mul_f64(MASS_HOLD_PART);
+    for id in gone {
+        let Some(row) = world.endpoints.by_name_mut(id) else {
+            continue;
+        };
+        let is_mass = mass.contains(&row.record.service);
+        let until = back_by.or_else(|| is_mass.then(|| cx.now.after(mass_hold)));
+        if let Some(until) = until.filter(|_| !row.record.draining) {
+            if row.lapsed_until.is_none() {
+                log::info!(target: "endpoint", endpoint:% = id, until:% = until;
+                    "record lapsed around an outage of the store, the endpoint stays in use for now");
+                row.lapsed_until = Some(until);
+            }
+            continue;
+        }
+        world.endpoints.remove(id);
+        log::info!(target: "endpoint", endpoint:% = id; "endpoint is gone");
+        cx.changed = true;
+    }
+}
+
+/// Services that lose many endpoints at once which did not say that they leave.
+fn masses(world: &direct::World, gone: &[ids::EndpointId]) -> HashSet<ids::ServiceName> {
+    let mut lost: HashMap<&ids::ServiceName, usize> = HashMap::new();
+    for id in gone {
+        if let Some(row) = world.endpoints.by_name(id)
+            && !row.record.draining
+        {
+            *lost.entry(&row.record.service).or_default() += 1;
+        }
+    }
+    #[allow(clippy::cast_precision_loss)]
+    let is_mass = |service: &ids::ServiceName, lost: usize| {
+        let all = world.endpoints.iter();
+        let count = all
+            .filter(|(_, row)| row.record.service == *service)
+            .count();
+        lost >= MASS_LEAST && lost as f64 >= count as f64 * MASS_PART
+    };
+    lost.into_iter()
+        .filter(|(service, lost)| is_mass(service, *lost))
+        .map(|(service, _)| service.clone())
+        .collect()
 }
 
 const fn change_id(change: &direct::EndpointChange) -> &ids::EndpointId {
@@ -69,11 +128,6 @@
     }
 }
 
-/// Time within which a removal may be due to an outage that has just ended.
-fn lapse_span(world: &direct::World) -> Duration {
-    world.settings.heartbeat.duration() * LAPSE_HEARTBEATS
-}
-
 fn seen(world: &mut direct::World, cx: &mut TickCx, record: &direct::EndpointRecord) {
     let cold_span = world
         .deployment
@@ -94,7 +148,7 @@
             record: record.clone(),
             live: Arc::default(),
             cold_until,
-            lapsed: None,
+            lapsed_until: None,
         };
         world.endpoints.put(record.id.clone(), row);
         cx.changed = true;
@@ -118,44 +172,23 @@
         cold_left: record.cold_left,
         ..row.record.clone()
     };
-    cx.changed |= restarted || row.lapsed.is_some() || same != *record;
+    cx.changed |= restarted || row.lapsed_until.is_some() || same != *record;
     if cold_until > row.cold_until && record.cold_left.0 > 0 || restarted {
         row.cold_until = row.cold_until.max(cold_until);
         cx.changed = true;
     }
-    row.lapsed = None;
+    row.lapsed_until = None;
     row.record = record.clone();
 }
 
-fn removed(world: &mut direct::World, cx: &mut TickCx, id: &ids::EndpointId, was_away: bool) {
-    if !was_away {
-        if world.endpoints.remove(id).is_some() {
-            log::info!(target: "endpoint", endpoint:% = id; "endpoint is gone");
-            cx.changed = true;
-        }
-        return;
-    }
-    if let Some(row) = world.endpoints.by_name_mut(id)
-        && row.lapsed.is_none()
-    {
-        log::info!(target: "endpoint", endpoint:% = id;
-            "record lapsed around an outage of the store, the endpoint stays in use for now");
-        row.lapsed = Some(cx.now);
-    }
-}
-
 fn give_up_lapsed(world: &mut direct::World, cx: &mut TickCx) {
-    let Some(well_for) = world.health(direct::Source::Endpoints).well_for(cx.now) else {
-        return;
-    };
     let now = cx.now;
     let mut gone = false;
     world.endpoints.retain(|id, row| {
-        let is_overdue = |lapsed: runtime::Moment| now.since(lapsed).min(well_for) >= RETURN_TIME;
-        let keep = !row.lapsed.is_some_and(is_overdue);
+        let keep = row.lapsed_until.is_none_or(|until| now < until);
         if !keep {
             log::info!(target: "endpoint", endpoint:% = id;
-                "endpoint has not come back after the outage and is gone");
+                "endpoint has not come back and is gone");
             gone = true;
         }
         keep
--- a/src/direct/system/operator.rs
+++ b/src/direct/system/operator.rs
@@ -15,10 +15,10 @@
     for event in &events {
         match event {
             direct::Event::Operator(batch) => apply(world, cx, batch),
-            direct::Event::ReadFailed(source) => {
+            direct::Event::ReadFailed(source, reason) => {
                 let health = world.health.entry(*source).or_default();
                 if health.failed() {
-                    log::warn!(target: "store", source:% = source; "store lost");
+                    log::warn!(target: "store", source:% = source, reason:% = reason; "store lost");
                 }
             }
             _ => {}
--- a/src/direct/system/reports.rs
+++ b/src/direct/system/reports.rs
@@ -9,7 +9,10 @@
     for event in &events {
         match event {
             direct::Event::Reports(batch) => apply(world, cx, batch),
-            direct::Event::Reported { report, done: false } => {
+            direct::Event::Reported {
+                report,
+                done: false,
+            } => {
                 if let Some(row) = world.rollouts.get_mut(&report.service) {
                     row.asked = Some(cx.now);
                 }
@@ -21,11 +24,7 @@
     settle(world, cx);
 }
 
-fn apply(
-    world: &mut direct::World,
-    cx: &TickCx,
-    batch: &direct::Batch<direct::RolloutReport>,
-) {
+fn apply(world: &mut direct::World, cx: &TickCx, batch: &direct::Batch<direct::RolloutReport>) {
     let health = world.health.entry(direct::Source::Reports).or_default();
     if health.succeeded(cx.now) {
         log::info!(target: "store", source:% = direct::Source::Reports; "store regained");
@@ -39,7 +38,7 @@
     world.reports_end = Some(batch.end);
 }
 
-/// The first terminal report decides, also against this entry's own view.
+/// What is on record decides, also against this entry's own view.
 fn settle(world: &mut direct::World, cx: &mut TickCx) {
     for (service, row) in &mut world.rollouts {
         let on_record = world
@@ -51,14 +50,13 @@
             continue;
         }
         row.reported = on_record;
-        let completed = match on_record {
-            Some(direct::RolloutStage::Completed) => true,
-            Some(direct::RolloutStage::RolledBack) => false,
-            Some(direct::RolloutStage::Running) | None => continue,
-        };
-        log::info!(target: "rollout", service:% = service, target_version:% = row.order.target,
-            completed = completed; "roll-out is over");
-        row.canary = row.canary.clone().settle(completed);
-        cx.changed = true;
+        let Some(stage) = on_record else { continue };
+        let settled = row.canary.clone().settle(stage, cx.now);
+        if settled != row.canary {
+            log::info!(target: "rollout", service:% = service, target_version:% = row.order.target,
+                stage:% = stage; "roll-out moves on as reported by another entry");
+            row.canary = settled;
+            cx.changed = true;
+        }
     }
 }
--- a/src/direct/system/rollouts.rs
+++ b/src/direct/system/rollouts.rs
@@ -17,7 +17,7 @@
 pub fn run(world: &mut direct::World, cx: &mut TickCx) {
     let mut rollouts = std::mem::take(&mut world.rollouts);
     for (service, row) in &mut rollouts {
-        if row.reported.is_none_or(|stage| stage == direct::RolloutStage::Running) {
+        if !row.reported.is_some_and(rollout::Stage::is_over) {
             advance(world, cx, service, row);
             ask_report(world, cx, service, row);
         }
@@ -73,18 +73,12 @@
     service: &ids::ServiceName,
     row: &mut direct::RolloutRow,
 ) {
-    let stage = match &row.canary {
-        rollout::AnyCanary::Probing(_) | rollout::AnyCanary::Ramping(_) => {
-            direct::RolloutStage::Running
-        }
-        rollout::AnyCanary::Completed(_) => direct::RolloutStage::Completed,
-        rollout::AnyCanary::RolledBack(_) => direct::RolloutStage::RolledBack,
-    };
+    let stage = row.canary.stage(cx.now);
     let Some(end) = world.reports_end else { return };
     let waits = row
         .asked
         .is_some_and(|asked| cx.now.since(asked) < REPORT_PAUSE);
-    if row.reported == Some(stage) || waits {
+    if row.reported >= Some(stage) || waits {
         return;
     }
     row.asked = Some(cx.now);
--- a/src/direct/system/snapshot.rs
+++ b/src/direct/system/snapshot.rs
@@ -10,20 +10,21 @@
 /// What traffic sees of the tables.
 #[must_use]
 pub fn take(world: &direct::World) -> direct::Snapshot {
-    let services = world.deployment.as_ref().map_or_else(HashMap::new, |deployment| {
-        deployment
-            .services
-            .iter()
-            .map(|(name, upstream)| (name.clone(), Arc::new(service(world, name, upstream))))
-            .collect()
-    });
+    let services = world
+        .deployment
+        .as_ref()
+        .map_or_else(HashMap::new, |deployment| {
+            deployment
+                .services
+                .iter()
+                .map(|(name, upstream)| (name.clone(), Arc::new(service(world, name, upstream))))
+                .collect()
+        });
     direct::Snapshot {
         deployment: world.deployment.clone(),
         services,
         freshness: Arc::clone(&world.freshness),
         stopping: world.stopping,
-        domain_count: world.settings.domains.len(),
-        session: world.settings.bounds.session,
     }
 }
 
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -26,8 +26,9 @@
     pub live: Arc<balance::Live>,
     /// Until when it is cold.
     pub cold_until: runtime::Moment,
-    /// When its record was removed, where that may be due to an outage of the store.
-    pub lapsed: Option<runtime::Moment>,
+    /// Until when it stays in use without a record, where that may be due to
+    /// an outage of the store.
+    pub lapsed_until: Option<runtime::Moment>,
 }
 
 /// A roll-out of a service.
@@ -40,7 +41,7 @@
     /// Results by version.
     pub evidence: Arc<direct::Evidence>,
     /// What is on record.
-    pub reported: Option<direct::RolloutStage>,
+    pub reported: Option<rollout::Stage>,
     /// When the pending report was asked for; reports are not repeated at every tick.
     pub asked: Option<runtime::Moment>,
 }
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -21,7 +21,7 @@
 const CONFIG_RETRY: units::Millis = units::Millis(400);
 /// Time for which requests are still taken once a planned stop has begun; the
 /// platform takes the entry out of rotation after two questions a second apart.
-const STOP_TAKES: Duration = Duration::from_millis(3_000);
+const STOP_TAKES: Duration = Duration::from_secs(3);
 /// Time after which a caller may come back to another entry.
 const STOP_RETRY: units::Millis = units::Millis(50);
 
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -151,17 +151,9 @@
         }
     }
 
+    /// Entries see requests of one session without knowing of each other's, so
+    /// only a hash of the session keeps it on one version.
     fn goes_to_target(&self, canary: &rollout::AnyCanary, now: runtime::Moment) -> bool {
-        if let Some(session) = self.facts.session
-            && let Some(version) = self.cx.session_version(session, &self.service, now)
-        {
-            if version == *canary.target() {
-                return true;
-            }
-            if canary.keeps_old_sessions() {
-                return false;
-            }
-        }
         let seed = self
             .facts
             .session
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -23,7 +23,6 @@
     /// Connections to endpoints.
     pub lanes: lanes::Lanes,
     windows: Mutex<HashMap<ids::ServiceName, balance::RetryWindow>>,
-    sessions: Mutex<balance::Sessions>,
     /// When a planned stop began, in milliseconds of the moment; 0 before.
     stopping: AtomicU64,
 }
@@ -41,7 +40,6 @@
             control,
             lanes: lanes::Lanes::new(traffic),
             windows: Mutex::default(),
-            sessions: Mutex::default(),
             stopping: AtomicU64::new(0),
         })
     }
@@ -70,32 +68,6 @@
         run(windows.entry(service.clone()).or_insert(window))
     }
 
-    /// The version that a session used last, where it still binds.
-    #[must_use]
-    pub fn session_version(
-        &self,
-        session: ids::Fingerprint,
-        service: &ids::ServiceName,
-        now: runtime::Moment,
-    ) -> Option<ids::VersionName> {
-        let span = self.settings.bounds.session.duration();
-        let sessions = self.sessions.lock().unwrap_or_else(PoisonError::into_inner);
-        sessions.version(session, service, span, now).cloned()
-    }
-
-    /// Records the version that a session uses.
-    pub fn session_used(
-        &self,
-        session: ids::Fingerprint,
-        service: &ids::ServiceName,
-        version: &ids::VersionName,
-        now: runtime::Moment,
-    ) {
-        let span = self.settings.bounds.session.duration();
-        let mut sessions = self.sessions.lock().unwrap_or_else(PoisonError::into_inner);
-        sessions.used(session, service, version, span, now);
-    }
-
     /// Begins a planned stop.
     pub fn begin_stop(&self) {
         let now = runtime::Moment::now().as_millis().max(1);
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -50,24 +50,35 @@
             Err(refusal) => return refuse(&mut trace, &refusal),
         };
         note(&mut trace, &admitted);
+        if let Some(session) = facts.session {
+            trace.note("session", &session);
+        }
         let Some(service) = admitted
             .rule
             .service_for(route::mix(ids::Fingerprint::of_text(&id).0))
             .cloned()
         else {
             let code = errors::ResultCode::NoEndpoint;
-            return refuse(&mut trace, &errors::Refusal::new(code, "route without service"));
+            return refuse(
+                &mut trace,
+                &errors::Refusal::new(code, "route without service"),
+            );
         };
         self.0.count_request(&service, now);
         let timeout = admitted.rule.timeout;
-        let span = facts.deadline.map_or(timeout, |deadline| deadline.min(timeout));
+        let span = facts
+            .deadline
+            .map_or(timeout, |deadline| deadline.min(timeout));
         let ends = arrived + span.duration();
         let (head, body) = req.into_parts();
         let body = match read_body(body, &admitted.deployment.limits, ends).await {
             Ok(body) => body,
             Err(refusal) => return refuse(&mut trace, &refusal),
         };
-        let target = head.uri.path_and_query().map_or("/", |target| target.as_str());
+        let target = head
+            .uri
+            .path_and_query()
+            .map_or("/", |target| target.as_str());
         let call = call::Call {
             cx: Arc::clone(&self.0),
             id,
@@ -156,15 +167,18 @@
         return Ok(hyper::body::Bytes::new());
     }
     let deadline = ends.min(Instant::now() + BODY_TIMEOUT);
-    let (code, reason) = match runtime::timeout_at(deadline, http::read_body(body, limits.body)).await
-    {
-        Some(Ok(body)) => return Ok(body),
-        Some(Err(http::HttpError::TooLarge)) => {
-            (errors::ResultCode::BodyTooLarge, "the body is too large")
-        }
-        Some(Err(_)) => (errors::ResultCode::MalformedRequest, "the body broke off"),
-        None => (errors::ResultCode::SlowRequest, "the body was not sent in time"),
-    };
+    let (code, reason) =
+        match runtime::timeout_at(deadline, http::read_body(body, limits.body)).await {
+            Some(Ok(body)) => return Ok(body),
+            Some(Err(http::HttpError::TooLarge)) => {
+                (errors::ResultCode::BodyTooLarge, "the body is too large")
+            }
+            Some(Err(_)) => (errors::ResultCode::MalformedRequest, "the body broke off"),
+            None => (
+                errors::ResultCode::SlowRequest,
+                "the body was not sent in time",
+            ),
+        };
     Err(errors::Refusal::new(code, reason).retry_after(units::Millis(0)))
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,7 +15,5 @@
 mod trace;
 
 pub use cx::Cx;
-pub use facts::{
-    AnswerFacts, Forward, Prompt, PromptPart, RequestFacts, WantedModel,
-};
+pub use facts::{AnswerFacts, Forward, Prompt, PromptPart, RequestFacts, WantedModel};
 pub use role::Gateway;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -39,7 +39,11 @@
     let mut failure: Option<Whole> = None;
     loop {
         let Some(view) = call.view() else {
-            return refuse(&mut call, errors::ResultCode::NoEndpoint, "the service is unknown");
+            return refuse(
+                &mut call,
+                errors::ResultCode::NoEndpoint,
+                "the service is unknown",
+            );
         };
         let Some(chosen) = call.choose(&view) else {
             return match failure {
@@ -59,7 +63,9 @@
                 return deliver(&mut call, whole);
             }
             Err(send::Unanswered::NotRun(..)) => {
-                if call.tried.len() > MAX_REFUSALS || call.time_left() < MIN_TIME_LEFT || !call.try_repeat()
+                if call.tried.len() > MAX_REFUSALS
+                    || call.time_left() < MIN_TIME_LEFT
+                    || !call.try_repeat()
                 {
                     return match failure {
                         Some(whole) => deliver(&mut call, whole),
@@ -203,7 +209,8 @@
     };
     let refusal = errors::Refusal::new(code, "whether the request has run is not known");
     call.trace.note("code", &code);
-    call.trace.finish(trace::Outcome::GaveUp, code.http_status());
+    call.trace
+        .finish(trace::Outcome::GaveUp, code.http_status());
     refuse::reply(&refusal)
 }
 
@@ -216,6 +223,7 @@
     let refusal = errors::Refusal::new(code, reason).retry_after(BUSY_RETRY);
     call.trace.note("code", &code);
     call.trace.note("reason", &reason);
-    call.trace.finish(trace::Outcome::Refused, code.http_status());
+    call.trace
+        .finish(trace::Outcome::Refused, code.http_status());
     refuse::reply(&refusal)
 }
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -35,7 +35,11 @@
         if is_old {
             return Err("configuration too old");
         }
-        if snapshot.services.values().all(|service| service.endpoints.is_empty()) {
+        if snapshot
+            .services
+            .values()
+            .all(|service| service.endpoints.is_empty())
+        {
             return Err("no endpoints");
         }
         Ok(())
--- a/src/gateway/refuse.rs
+++ b/src/gateway/refuse.rs
@@ -1,7 +1,7 @@
 //! Answers of the router itself.
 
-use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::StatusCode;
+use hyper::header::{HeaderValue, RETRY_AFTER};
 
 use crate::errors;
 use crate::http;
--- a/src/gateway/role.rs
+++ b/src/gateway/role.rs
@@ -23,7 +23,7 @@
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// Time from the begin of a stop to the close of idle connections. Until then
 /// callers may still use them, and learn with the answer that they close.
-const CLOSE_IDLE_AFTER: Duration = Duration::from_millis(3_000);
+const CLOSE_IDLE_AFTER: Duration = Duration::from_secs(3);
 /// Part of the grace time that a stop leaves unused.
 const STOP_MARGIN: Duration = Duration::from_millis(250);
 /// Descriptors that are not for callers: connections to endpoints and the store, files.
@@ -46,20 +46,19 @@
 
 impl Gateway {
     /// Starts the role.
-    pub async fn spawn(
-        settings: settings::Direct,
-        traffic: &runtime::Traffic,
-    ) -> io::Result<Self> {
+    pub async fn spawn(settings: settings::Direct, traffic: &runtime::Traffic) -> io::Result<Self> {
         let world = direct::World::new(settings.clone());
-        let (control, effects, _thread) =
-            control::Control::spawn_plane(direct::Plane::new(world))?;
+        let (control, effects, _thread) = control::Control::spawn_plane(direct::Plane::new(world))?;
         let store = platform::Store::new(settings.store_addr, traffic.clone());
         let cx = gateway::Cx::new(settings.clone(), control.clone(), traffic.clone());
         let limits = settings::Limits {
             head_bytes: MAX_HEAD,
             send_timeout_ms: CALLER_TIMEOUT,
             max_connections: usize::try_from(
-                settings.max_descriptors.saturating_sub(OWN_DESCRIPTORS).max(64),
+                settings
+                    .max_descriptors
+                    .saturating_sub(OWN_DESCRIPTORS)
+                    .max(64),
             )
             .unwrap_or(usize::MAX),
             ..settings::Limits::default()
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -70,7 +70,15 @@
         .map_or(units::Tokens(0), |prompt| prompt.input);
     let now = runtime::Moment::now();
     let permit = endpoint.live.begin(tokens, now);
-    let result = exchange(call, view, Arc::clone(&endpoint), permit, resume_after, patience).await;
+    let result = exchange(
+        call,
+        view,
+        Arc::clone(&endpoint),
+        permit,
+        resume_after,
+        patience,
+    )
+    .await;
     call.tried.push(endpoint.record.id.clone());
     match &result {
         Ok(_) => call.runs += 1,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -226,9 +226,7 @@
         .upstream
         .cold_start
         .map_or(Duration::ZERO, |cold| cold.duration.duration());
-    endpoint
-        .live
-        .failed(failure, cold, runtime::Moment::now());
+    endpoint.live.failed(failure, cold, runtime::Moment::now());
     call.observe(view, endpoint, false, None);
 }
 
@@ -366,7 +364,9 @@
 
     fn interrupt(&mut self, reason: &'static str) -> io::Error {
         self.call.trace.note("interrupted", &reason);
-        self.call.trace.finish(trace::Outcome::Interrupted, self.status.as_u16());
+        self.call
+            .trace
+            .finish(trace::Outcome::Interrupted, self.status.as_u16());
         io::Error::new(io::ErrorKind::ConnectionAborted, reason)
     }
 }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -10,9 +10,9 @@
 use hyper::client::conn::http1;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{HeaderMap, Request, StatusCode};
-use smol::{Task, Timer};
 use smol::future::FutureExt;
 use smol::net::TcpStream;
+use smol::{Task, Timer};
 use smol_hyper::rt::FuturesIo;
 
 use crate::http;
@@ -69,7 +69,7 @@
 #[derive(Debug)]
 struct Connection {
     sender: Sender,
-    idle_age: Duration,
+    keep_for: Duration,
     driver: Task<()>,
     place: Place,
 }
@@ -88,7 +88,7 @@
 #[derive(Debug)]
 struct Idle {
     sender: Sender,
-    idle_age: Duration,
+    keep_for: Duration,
     since: Instant,
     driver: Task<()>,
 }
@@ -97,7 +97,7 @@
     fn is_usable(&self, now: Instant) -> bool {
         !self.sender.is_closed()
             && self.sender.is_ready()
-            && now.saturating_duration_since(self.since) < self.idle_age
+            && now.saturating_duration_since(self.since) < self.keep_for
     }
 }
 
@@ -113,7 +113,7 @@
             if candidate.is_usable(now) {
                 return Some(Connection {
                     sender: candidate.sender,
-                    idle_age: candidate.idle_age,
+                    keep_for: candidate.keep_for,
                     driver: candidate.driver,
                     place: Place(Arc::clone(self)),
                 });
@@ -144,7 +144,7 @@
         shared.open.fetch_add(1, Ordering::AcqRel);
         idle.push(Idle {
             sender: self.sender,
-            idle_age: self.idle_age,
+            keep_for: self.keep_for,
             since: Instant::now(),
             driver: self.driver,
         });
@@ -250,7 +250,7 @@
         self.shared.open.fetch_add(1, Ordering::AcqRel);
         Ok(Connection {
             sender,
-            idle_age: MAX_IDLE_AGE,
+            keep_for: MAX_IDLE_AGE,
             driver: self.shared.traffic.spawn(driver),
             place: Place(Arc::clone(&self.shared)),
         })
@@ -258,7 +258,7 @@
 }
 
 /// Idle time that the server allows, by its `Keep-Alive` header.
-fn stated_idle_age(headers: &HeaderMap) -> Option<Duration> {
+fn stated_idle_time(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
     let seconds = text
         .split(',')
@@ -283,8 +283,8 @@
 impl Answer {
     fn new(response: hyper::Response<Incoming>, mut connection: Connection) -> Self {
         let (head, body) = response.into_parts();
-        if let Some(age) = stated_idle_age(&head.headers) {
-            connection.idle_age = age;
+        if let Some(age) = stated_idle_time(&head.headers) {
+            connection.keep_for = age;
         }
         Self {
             status: head.status,
--- a/src/platform/boot.rs
+++ b/src/platform/boot.rs
@@ -18,8 +18,6 @@
 const DEFAULT_HEARTBEAT_MS: f64 = 1_000.0;
 /// Used where the file states no bound on draining.
 const DEFAULT_DRAIN_MS: f64 = 2_000.0;
-/// Used where the file states no time after which bounds hold.
-const DEFAULT_SETTLE_MS: f64 = 3_000.0;
 /// Used where the file states no bound on withdrawn keys.
 const DEFAULT_REVOKE_MS: f64 = 5_000.0;
 /// Used where the file states no bound on repeats.
@@ -28,8 +26,6 @@
 const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
 /// Used where the file states no bound on a bad version's part.
 const DEFAULT_EXPOSURE: f64 = 0.1;
-/// Used where the file states no time for which requests of a session belong together.
-const DEFAULT_SESSION_S: f64 = 5.0;
 /// Used where the file states no limit on descriptors.
 const DEFAULT_DESCRIPTORS: u32 = 1_024;
 
@@ -73,7 +69,6 @@
 #[derive(Debug, Default, serde::Deserialize)]
 #[serde(rename_all = "PascalCase", default)]
 struct Params {
-    contact_ms: Option<f64>,
     drain_ms: Option<f64>,
     grace_s: Option<f64>,
     strict_revoke: Option<bool>,
@@ -81,7 +76,6 @@
     budget_ratio: Option<f64>,
     budget_window_s: Option<f64>,
     expose_share: Option<f64>,
-    session_s: Option<f64>,
 }
 
 /// Path of the settings file, where the platform has started this process.
@@ -131,7 +125,6 @@
         heartbeat: units::Millis::rounded(file.heartbeat_ms.unwrap_or(DEFAULT_HEARTBEAT_MS)),
         max_descriptors: file.limits.max_fds.unwrap_or(DEFAULT_DESCRIPTORS),
         bounds: settings::Bounds {
-            settle: units::Millis::rounded(params.contact_ms.unwrap_or(DEFAULT_SETTLE_MS)),
             drain: units::Millis::rounded(params.drain_ms.unwrap_or(DEFAULT_DRAIN_MS)),
             grace: units::Millis::from_seconds(params.grace_s.unwrap_or(DEFAULT_GRACE_S)),
             revoke: params.strict_revoke.unwrap_or(false).then_some(revoke),
@@ -140,7 +133,6 @@
                 params.budget_window_s.unwrap_or(DEFAULT_RETRY_WINDOW_S),
             ),
             exposure: units::Share::clamped(params.expose_share.unwrap_or(DEFAULT_EXPOSURE)),
-            session: units::Millis::from_seconds(params.session_s.unwrap_or(DEFAULT_SESSION_S)),
         },
     }
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -158,7 +158,9 @@
 }
 
 fn load(headers: &HeaderMap) -> Option<balance::ReportedLoad> {
-    let mut parts = text(headers, &LOAD)?.split(',').map(|part| part.trim().parse());
+    let mut parts = text(headers, &LOAD)?
+        .split(',')
+        .map(|part| part.trim().parse());
     let mut next = || parts.next()?.ok();
     Some(balance::ReportedLoad {
         running: next()?,
--- a/src/platform/log_client.rs
+++ b/src/platform/log_client.rs
@@ -1,40 +1,28 @@
-//! Client of the append-only log.
+//! Streams of JSON records in the store.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use http_body_util::Full;
 use hyper::body::Bytes;
-use hyper::header::CONTENT_TYPE;
-use hyper::{Method, Request};
+use serde_json::Value;
 
 use crate::http;
 use crate::ids;
 use crate::platform;
 use crate::runtime;
-use crate::units;
 
-/// Time for an append; the log takes tens of milliseconds when healthy.
-const APPEND_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time beyond the long-poll wait for a read.
-const READ_MARGIN: Duration = Duration::from_secs(3);
-/// Largest answer to a read.
-const MAX_PAGE: units::Bytes = units::Bytes(16 * 1_024 * 1_024);
-/// Records asked for in one read.
-const PAGE_RECORDS: usize = 500;
-
-/// Client of the log; clones share connections.
+/// Client of the streams; clones share connections.
 #[derive(Clone, Debug)]
 pub struct LogClient {
-    http: http::Client,
+    store: platform::Store,
 }
 
 impl LogClient {
-    /// A client of the log at `addr`.
+    /// A client of the store at `addr`.
     #[must_use]
     pub fn new(addr: SocketAddr, traffic: runtime::Traffic) -> Self {
         Self {
-            http: http::Client::new(addr, traffic),
+            store: platform::Store::new(addr, traffic),
         }
     }
 
@@ -42,57 +30,66 @@
     pub async fn append(
         &self,
         stream: platform::Stream,
-        records: &[serde_json::Value],
+        records: &[Value],
     ) -> Result<platform::Append, platform::PlatformError> {
-        let body = serde_json::json!({ "records": records }).to_string();
-        let req = Request::builder()
-            .method(Method::POST)
-            .uri(format!("/streams/{stream}/records"))
-            .header(CONTENT_TYPE, "application/json")
-            .body(Full::new(Bytes::from(body)))
-            .map_err(|err| http::HttpError::NotSent(err.to_string().into()))?;
-        self.exchange(req, APPEND_TIMEOUT).await
+        let records: Vec<Bytes> = records
+            .iter()
+            .map(|record| record.to_string().into())
+            .collect();
+        match self
+            .store
+            .append(&stream.to_string(), None, &records)
+            .await?
+        {
+            platform::Appended::At(first) => Ok(platform::Append { first }),
+            // Only an append with a condition is refused by it.
+            platform::Appended::Moved { .. } => Err(platform::PlatformError::Refused(
+                http::HttpError::Malformed("refused by a condition that was not stated".into()),
+            )),
+        }
     }
 
-    /// Reads records from `from` on; waits up to `wait` where there is none yet.
+    /// Reads records from `from` on, or from the oldest that is retained;
+    /// waits up to `wait` where there is none yet.
     pub async fn read(
         &self,
         stream: platform::Stream,
         from: ids::Offset,
         wait: Duration,
     ) -> Result<platform::Page, platform::PlatformError> {
-        let wait_ms = wait.as_millis();
-        let req = Request::builder()
-            .uri(format!(
-                "/streams/{stream}/records?from={from}&max={PAGE_RECORDS}&wait_ms={wait_ms}"
-            ))
-            .body(Full::default())
-            .map_err(|err| http::HttpError::NotSent(err.to_string().into()))?;
-        self.exchange(req, wait + READ_MARGIN).await
-    }
-
-    /// The time limit covers the body too, since the log may stall after its head.
-    async fn exchange<T: serde::de::DeserializeOwned>(
-        &self,
-        req: Request<Full<Bytes>>,
-        timeout: Duration,
-    ) -> Result<T, platform::PlatformError> {
-        let deadline = Instant::now() + timeout;
-        let exchange = async {
-            let answer = self.http.send(req, timeout).await?;
-            decode(answer).await
-        };
-        runtime::timeout_at(deadline, exchange).await.unwrap_or(Err(
-            platform::PlatformError::Unknown(http::HttpError::TimedOut),
-        ))
+        let topic = stream.to_string();
+        let mut read = self.store.read(&topic, from, wait).await?;
+        if let platform::Read::Expired { first_retained } = read {
+            read = self
+                .store
+                .read(&topic, first_retained, Duration::ZERO)
+                .await?;
+        }
+        match read {
+            platform::Read::Records(records) => Ok(page(stream, records)),
+            platform::Read::Expired { .. } => Err(platform::PlatformError::Refused(
+                http::HttpError::Malformed("records expired while they were read".into()),
+            )),
+        }
     }
 }
 
-async fn decode<T: serde::de::DeserializeOwned>(
-    answer: http::Answer,
-) -> Result<T, platform::PlatformError> {
-    if !answer.status.is_success() {
-        return Err(platform::PlatformError::Status(answer.status.as_u16()));
+fn page(stream: platform::Stream, read: platform::Records) -> platform::Page {
+    let offsets = read.from.0..;
+    let records = offsets
+        .zip(read.records)
+        .map(|(offset, content)| {
+            let offset = ids::Offset(offset);
+            let body = serde_json::from_slice(&content).unwrap_or_else(|err| {
+                log::error!("control: record {offset} of {stream} is not JSON: {err}.");
+                Value::Null
+            });
+            platform::LogRecord { offset, body }
+        })
+        .collect();
+    platform::Page {
+        first_retained: read.first_retained,
+        end: read.end,
+        records,
     }
-    Ok(answer.json(MAX_PAGE).await?)
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -14,6 +14,7 @@
 mod record;
 pub mod rollout_status;
 mod store;
+pub mod store_call;
 
 pub use append_once::append_once;
 pub use appender::Appender;
@@ -22,5 +23,6 @@
 pub use log_client::LogClient;
 pub use page::{Append, LogRecord, Page, Stream};
 pub use rating::{RateRequest, Rating};
-pub use record::split_key;
+pub use record::{has_keys, split_key, with_key};
 pub use store::{Appended, KeyedRecord, Newest, Read, Records, Store};
+pub use store_call::StoreCall;
--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -231,9 +231,9 @@
     };
     catalog::Upstream {
         name: service.name,
-        max_connections: service
-            .max_connections
-            .map_or(u32::MAX, |most| u32::try_from(whole(most)).unwrap_or(u32::MAX)),
+        max_connections: service.max_connections.map_or(u32::MAX, |most| {
+            u32::try_from(whole(most)).unwrap_or(u32::MAX)
+        }),
         cold_start,
         models: models
             .into_iter()
--- a/src/platform/record.rs
+++ b/src/platform/record.rs
@@ -4,6 +4,8 @@
 
 use hyper::body::Bytes;
 
+/// Start of the names of topics whose records have keys.
+const KEYED: &str = "keyed.";
 /// Bytes of the length before each record.
 const LENGTH_BYTES: usize = 4;
 
@@ -54,3 +56,9 @@
     let value = content.slice(1 + length..);
     Some((key, (!value.is_empty()).then_some(value)))
 }
+
+/// Whether the records of a topic have keys.
+#[must_use]
+pub fn has_keys(topic: &str) -> bool {
+    topic.starts_with(KEYED)
+}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -13,7 +13,7 @@
 use crate::http;
 use crate::ids;
 use crate::platform;
-use crate::platform::record;
+use crate::platform::{record, store_call};
 use crate::runtime;
 use crate::units;
 
@@ -150,7 +150,10 @@
         wait: Duration,
     ) -> Result<Read, platform::PlatformError> {
         let wait_ms = wait.as_millis();
-        let uri = format!("/log-read?Topic={topic}&part=0&From={from}&WaitMs={wait_ms}");
+        let uri = format!(
+            "{}?Topic={topic}&part=0&From={from}&WaitMs={wait_ms}",
+            store_call::READ
+        );
         let (status, body) = self
             .call(Method::GET, uri, Bytes::new(), wait + CALL_TIMEOUT)
             .await?;
@@ -169,7 +172,7 @@
         topic: &str,
         after: Option<&str>,
     ) -> Result<Newest, platform::PlatformError> {
-        let mut uri = format!("/log-newest?Topic={topic}&part=0");
+        let mut uri = format!("{}?Topic={topic}&part=0", store_call::NEWEST);
         if let Some(after) = after {
             uri.push_str("&After=");
             uri.push_str(after);
@@ -207,9 +210,9 @@
         at: Option<ids::Offset>,
         records: &[Bytes],
     ) -> Result<Appended, platform::PlatformError> {
-        let mut uri = format!("/log-append?Topic={topic}&part=0");
+        let mut uri = format!("{}?Topic={topic}&part=0", store_call::APPEND);
         if let Some(at) = at {
-            uri.push_str(&format!("&At={at}"));
+            uri = format!("{uri}&At={at}");
         }
         let body = record::encode(records);
         let (status, body) = self.call(Method::POST, uri, body, CALL_TIMEOUT).await?;
--- a/src/rollout/canary.rs
+++ b/src/rollout/canary.rs
@@ -1,8 +1,6 @@
 //! Life cycle of a roll-out by time: a small share of the sessions first, then
 //! all, then done.
 
-use std::time::Duration;
-
 use crate::ids;
 use crate::runtime;
 use crate::units;
@@ -15,12 +13,37 @@
 /// Part of the time after which the old version is given up; streams that
 /// began on it have ended by then.
 const DONE_PART: f64 = 0.8;
-/// Part of the permitted exposure that the first share uses, so that a bad
-/// version stays within the bound although it is judged a little later.
-const PROBING_SHARE_OF_EXPOSURE: f64 = 0.55;
+/// Part of the permitted exposure that the first share uses. A session that is
+/// under way when the roll-out begins changes its version once if it is in the
+/// share, so the share must be small; it must also show a bad version in time.
+const PROBING_SHARE_OF_EXPOSURE: f64 = 0.2;
 /// Share at the start of the ramp.
 const RAMP_START: f64 = 0.25;
 
+/// How far a roll-out is, as entries tell each other through the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum Stage {
+    /// A small share is observed.
+    Probing,
+    /// The share grows.
+    Ramping,
+    /// All traffic goes to the new version; the old one is still there.
+    Full,
+    /// The new version is in.
+    Completed,
+    /// The new version is out.
+    RolledBack,
+}
+
+impl Stage {
+    /// Whether nothing follows.
+    #[must_use]
+    pub const fn is_over(self) -> bool {
+        matches!(self, Self::Completed | Self::RolledBack)
+    }
+}
+
 /// First part: a small share is observed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Probing;
@@ -83,7 +106,12 @@
 
     fn part_passed(&self, now: runtime::Moment) -> f64 {
         let passed = now.since(self.started).as_secs_f64();
-        passed / self.duration.duration().as_secs_f64().max(f64::MIN_POSITIVE)
+        passed
+            / self
+                .duration
+                .duration()
+                .as_secs_f64()
+                .max(f64::MIN_POSITIVE)
     }
 
     /// The version that is brought in.
@@ -91,18 +119,6 @@
     pub const fn target(&self) -> &ids::VersionName {
         &self.target
     }
-
-    /// Gives the version up.
-    #[must_use]
-    pub fn roll_back(self) -> Canary<RolledBack> {
-        self.with(RolledBack)
-    }
-
-    /// Gives the old versions up.
-    #[must_use]
-    pub fn complete(self) -> Canary<Completed> {
-        self.with(Completed)
-    }
 }
 
 impl Canary<Probing> {
@@ -127,6 +143,11 @@
     fn ramp(self, now: runtime::Moment) -> Canary<Ramping> {
         self.with(Ramping { since: now })
     }
+
+    /// Takes all traffic at once, as the other entries already do.
+    fn ramp_fully(self) -> Canary<Ramping> {
+        self.ramp(runtime::Moment::default())
+    }
 }
 
 impl Canary<Ramping> {
@@ -181,53 +202,58 @@
         })
     }
 
-    /// Whether sessions of the old version stay there for now.
+    /// How far the roll-out is.
     #[must_use]
-    pub const fn keeps_old_sessions(&self) -> bool {
-        matches!(self, Self::Probing(_))
+    pub fn stage(&self, now: runtime::Moment) -> Stage {
+        match self {
+            Self::Probing(_) => Stage::Probing,
+            Self::Ramping(canary) if canary.share(now) < 1.0 => Stage::Ramping,
+            Self::Ramping(_) => Stage::Full,
+            Self::Completed(_) => Stage::Completed,
+            Self::RolledBack(_) => Stage::RolledBack,
+        }
     }
 
     /// The state after an observation.
     #[must_use]
     pub fn advance(self, seen: Observation) -> Self {
         match self {
-            Self::Probing(canary) if seen.bad => Self::RolledBack(canary.roll_back()),
-            Self::Ramping(canary) if seen.bad => Self::RolledBack(canary.roll_back()),
+            Self::Probing(canary) if seen.bad => Self::RolledBack(canary.with(RolledBack)),
+            Self::Ramping(canary) if seen.bad => Self::RolledBack(canary.with(RolledBack)),
             Self::Probing(canary)
                 if seen.enough_endpoints && canary.part_passed(seen.now) >= PROBING_PART =>
             {
                 Self::Ramping(canary.ramp(seen.now))
             }
             Self::Ramping(canary) if canary.may_complete(seen.now) => {
-                Self::Completed(canary.complete())
+                Self::Completed(canary.with(Completed))
             }
             other => other,
         }
     }
 
-    /// The state once the report of another entry is on record.
+    /// The state once another entry has reported `stage`: what is on record is
+    /// never behind, and the end on record decides.
     #[must_use]
-    pub fn settle(self, completed: bool) -> Self {
-        match self {
-            Self::Probing(canary) if completed => Self::Completed(canary.complete()),
-            Self::Ramping(canary) if completed => Self::Completed(canary.complete()),
-            Self::RolledBack(canary) if completed => Self::Completed(canary.complete()),
-            Self::Probing(canary) => Self::RolledBack(canary.roll_back()),
-            Self::Ramping(canary) => Self::RolledBack(canary.roll_back()),
-            Self::Completed(canary) if !completed => Self::RolledBack(canary.roll_back()),
-            other => other,
+    pub fn settle(self, stage: Stage, now: runtime::Moment) -> Self {
+        match (stage, self) {
+            (Stage::Completed, canary) => Self::Completed(canary.end(Completed)),
+            (Stage::RolledBack, canary) => Self::RolledBack(canary.end(RolledBack)),
+            (Stage::Ramping, Self::Probing(canary)) => Self::Ramping(canary.ramp(now)),
+            (Stage::Full, Self::Probing(canary)) => Self::Ramping(canary.ramp_fully()),
+            (Stage::Full, Self::Ramping(canary)) => Self::Ramping(canary.with(Ramping {
+                since: runtime::Moment::default(),
+            })),
+            (_, canary) => canary,
         }
     }
 
-    /// Time that the roll-out may still take.
-    #[must_use]
-    pub fn time_left(&self, now: runtime::Moment) -> Duration {
-        let (duration, started) = match self {
-            Self::Probing(canary) => (canary.duration, canary.started),
-            Self::Ramping(canary) => (canary.duration, canary.started),
-            Self::Completed(canary) => (canary.duration, canary.started),
-            Self::RolledBack(canary) => (canary.duration, canary.started),
-        };
-        duration.duration().saturating_sub(now.since(started))
+    fn end<S>(self, state: S) -> Canary<S> {
+        match self {
+            Self::Probing(canary) => canary.with(state),
+            Self::Ramping(canary) => canary.with(state),
+            Self::Completed(canary) => canary.with(state),
+            Self::RolledBack(canary) => canary.with(state),
+        }
     }
 }
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -9,7 +9,7 @@
 mod tally;
 
 pub use allotment::Allotment;
-pub use canary::{AnyCanary, Canary, Completed, Observation, Probing, Ramping, RolledBack};
+pub use canary::{AnyCanary, Canary, Completed, Observation, Probing, Ramping, RolledBack, Stage};
 pub use division::divide;
 pub use judgement::Judgement;
 pub use life::{Complete, Loading, Rollout, Stepping, Stopped};
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -31,8 +31,6 @@
 /// Bounds that the operators of a deployment state.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
-    /// Time for which a process must be undisturbed before bounds hold for it.
-    pub settle: units::Millis,
     /// Time after which a leaving endpoint receives no new work.
     pub drain: units::Millis,
     /// Time from SIGTERM to SIGKILL.
@@ -46,6 +44,4 @@
     pub retry_window: units::Millis,
     /// Largest part of a service's requests that a bad version may get.
     pub exposure: units::Share,
-    /// Time for which requests of one session belong together.
-    pub session: units::Millis,
 }
--- a/src/standin/log.rs
+++ b/src/standin/log.rs
@@ -1,4 +1,4 @@
-//! Stand-in for the platform's append-only log.
+//! Stand-in for the platform's store, by its published protocol.
 
 use std::collections::HashMap;
 use std::io;
@@ -7,21 +7,25 @@
 use std::time::{Duration, Instant};
 
 use event_listener::Event;
-use hyper::body::Incoming;
-use hyper::{Method, Request, StatusCode};
+use hyper::body::{Bytes, Incoming};
+use hyper::{Request, StatusCode};
 use serde_json::Value;
 use smol::Timer;
 
 use crate::http;
 use crate::ids;
 use crate::platform;
+use crate::platform::store_call;
 use crate::runtime;
 use crate::settings;
 use crate::standin::serve;
 use crate::standin::streams;
+use crate::units;
 
-/// Records in an answer where the reader states no number.
-const DEFAULT_PAGE: usize = 100;
+/// Records in one listing of the newest of each key.
+const MAX_LISTING: usize = 500;
+/// Largest body of a call.
+const MAX_BODY: units::Bytes = units::Bytes(4 * 1_024 * 1_024);
 
 /// A running log; dropping it stops it.
 #[derive(Debug)]
@@ -36,11 +40,6 @@
     changed: Event,
 }
 
-#[derive(serde::Deserialize)]
-struct AppendBody {
-    records: Vec<Value>,
-}
-
 impl Log {
     fn lock(&self) -> MutexGuard<'_, streams::Streams> {
         self.streams.lock().unwrap_or_else(PoisonError::into_inner)
@@ -51,10 +50,15 @@
         self.changed.notify(usize::MAX);
     }
 
-    fn append(&self, stream: platform::Stream, records: Vec<Value>) -> platform::Append {
-        let append = self.lock().append(stream, records);
+    fn append(
+        &self,
+        topic: &str,
+        at: Option<ids::Offset>,
+        records: Vec<Bytes>,
+    ) -> platform::Appended {
+        let appended = self.lock().append(topic, at, records);
         self.changed.notify(usize::MAX);
-        append
+        appended
     }
 
     /// The reply during an outage; `None` while the log is up.
@@ -76,52 +80,61 @@
         }
     }
 
-    async fn read(&self, stream: platform::Stream, uri: &hyper::Uri) -> http::Reply {
-        let from = serve::query(uri, "from").unwrap_or(ids::Offset(0));
-        let max = serve::query(uri, "max").unwrap_or(DEFAULT_PAGE);
-        let wait = Duration::from_millis(serve::query(uri, "wait_ms").unwrap_or(0));
+    async fn read(&self, topic: &str, from: ids::Offset, wait: Duration) -> http::Reply {
         let until = Instant::now() + wait;
         loop {
             let listener = self.changed.listen();
             if let Some(reply) = self.outage().await {
                 return reply;
             }
-            let page = self.lock().page(stream, from, max);
-            if !page.records.is_empty() || Instant::now() >= until {
-                return http::json(StatusCode::OK, &page);
+            let read = self.lock().read(topic, from);
+            let has_news = match &read {
+                platform::Read::Records(page) => !page.records.is_empty(),
+                platform::Read::Expired { .. } => true,
+            };
+            if has_news || Instant::now() >= until {
+                return answer(store_call::read_answer(&read));
             }
             let _ = runtime::timeout_at(until, listener).await;
         }
     }
 
-    async fn post(&self, stream: platform::Stream, req: Request<Incoming>) -> http::Reply {
-        let Some(body) = serve::read_json::<AppendBody>(req).await else {
-            return serve::status(StatusCode::BAD_REQUEST);
-        };
+    async fn post(&self, topic: &str, at: Option<ids::Offset>, records: Vec<Bytes>) -> http::Reply {
         if let Some(reply) = self.outage().await {
             return reply;
         }
-        let append = self.append(stream, body.records);
-        if self.lock().take_loss(stream) {
+        let count = records.len();
+        let appended = self.append(topic, at, records);
+        if self.lock().take_loss(topic) {
             return http::abandoned();
         }
-        http::json(StatusCode::OK, &append)
-    }
-
-    async fn streams(&self, req: Request<Incoming>) -> http::Reply {
-        let stream = req
-            .uri()
-            .path()
-            .strip_prefix("/streams/")
-            .and_then(|rest| rest.strip_suffix("/records"))
-            .and_then(|name| name.parse().ok());
-        let Some(stream) = stream else {
-            return http::not_found();
+        answer(store_call::append_answer(appended, count))
+    }
+
+    async fn list(&self, topic: &str, after: Option<&str>) -> http::Reply {
+        if let Some(reply) = self.outage().await {
+            return reply;
+        }
+        let newest = self.lock().newest(topic, after, MAX_LISTING);
+        answer(store_call::newest_answer(&newest))
+    }
+
+    async fn call(&self, req: Request<Incoming>) -> http::Reply {
+        let (head, body) = req.into_parts();
+        let Ok(body) = http::read_body(body, MAX_BODY).await else {
+            return serve::status(StatusCode::PAYLOAD_TOO_LARGE);
         };
-        let reply = if req.method() == Method::POST {
-            self.post(stream, req).await
-        } else {
-            self.read(stream, req.uri()).await
+        let reply = match platform::StoreCall::decode(&head.method, &head.uri, &body) {
+            Some(platform::StoreCall::Append { topic, at, records }) => {
+                self.post(&topic, at, records).await
+            }
+            Some(platform::StoreCall::Read { topic, from, wait }) => {
+                self.read(&topic, from, wait).await
+            }
+            Some(platform::StoreCall::Newest { topic, after }) => {
+                self.list(&topic, after.as_deref()).await
+            }
+            None => return http::not_found(),
         };
         let delay = self.lock().answer_delay.duration();
         if !delay.is_zero() {
@@ -131,6 +144,10 @@
     }
 }
 
+fn answer((status, body): store_call::StoreAnswer) -> http::Reply {
+    http::full(status, "application/octet-stream", body)
+}
+
 impl http::Handler for Log {
     async fn handle(&self, req: Request<Incoming>) -> http::Reply {
         match req.uri().path() {
@@ -139,7 +156,7 @@
                 let appends = self.lock().appends();
                 http::json(StatusCode::OK, &appends)
             }
-            _ => self.streams(req).await,
+            _ => self.call(req).await,
         }
     }
 }
@@ -171,14 +188,39 @@
         stream: platform::Stream,
         record: &impl serde::Serialize,
     ) -> serde_json::Result<ids::Offset> {
-        let value = serde_json::to_value(record)?;
-        Ok(self.log.append(stream, vec![value]).first)
+        let content = serde_json::to_vec(record)?;
+        Ok(self.append_raw(&stream.to_string(), content.into()))
+    }
+
+    /// Sets the newest record of a key directly, also during an outage; `None`
+    /// removes the key.
+    pub fn put(&self, topic: &str, key: &str, value: Option<&[u8]>) {
+        let content = platform::with_key(key, value.unwrap_or_default()).unwrap_or_default();
+        self.append_raw(topic, content);
+    }
+
+    fn append_raw(&self, topic: &str, content: Bytes) -> ids::Offset {
+        match self.log.append(topic, None, vec![content]) {
+            platform::Appended::At(offset) => offset,
+            platform::Appended::Moved { end } => end,
+        }
+    }
+
+    /// The newest records of all keys of a topic.
+    #[must_use]
+    pub fn newest(&self, topic: &str) -> Vec<platform::KeyedRecord> {
+        self.log.lock().newest(topic, None, usize::MAX).records
+    }
+
+    /// Drops the records of a topic below an offset; the newest of each key stays.
+    pub fn retain_from(&self, topic: &str, offset: ids::Offset) {
+        self.log.lock().retain_from(topic, offset);
     }
 
     /// The retained records of a stream.
     #[must_use]
     pub fn records(&self, stream: platform::Stream) -> Vec<Value> {
-        self.log.lock().records(stream)
+        self.log.lock().records(&stream.to_string())
     }
 
     /// Appends of each stream so far; an append may hold several records.
--- a/src/standin/serve.rs
+++ b/src/standin/serve.rs
@@ -1,7 +1,5 @@
 //! Small helpers of the stand-ins' HTTP handlers.
 
-use std::str::FromStr;
-
 use hyper::body::Incoming;
 use hyper::{Request, StatusCode};
 
@@ -11,15 +9,6 @@
 /// Largest body that a stand-in reads.
 const MAX_BODY: units::Bytes = units::Bytes(4 * 1_024 * 1_024);
 
-/// A parameter of the query; `None` where it is missing or malformed.
-pub fn query<T: FromStr>(uri: &hyper::Uri, name: &str) -> Option<T> {
-    uri.query()?
-        .split('&')
-        .filter_map(|pair| pair.split_once('='))
-        .find(|(key, _)| *key == name)
-        .and_then(|(_, value)| value.parse().ok())
-}
-
 /// A plain answer with a status.
 pub fn status(status: StatusCode) -> http::Reply {
     http::full(status, "text/plain", status.to_string())
--- a/tests/integration/append.rs
+++ b/tests/integration/append.rs
@@ -4,12 +4,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use hyper::body::Incoming;
-use hyper::{Method, Request, StatusCode};
+use hyper::Request;
+use hyper::body::{Bytes, Incoming};
 use quetzalworks::ids::Offset;
-use quetzalworks::platform::{self, Append, LogClient, LogRecord, Page, Stream};
+use quetzalworks::platform::store_call::{StoreAnswer, append_answer, read_answer};
+use quetzalworks::platform::{self, Appended, LogClient, Read, Records, StoreCall, Stream};
 use quetzalworks::{http, settings};
-use serde_json::{Value, json};
+use serde_json::json;
 
 use crate::testing::{http as caller, place};
 
@@ -21,46 +22,45 @@
 struct LosingLog {
     stores_first: bool,
     lost: AtomicBool,
-    records: Mutex<Vec<Value>>,
+    records: Mutex<Vec<Bytes>>,
 }
 
 impl LosingLog {
-    fn store(&self, body: &Value) {
-        let new = body["records"].as_array().unwrap().clone();
-        self.records.lock().unwrap().extend(new);
-    }
-
-    fn page(&self) -> Page {
-        let records = self.records.lock().unwrap().clone();
-        Page {
-            first_retained: Offset(0),
+    fn page(&self, from: Offset) -> Read {
+        let records = self.records.lock().unwrap();
+        let skip = usize::try_from(from.0).unwrap();
+        Read::Records(Records {
+            from,
             end: Offset(records.len() as u64),
-            records: (0..)
-                .zip(records)
-                .map(|(offset, body)| LogRecord {
-                    offset: Offset(offset),
-                    body,
-                })
-                .collect(),
-        }
+            first_retained: Offset(0),
+            records: records.iter().skip(skip).cloned().collect(),
+        })
     }
-}
 
-impl http::Handler for LosingLog {
-    async fn handle(&self, req: Request<Incoming>) -> http::Reply {
-        if req.method() != Method::POST {
-            return http::json(StatusCode::OK, &self.page());
-        }
-        let body = http::read_body(req.into_body(), quetzalworks::units::Bytes(1 << 20)).await;
-        let body = serde_json::from_slice(&body.unwrap_or_default()).unwrap();
+    async fn append(&self, new: Vec<Bytes>) -> StoreAnswer {
+        let count = new.len();
         let lost = !self.lost.swap(true, Ordering::Relaxed);
         if !lost || self.stores_first {
-            self.store(&body);
+            self.records.lock().unwrap().extend(new);
         }
         if lost {
             smol::Timer::after(LOST).await;
         }
-        http::json(StatusCode::OK, &Append { first: Offset(0) })
+        append_answer(Appended::At(Offset(0)), count)
+    }
+}
+
+impl http::Handler for LosingLog {
+    async fn handle(&self, req: Request<Incoming>) -> http::Reply {
+        let (head, body) = req.into_parts();
+        let body = http::read_body(body, quetzalworks::units::Bytes(1 << 20)).await;
+        let call = StoreCall::decode(&head.method, &head.uri, &body.unwrap_or_default());
+        let (status, body) = match call.unwrap() {
+            StoreCall::Append { records, .. } => self.append(records).await,
+            StoreCall::Read { from, .. } => read_answer(&self.page(from)),
+            StoreCall::Newest { .. } => unreachable!("the stream has no keys"),
+        };
+        http::full(status, "application/octet-stream", body)
     }
 }
 
@@ -108,6 +108,11 @@
             .await
         });
         assert!(done, "{}", case.name);
-        assert_eq!(*log.records.lock().unwrap(), [record], "{}", case.name);
+        assert_eq!(
+            *log.records.lock().unwrap(),
+            [record.to_string()],
+            "{}",
+            case.name
+        );
     }
 }
--- a/tests/integration/proofs/site.rs
+++ b/tests/integration/proofs/site.rs
@@ -4,10 +4,11 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::time::Duration;
 
 use hyper::Method;
-use quetzalworks::ids::{ChangeId, Digest};
-use quetzalworks::platform::Stream;
+use quetzalworks::ids::{ChangeId, Digest, Offset};
+use quetzalworks::platform::{LogClient, Stream};
 use quetzalworks::standin::Authority;
 use serde_json::{Value, json};
 
@@ -16,8 +17,6 @@
 
 const TEAM_TOKEN: &str = "team-token";
 const DOMAINS: usize = 4;
-/// Records that are read from the log at a time.
-const PAGE: usize = 10_000;
 
 /// A stand-in that is killed when dropped.
 pub struct Standin {
@@ -57,11 +56,6 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
-
-    /// The JSON of a resource.
-    pub fn get(&self, path: &str) -> Value {
-        http::try_get(self.addr, path, "").unwrap().json()
-    }
 }
 
 /// Entries, sidecars, engines and the platform, each a process.
@@ -114,17 +108,14 @@
         let change = json!({ "change": {
             "id": ChangeId::generate(), "object": id, "base": 0, "content": content, "author": "test",
         }});
-        let path = "/streams/config/records";
-        let answer = http::post(self.log.addr, path, "", &json!({ "records": [change] }));
-        assert_eq!(answer.status, 200, "{}", answer.text());
+        let log = LogClient::new(self.log.addr, http::traffic());
+        smol::block_on(log.append(Stream::Config, &[change])).unwrap();
     }
 
     pub fn records(&self, stream: Stream) -> Vec<Value> {
-        let page = self
-            .log
-            .get(&format!("/streams/{stream}/records?max={PAGE}"));
-        let records = page["records"].as_array().unwrap().iter();
-        records.map(|record| record["body"].clone()).collect()
+        let log = LogClient::new(self.log.addr, http::traffic());
+        let page = smol::block_on(log.read(stream, Offset(0), Duration::ZERO)).unwrap();
+        page.records.into_iter().map(|record| record.body).collect()
     }
 
     pub fn caller(&self) -> crate::proofs::caller::Caller {
