Tests of the direct role; logs on standard output

Tables of cases over the control tables, the choice of endpoints, roll-outs, streams, calls, keys, stops, connections, the store client and the formats, with a real process, the stand-in store and endpoints that misbehave as told.

--- a/tests/integration/admin_log.rs
+++ b/tests/integration/admin_log.rs
@@ -6,7 +6,9 @@
 
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
-use quetzalworks::platform::{LogClient, Stream};
+use quetzalworks::ids::Offset;
+use quetzalworks::platform::store_call::append_answer;
+use quetzalworks::platform::{Appended, LogClient, StoreCall, Stream};
 use quetzalworks::standin::StandinLog;
 use quetzalworks::units;
 use quetzalworks::{admin, control, feed, fleet, http, ids, settings, system};
@@ -14,6 +16,9 @@
 
 use crate::testing::{http as caller, place, wait};
 
+/// Largest body of a call.
+const MAX_BODY: units::Bytes = units::Bytes(1 << 20);
+
 /// What the log does with appends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fault {
@@ -37,10 +42,13 @@
 
 impl FaultyLog {
     async fn append(&self, req: Request<Incoming>) -> StatusCode {
-        let body = http::read_body(req.into_body(), units::Bytes(1 << 20))
-            .await
-            .unwrap();
-        let body: Value = serde_json::from_slice(&body).unwrap();
+        let (head, body) = req.into_parts();
+        let body = http::read_body(body, MAX_BODY).await.unwrap();
+        let call = StoreCall::decode(&head.method, &head.uri, &body);
+        let Some(StoreCall::Append { records, .. }) = call else {
+            panic!("not an append: {call:?}");
+        };
+        let record: Value = serde_json::from_slice(&records[0]).unwrap();
         let nth = self.appends.fetch_add(1, Ordering::SeqCst);
         let (done, status) = match (self.fault, nth) {
             (Fault::Unavailable, _) => (false, StatusCode::SERVICE_UNAVAILABLE),
@@ -51,9 +59,7 @@
             _ => (true, StatusCode::OK),
         };
         if done {
-            self.log
-                .append(Stream::Config, &body["records"][0])
-                .unwrap();
+            self.log.append(Stream::Config, &record).unwrap();
         }
         status
     }
@@ -63,14 +69,15 @@
     async fn handle(&self, req: Request<Incoming>) -> http::Reply {
         if req.method() == Method::POST {
             let status = self.append(req).await;
-            return http::json(status, &json!({ "first": 0 }));
+            let (_, body) = append_answer(Appended::At(Offset(0)), 1);
+            return http::full(status, "application/json", body);
         }
         if self.fault == Fault::AnswersLostAndReadsFail && self.armed.load(Ordering::SeqCst) {
             return http::json(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
         }
         let path = req.uri().path_and_query().unwrap().to_string();
         // The wait is cut, so that an armed fault meets the next read.
-        let path = path.replace("wait_ms=10000", "wait_ms=20");
+        let path = path.replace("WaitMs=10000", "WaitMs=20");
         let answer = http::Client::new(self.log.addr(), caller::traffic())
             .send(
                 Request::builder()
@@ -81,8 +88,9 @@
             )
             .await
             .unwrap();
-        let page: Value = answer.json(units::Bytes(1 << 20)).await.unwrap();
-        http::json(StatusCode::OK, &page)
+        let status = answer.status;
+        let page = answer.bytes(MAX_BODY).await.unwrap();
+        http::full(status, "application/octet-stream", page)
     }
 }
 
--- /dev/null
+++ b/tests/integration/direct/balance.rs
@@ -0,0 +1,213 @@
+//! Choice of an endpoint, cold starts and the bound on repeats.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use quetzalworks::balance::{Ask, Failure, ReportedLoad, RetryWindow, VersionWish, choose};
+use quetzalworks::direct::EndpointView;
+use quetzalworks::ids::{DomainName, Fingerprint};
+use quetzalworks::runtime::Moment;
+use quetzalworks::units::{Millis, Rate, Tokens};
+
+use crate::direct::world::{entry, record};
+
+const NOW: u64 = 1_000_000;
+
+fn endpoint(id: &str, domain: &str) -> Arc<EndpointView> {
+    let mut value = entry("writer", "v1", 1);
+    value["Zone"] = domain.into();
+    Arc::new(EndpointView {
+        record: record(id, &value),
+        live: Arc::default(),
+        cold_until: Moment::default(),
+    })
+}
+
+fn ask(domain: &DomainName, affinity: Option<u64>, at: u64) -> Ask<'_> {
+    Ask {
+        version: VersionWish::Any,
+        affinity: affinity.map(Fingerprint),
+        tried: &[],
+        domain,
+        cold_rate: Some(Rate::clamped(2.0)),
+        now: Moment::from_millis(at),
+    }
+}
+
+fn chosen(endpoints: &[Arc<EndpointView>], ask: &Ask<'_>) -> Option<String> {
+    choose(endpoints, ask).map(|chosen| chosen.endpoint.record.id.to_string())
+}
+
+/// Guards against requests that go to a busy, failing or far endpoint while a
+/// better one is there.
+#[test]
+fn the_better_endpoint_is_chosen() {
+    struct Case {
+        name: &'static str,
+        prepare: fn(&EndpointView, Moment),
+        chosen: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "alike: the own failure domain",
+            prepare: |_, _| {},
+            chosen: "near",
+        },
+        Case {
+            name: "busy by its report",
+            prepare: |near, now| {
+                near.live.reported(
+                    ReportedLoad {
+                        running: 4,
+                        waiting: 3,
+                        slots: 4,
+                    },
+                    now,
+                );
+            },
+            chosen: "far",
+        },
+        Case {
+            name: "unreachable",
+            prepare: |near, now| near.live.failed(Failure::Unreachable, Duration::ZERO, now),
+            chosen: "far",
+        },
+        Case {
+            name: "slow",
+            prepare: |near, _| {
+                for _ in 0..20 {
+                    near.live.succeeded(Duration::from_secs(1));
+                }
+            },
+            chosen: "far",
+        },
+        Case {
+            name: "fails most requests",
+            prepare: |near, now| {
+                for _ in 0..10 {
+                    near.live.failed(Failure::Answered, Duration::ZERO, now);
+                }
+            },
+            chosen: "far",
+        },
+    ];
+    for case in cases {
+        let endpoints = [endpoint("near", "north"), endpoint("far", "south")];
+        (case.prepare)(&endpoints[0], Moment::from_millis(NOW));
+        let domain = "north".parse().unwrap();
+        let found = chosen(&endpoints, &ask(&domain, None, NOW));
+        assert_eq!(found.as_deref(), Some(case.chosen), "{}", case.name);
+    }
+}
+
+/// Guards against prompts that are read again at another endpoint, and against
+/// a hot prompt that drowns the endpoint which has read it.
+#[test]
+fn affinity_holds_until_the_endpoint_is_busy() {
+    let endpoints: Vec<_> = (0..6)
+        .map(|i| endpoint(&format!("e{i}"), "north"))
+        .collect();
+    let domain = "north".parse().unwrap();
+    let now = Moment::from_millis(NOW);
+    let first = chosen(&endpoints, &ask(&domain, Some(7), NOW)).unwrap();
+    assert_eq!(
+        chosen(&endpoints, &ask(&domain, Some(7), NOW)).unwrap(),
+        first
+    );
+    let others = (0..40).filter_map(|part| chosen(&endpoints, &ask(&domain, Some(part), NOW)));
+    let used: std::collections::HashSet<_> = others.collect();
+    assert!(
+        used.len() > 3,
+        "prompts are spread over endpoints: {used:?}"
+    );
+    let place = endpoints
+        .iter()
+        .find(|e| e.record.id.as_str() == first)
+        .unwrap();
+    let _busy: Vec<_> = (0..20)
+        .map(|_| place.live.begin(Tokens(100), now))
+        .collect();
+    assert_ne!(
+        chosen(&endpoints, &ask(&domain, Some(7), NOW)).unwrap(),
+        first
+    );
+}
+
+/// Guards against more requests than a cold endpoint bears.
+#[test]
+fn a_cold_endpoint_gets_its_share_only() {
+    let cold = Arc::new(EndpointView {
+        cold_until: Moment::from_millis(NOW + 10_000),
+        ..Arc::unwrap_or_clone(endpoint("cold", "north"))
+    });
+    let endpoints = [cold];
+    let domain = "north".parse().unwrap();
+    let mut sent = 0;
+    for at in (NOW..NOW + 5_000).step_by(10) {
+        if let Some(chosen) = choose(&endpoints, &ask(&domain, None, at)) {
+            let _permit = chosen
+                .endpoint
+                .live
+                .begin(Tokens(1), Moment::from_millis(at));
+            sent += 1;
+        }
+    }
+    // 2 a second for 5 s, and one at the start.
+    assert!((10..=11).contains(&sent), "{sent}");
+}
+
+/// Guards against retries that multiply the load on a failing service.
+#[test]
+fn repeats_are_bounded_by_requests() {
+    struct Case {
+        requests: u32,
+        allowed: std::ops::RangeInclusive<u32>,
+    }
+    let cases = [
+        Case {
+            requests: 0,
+            allowed: 1..=6,
+        },
+        Case {
+            requests: 100,
+            allowed: 70..=90,
+        },
+        Case {
+            requests: 1_000,
+            allowed: 800..=900,
+        },
+    ];
+    for case in cases {
+        let mut window = RetryWindow::new(0.9, Millis(10_000));
+        for i in 0..case.requests {
+            window.request(Moment::from_millis(NOW + u64::from(i)));
+        }
+        let now = Moment::from_millis(NOW + 2_000);
+        let allowed = (0..5_000).filter(|_| window.try_repeat(now)).count();
+        let allowed = u32::try_from(allowed).unwrap();
+        assert!(
+            case.allowed.contains(&allowed),
+            "{}: {allowed}",
+            case.requests
+        );
+        let later = Moment::from_millis(NOW + 40_000);
+        let after = (0..5_000).filter(|_| window.try_repeat(later)).count();
+        assert!(after <= 6, "old requests pay for no repeats: {after}");
+    }
+}
+
+/// Guards against a failed endpoint that is never tried again.
+#[test]
+fn a_suspension_ends() {
+    let endpoint = endpoint("e", "north");
+    let now = Moment::from_millis(NOW);
+    for _ in 0..20 {
+        endpoint.live.failed(Failure::Silent, Duration::ZERO, now);
+    }
+    assert!(endpoint.live.is_suspended(now));
+    assert!(
+        !endpoint
+            .live
+            .is_suspended(now.after(Duration::from_secs(5)))
+    );
+}
--- /dev/null
+++ b/tests/integration/direct/canary.rs
@@ -0,0 +1,149 @@
+//! Life cycle of a roll-out by time.
+
+use quetzalworks::rollout::{AnyCanary, Observation, Stage};
+use quetzalworks::runtime::Moment;
+use quetzalworks::units::{Millis, Share};
+
+const START: u64 = 50_000;
+const DURATION: u64 = 20_000;
+
+fn begin() -> AnyCanary {
+    AnyCanary::begin(
+        "v2".parse().unwrap(),
+        Millis(DURATION),
+        Share::clamped(0.15),
+        Moment::from_millis(START),
+    )
+}
+
+/// Guards against a version that stays half in: a good one must be in before
+/// its time is over, a bad one out at once.
+#[test]
+fn stages_follow_time_and_evidence() {
+    struct Case {
+        name: &'static str,
+        bad_from: Option<u64>,
+        enough_from: u64,
+        /// Time after the start, and the stage then.
+        stages: &'static [(u64, Stage)],
+    }
+    let cases = [
+        Case {
+            name: "a good version is in before the time is over",
+            bad_from: None,
+            enough_from: 0,
+            stages: &[
+                (9_900, Stage::Probing),
+                (10_200, Stage::Ramping),
+                (13_000, Stage::Full),
+                (17_000, Stage::Completed),
+            ],
+        },
+        Case {
+            name: "bad from the start",
+            bad_from: Some(1_000),
+            enough_from: 0,
+            stages: &[
+                (900, Stage::Probing),
+                (1_100, Stage::RolledBack),
+                (19_000, Stage::RolledBack),
+            ],
+        },
+        Case {
+            name: "bad under full load",
+            bad_from: Some(13_500),
+            enough_from: 0,
+            stages: &[(13_400, Stage::Full), (13_600, Stage::RolledBack)],
+        },
+        Case {
+            name: "too few endpoints hold the ramp up",
+            bad_from: None,
+            enough_from: 14_000,
+            stages: &[
+                (13_900, Stage::Probing),
+                (14_100, Stage::Ramping),
+                (17_500, Stage::Completed),
+            ],
+        },
+    ];
+    for case in cases {
+        let mut canary = begin();
+        for passed in (0..DURATION).step_by(100) {
+            let now = Moment::from_millis(START + passed);
+            canary = canary.advance(Observation {
+                now,
+                bad: case.bad_from.is_some_and(|from| passed >= from),
+                enough_endpoints: passed >= case.enough_from,
+            });
+            if let Some((_, stage)) = case.stages.iter().find(|(at, _)| *at == passed) {
+                assert_eq!(canary.stage(now), *stage, "{} at {passed} ms", case.name);
+            }
+        }
+    }
+}
+
+/// Guards against an entry that starts late and sends sessions back to the
+/// old version, and against two entries that end a roll-out differently.
+#[test]
+fn what_is_on_record_moves_other_entries_on() {
+    struct Case {
+        on_record: &'static [Stage],
+        share_is_full: bool,
+        stage: Stage,
+    }
+    let cases = [
+        Case {
+            on_record: &[Stage::Probing],
+            share_is_full: false,
+            stage: Stage::Probing,
+        },
+        Case {
+            on_record: &[Stage::Ramping],
+            share_is_full: false,
+            stage: Stage::Ramping,
+        },
+        Case {
+            on_record: &[Stage::Full],
+            share_is_full: true,
+            stage: Stage::Full,
+        },
+        Case {
+            on_record: &[Stage::Ramping, Stage::Full],
+            share_is_full: true,
+            stage: Stage::Full,
+        },
+        Case {
+            on_record: &[Stage::Completed],
+            share_is_full: true,
+            stage: Stage::Completed,
+        },
+        Case {
+            on_record: &[Stage::RolledBack],
+            share_is_full: false,
+            stage: Stage::RolledBack,
+        },
+        Case {
+            on_record: &[Stage::Full, Stage::RolledBack],
+            share_is_full: false,
+            stage: Stage::RolledBack,
+        },
+    ];
+    let now = Moment::from_millis(START + 1_000);
+    for case in cases {
+        let mut canary = begin();
+        for stage in case.on_record {
+            canary = canary.settle(*stage, now);
+        }
+        assert_eq!(canary.stage(now), case.stage, "{:?}", case.on_record);
+        let is_full = canary.share(now).get() >= 1.0;
+        assert_eq!(is_full, case.share_is_full, "{:?}", case.on_record);
+    }
+}
+
+/// Guards against a bad version that gets more than its permitted part while
+/// it is observed.
+#[test]
+fn the_first_share_is_a_part_of_the_permitted_exposure() {
+    let share = begin().share(Moment::from_millis(START));
+    assert!(share.get() > 0.0 && share.get() <= 0.15 / 2.0, "{share}");
+}
--- /dev/null
+++ b/tests/integration/direct/decode.rs
@@ -0,0 +1,192 @@
+//! Formats of the platform, decoded at the edge.
+
+use quetzalworks::catalog::CallKind;
+use quetzalworks::direct::OperatorChange;
+use quetzalworks::platform::{boot, endpoint_record, operator};
+use quetzalworks::settings::SettingsError;
+use quetzalworks::units::Millis;
+use serde_json::{Value, json};
+
+use crate::direct::world::{SETTINGS, config, entry};
+
+/// Guards against a wrong settings file that is taken, or refused without the
+/// name of its field.
+#[test]
+fn a_wrong_setting_is_named() {
+    struct Case {
+        name: &'static str,
+        from: &'static str,
+        to: &'static str,
+        field: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "not an address",
+            from: "Front = \"127.0.0.1:1\"",
+            to: "Front = \"here\"",
+            field: "ListenAddrs.Front",
+        },
+        Case {
+            name: "wrong type",
+            from: "NodeName = \"edge-north-1\"",
+            to: "NodeName = 3",
+            field: "NodeName",
+        },
+        Case {
+            name: "missing",
+            from: "Ready = \"127.0.0.1:2\"",
+            to: "",
+            field: "ListenAddrs",
+        },
+        Case {
+            name: "wrong bound",
+            from: "DrainMs = 2000",
+            to: "DrainMs = \"soon\"",
+            field: "ContractParams.DrainMs",
+        },
+    ];
+    for case in cases {
+        let text = SETTINGS.replace(case.from, case.to);
+        match boot::parse(&text) {
+            Err(SettingsError::Invalid { field, line, .. }) => {
+                assert_eq!(&*field, case.field, "{}", case.name);
+                assert!(line > 0, "{}", case.name);
+            }
+            other => panic!("{}: {other:?}", case.name),
+        }
+    }
+}
+
+/// Guards against fields that are not known yet, and bounds that get lost.
+#[test]
+fn settings_are_resolved() {
+    let settings = boot::parse(SETTINGS).unwrap();
+    assert_eq!(settings.domains.len(), 2);
+    assert_eq!(settings.bounds.grace, Millis(8_000));
+    assert_eq!(settings.bounds.revoke, Some(Millis(5_000)));
+    let lax = boot::parse(&SETTINGS.replace("StrictRevoke = true", "StrictRevoke = false"));
+    assert_eq!(lax.unwrap().bounds.revoke, None);
+}
+
+/// Guards against forged records that name an endpoint.
+#[test]
+fn forged_endpoint_records_are_refused() {
+    struct Case {
+        name: &'static str,
+        field: &'static str,
+        value: Value,
+    }
+    let cases = [
+        Case {
+            name: "no service",
+            field: "Service",
+            value: Value::Null,
+        },
+        Case {
+            name: "a number for an address",
+            field: "Address",
+            value: json!(7),
+        },
+        Case {
+            name: "an address without a port",
+            field: "Address",
+            value: json!("10.0.0.1"),
+        },
+        Case {
+            name: "an unknown state",
+            field: "State",
+            value: json!("resting"),
+        },
+        Case {
+            name: "no slots",
+            field: "Slots",
+            value: json!(0),
+        },
+        Case {
+            name: "a text for the slots",
+            field: "Slots",
+            value: json!("4"),
+        },
+        Case {
+            name: "a text for the sequence",
+            field: "Sequence",
+            value: json!("4"),
+        },
+        Case {
+            name: "a fraction for the start",
+            field: "born",
+            value: json!(1.5),
+        },
+        Case {
+            name: "a list for the version",
+            field: "Version",
+            value: json!([]),
+        },
+    ];
+    for case in cases {
+        let mut value = entry("writer", "v1", 1);
+        value[case.field] = case.value;
+        let decoded = endpoint_record::decode("a", &value.to_string().into());
+        assert!(decoded.is_err(), "{}: {decoded:?}", case.name);
+    }
+    assert!(endpoint_record::decode("a", &"not JSON".into()).is_err());
+    assert!(endpoint_record::decode("a/b", &entry("writer", "v1", 1).to_string().into()).is_err());
+}
+
+/// Guards against routes whose kind, split or limits are read wrongly.
+#[test]
+fn a_configuration_is_decoded() {
+    struct Case {
+        path: &'static str,
+        route: Option<&'static str>,
+        kind: CallKind,
+    }
+    let mut config = config(7);
+    config["Routes"][2]["TrafficSplit"] =
+        json!([{ "Service": "desk", "Weight": 90 }, { "Service": "writer", "Weight": 10 }]);
+    config["Routes"][2]["PathPrefix"] = json!("/hold/deep/");
+    let change = operator::decode("config", Some(&config.to_string().into()));
+    let Some(OperatorChange::Deployment(deployment)) = change else {
+        panic!("{change:?}");
+    };
+    let cases = [
+        Case {
+            path: "/chat/x",
+            route: Some("r-chat"),
+            kind: CallKind::Stream { resumable: true },
+        },
+        Case {
+            path: "/hold/x",
+            route: Some("r-hold"),
+            kind: CallKind::NonIdempotent,
+        },
+        Case {
+            path: "/hold/deep/x",
+            route: Some("r-look"),
+            kind: CallKind::Idempotent,
+        },
+        Case {
+            path: "/other/",
+            route: None,
+            kind: CallKind::Idempotent,
+        },
+    ];
+    for case in cases {
+        let rule = deployment.route("example.test", case.path);
+        assert_eq!(
+            rule.map(|rule| rule.name.as_str()),
+            case.route,
+            "{}",
+            case.path
+        );
+        assert!(
+            rule.is_none_or(|rule| rule.kind == case.kind),
+            "{}",
+            case.path
+        );
+    }
+    assert!(deployment.route("other.test", "/chat/x").is_none());
+    let split = deployment.route("example.test", "/hold/deep/x").unwrap();
+    let parts = (0..1_000).filter(|hash| split.service_for(*hash).unwrap().as_str() == "writer");
+    assert_eq!(parts.count(), 100);
+}
--- /dev/null
+++ b/tests/integration/direct/endpoint.rs
@@ -0,0 +1,243 @@
+//! An endpoint that behaves, or misbehaves, as a test tells it.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use crate::testing::place;
+
+/// What an endpoint does with one request.
+#[derive(Clone, Debug)]
+pub enum Behaviour {
+    /// Answers with this status and body.
+    Answer(u16, &'static str),
+    /// Like `Answer`, after a pause.
+    Slow(Duration, &'static str),
+    /// Refuses with the mark that the request was not run.
+    NotRun,
+    /// Refuses without the mark.
+    Busy,
+    /// Closes the connection after it has read the request.
+    Close,
+    /// Never answers.
+    Silent,
+    /// States a longer body than it sends, and closes.
+    Truncated,
+    /// Answers with the id of another request.
+    Crossed,
+    /// Answers without a signature.
+    Unsigned,
+    /// Answers, and sends a second answer after it.
+    Twice,
+    /// Sends events up to this one and closes in the middle of the next.
+    Cut(u64),
+    /// Sends events up to this one and then nothing more.
+    Stall(u64),
+    /// Sends all events, with this confidence of the model.
+    Events(&'static str),
+}
+
+/// Events of a whole stream.
+pub const EVENTS: u64 = 6;
+
+/// A request as it arrived.
+#[derive(Clone, Debug)]
+pub struct Received {
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Received {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().skip(1).find_map(|line| {
+            let (found, value) = line.split_once(':')?;
+            found.eq_ignore_ascii_case(name).then_some(value.trim())
+        })
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    received: Vec<Received>,
+    /// Connections that were closed by the router before the answer was complete.
+    left: usize,
+}
+
+/// A running endpoint.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    pub id: &'static str,
+    pub addr: SocketAddr,
+    state: Arc<Mutex<State>>,
+    /// What is done next, last first; may be shared by several endpoints.
+    script: Script,
+    fallback: Behaviour,
+}
+
+/// Behaviours to come, last first.
+pub type Script = Arc<Mutex<Vec<Behaviour>>>;
+
+impl Endpoint {
+    /// Listens; behaves as `script` says, then as `fallback`.
+    pub fn spawn(id: &'static str, script: &[Behaviour], fallback: Behaviour) -> Self {
+        let script = script.iter().rev().cloned().collect();
+        Self::shared(id, &Arc::new(Mutex::new(script)), fallback)
+    }
+
+    /// Like `spawn`, with a script that other endpoints follow too.
+    pub fn shared(id: &'static str, script: &Script, fallback: Behaviour) -> Self {
+        let addr = place::addr();
+        let listener = TcpListener::bind(addr).unwrap();
+        let endpoint = Self {
+            id,
+            addr,
+            state: Arc::default(),
+            script: Arc::clone(script),
+            fallback,
+        };
+        let serving = endpoint.clone();
+        thread::spawn(move || {
+            for tcp in listener.incoming().flatten() {
+                let endpoint = serving.clone();
+                thread::spawn(move || endpoint.serve(&tcp));
+            }
+        });
+        endpoint
+    }
+
+    /// Requests that have arrived.
+    pub fn received(&self) -> Vec<Received> {
+        self.state.lock().unwrap().received.clone()
+    }
+
+    /// Answers that the router did not wait for.
+    pub fn left(&self) -> usize {
+        self.state.lock().unwrap().left
+    }
+
+    fn serve(&self, tcp: &TcpStream) {
+        let mut reader = BufReader::new(tcp.try_clone().unwrap());
+        while let Some(received) = read(&mut reader) {
+            self.state.lock().unwrap().received.push(received.clone());
+            let next = self.script.lock().unwrap().pop();
+            let behaviour = next.unwrap_or_else(|| self.fallback.clone());
+            if !self.answer(tcp, &received, &behaviour) {
+                let _ = tcp.shutdown(Shutdown::Both);
+                return;
+            }
+        }
+    }
+
+    /// Returns whether the connection is kept.
+    fn answer(&self, mut tcp: &TcpStream, req: &Received, behaviour: &Behaviour) -> bool {
+        let id = req.header("attempt-id").unwrap_or_default().to_owned();
+        let head = |status: u16, id: &str, rest: &str| {
+            format!("HTTP/1.1 {status} Status\r\nAttempt-Id: {id}\r\nServer-Load: 1,0,4\r\n{rest}")
+        };
+        let seal = format!("Server-Seal: {}\r\n", self.id);
+        let whole = |status: u16, id: &str, seal: &str, body: &str| {
+            let length = format!("{seal}Content-Length: {}\r\n\r\n{body}", body.len());
+            head(status, id, &length)
+        };
+        let mut send = |text: &str| tcp.write_all(text.as_bytes()).is_ok();
+        match behaviour {
+            Behaviour::Answer(status, body) => send(&whole(*status, &id, &seal, body)),
+            Behaviour::Slow(pause, body) => {
+                thread::sleep(*pause);
+                send(&whole(200, &id, &seal, body))
+            }
+            Behaviour::NotRun => send(&whole(503, &id, "Not-Executed: 1\r\n", "")),
+            Behaviour::Busy => send(&whole(503, &id, &seal, "busy")),
+            Behaviour::Close => false,
+            Behaviour::Silent => {
+                self.wait_until_left(tcp);
+                false
+            }
+            Behaviour::Truncated => {
+                send(&head(
+                    200,
+                    &id,
+                    &format!("{seal}Content-Length: 100\r\n\r\nhalf"),
+                ));
+                false
+            }
+            Behaviour::Crossed => send(&whole(200, "another", &seal, "of another")),
+            Behaviour::Unsigned => send(&whole(200, &id, "", "unsigned")),
+            Behaviour::Twice => {
+                let answer = whole(200, &id, &seal, "once");
+                send(&format!("{answer}{answer}"))
+            }
+            Behaviour::Cut(last) => {
+                self.events(tcp, req, "90", *last);
+                // Half of the event that would come next.
+                let _ = write_chunk(tcp, &format!("id: {}\ndata: ha", last + 1));
+                false
+            }
+            Behaviour::Stall(last) => {
+                self.events(tcp, req, "90", *last);
+                self.wait_until_left(tcp);
+                false
+            }
+            Behaviour::Events(confidence) => {
+                self.events(tcp, req, confidence, EVENTS);
+                let _ = tcp.write_all(b"0\r\n\r\n");
+                true
+            }
+        }
+    }
+
+    fn events(&self, mut tcp: &TcpStream, req: &Received, confidence: &str, last: u64) {
+        let id = req.header("attempt-id").unwrap_or_default();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: {}\r\nConfidence: {confidence}\r\n\
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            self.id
+        );
+        let _ = tcp.write_all(head.as_bytes());
+        let from: u64 = req
+            .header("last-event-id")
+            .map_or(0, |event| event.parse().unwrap());
+        for event in from + 1..=last {
+            let model = req.header("model").unwrap_or_default();
+            let _ = write_chunk(tcp, &format!("id: {event}\ndata: {event} {model}\n\n"));
+        }
+    }
+
+    fn wait_until_left(&self, mut tcp: &TcpStream) {
+        let mut buf = [0; 16];
+        if matches!(tcp.read(&mut buf), Ok(0) | Err(_)) {
+            self.state.lock().unwrap().left += 1;
+        }
+    }
+}
+
+fn write_chunk(mut tcp: &TcpStream, text: &str) -> std::io::Result<()> {
+    tcp.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
+}
+
+/// The next request; `None` once the connection is closed.
+fn read(reader: &mut BufReader<TcpStream>) -> Option<Received> {
+    let mut head = String::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        if line == "\r\n" {
+            break;
+        }
+        head.push_str(&line);
+    }
+    let mut received = Received {
+        head,
+        body: Vec::new(),
+    };
+    let length = received
+        .header("content-length")
+        .and_then(|length| length.parse().ok());
+    received.body = vec![0; length.unwrap_or(0)];
+    reader.read_exact(&mut received.body).ok()?;
+    Some(received)
+}
--- /dev/null
+++ b/tests/integration/direct/mod.rs
@@ -0,0 +1,18 @@
+//! An entry that calls endpoints itself, as the platform runs it.
+
+mod balance;
+mod calls;
+mod canary;
+mod decode;
+mod endpoint;
+mod endpoints;
+mod events;
+mod keys;
+mod operator;
+mod pool;
+mod rollouts;
+mod site;
+mod stop;
+mod store;
+mod streams;
+mod world;
--- /dev/null
+++ b/tests/integration/direct/site.rs
@@ -0,0 +1,108 @@
+//! A process in the direct role, with a store and endpoints.
+
+use std::fs;
+use std::net::SocketAddr;
+
+use hyper::Method;
+use quetzalworks::http::HttpError;
+use quetzalworks::platform::{endpoint_record, operator};
+use quetzalworks::standin::StandinLog;
+use serde_json::{Value, json};
+
+use crate::direct::endpoint::Endpoint;
+use crate::direct::world::{SETTINGS, config, entry};
+use crate::testing::process::Process;
+use crate::testing::{http, place, wait};
+
+pub struct Site {
+    pub store: StandinLog,
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    pub process: Process,
+}
+
+impl Site {
+    /// Starts a process before these endpoints and waits until it is ready.
+    pub fn spawn(endpoints: &[(&str, &Endpoint)]) -> Self {
+        Self::with_config(endpoints, &config(1))
+    }
+
+    pub fn with_config(endpoints: &[(&str, &Endpoint)], config: &Value) -> Self {
+        let traffic = http::traffic();
+        let store = smol::block_on(StandinLog::bind(place::addr(), &traffic)).unwrap();
+        store.put(
+            operator::TOPIC,
+            "config",
+            Some(config.to_string().as_bytes()),
+        );
+        for (service, endpoint) in endpoints {
+            put_endpoint(&store, service, endpoint, 1);
+        }
+        let (callers, readiness) = (place::addr(), place::addr());
+        let settings = SETTINGS
+            .replace("127.0.0.1:1", &callers.to_string())
+            .replace("127.0.0.1:2", &readiness.to_string())
+            .replace("127.0.0.1:3", &store.addr().to_string());
+        let path = place::dir().join("settings.toml");
+        fs::write(&path, settings).unwrap();
+        let site = Self {
+            store,
+            callers,
+            readiness,
+            process: Process::spawn(path),
+        };
+        wait::until("the process is ready", || site.is_ready());
+        site
+    }
+
+    pub fn is_ready(&self) -> bool {
+        http::send(self.readiness, &Method::GET, "/ready", &[], b"")
+            .is_ok_and(|answer| answer.status == 200)
+    }
+
+    pub fn put_config(&self, config: &Value) {
+        let value = config.to_string();
+        self.store
+            .put(operator::TOPIC, "config", Some(value.as_bytes()));
+    }
+
+    /// Sends a request with the key of a team.
+    pub fn call(&self, method: &Method, path: &str, id: &str) -> Result<http::Answer, HttpError> {
+        self.call_with(method, path, id, &[("key", "key-red")])
+    }
+
+    pub fn call_with(
+        &self,
+        method: &Method,
+        path: &str,
+        id: &str,
+        headers: &[(&str, &str)],
+    ) -> Result<http::Answer, HttpError> {
+        let mut all = vec![
+            ("host", "example.test"),
+            ("attempt-id", id),
+            ("deadline-ms", "4000"),
+        ];
+        all.extend_from_slice(headers);
+        http::send(self.callers, method, path, &all, b"body of the request")
+    }
+
+    /// Sends a request for a model's stream.
+    pub fn chat(&self, id: &str) -> Result<http::Answer, HttpError> {
+        let headers = [
+            ("key", "key-red"),
+            ("model", "*"),
+            ("token-count", "100,20"),
+            ("prefix-hash", "0a:60,0b:40"),
+        ];
+        self.call_with(&Method::POST, "/chat/x?y=z", id, &headers)
+    }
+}
+
+/// Writes what an endpoint says of itself.
+pub fn put_endpoint(store: &StandinLog, service: &str, endpoint: &Endpoint, sequence: u64) {
+    let mut value = entry(service, "v1", sequence);
+    value["Address"] = json!(endpoint.addr);
+    let value = value.to_string();
+    store.put(endpoint_record::TOPIC, endpoint.id, Some(value.as_bytes()));
+}
--- /dev/null
+++ b/tests/integration/direct/world.rs
@@ -0,0 +1,172 @@
+//! Tables of a direct entry under test, driven tick by tick.
+
+use std::sync::Arc;
+
+use quetzalworks::direct::{
+    Batch, EndpointChange, EndpointRecord, Event, OperatorChange, Plane, Snapshot, World,
+};
+use quetzalworks::ids::Offset;
+use quetzalworks::platform::{boot, endpoint_record, operator};
+use quetzalworks::runtime::Moment;
+use quetzalworks::{direct, settings};
+use serde_json::{Value, json};
+
+pub const SETTINGS: &str = r#"
+NodeName = "edge-north-1"
+Zone = "north"
+HeartbeatMs = 1200
+UnknownField = [1, 2]
+[Zones]
+north = "region"
+south = "region"
+[ListenAddrs]
+Front = "127.0.0.1:1"
+Ready = "127.0.0.1:2"
+[Platform]
+Address = "127.0.0.1:3"
+[ContractParams]
+DrainMs = 2000
+GraceS = 8
+StrictRevoke = true
+RevokeMs = 5000
+BudgetRatio = 0.9
+BudgetWindowS = 10
+ExposeShare = 0.15
+"#;
+
+pub fn settings() -> settings::Direct {
+    boot::parse(SETTINGS).unwrap()
+}
+
+/// A configuration with a route to each of two services.
+pub fn config(version: u64) -> Value {
+    json!({
+        "Version": version,
+        "Routes": [
+            { "Name": "r-chat", "Host": "example.test", "PathPrefix": "/chat/", "Kind": "streaming",
+              "TimeoutMs": 5000, "TargetLatencyMs": 1000, "Priority": 1, "Service": "writer",
+              "Sizes": ["small", "large"], "MaxAttempts": 3, "Sticky": true, "StreamResume": true,
+              "GapAimMs": 500 },
+            { "Name": "r-hold", "Host": "example.test", "PathPrefix": "/hold/", "Kind": "non_idempotent",
+              "TimeoutMs": 2000, "TargetLatencyMs": 150, "Service": "desk", "MaxAttempts": 1 },
+            { "Name": "r-look", "Host": "example.test", "PathPrefix": "/look/", "Kind": "idempotent",
+              "TimeoutMs": 2000, "TargetLatencyMs": 150, "Service": "desk", "MaxAttempts": 2 },
+            { "Name": "r-open", "Host": "example.test", "PathPrefix": "/open/", "Kind": "idempotent",
+              "TimeoutMs": 2000, "Service": "desk", "AllowAnonymous": true },
+        ],
+        "Services": [
+            { "Name": "writer", "MaxConnections": 64, "WarmupS": 3.0, "WarmupPerS": 18.0,
+              "Engine": { "KvCapacity": 1000, "Models": [
+                  { "Name": "small", "Cost": 0.02 }, { "Name": "large", "Cost": 0.3 } ] } },
+            { "Name": "desk", "MaxConnections": 64 },
+        ],
+        "Limits": { "MaxHeaderBytes": 4096, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 3000,
+                    "IdleTimeoutMs": 15000 },
+        "Tenants": [ { "Name": "red", "ApiKeys": ["key-red"], "Priority": 2 } ],
+    })
+}
+
+/// What an endpoint of `service` says of itself.
+pub fn entry(service: &str, version: &str, sequence: u64) -> Value {
+    json!({
+        "Service": service, "Address": "127.0.0.1:9", "Zone": "north", "Version": version, "Slots": 4,
+        "State": "ready", "WarmupLeftMs": 0, "Sequence": sequence, "born": 1_000,
+    })
+}
+
+pub fn operator_change(key: &str, value: Option<&Value>) -> OperatorChange {
+    let value = value.map(|value| value.to_string().into());
+    operator::decode(key, value.as_ref()).unwrap()
+}
+
+pub fn record(id: &str, value: &Value) -> EndpointRecord {
+    endpoint_record::decode(id, &value.to_string().into()).unwrap()
+}
+
+/// Tables with their clock.
+pub struct Ticked {
+    plane: Plane,
+    pub now: Moment,
+    pub snapshot: Arc<Snapshot>,
+    pub effects: Vec<direct::Effect>,
+}
+
+impl Ticked {
+    /// Tables with the configuration of version 1.
+    pub fn new() -> Self {
+        let mut ticked = Self {
+            plane: Plane::new(World::new(settings())),
+            now: Moment::from_millis(100_000),
+            snapshot: Arc::default(),
+            effects: Vec::new(),
+        };
+        ticked.operator(true, vec![operator_change("config", Some(&config(1)))]);
+        ticked.reports(true, vec![], 0);
+        ticked
+    }
+
+    pub fn tick(&mut self, events: Vec<Event>) {
+        let outcome = self.plane.step(self.now, events);
+        if let Some(snapshot) = outcome.snapshot {
+            self.snapshot = Arc::new(snapshot);
+        }
+        self.effects.extend(outcome.effects);
+    }
+
+    /// Lets time pass in ticks of 100 ms.
+    pub fn pass(&mut self, millis: u64) {
+        for _ in 0..millis / 100 {
+            self.now = self.now.after(std::time::Duration::from_millis(100));
+            self.tick(vec![]);
+        }
+    }
+
+    fn batch<T>(&self, whole: bool, items: Vec<T>, end: u64) -> Batch<T> {
+        Batch {
+            whole,
+            items,
+            end: Offset(end),
+            asked: self.now,
+        }
+    }
+
+    pub fn operator(&mut self, whole: bool, changes: Vec<OperatorChange>) {
+        let batch = self.batch(whole, changes, 0);
+        self.tick(vec![Event::Operator(batch)]);
+    }
+
+    pub fn endpoints(&mut self, whole: bool, changes: Vec<EndpointChange>) {
+        let batch = self.batch(whole, changes, 0);
+        self.tick(vec![Event::Endpoints(batch)]);
+    }
+
+    pub fn reports(&mut self, whole: bool, reports: Vec<direct::RolloutReport>, end: u64) {
+        let batch = self.batch(whole, reports, end);
+        self.tick(vec![Event::Reports(batch)]);
+    }
+
+    pub fn store_fails(&mut self) {
+        let failed = direct::Source::Endpoints;
+        self.tick(vec![Event::ReadFailed(failed, "test".into())]);
+    }
+
+    /// Ids of the endpoints of a service that may be used.
+    pub fn usable(&self, service: &str) -> Vec<String> {
+        let service = self.snapshot.services.get(&service.parse().unwrap());
+        service.map_or_else(Vec::new, |view| {
+            let endpoints = view.endpoints.iter();
+            endpoints
+                .map(|endpoint| endpoint.record.id.to_string())
+                .collect()
+        })
+    }
+
+    /// Makes these endpoints of `writer` known, at the version given with each.
+    pub fn writers(&mut self, endpoints: &[(&str, &str)]) {
+        let seen = endpoints
+            .iter()
+            .map(|(id, version)| EndpointChange::Seen(record(id, &entry("writer", version, 1))))
+            .collect();
+        self.endpoints(true, seen);
+    }
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -15,6 +15,7 @@
 mod control_proofs;
 mod daemon;
 mod demo;
+mod direct;
 mod docs;
 mod driver;
 mod evidence;
--- a/tests/integration/testing/process.rs
+++ b/tests/integration/testing/process.rs
@@ -98,14 +98,24 @@
     assert!(status.success(), "signal {name} was not sent");
 }
 
+/// Settings in the platform's own format are named by a variable.
+const PLATFORM_SETTINGS: &str = "toml";
+
 fn run(settings: &PathBuf, output: File) -> Child {
-    Command::new(env!("CARGO_BIN_EXE_quetzalworksd"))
-        .arg("--settings")
-        .arg(settings)
+    let mut command = Command::new(env!("CARGO_BIN_EXE_quetzalworksd"));
+    if settings
+        .extension()
+        .is_some_and(|kind| kind == PLATFORM_SETTINGS)
+    {
+        command.env("QUETZALWORKS_BOOT", settings);
+    } else {
+        command.arg("--settings").arg(settings);
+    }
+    command
         .env("RUST_LOG", "info")
         .stdin(Stdio::null())
-        .stdout(Stdio::null())
-        .stderr(output)
+        .stderr(output.try_clone().unwrap())
+        .stdout(output)
         .spawn()
         .unwrap()
 }
