Metrics of the direct role, settings that change while running, log flushed at the end

Tests that spoke the old log protocol themselves now speak the store's, with the same assertions; the count of start lines waits for the log's writer.

--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -32,7 +32,7 @@
 }
 
 /// How a run has failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum Failure {
     /// No connection could be made.
@@ -40,6 +40,7 @@
     /// The connection broke, or the answer made no sense.
     Broken,
     /// The endpoint answered with a failure.
+    #[strum(serialize = "failed")]
     Answered,
     /// Nothing came in time.
     Silent,
--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -27,6 +27,8 @@
     cmd quetzalworksd {
         /// Settings file (JSON).
         optional --settings path: PathBuf
+        /// Port for metrics, where the platform names the settings.
+        optional --metrics-port port: u16
     }
 }
 
@@ -82,10 +84,10 @@
         (Some(path), _) => smol::block_on(run(&path)),
         // The traffic thread polls the sockets; a second thread that polled
         // them too would pass each event on to it.
-        (None, Some(path)) => smol::future::block_on(daemon::run_direct(&path)),
+        (None, Some(path)) => smol::future::block_on(daemon::run_direct(&path, flags.metrics_port)),
         (None, None) => Err(StartError::NoSettings),
     };
-    match result {
+    let code = match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             log::error!("control: failed: {err}.");
@@ -96,7 +98,9 @@
             };
             ExitCode::from(code)
         }
-    }
+    };
+    observe::flush_journal();
+    code
 }
 
 async fn run(path: &Path) -> Result<(), StartError> {
--- a/src/direct/change.rs
+++ b/src/direct/change.rs
@@ -7,6 +7,7 @@
 use crate::ids;
 use crate::rollout;
 use crate::runtime;
+use crate::settings;
 use crate::units;
 
 /// An operator's order to bring in a version of a service.
@@ -138,6 +139,8 @@
         /// Whether it is on record.
         done: bool,
     },
+    /// The settings of the process have changed.
+    Settings(Box<settings::Direct>),
     /// The process begins a planned stop.
     Stop,
 }
--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -17,10 +17,10 @@
 /// configuration current only as of its start, so this bounds the age of the proof.
 const OPERATOR_WAIT: Duration = Duration::from_secs(1);
 /// Longest wait of a read of endpoints and reports.
-const IDLE_WAIT: Duration = Duration::from_secs(2);
+const IDLE_WAIT: Duration = Duration::from_secs(5);
 /// Pause after a read of endpoints: each of them reports every second or so,
 /// and reading every report by itself would cost a call for each.
-const ENDPOINT_PAUSE: Duration = Duration::from_millis(300);
+const ENDPOINT_PAUSE: Duration = Duration::from_millis(700);
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Status of a topic that nobody has written to yet.
--- a/src/direct/system/mod.rs
+++ b/src/direct/system/mod.rs
@@ -2,10 +2,10 @@
 
 mod endpoints;
 mod operator;
+mod process;
 mod reports;
 mod rollouts;
 mod snapshot;
-mod stop;
 mod tick;
 
 pub use snapshot::take as snapshot;
@@ -18,9 +18,9 @@
 
 /// All systems in their order.
 pub const ALL: [System; 5] = [
+    process::run,
     operator::run,
     endpoints::run,
     reports::run,
     rollouts::run,
-    stop::run,
 ];
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -94,7 +94,7 @@
 
 /// A key counts only while it is certain that it was not withdrawn too long ago.
 fn check_age(cx: &gateway::Cx, age: Option<Duration>) -> Result<(), errors::Refusal> {
-    let Some(revoke) = cx.settings.bounds.revoke else {
+    let Some(revoke) = cx.settings().bounds.revoke else {
         return Ok(());
     };
     let limit = revoke.duration().saturating_sub(REVOKE_MARGIN);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -99,7 +99,8 @@
     pub fn choose(&self, view: &direct::ServiceView) -> Option<balance::Chosen> {
         let now = runtime::Moment::now();
         let wishes = self.version_wishes(view, now);
-        let domains = self.cx.settings.domains.len().max(1);
+        let settings = self.cx.settings();
+        let domains = settings.domains.len().max(1);
         #[allow(clippy::cast_precision_loss)]
         let entries = domains as f64 * ENTRIES_PER_DOMAIN;
         let cold_rate = view
@@ -112,7 +113,7 @@
                 version,
                 affinity,
                 tried: &self.tried,
-                domain: &self.cx.settings.domain,
+                domain: &settings.domain,
                 cold_rate,
                 now,
             };
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -5,6 +5,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
+
 use crate::balance;
 use crate::control;
 use crate::direct;
@@ -16,8 +18,7 @@
 /// Shared context of requests.
 #[derive(Debug)]
 pub struct Cx {
-    /// Settings of the process.
-    pub settings: settings::Direct,
+    settings: ArcSwap<settings::Direct>,
     /// The control thread.
     pub control: control::Control<direct::Plane>,
     /// Connections to endpoints.
@@ -36,7 +37,7 @@
         traffic: runtime::Traffic,
     ) -> Arc<Self> {
         Arc::new(Self {
-            settings,
+            settings: ArcSwap::from_pointee(settings),
             control,
             lanes: lanes::Lanes::new(traffic),
             windows: Mutex::default(),
@@ -44,6 +45,18 @@
         })
     }
 
+    /// Settings in force.
+    #[must_use]
+    pub fn settings(&self) -> Arc<settings::Direct> {
+        self.settings.load_full()
+    }
+
+    /// Puts other settings in force. Addresses on which the process listens
+    /// stay until its next start.
+    pub fn set_settings(&self, settings: settings::Direct) {
+        self.settings.store(Arc::new(settings));
+    }
+
     /// Counts a request for a service.
     pub fn count_request(&self, service: &ids::ServiceName, now: runtime::Moment) {
         self.with_window(service, |window| window.request(now));
@@ -63,7 +76,7 @@
         if let Some(window) = windows.get_mut(service) {
             return run(window);
         }
-        let bounds = &self.settings.bounds;
+        let bounds = self.settings().bounds;
         let window = balance::RetryWindow::new(bounds.retry_ratio, bounds.retry_window);
         run(windows.entry(service.clone()).or_insert(window))
     }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -147,7 +147,7 @@
 }
 
 fn note(trace: &mut trace::Trace, admitted: &admit::Admitted) {
-    trace.note("route", &admitted.rule.name);
+    trace.route(&admitted.rule.name);
     trace.note("config", &admitted.deployment.revision);
     if let Some(age) = admitted.config_age {
         trace.note("config_age_ms", &age.as_millis());
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -122,7 +122,8 @@
     drop(permit);
     match body {
         Some(Ok(body)) => {
-            call.trace.attempt(&endpoint.record.id, &status);
+            let kind = send::label(status);
+            call.trace.attempt(&endpoint.record.id, kind, &status);
             record(call, view, &endpoint, status, first);
             Ok(Whole {
                 status,
@@ -136,7 +137,8 @@
                 balance::Failure::Broken
             };
             let unanswered = send::Unanswered::Unknown(failure, "the answer broke off".into());
-            call.trace.attempt(&endpoint.record.id, &unanswered);
+            call.trace
+                .attempt(&endpoint.record.id, unanswered.label(), &unanswered);
             endpoint
                 .live
                 .failed(failure, Duration::ZERO, runtime::Moment::now());
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -27,7 +27,7 @@
         if snapshot.deployment.is_none() {
             return Err("no configuration");
         }
-        let revoke = self.0.settings.bounds.revoke;
+        let revoke = self.0.settings().bounds.revoke;
         let is_old = revoke.is_some_and(|revoke| {
             let limit = revoke.duration().mul_f64(READY_PART);
             snapshot.freshness.age(now).is_none_or(|age| age > limit)
--- a/src/gateway/role.rs
+++ b/src/gateway/role.rs
@@ -12,6 +12,7 @@
 use crate::gateway;
 use crate::gateway::{handler, readiness};
 use crate::http;
+use crate::observe;
 use crate::platform;
 use crate::runtime;
 use crate::settings;
@@ -39,8 +40,10 @@
 #[derive(Debug)]
 pub struct Gateway {
     cx: Arc<gateway::Cx>,
+    store: platform::Store,
     callers: http::Server,
     _readiness: http::Server,
+    _metrics: Option<http::Server>,
     _tasks: Vec<Task<()>>,
 }
 
@@ -73,6 +76,14 @@
             ready,
         )
         .await?;
+        let metrics = match settings.metrics_addr {
+            Some(addr) => {
+                let page = Arc::new(observe::MetricsPage);
+                let limits = settings::Limits::default();
+                Some(http::Server::bind(addr, limits, traffic, page).await?)
+            }
+            None => None,
+        };
         let mut tasks = vec![
             traffic.spawn(direct::report(store.clone(), effects, control.clone())),
             traffic.spawn(sweep(Arc::clone(&cx))),
@@ -86,8 +97,10 @@
         }
         Ok(Self {
             cx,
+            store,
             callers,
             _readiness: readiness,
+            _metrics: metrics,
             _tasks: tasks,
         })
     }
@@ -98,6 +111,14 @@
         self.callers.addr()
     }
 
+    /// Puts changed settings in force.
+    pub async fn reload(&self, settings: settings::Direct) {
+        self.store.move_to(settings.store_addr);
+        self.cx.set_settings(settings.clone());
+        let changed = direct::Event::Settings(Box::new(settings));
+        self.cx.control.send(changed).await;
+    }
+
     /// Stops as planned, within the grace time of the settings.
     pub async fn stop(&self) {
         let began = Instant::now();
@@ -105,7 +126,7 @@
         self.cx.control.send(direct::Event::Stop).await;
         Timer::after(CLOSE_IDLE_AFTER).await;
         self.callers.close_idle();
-        let grace = self.cx.settings.bounds.grace.duration();
+        let grace = self.cx.settings().bounds.grace.duration();
         let deadline = began + grace.saturating_sub(STOP_MARGIN);
         while self.callers.active() > 0 && Instant::now() < deadline {
             Timer::after(DRAIN_POLL).await;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -45,6 +45,27 @@
     Unknown(balance::Failure, Arc<str>),
 }
 
+impl Unanswered {
+    /// Label in the metrics.
+    #[must_use]
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::NotRun(..) => "not_run",
+            Self::Unknown(failure, _) => (*failure).into(),
+        }
+    }
+}
+
+/// Label of a whole answer in the metrics.
+#[must_use]
+pub fn label(status: StatusCode) -> &'static str {
+    if status.is_server_error() {
+        balance::Failure::Answered.into()
+    } else {
+        "answered"
+    }
+}
+
 impl fmt::Display for Unanswered {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -83,7 +104,8 @@
     match &result {
         Ok(_) => call.runs += 1,
         Err(unanswered) => {
-            call.trace.attempt(&endpoint.record.id, unanswered);
+            call.trace
+                .attempt(&endpoint.record.id, unanswered.label(), unanswered);
             fail(call, view, &endpoint, unanswered);
         }
     }
@@ -120,7 +142,7 @@
     patience: Duration,
 ) -> Result<Opened, Unanswered> {
     let req = request(call, &endpoint, resume_after)?;
-    let domains = call.cx.settings.domains.len();
+    let domains = call.cx.settings().domains.len();
     let client = call
         .cx
         .lanes
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -119,7 +119,8 @@
         {
             let confidence = opened.facts.confidence.unwrap_or_default();
             let note = format!("dropped at confidence {confidence}");
-            call.trace.attempt(&opened.endpoint.record.id, &note);
+            call.trace
+                .attempt(&opened.endpoint.record.id, "not_trusted", &note);
             opened.endpoint.live.succeeded(opened.sent.elapsed());
             call.observe(&view, &opened.endpoint, true, Some(opened.sent.elapsed()));
             call.model = larger;
@@ -186,7 +187,8 @@
     opened: send::Opened,
 ) -> Option<http::Reply> {
     let status = opened.answer.status;
-    call.trace.attempt(&opened.endpoint.record.id, &status);
+    call.trace
+        .attempt(&opened.endpoint.record.id, send::label(status), &status);
     let now = runtime::Moment::now();
     opened
         .endpoint
@@ -221,7 +223,8 @@
     failure: balance::Failure,
 ) {
     let note = format!("stream broke off ({failure})");
-    call.trace.attempt(&endpoint.record.id, &note);
+    call.trace
+        .attempt(&endpoint.record.id, failure.into(), &note);
     let cold = view
         .upstream
         .cold_start
@@ -318,7 +321,7 @@
                 }
                 Chunk::End if source.splitter.pending() == 0 => {
                     let id = source.opened.endpoint.record.id.clone();
-                    self.call.trace.attempt(&id, &"complete");
+                    self.call.trace.attempt(&id, "answered", &"complete");
                     let status = self.status.as_u16();
                     self.call.trace.finish(trace::Outcome::Answered, status);
                     self.source = None;
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -2,12 +2,13 @@
 
 use std::fmt::Write as _;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::ids;
+use crate::observe;
 
 /// What came of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum Outcome {
     /// The endpoint's answer was delivered.
@@ -30,9 +31,10 @@
 pub struct Trace {
     id: Arc<str>,
     began: Instant,
+    route: Option<ids::RouteName>,
     summary: String,
     attempts: String,
-    first_ms: Option<u64>,
+    first: Option<Duration>,
     is_over: bool,
 }
 
@@ -43,9 +45,10 @@
         Self {
             id,
             began: Instant::now(),
+            route: None,
             summary: String::new(),
             attempts: String::new(),
-            first_ms: None,
+            first: None,
             is_over: false,
         }
     }
@@ -57,8 +60,20 @@
         let _ = write!(self.summary, "{space}{name}={value}");
     }
 
-    /// Notes what came of one attempt at an endpoint.
-    pub fn attempt(&mut self, endpoint: &ids::EndpointId, result: &dyn std::fmt::Display) {
+    /// Notes the route that takes the request.
+    pub fn route(&mut self, route: &ids::RouteName) {
+        self.note("route", route);
+        self.route = Some(route.clone());
+    }
+
+    /// Notes what came of one attempt at an endpoint; `kind` is its label in the metrics.
+    pub fn attempt(
+        &mut self,
+        endpoint: &ids::EndpointId,
+        kind: &'static str,
+        result: &dyn std::fmt::Display,
+    ) {
+        observe::metrics().direct_attempt(endpoint, kind);
         let at = self.began.elapsed().as_millis();
         let separator = if self.attempts.is_empty() { "" } else { "; " };
         // Writing to a string cannot fail.
@@ -67,8 +82,7 @@
 
     /// The first part of the answer goes to the caller.
     pub fn first(&mut self) {
-        let elapsed = u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX);
-        self.first_ms.get_or_insert(elapsed);
+        self.first.get_or_insert(self.began.elapsed());
     }
 
     /// Writes the record.
@@ -76,9 +90,17 @@
         if std::mem::replace(&mut self.is_over, true) {
             return;
         }
-        let elapsed = u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let total = self.began.elapsed();
+        observe::metrics().direct_ended(&observe::DirectEnded {
+            route: self.route.as_ref().map_or("", ids::RouteName::as_str),
+            outcome: outcome.into(),
+            status,
+            first: self.first,
+            total,
+        });
+        let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
         log::info!(target: "request", request:% = self.id, outcome:% = outcome, status = status,
-            first_ms:? = self.first_ms, total_ms = elapsed, decided:% = self.summary,
+            first_ms = self.first.map(millis), total_ms = millis(total), decided:% = self.summary,
             attempts:% = self.attempts; "request ended");
     }
 }
--- a/src/observe/journal.rs
+++ b/src/observe/journal.rs
@@ -1,7 +1,7 @@
 //! The log of a process: JSON lines on standard output.
 
 use std::io::{self, Write};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -9,6 +9,7 @@
 use log::kv::{self, VisitSource};
 use serde_json::{Map, Value};
 
+use crate::observe;
 use crate::runtime;
 
 /// Lines a second that are written; more are counted and dropped.
@@ -19,6 +20,23 @@
 /// Pause before a write, so that lines are written many at a time.
 const BATCH: Duration = Duration::from_millis(100);
 
+/// Longest wait for the last lines at the end of the process.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
+
+static SHARED: OnceLock<Arc<Shared>> = OnceLock::new();
+
+/// Waits until all lines are written, but not for a reader that does not read.
+pub fn flush_journal() {
+    let Some(shared) = SHARED.get() else { return };
+    let guard = lock(&shared.waiting);
+    let unwritten = |waiting: &mut Waiting| waiting.is_writing || !waiting.bytes.is_empty();
+    drop(
+        shared
+            .written
+            .wait_timeout_while(guard, FLUSH_TIMEOUT, unwritten),
+    );
+}
+
 /// Installs the log. The level comes from `RUST_LOG`, else it is `info`.
 pub fn install_journal() {
     let sink = Sink::spawn(io::stdout());
@@ -70,17 +88,26 @@
     second: Option<Instant>,
     lines: u32,
     dropped: u64,
+    is_writing: bool,
+}
+
+/// What the sink and the writing thread share.
+#[derive(Debug, Default)]
+struct Shared {
+    waiting: Mutex<Waiting>,
+    filled: Condvar,
+    written: Condvar,
 }
 
 /// Takes lines without blocking; a thread of its own writes them.
 #[derive(Debug)]
 struct Sink {
-    shared: Arc<(Mutex<Waiting>, Condvar)>,
+    shared: Arc<Shared>,
 }
 
 impl Sink {
     fn spawn(out: impl Write + Send + 'static) -> Self {
-        let shared = Arc::new((Mutex::new(Waiting::default()), Condvar::new()));
+        let shared: Arc<Shared> = Arc::default();
         let waiting = Arc::clone(&shared);
         let writer = thread::Builder::new()
             .name("journal".into())
@@ -89,6 +116,7 @@
             // The log cannot tell of its own failure.
             eprintln!("journal: no thread for the log: {err}");
         }
+        SHARED.get_or_init(|| Arc::clone(&shared));
         Self { shared }
     }
 }
@@ -97,39 +125,46 @@
     waiting.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn write_all(shared: &(Mutex<Waiting>, Condvar), mut out: impl Write) {
-    let (waiting, changed) = shared;
+fn write_all(shared: &Shared, mut out: impl Write) {
     loop {
-        let guard = lock(waiting);
-        let guard = changed
+        let guard = lock(&shared.waiting);
+        let guard = shared
+            .filled
             .wait_while(guard, |waiting| waiting.bytes.is_empty())
             .unwrap_or_else(PoisonError::into_inner);
         drop(guard);
         thread::sleep(BATCH);
         let (bytes, dropped) = {
-            let mut waiting = lock(waiting);
+            let mut waiting = lock(&shared.waiting);
+            waiting.is_writing = true;
             let dropped = std::mem::take(&mut waiting.dropped);
             (std::mem::take(&mut waiting.bytes), dropped)
         };
-        let mut written = out.write_all(&bytes);
-        if dropped > 0 {
-            let line = serde_json::json!({
-                "ts": runtime::since_epoch().as_secs_f64(), "level": "WARN", "part": "journal",
-                "msg": "lines dropped", "dropped": dropped,
-            });
-            written = written.and_then(|()| writeln!(out, "{line}"));
-        }
-        if let Err(err) = written.and_then(|()| out.flush()) {
+        if let Err(err) = write_batch(&mut out, &bytes, dropped) {
             // The log cannot tell of its own failure.
             eprintln!("journal: the log cannot be written: {err}");
         }
+        lock(&shared.waiting).is_writing = false;
+        shared.written.notify_all();
+    }
+}
+
+fn write_batch(out: &mut impl Write, bytes: &[u8], dropped: u64) -> io::Result<()> {
+    out.write_all(bytes)?;
+    if dropped > 0 {
+        observe::metrics().log_dropped(dropped);
+        let line = serde_json::json!({
+            "ts": runtime::since_epoch().as_secs_f64(), "level": "WARN", "part": "journal",
+            "msg": "lines dropped", "dropped": dropped,
+        });
+        writeln!(out, "{line}")?;
     }
+    out.flush()
 }
 
 impl Write for Sink {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        let (waiting, changed) = &*self.shared;
-        let mut state = lock(waiting);
+        let mut state = lock(&self.shared.waiting);
         let now = Instant::now();
         if state
             .second
@@ -145,7 +180,7 @@
             let was_empty = state.bytes.is_empty();
             state.bytes.extend_from_slice(line);
             if was_empty {
-                changed.notify_one();
+                self.shared.filled.notify_one();
             }
         }
         Ok(line.len())
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -29,6 +29,21 @@
     &METRICS
 }
 
+/// End of a request of a direct entry.
+#[derive(Clone, Copy, Debug)]
+pub struct DirectEnded<'a> {
+    /// The route; empty where no route took the request.
+    pub route: &'a str,
+    /// What came of it.
+    pub outcome: &'static str,
+    /// Status of the answer; 0 where there was none.
+    pub status: u16,
+    /// Time to the first part of the answer.
+    pub first: Option<Duration>,
+    /// Time to the end.
+    pub total: Duration,
+}
+
 /// Instruments and their registry.
 #[derive(Debug)]
 pub struct Metrics {
@@ -42,6 +57,13 @@
     attempts: Counter<u64>,
     retries: Counter<u64>,
     outbox: AtomicU64,
+    direct_requests: Counter<u64>,
+    direct_latency: Histogram<f64>,
+    direct_first: Histogram<f64>,
+    direct_attempts: Counter<u64>,
+    store_calls: Counter<u64>,
+    store_latency: Histogram<f64>,
+    log_dropped: Counter<u64>,
 }
 
 impl Metrics {
@@ -79,6 +101,31 @@
                 "Attempts after the first of a request.",
             ),
             outbox: AtomicU64::new(0),
+            direct_requests: count(
+                "quetzalworks_direct_requests",
+                "Requests of a direct entry by route, outcome and status.",
+            ),
+            direct_latency: latency(
+                "quetzalworks_direct_latency",
+                "Time to the end of the answer, by route and outcome.",
+            ),
+            direct_first: latency(
+                "quetzalworks_direct_first",
+                "Time to the first part of the answer, by route.",
+            ),
+            direct_attempts: count(
+                "quetzalworks_direct_attempts",
+                "Attempts at endpoints by endpoint and result.",
+            ),
+            store_calls: count(
+                "quetzalworks_store_calls",
+                "Calls of the store by kind and result.",
+            ),
+            store_latency: latency("quetzalworks_store_latency", "Time of a call of the store."),
+            log_dropped: count(
+                "quetzalworks_log_dropped",
+                "Log lines that were not written.",
+            ),
             registry,
             _provider: provider,
             meter,
@@ -168,6 +215,49 @@
         }
     }
 
+    /// A request of a direct entry has ended.
+    pub fn direct_ended(&self, ended: &DirectEnded<'_>) {
+        let route = KeyValue::new("route", ended.route.to_owned());
+        let outcome = KeyValue::new("outcome", ended.outcome);
+        let labels = [
+            route,
+            outcome,
+            KeyValue::new("status", i64::from(ended.status)),
+        ];
+        self.direct_requests.add(1, &labels);
+        let [route, outcome, _] = &labels;
+        let total = ended.total.as_secs_f64();
+        self.direct_latency
+            .record(total, &[route.clone(), outcome.clone()]);
+        if let Some(first) = ended.first {
+            self.direct_first
+                .record(first.as_secs_f64(), std::slice::from_ref(route));
+        }
+    }
+
+    /// An attempt of a direct entry at an endpoint has ended.
+    pub fn direct_attempt(&self, endpoint: &ids::EndpointId, result: &'static str) {
+        let labels = [
+            KeyValue::new("endpoint", endpoint.to_string()),
+            KeyValue::new("result", result),
+        ];
+        self.direct_attempts.add(1, &labels);
+    }
+
+    /// A call of the store has ended.
+    pub fn store_call(&self, call: &'static str, result: &'static str, after: Duration) {
+        let call = KeyValue::new("call", call);
+        self.store_latency
+            .record(after.as_secs_f64(), std::slice::from_ref(&call));
+        self.store_calls
+            .add(1, &[call, KeyValue::new("result", result)]);
+    }
+
+    /// Log lines were dropped.
+    pub fn log_dropped(&self, lines: u64) {
+        self.log_dropped.add(lines, &[]);
+    }
+
     /// Usage records that are not durable yet.
     pub fn set_outbox(&self, records: usize) {
         self.outbox.store(records as u64, Ordering::Relaxed);
--- a/src/observe/mod.rs
+++ b/src/observe/mod.rs
@@ -2,8 +2,10 @@
 
 mod journal;
 mod metrics;
+mod metrics_page;
 mod operations;
 
-pub use journal::install_journal;
-pub use metrics::{Metrics, metrics};
+pub use journal::{flush_journal, install_journal};
+pub use metrics::{DirectEnded, Metrics, metrics};
+pub use metrics_page::MetricsPage;
 pub use operations::Operations;
--- a/src/observe/operations.rs
+++ b/src/observe/operations.rs
@@ -15,9 +15,6 @@
 use crate::runtime;
 use crate::settings;
 
-/// Text format of Prometheus.
-const METRICS_TYPE: &str = "text/plain; version=0.0.4";
-
 /// The operations server; dropping it stops accepting.
 #[derive(Debug)]
 pub struct Operations {
@@ -82,14 +79,7 @@
                 let (status, text) = self.readiness();
                 http::full(status, "text/plain", text)
             }
-            (&Method::GET, "/metrics") => match observe::metrics().text() {
-                Ok(text) => http::full(StatusCode::OK, METRICS_TYPE, text),
-                Err(err) => http::full(
-                    StatusCode::INTERNAL_SERVER_ERROR,
-                    "text/plain",
-                    err.to_string(),
-                ),
-            },
+            (&Method::GET, "/metrics") => observe::MetricsPage::reply(),
             _ => http::not_found(),
         }
     }
--- a/src/platform/boot.rs
+++ b/src/platform/boot.rs
@@ -121,6 +121,7 @@
         domains: file.zones.into_keys().collect(),
         callers_addr: file.listen_addrs.front,
         readiness_addr: file.listen_addrs.ready,
+        metrics_addr: None,
         store_addr: file.platform.address,
         heartbeat: units::Millis::rounded(file.heartbeat_ms.unwrap_or(DEFAULT_HEARTBEAT_MS)),
         max_descriptors: file.limits.max_fds.unwrap_or(DEFAULT_DESCRIPTORS),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use arc_swap::ArcSwap;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use http_body_util::Full;
@@ -12,6 +13,7 @@
 
 use crate::http;
 use crate::ids;
+use crate::observe;
 use crate::platform;
 use crate::platform::{record, store_call};
 use crate::runtime;
@@ -30,7 +32,8 @@
 /// Client of the store; clones share connections.
 #[derive(Clone, Debug)]
 pub struct Store {
-    http: http::Client,
+    http: Arc<ArcSwap<http::Client>>,
+    traffic: runtime::Traffic,
 }
 
 /// Records of one partition, as read in one call.
@@ -133,12 +136,16 @@
     /// A client of the store at `addr`.
     #[must_use]
     pub fn new(addr: SocketAddr, traffic: runtime::Traffic) -> Self {
-        let limits = http::ClientLimits {
-            connect_timeout: CONNECT_TIMEOUT,
-            ..http::ClientLimits::default()
-        };
         Self {
-            http: http::Client::with_limits(addr, traffic, limits),
+            http: Arc::new(ArcSwap::from_pointee(client(addr, &traffic))),
+            traffic,
+        }
+    }
+
+    /// Uses the store at another address from the next call on.
+    pub fn move_to(&self, addr: SocketAddr) {
+        if self.http.load().addr() != addr {
+            self.http.store(Arc::new(client(addr, &self.traffic)));
         }
     }
 
@@ -233,23 +240,46 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), platform::PlatformError> {
-        let deadline = Instant::now() + timeout;
+        let began = Instant::now();
+        let deadline = began + timeout;
+        let kind = if method == Method::POST {
+            "append"
+        } else {
+            "read"
+        };
         let req = Request::builder()
             .method(method)
             .uri(uri)
             .body(Full::new(body))
             .map_err(|err| http::HttpError::NotSent(err.to_string().into()))?;
         let exchange = async {
-            let answer = self.http.send(req, timeout).await?;
+            let http = self.http.load_full();
+            let answer = http.send(req, timeout).await?;
             let status = answer.status;
             Ok((status, answer.bytes(MAX_ANSWER).await?))
         };
-        runtime::timeout_at(deadline, exchange).await.unwrap_or(Err(
+        let result = runtime::timeout_at(deadline, exchange).await.unwrap_or(Err(
             platform::PlatformError::Unknown(http::HttpError::TimedOut),
-        ))
+        ));
+        let outcome = match &result {
+            Ok((status, _)) if status.is_server_error() => "refused",
+            Ok(_) => "answered",
+            Err(platform::PlatformError::Refused(_)) => "unreachable",
+            Err(_) => "unanswered",
+        };
+        observe::metrics().store_call(kind, outcome, began.elapsed());
+        result
     }
 }
 
+fn client(addr: SocketAddr, traffic: &runtime::Traffic) -> http::Client {
+    let limits = http::ClientLimits {
+        connect_timeout: CONNECT_TIMEOUT,
+        ..http::ClientLimits::default()
+    };
+    http::Client::with_limits(addr, traffic.clone(), limits)
+}
+
 fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, platform::PlatformError> {
     serde_json::from_slice(body).map_err(|err| malformed(&err))
 }
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -18,6 +18,8 @@
     pub callers_addr: SocketAddr,
     /// Address on which readiness is asked for (TCP).
     pub readiness_addr: SocketAddr,
+    /// Address for metrics (TCP); `None` where they are not served.
+    pub metrics_addr: Option<SocketAddr>,
     /// Address of the metadata store (TCP).
     pub store_addr: SocketAddr,
     /// Interval at which endpoints renew their records.
--- a/tests/integration/harness.rs
+++ b/tests/integration/harness.rs
@@ -49,6 +49,10 @@
     assert!(cluster.ask(0).is_err());
     cluster.entries[0].process.restart();
     cluster.wait_until_ready();
+    // The log is written some time after its lines are made.
+    wait::until("both starts are logged", || {
+        cluster.entries[0].process.lines_with("starts").len() >= 2
+    });
     assert_eq!(cluster.entries[0].process.lines_with("starts").len(), 2);
 
     cluster.entries[1].process.freeze();
--- a/tests/integration/sidecar/beside.rs
+++ b/tests/integration/sidecar/beside.rs
@@ -6,13 +6,13 @@
 
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
-use hyper::{Method, Request, StatusCode};
+use hyper::{Request, StatusCode};
 use quetzalworks::attempt::{CallRef, Dispatch, Priority, Work};
 use quetzalworks::catalog;
 use quetzalworks::fleet::{Identity, NodeRole};
 use quetzalworks::http::{self as server, Client, Handler, Reply, Server};
 use quetzalworks::ids::{ChangeId, Fingerprint, Incarnation, RequestId, Revision};
-use quetzalworks::platform::Stream;
+use quetzalworks::platform::{StoreCall, Stream};
 use quetzalworks::settings::{self, Limits, Role, Settings};
 use quetzalworks::sidecar::Sidecar;
 use quetzalworks::standin::{Authority, StandinLog};
@@ -82,16 +82,18 @@
     async fn handle(&self, req: Request<Incoming>) -> Reply {
         let (head, body) = req.into_parts();
         let body = server::read_body(body, MAX_BODY).await.unwrap();
-        let is_append = head.method == Method::POST && head.uri.path().contains("usage");
+        let call = StoreCall::decode(&head.method, &head.uri, &body);
+        let is_append = matches!(call, Some(StoreCall::Append { topic, .. }) if &*topic == "usage");
         let req = Request::from_parts(head, Full::new(body));
         let answer = self.log.send(req, Duration::from_mins(1)).await.unwrap();
-        let body: Value = answer.json(MAX_BODY).await.unwrap();
+        let status = answer.status;
+        let body = answer.bytes(MAX_BODY).await.unwrap();
         let left = self.lost.load(Ordering::SeqCst);
         if is_append && left > 0 {
             self.lost.store(left - 1, Ordering::SeqCst);
             return smol::future::pending().await;
         }
-        server::json(StatusCode::OK, &body)
+        server::full(status, "application/octet-stream", body)
     }
 }
 
