Requests wait a little for the first configuration of a process

Ruled out: a slow store (it answered in 4 ms). They now wait up to 180 ms, an eighth of the objective.

--- a/src/direct/snapshot.rs
+++ b/src/direct/snapshot.rs
@@ -56,3 +56,15 @@
     /// Whether a planned stop has begun.
     pub stopping: bool,
 }
+
+impl Snapshot {
+    /// Whether the configuration and some endpoint are known.
+    #[must_use]
+    pub fn can_serve(&self) -> bool {
+        self.deployment.is_some()
+            && self
+                .services
+                .values()
+                .any(|service| !service.endpoints.is_empty())
+    }
+}
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -6,6 +6,7 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::{HeaderMap, Request};
+use smol::Timer;
 
 use crate::catalog;
 use crate::direct;
@@ -22,6 +23,12 @@
 /// Time in which a caller that states no deadline must have sent its body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Longest wait of a request for the first configuration: an eighth of an
+/// objective of 1.5 s, up to which a refusal is not late.
+const START_HOLD: Duration = Duration::from_millis(180);
+/// Interval at which such a request looks for it.
+const START_POLL: Duration = Duration::from_millis(15);
+
 /// Answers callers.
 #[derive(Debug)]
 pub struct Front(pub Arc<gateway::Cx>);
@@ -44,7 +51,7 @@
         let facts = platform::headers::decode_request(req.headers());
         let id = facts.id.clone().unwrap_or_else(|| "-".into());
         let mut trace = trace::Trace::begin(Arc::clone(&id));
-        let snapshot = self.0.control.snapshot();
+        let snapshot = self.snapshot().await;
         let admitted = match self.admit(&req, &snapshot, &facts, now) {
             Ok(admitted) => admitted,
             Err(refusal) => return refuse(&mut trace, &refusal),
@@ -104,6 +111,19 @@
         }
     }
 
+    /// The present snapshot. Right after the start of the process, requests
+    /// wait a little for the first one that can serve them.
+    async fn snapshot(&self) -> Arc<direct::Snapshot> {
+        let until = Instant::now() + START_HOLD;
+        loop {
+            let snapshot = self.0.control.snapshot();
+            if snapshot.can_serve() || Instant::now() >= until {
+                return snapshot;
+            }
+            Timer::after(START_POLL).await;
+        }
+    }
+
     fn admit(
         &self,
         req: &Request<Incoming>,
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -35,11 +35,7 @@
         if is_old {
             return Err("configuration too old");
         }
-        if snapshot
-            .services
-            .values()
-            .all(|service| service.endpoints.is_empty())
-        {
+        if !snapshot.can_serve() {
             return Err("no endpoints");
         }
         Ok(())
--- a/tests/integration/direct/stop.rs
+++ b/tests/integration/direct/stop.rs
@@ -1,4 +1,4 @@
-//! Planned stops.
+//! Starts and planned stops.
 
 use std::thread;
 use std::time::Duration;
@@ -32,3 +32,20 @@
     });
     assert!(site.process.wait_exit().success());
 }
+
+/// Guards against refusals of requests that arrive in the first moments of a
+/// process, before it has read its configuration.
+#[test]
+fn requests_wait_for_the_first_configuration() {
+    let desk = Endpoint::spawn("desk-1", &[], Behaviour::Answer(200, "good"));
+    let mut site = Site::spawn(&[("desk", &desk)]);
+    for i in 0..5 {
+        site.process.restart();
+        let mut first = None;
+        wait::until("the process answers", || {
+            first = site.call(&Method::GET, "/look/a", &format!("id-{i}")).ok();
+            first.is_some()
+        });
+        assert_eq!(first.unwrap().status, 200, "start {i}");
+    }
+}
