Overload: patience with living endpoints, fewer second runs under pressure

Ruled out: refusals by full engines (none had its 128 slots taken). A request now leaves an endpoint only once that is silent for all requests or after 1.6 objectives, and the confidence that a first answer must reach falls as answers begin later.

--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -17,8 +17,11 @@
 const MAX_FAILURE_SHARE: f64 = 0.45;
 /// Time after which a reported load is no longer counted.
 const LOAD_MEMORY: Duration = Duration::from_millis(1_500);
-/// Silence of an endpoint with work of this entry after which it is taken for dark.
+/// Least silence of an endpoint with work of this entry after which it is taken for dark.
 const DARK_SILENCE: Duration = Duration::from_millis(900);
+/// The endpoint's usual time to the first byte, this many times, is no such
+/// silence: a busy engine reads long prompts before it says anything.
+const DARK_USUAL: f64 = 3.0;
 
 /// Load as an endpoint reports it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -110,7 +113,9 @@
     #[must_use]
     pub fn is_dark(&self, now: runtime::Moment) -> bool {
         let state = self.lock();
-        state.in_flight > 0 && now.since(state.heard) > DARK_SILENCE
+        let usual = state.mean_first.unwrap_or_default() * DARK_USUAL / 1_000.0;
+        let silence = DARK_SILENCE.max(Duration::from_secs_f64(usual));
+        state.in_flight > 0 && now.since(state.heard) > silence
     }
 
     /// A run has been answered; `first` is the time to its first byte.
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -4,9 +4,11 @@
 mod choose;
 mod cold_gate;
 mod live;
+mod pressure;
 mod retry_window;
 
 pub use choose::{Ask, Chosen, VersionWish, choose};
 pub use cold_gate::ColdGate;
 pub use live::{Failure, Live, Permit, ReportedLoad};
+pub use pressure::Pressure;
 pub use retry_window::RetryWindow;
--- a/src/cascade/ladder.rs
+++ b/src/cascade/ladder.rs
@@ -1,10 +1,16 @@
 //! Which model runs first on a route, and which answers are kept.
 
+use crate::balance;
 use crate::ids;
 
 /// Confidence below which an answer of a smaller model is dropped while the
 /// caller has nothing of it.
 const MIN_CONFIDENCE: f64 = 0.5;
+/// Pressure up to which the service has room for all second runs.
+const EASY: f64 = 0.4;
+/// Pressure from which there is no second run: a larger model takes several
+/// times the work of a smaller one, with which more callers are served in time.
+const FULL: f64 = 1.2;
 
 /// What to do with an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,12 +46,19 @@
         self.models.get(index)
     }
 
-    /// Judges an answer by the model's own confidence.
+    /// Judges an answer by the model's own confidence and by how busy the
+    /// service is.
     #[must_use]
-    pub fn judge(&self, index: usize, confidence: Option<f64>) -> Step {
+    pub fn judge(
+        &self,
+        index: usize,
+        confidence: Option<f64>,
+        pressure: balance::Pressure,
+    ) -> Step {
         let largest = self.models.len().saturating_sub(1);
+        let room = ((FULL - pressure.get()) / (FULL - EASY)).clamp(0.0, 1.0);
         match confidence {
-            Some(confidence) if confidence < MIN_CONFIDENCE && index < largest => {
+            Some(confidence) if confidence < MIN_CONFIDENCE * room && index < largest => {
                 Step::Escalate(largest)
             }
             _ => Step::Keep,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -78,6 +78,12 @@
         self.rule.kind.is_repeatable() && self.runs < self.rule.max_attempts
     }
 
+    /// Whether no other run may follow the one that begins now.
+    #[must_use]
+    pub fn is_last_run(&self) -> bool {
+        !self.rule.kind.is_repeatable() || self.runs + 1 >= self.rule.max_attempts
+    }
+
     /// Takes a repeat of the shared budget.
     #[must_use]
     pub fn try_repeat(&self) -> bool {
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -15,6 +15,13 @@
 use crate::runtime;
 use crate::settings;
 
+/// What this entry keeps of a service.
+#[derive(Debug)]
+struct ServiceState {
+    window: balance::RetryWindow,
+    pressure: balance::Pressure,
+}
+
 /// Shared context of requests.
 #[derive(Debug)]
 pub struct Cx {
@@ -23,7 +30,7 @@
     pub control: control::Control<direct::Plane>,
     /// Connections to endpoints.
     pub lanes: lanes::Lanes,
-    windows: Mutex<HashMap<ids::ServiceName, balance::RetryWindow>>,
+    services: Mutex<HashMap<ids::ServiceName, ServiceState>>,
     /// When a planned stop began, in milliseconds of the moment; 0 before.
     stopping: AtomicU64,
 }
@@ -40,7 +47,7 @@
             settings: ArcSwap::from_pointee(settings),
             control,
             lanes: lanes::Lanes::new(traffic),
-            windows: Mutex::default(),
+            services: Mutex::default(),
             stopping: AtomicU64::new(0),
         })
     }
@@ -59,26 +66,40 @@
 
     /// Counts a request for a service.
     pub fn count_request(&self, service: &ids::ServiceName, now: runtime::Moment) {
-        self.with_window(service, |window| window.request(now));
+        self.with_service(service, |state| state.window.request(now));
     }
 
     /// Takes a repeat of the service's budget; false where none is left.
     pub fn try_repeat(&self, service: &ids::ServiceName, now: runtime::Moment) -> bool {
-        self.with_window(service, |window| window.try_repeat(now))
+        self.with_service(service, |state| state.window.try_repeat(now))
+    }
+
+    /// Counts an answer that began after `first`.
+    pub fn count_first(&self, service: &ids::ServiceName, first: Duration, objective: Duration) {
+        self.with_service(service, |state| state.pressure.add(first, objective));
+    }
+
+    /// How busy a service is.
+    #[must_use]
+    pub fn pressure(&self, service: &ids::ServiceName) -> balance::Pressure {
+        self.with_service(service, |state| state.pressure)
     }
 
-    fn with_window<T>(
+    fn with_service<T>(
         &self,
         service: &ids::ServiceName,
-        run: impl FnOnce(&mut balance::RetryWindow) -> T,
+        run: impl FnOnce(&mut ServiceState) -> T,
     ) -> T {
-        let mut windows = self.windows.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(window) = windows.get_mut(service) {
-            return run(window);
+        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(state) = services.get_mut(service) {
+            return run(state);
         }
         let bounds = self.settings().bounds;
-        let window = balance::RetryWindow::new(bounds.retry_ratio, bounds.retry_window);
-        run(windows.entry(service.clone()).or_insert(window))
+        let state = ServiceState {
+            window: balance::RetryWindow::new(bounds.retry_ratio, bounds.retry_window),
+            pressure: balance::Pressure::default(),
+        };
+        run(services.entry(service.clone()).or_insert(state))
     }
 
     /// Begins a planned stop.
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -92,8 +92,7 @@
 /// How long to wait for the answer of an endpoint.
 fn patience(call: &call::Call, chosen: &balance::Chosen) -> Duration {
     let left = call.time_left();
-    let is_last = call.runs + 1 >= call.rule.max_attempts;
-    if !call.rule.kind.is_repeatable() || is_last {
+    if call.is_last_run() {
         return left;
     }
     let usual = chosen.endpoint.live.mean_first().unwrap_or_default();
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -6,6 +6,8 @@
 
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
+use smol::Timer;
+use smol::future::FutureExt;
 
 use crate::balance;
 use crate::direct;
@@ -21,6 +23,10 @@
 /// Time to read it.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Interval at which a request looks whether its endpoint has gone silent for
+/// all requests.
+pub const DARK_CHECK: Duration = Duration::from_millis(300);
+
 /// An endpoint that has begun to answer.
 #[derive(Debug)]
 pub struct Opened {
@@ -148,16 +154,20 @@
         .lanes
         .client(&endpoint.record, view.upstream.max_connections, domains);
     let sent = Instant::now();
-    let answer = client.send(req, patience).await.map_err(|err| match err {
-        http::HttpError::NotSent(reason) => {
-            Unanswered::NotRun(balance::Failure::Unreachable, reason)
-        }
-        http::HttpError::TimedOut => Unanswered::Unknown(
-            balance::Failure::Silent,
-            format!("no answer in {} ms", patience.as_millis()).into(),
-        ),
-        err => Unanswered::Unknown(balance::Failure::Broken, err.to_string().into()),
-    })?;
+    let answer = client.send(req, patience);
+    let answer = answer
+        .or(until_dark(call, &endpoint))
+        .await
+        .map_err(|err| match err {
+            http::HttpError::NotSent(reason) => {
+                Unanswered::NotRun(balance::Failure::Unreachable, reason)
+            }
+            http::HttpError::TimedOut => Unanswered::Unknown(
+                balance::Failure::Silent,
+                format!("no answer in {} ms", sent.elapsed().as_millis()).into(),
+            ),
+            err => Unanswered::Unknown(balance::Failure::Broken, err.to_string().into()),
+        })?;
     let facts = platform::headers::decode_answer(&answer.headers);
     let now = runtime::Moment::now();
     endpoint.live.heard(now);
@@ -188,6 +198,23 @@
     })
 }
 
+/// Ends once the endpoint has been silent for all requests of this entry; never
+/// for a request that could not be sent to another one.
+async fn until_dark<T>(
+    call: &call::Call,
+    endpoint: &direct::EndpointView,
+) -> Result<T, http::HttpError> {
+    if call.is_last_run() {
+        std::future::pending::<()>().await;
+    }
+    loop {
+        Timer::after(DARK_CHECK).await;
+        if endpoint.live.is_dark(runtime::Moment::now()) {
+            return Err(http::HttpError::TimedOut);
+        }
+    }
+}
+
 fn request(
     call: &call::Call,
     endpoint: &direct::EndpointView,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -24,16 +24,14 @@
 const MAX_FAILURE: units::Bytes = units::Bytes(64 * 1_024);
 /// Time to read it.
 const FAILURE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Part of the objective that is waited for the first event of an endpoint
-/// before another one is asked.
-const PATIENCE_OBJECTIVES: f64 = 0.8;
+/// Objectives that are waited for the first event of an endpoint that is not
+/// silent for other requests. A busy endpoint would have to read the prompt
+/// again for a request that is sent once more.
+const PATIENCE_OBJECTIVES: f64 = 1.6;
 /// The endpoint's usual time to the first byte, this many times, is waited for at least.
-const PATIENCE_USUAL: f64 = 4.0;
+const PATIENCE_USUAL: f64 = 5.0;
 /// Permitted pauses that are waited for the next event.
 const PATIENCE_GAPS: f64 = 2.0;
-/// Interval at which a stream looks whether its endpoint has gone silent for
-/// all requests.
-const DARK_CHECK: Duration = Duration::from_millis(300);
 /// Attempts that are refused as not run before the request is refused.
 const MAX_REFUSALS: usize = 5;
 /// Least time for another attempt.
@@ -130,6 +128,8 @@
         match first_event(call, opened, started + patience).await {
             Ok(source) => {
                 let first = source.opened.sent.elapsed();
+                let objective = call.rule.objective.duration();
+                call.cx.count_first(&call.service, first, objective);
                 source.opened.endpoint.live.succeeded(first);
                 call.observe(&view, &source.opened.endpoint, true, Some(first));
                 return Ok(source);
@@ -162,8 +162,7 @@
 
 fn patience(call: &call::Call, chosen: &balance::Chosen) -> Duration {
     let left = call.time_left();
-    let is_last = call.runs + 1 >= call.rule.max_attempts;
-    if !call.rule.kind.is_repeatable() || is_last {
+    if call.is_last_run() {
         return left;
     }
     let usual = chosen.endpoint.live.mean_first().unwrap_or_default();
@@ -175,7 +174,8 @@
 fn escalation(call: &call::Call, opened: &send::Opened) -> Option<usize> {
     call.chosen_model()?;
     let ladder = cascade::Ladder::new(&call.rule.models);
-    match ladder.judge(call.model, opened.facts.confidence) {
+    let pressure = call.cx.pressure(&call.service);
+    match ladder.judge(call.model, opened.facts.confidence, pressure) {
         cascade::Step::Escalate(larger) if may_repeat(call) => Some(larger),
         _ => None,
     }
@@ -272,7 +272,7 @@
 
 async fn read(opened: &mut send::Opened, deadline: Instant) -> Chunk {
     loop {
-        let until = deadline.min(Instant::now() + DARK_CHECK);
+        let until = deadline.min(Instant::now() + send::DARK_CHECK);
         match runtime::timeout_at(until, opened.answer.chunk()).await {
             Some(Ok(Some(bytes))) => {
                 opened.endpoint.live.heard(runtime::Moment::now());
