--- a/tests/integration/direct/balance.rs
+++ b/tests/integration/direct/balance.rs
@@ -211,3 +211,67 @@
             .is_suspended(now.after(Duration::from_secs(5)))
     );
 }
+
+/// Guards against a busy endpoint that is taken for dark, and a dark one that
+/// is waited for.
+#[test]
+fn a_silent_endpoint_is_dark_after_a_time_that_fits_it() {
+    struct Case {
+        name: &'static str,
+        usual_ms: u64,
+        in_flight: bool,
+        silent_ms: u64,
+        dark: bool,
+    }
+    let cases = [
+        Case {
+            name: "just asked",
+            usual_ms: 100,
+            in_flight: true,
+            silent_ms: 500,
+            dark: false,
+        },
+        Case {
+            name: "silent",
+            usual_ms: 100,
+            in_flight: true,
+            silent_ms: 1_000,
+            dark: true,
+        },
+        Case {
+            name: "nothing asked",
+            usual_ms: 100,
+            in_flight: false,
+            silent_ms: 9_000,
+            dark: false,
+        },
+        Case {
+            name: "usually slow",
+            usual_ms: 800,
+            in_flight: true,
+            silent_ms: 2_000,
+            dark: false,
+        },
+        Case {
+            name: "slow and silent",
+            usual_ms: 800,
+            in_flight: true,
+            silent_ms: 2_600,
+            dark: true,
+        },
+    ];
+    for case in cases {
+        let endpoint = endpoint("e", "north");
+        for _ in 0..100 {
+            endpoint
+                .live
+                .succeeded(Duration::from_millis(case.usual_ms));
+        }
+        let asked = Moment::from_millis(NOW);
+        let _permit = case
+            .in_flight
+            .then(|| endpoint.live.begin(Tokens(1), asked));
+        let now = Moment::from_millis(NOW + case.silent_ms);
+        assert_eq!(endpoint.live.is_dark(now), case.dark, "{}", case.name);
+    }
+}
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -3,6 +3,7 @@
 mod balance;
 mod calls;
 mod canary;
+mod cascade;
 mod decode;
 mod endpoint;
 mod endpoints;
