--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -112,6 +112,13 @@
             /// Id from the header x-quetzalworks-request-id.
             required id: RequestId
         }
+        /// Show what logs say of a request: its decisions, and what changed around it.
+        cmd explain-log {
+            /// Id of the caller's attempt, as in the logs.
+            required id: String
+            /// Files with JSON log lines; standard input if there are none.
+            repeated files: PathBuf
+        }
         /// Watch until a roll-out is complete, or a failure domain is drained or back in full service.
         cmd watch {
             /// rollout or domain.
--- a/src/cli/local.rs
+++ b/src/cli/local.rs
@@ -7,22 +7,28 @@
 
 use crate::cli;
 use crate::cli::flags;
+use crate::platform;
 use crate::settings;
 use crate::standin;
 
-/// Checks a settings file.
+/// Extension of settings files in the platform's format.
+const PLATFORM_FORMAT: &str = "toml";
+
+/// Checks a settings file, by its extension the platform's or our own.
 pub fn check(path: &Path, as_json: bool) -> Result<(), cli::Failure> {
-    let settings = settings::load(path)
-        .map_err(|err| cli::Failure::usage(format!("{}: {err}", path.display())))?;
+    let unusable = |err| cli::Failure::usage(format!("{}: {err}", path.display()));
+    let is_platform = path.extension().is_some_and(|kind| kind == PLATFORM_FORMAT);
+    let (role, vm) = if is_platform {
+        let settings = platform::boot::load(path).map_err(unusable)?;
+        ("direct entry".to_owned(), settings.vm)
+    } else {
+        let settings = settings::load(path).map_err(unusable)?;
+        (settings.role.to_string(), settings.vm)
+    };
     if as_json {
-        println!("{}", json!({ "valid": true, "vm": settings.vm }));
+        println!("{}", json!({ "valid": true, "vm": vm }));
     } else {
-        println!(
-            "{}: valid settings of {} {}",
-            path.display(),
-            settings.role,
-            settings.vm
-        );
+        println!("{}: valid settings of {role} {vm}", path.display());
     }
     Ok(())
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod context;
 mod exit;
+mod explain_log;
 mod failure;
 mod flags;
 mod local;
--- a/src/cli/start.rs
+++ b/src/cli/start.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use crate::cli;
-use crate::cli::{change, flags, local, show, target, watch};
+use crate::cli::{change, explain_log, flags, local, show, target, watch};
 
 /// Runs the tool.
 #[must_use]
@@ -26,6 +26,9 @@
     match &flags.subcommand {
         flags::QuetzalworksCmd::Check(check) => return local::check(&check.path, flags.json),
         flags::QuetzalworksCmd::Certs(certs) => return local::certs(certs, flags.json),
+        flags::QuetzalworksCmd::ExplainLog(it) => {
+            return explain_log::run(&it.id, &it.files, flags.json);
+        }
         _ => {}
     }
     let cx = cli::Context::new(&flags)?;
@@ -55,6 +58,8 @@
             target::Watched::Rollout => watch::rollout(cx, &it.name).await,
             target::Watched::Domain => watch::domain(cx, &it.name).await,
         },
-        flags::QuetzalworksCmd::Check(_) | flags::QuetzalworksCmd::Certs(_) => Ok(()),
+        flags::QuetzalworksCmd::Check(_)
+        | flags::QuetzalworksCmd::Certs(_)
+        | flags::QuetzalworksCmd::ExplainLog(_) => Ok(()),
     }
 }
--- a/src/direct/snapshot.rs
+++ b/src/direct/snapshot.rs
@@ -29,6 +29,8 @@
     All,
     /// As the roll-out says.
     Canary(rollout::AnyCanary),
+    /// Not this one, as long as it is not known how far its roll-out is.
+    Unsettled(ids::VersionName),
 }
 
 /// A service with its endpoints.
--- a/src/direct/system/reports.rs
+++ b/src/direct/system/reports.rs
@@ -24,7 +24,7 @@
     settle(world, cx);
 }
 
-fn apply(world: &mut direct::World, cx: &TickCx, batch: &direct::Batch<direct::RolloutReport>) {
+fn apply(world: &mut direct::World, cx: &mut TickCx, batch: &direct::Batch<direct::RolloutReport>) {
     let health = world.health.entry(direct::Source::Reports).or_default();
     if health.succeeded(cx.now) {
         log::info!(target: "store", source:% = direct::Source::Reports; "store regained");
@@ -35,6 +35,7 @@
     for report in &batch.items {
         world.reports.insert(report.service.clone(), report.clone());
     }
+    cx.changed |= world.reports_end.is_none();
     world.reports_end = Some(batch.end);
 }
 
--- a/src/direct/system/snapshot.rs
+++ b/src/direct/system/snapshot.rs
@@ -54,11 +54,21 @@
     direct::ServiceView {
         upstream: Arc::clone(upstream),
         endpoints,
-        split: rollout.map_or(direct::VersionSplit::All, |row| {
-            direct::VersionSplit::Canary(row.canary.clone())
-        }),
+        split: split(world, rollout),
         evidence: rollout
             .filter(|row| !row.canary.is_over())
             .map(|row| Arc::clone(&row.evidence)),
     }
 }
+
+/// A process that has just started knows an order before it knows how far the
+/// other entries are with it, and must not send work to a version that is out.
+fn split(world: &direct::World, rollout: Option<&direct::RolloutRow>) -> direct::VersionSplit {
+    match rollout {
+        None => direct::VersionSplit::All,
+        Some(row) if world.reports_end.is_none() => {
+            direct::VersionSplit::Unsettled(row.order.target.clone())
+        }
+        Some(row) => direct::VersionSplit::Canary(row.canary.clone()),
+    }
+}
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -141,8 +141,10 @@
         now: runtime::Moment,
     ) -> [Option<balance::VersionWish<'a>>; 2] {
         use balance::VersionWish::{Any, Not, Only};
-        let direct::VersionSplit::Canary(canary) = &view.split else {
-            return [Some(Any), None];
+        let canary = match &view.split {
+            direct::VersionSplit::All => return [Some(Any), None],
+            direct::VersionSplit::Unsettled(target) => return [Some(Not(target)), Some(Any)],
+            direct::VersionSplit::Canary(canary) => canary,
         };
         let target = canary.target();
         match canary {
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -8,6 +8,7 @@
 mod endpoint;
 mod endpoints;
 mod events;
+mod explain;
 mod keys;
 mod operator;
 mod pool;
--- a/tests/integration/direct/rollouts.rs
+++ b/tests/integration/direct/rollouts.rs
@@ -20,7 +20,7 @@
 fn stage(ticked: &Ticked) -> Stage {
     match &ticked.snapshot.services[&"writer".parse().unwrap()].split {
         VersionSplit::Canary(canary) => canary.stage(ticked.now),
-        VersionSplit::All => panic!("no roll-out"),
+        split => panic!("not under way: {split:?}"),
     }
 }
 
@@ -166,3 +166,29 @@
         .count();
     assert!((1..=3).contains(&again), "{again} writes in a second");
 }
+
+/// Guards against an entry that has just started and sends work to a version
+/// that the others have rolled back.
+#[test]
+fn a_started_entry_waits_for_the_reports() {
+    let mut ticked = Ticked::unreported();
+    ticked.writers(&[("a", "v1"), ("b", "v2")]);
+    let order = json!({ "Service": "writer", "Target": "v2", "DurationS": 20 });
+    ticked.operator(false, vec![operator_change("rollout/writer", Some(&order))]);
+    let split = |ticked: &Ticked| {
+        let writer = &ticked.snapshot.services[&"writer".parse().unwrap()];
+        writer.split.clone()
+    };
+    assert_eq!(
+        split(&ticked),
+        VersionSplit::Unsettled("v2".parse().unwrap())
+    );
+    ticked.pass(1_000);
+    assert_eq!(
+        ticked.effects,
+        [],
+        "nothing is written before the reports are read"
+    );
+    ticked.reports(true, vec![report(Stage::RolledBack)], 3);
+    assert_eq!(stage(&ticked), Stage::RolledBack);
+}
--- a/tests/integration/direct/world.rs
+++ b/tests/integration/direct/world.rs
@@ -92,8 +92,15 @@
 }
 
 impl Ticked {
-    /// Tables with the configuration of version 1.
+    /// Tables with the configuration of version 1 and no reports.
     pub fn new() -> Self {
+        let mut ticked = Self::unreported();
+        ticked.reports(true, vec![], 0);
+        ticked
+    }
+
+    /// Tables before the reports of roll-outs are read.
+    pub fn unreported() -> Self {
         let mut ticked = Self {
             plane: Plane::new(World::new(settings())),
             now: Moment::from_millis(100_000),
@@ -101,7 +108,6 @@
             effects: Vec::new(),
         };
         ticked.operator(true, vec![operator_change("config", Some(&config(1)))]);
-        ticked.reports(true, vec![], 0);
         ticked
     }
 
