Clients of the product's own services leave src/platform

src/platform holds what the platform speaks and nothing else; the list of VMs and the rating service belong to the roles with a process beside each endpoint.

--- a/src/balance/retry_window.rs
+++ b/src/balance/retry_window.rs
@@ -12,6 +12,10 @@
 /// platform grants over all entries.
 const ALWAYS: u32 = 4;
 
+/// Part of the allowed repeats that second runs of a cascade may use: the rest
+/// is for requests that would fail without a repeat.
+const OPTIONAL_PART: f64 = 0.8;
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Counts {
     part: u64,
@@ -56,8 +60,19 @@
         self.counts(now).requests += 1;
     }
 
-    /// Takes a repeat; false where the bound is reached.
+    /// Takes a repeat without which the request fails; false where the bound
+    /// is reached.
     pub fn try_repeat(&mut self, now: runtime::Moment) -> bool {
+        self.try_take(now, 1.0)
+    }
+
+    /// Takes a repeat that only makes the answer better; false where the part
+    /// for such repeats is used up.
+    pub fn try_optional(&mut self, now: runtime::Moment) -> bool {
+        self.try_take(now, OPTIONAL_PART)
+    }
+
+    fn try_take(&mut self, now: runtime::Moment, part: f64) -> bool {
         let oldest = (now.as_millis() / self.part_ms).saturating_sub(PARTS as u64 - 1);
         let (requests, repeats) = self
             .counts
@@ -67,7 +82,7 @@
                 (requests + counts.requests, repeats + counts.repeats)
             });
         let allowed = f64::from(requests).mul_add(self.ratio, f64::from(ALWAYS));
-        if f64::from(repeats) + 1.0 > allowed {
+        if f64::from(repeats) + 1.0 > allowed * part {
             return false;
         }
         self.counts(now).repeats += 1;
--- a/src/bench/sample.rs
+++ b/src/bench/sample.rs
@@ -11,7 +11,7 @@
 use crate::demo;
 use crate::fleet;
 use crate::ids;
-use crate::platform;
+use crate::services;
 use crate::units;
 
 /// Versions over which the endpoints are spread.
@@ -41,20 +41,20 @@
 }
 
 /// The platform's list.
-pub fn list(entries: usize, endpoints: usize) -> Result<Vec<platform::Vm>, bench::BenchError> {
+pub fn list(entries: usize, endpoints: usize) -> Result<Vec<services::Vm>, bench::BenchError> {
     let entries = (0..entries).map(|i| identity(fleet::NodeRole::Entry, i));
     let sidecars = (0..endpoints).map(|i| identity(fleet::NodeRole::Sidecar, i));
     entries
         .chain(sidecars)
         .map(|node| {
             let node = node?;
-            Ok(platform::Vm {
+            Ok(services::Vm {
                 vm: node.vm,
                 domain: node.domain,
                 region: node.region,
                 role: node.role,
                 peer_addr: SocketAddr::from(([10, 20, 130, 140], 7_400)),
-                state: platform::VmState::Live,
+                state: services::VmState::Live,
             })
         })
         .collect()
--- a/src/control/event.rs
+++ b/src/control/event.rs
@@ -9,6 +9,7 @@
 use crate::ids;
 use crate::ledger;
 use crate::platform;
+use crate::services;
 
 /// Something that happened; systems read the events of their tick.
 #[derive(Clone, Debug)]
@@ -38,7 +39,7 @@
     /// A read of a stream failed; the log may be unavailable.
     LogFailed(platform::Stream),
     /// The platform's list of VMs.
-    Inventory(Vec<platform::Vm>),
+    Inventory(Vec<services::Vm>),
     /// A connection to another process is up.
     LinkUp(fleet::Identity),
     /// The connection to the process on this VM is down.
--- a/src/control/row.rs
+++ b/src/control/row.rs
@@ -7,7 +7,7 @@
 
 use crate::fleet;
 use crate::ids;
-use crate::platform;
+use crate::services;
 
 /// Silence after which a process counts as unresponsive: three report intervals.
 pub const SILENCE: Duration = Duration::from_secs(3);
@@ -33,7 +33,7 @@
     /// Address of the process beside it.
     pub addr: SocketAddr,
     /// State in the platform's list.
-    pub state: platform::VmState,
+    pub state: services::VmState,
     /// The connection, where there is one.
     pub link: Option<Link>,
     /// The last report.
@@ -45,7 +45,7 @@
 impl EndpointRow {
     /// A listed endpoint that has not been heard of yet.
     #[must_use]
-    pub fn unheard(vm: &platform::Vm) -> Self {
+    pub fn unheard(vm: &services::Vm) -> Self {
         Self {
             vm: vm.vm.clone(),
             domain: vm.domain.clone(),
@@ -71,7 +71,7 @@
     /// Its address for other processes.
     pub addr: SocketAddr,
     /// State in the platform's list.
-    pub state: platform::VmState,
+    pub state: services::VmState,
     /// The connection, where there is one.
     pub link: Option<Link>,
     /// What it has last told of itself, directly or through others.
@@ -85,7 +85,7 @@
 impl EntryRow {
     /// A listed entry that has not been heard of yet.
     #[must_use]
-    pub fn unheard(vm: &platform::Vm) -> Self {
+    pub fn unheard(vm: &services::Vm) -> Self {
         Self {
             vm: vm.vm.clone(),
             domain: vm.domain.clone(),
--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -11,9 +11,9 @@
 use crate::estimate;
 use crate::fleet;
 use crate::ids;
-use crate::platform;
 use crate::poison;
 use crate::rollout;
+use crate::services;
 use crate::units;
 
 /// Phase of the process.
@@ -57,7 +57,7 @@
     /// Whether operators have taken this process's VM or failure domain out.
     pub self_out: bool,
     /// State of this process's VM in the platform's list, as entries tell it.
-    pub self_state: platform::VmState,
+    pub self_state: services::VmState,
     /// Teams by the digest of their token.
     pub teams: HashMap<ids::Digest, TeamView>,
     /// Profiles.
@@ -103,7 +103,7 @@
     /// Whether this process's VM is leaving according to the platform's list.
     #[must_use]
     pub fn self_leaving(&self) -> bool {
-        self.self_state == platform::VmState::Leaving
+        self.self_state == services::VmState::Leaving
     }
 }
 
--- a/src/demo/node_plan.rs
+++ b/src/demo/node_plan.rs
@@ -7,7 +7,7 @@
 
 use crate::fleet;
 use crate::ids;
-use crate::platform;
+use crate::services;
 use crate::settings;
 use crate::standin;
 use crate::units;
@@ -107,8 +107,8 @@
 impl NodePlan {
     /// The process as the platform lists it.
     #[must_use]
-    pub fn listed(&self) -> platform::Vm {
-        platform::Vm {
+    pub fn listed(&self) -> services::Vm {
+        services::Vm {
             vm: self.settings.vm.clone(),
             domain: self.settings.domain.clone(),
             region: self.settings.region.clone(),
@@ -117,7 +117,7 @@
                 settings::Role::Sidecar(_) => fleet::NodeRole::Sidecar,
             },
             peer_addr: self.settings.peer_addr,
-            state: platform::VmState::Live,
+            state: services::VmState::Live,
         }
     }
 
--- a/src/entry/ratings.rs
+++ b/src/entry/ratings.rs
@@ -7,7 +7,7 @@
 
 use crate::estimate;
 use crate::ids;
-use crate::platform;
+use crate::services;
 use crate::units;
 
 /// Share of answers that are rated where the estimate is settled.
@@ -45,7 +45,7 @@
 /// Rates answers and collects the ratings.
 #[derive(Debug)]
 pub struct Ratings {
-    client: Option<platform::Rating>,
+    client: Option<services::Rating>,
     collector: Mutex<estimate::Collector>,
     queue: Sender<Sample>,
     queued: Receiver<Sample>,
@@ -54,7 +54,7 @@
 impl Ratings {
     /// No rating yet; without a client nothing is rated.
     #[must_use]
-    pub fn new(client: Option<platform::Rating>, collector: estimate::Collector) -> Self {
+    pub fn new(client: Option<services::Rating>, collector: estimate::Collector) -> Self {
         let (queue, queued) = channel::bounded(QUEUE);
         Self {
             client,
@@ -67,7 +67,7 @@
     /// Rates a sample now; `None` where the service does not answer in time.
     pub async fn rate(&self, sample: &Sample, deadline: Instant) -> Option<units::Quality> {
         let (client, answer) = (self.client.as_ref()?, sample.answer.as_ref()?);
-        let request = platform::RateRequest {
+        let request = services::RateRequest {
             profile: &sample.profile,
             version: &sample.version,
             class: sample.class,
--- a/src/entry/role.rs
+++ b/src/entry/role.rs
@@ -24,6 +24,7 @@
 use crate::platform;
 use crate::route;
 use crate::runtime;
+use crate::services;
 use crate::session;
 use crate::settings;
 use crate::system;
@@ -74,7 +75,7 @@
             teams: route::TeamLoad::default(),
         });
         let usage = Arc::new(usage::UsageWriter::new(Arc::clone(&cx), log.clone()));
-        let inventory = platform::Inventory::new(settings.platform.inventory_addr, traffic.clone());
+        let inventory = services::Inventory::new(settings.platform.inventory_addr, traffic.clone());
         let tasks = vec![
             traffic.spawn(feed::follow_config(log.clone(), control.clone())),
             traffic.spawn(peers::accept(
@@ -155,7 +156,7 @@
     traffic: &runtime::Traffic,
 ) -> entry::Ratings {
     let addr = settings.platform.rating_addr;
-    let client = addr.map(|addr| platform::Rating::new(addr, traffic.clone()));
+    let client = addr.map(|addr| services::Rating::new(addr, traffic.clone()));
     let collector = estimate::Collector::new(me.vm.clone(), me.incarnation);
     entry::Ratings::new(client, collector)
 }
--- a/src/feed/inventory.rs
+++ b/src/feed/inventory.rs
@@ -5,14 +5,14 @@
 use smol::Timer;
 
 use crate::control;
-use crate::platform;
+use crate::services;
 
 /// Time between reads of the list. A leaving VM must get no new work after a
 /// few seconds; the list itself lags by about as much.
 const INTERVAL: Duration = Duration::from_secs(1);
 
 /// Reads the list for ever and hands it to the control thread when it has changed.
-pub async fn follow_inventory(mut inventory: platform::Inventory, control: control::Control) {
+pub async fn follow_inventory(mut inventory: services::Inventory, control: control::Control) {
     let mut last = Vec::new();
     loop {
         match inventory.changed().await {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -90,6 +90,12 @@
         self.cx.try_repeat(&self.service, runtime::Moment::now())
     }
 
+    /// Takes a repeat that only makes the answer better.
+    #[must_use]
+    pub fn try_optional(&self) -> bool {
+        self.cx.try_optional(&self.service, runtime::Moment::now())
+    }
+
     /// Model that the router chooses; `None` where the caller's holds.
     #[must_use]
     pub fn chosen_model(&self) -> Option<&ids::ModelName> {
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -74,6 +74,11 @@
         self.with_service(service, |state| state.window.try_repeat(now))
     }
 
+    /// Takes a repeat that only makes the answer better; false where none is left.
+    pub fn try_optional(&self, service: &ids::ServiceName, now: runtime::Moment) -> bool {
+        self.with_service(service, |state| state.window.try_optional(now))
+    }
+
     /// Counts an answer that began after `first`.
     pub fn count_first(&self, service: &ids::ServiceName, first: Duration, objective: Duration) {
         self.with_service(service, |state| state.pressure.add(first, objective));
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -176,8 +176,11 @@
     let ladder = cascade::Ladder::new(&call.rule.models);
     let pressure = call.cx.pressure(&call.service);
     match ladder.judge(call.model, opened.facts.confidence, pressure) {
-        cascade::Step::Escalate(larger) if may_repeat(call) => Some(larger),
-        _ => None,
+        cascade::Step::Escalate(larger) => {
+            let has_time = call.may_run_again() && call.time_left() >= MIN_TIME_LEFT;
+            (has_time && call.try_optional()).then_some(larger)
+        }
+        cascade::Step::Keep => None,
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod rollout;
 pub mod route;
 pub mod runtime;
+pub mod services;
 pub mod session;
 pub mod settings;
 pub mod sidecar;
--- a/src/observe/journal.rs
+++ b/src/observe/journal.rs
@@ -75,7 +75,11 @@
         } else if let Some(truth) = value.to_bool() {
             truth.into()
         } else {
-            value.to_string().into()
+            match value.to_string() {
+                // How the library writes a missing value.
+                text if text == "None" => return Ok(()),
+                text => text.into(),
+            }
         };
         self.0.insert(key.to_string(), value);
         Ok(())
--- a/src/standin/inventory.rs
+++ b/src/standin/inventory.rs
@@ -11,8 +11,8 @@
 use hyper::{Request, StatusCode};
 
 use crate::http;
-use crate::platform;
 use crate::runtime;
+use crate::services;
 use crate::settings;
 use crate::standin::serve;
 use crate::units;
@@ -22,7 +22,7 @@
 #[serde(rename_all = "snake_case")]
 pub enum InventoryCommand {
     /// Replaces the list; readers see it after the lag.
-    Vms(Vec<platform::Vm>),
+    Vms(Vec<services::Vm>),
     /// Time after which readers see a change.
     Lag(units::Millis),
     /// Answers each read with status 503.
@@ -41,14 +41,14 @@
 
 #[derive(Debug, Default)]
 struct State {
-    visible: Vec<platform::Vm>,
-    pending: Vec<(Instant, Vec<platform::Vm>)>,
+    visible: Vec<services::Vm>,
+    pending: Vec<(Instant, Vec<services::Vm>)>,
     lag: units::Millis,
     outage: bool,
 }
 
 impl State {
-    fn visible(&mut self) -> &[platform::Vm] {
+    fn visible(&mut self) -> &[services::Vm] {
         let now = Instant::now();
         while self.pending.first().is_some_and(|(due, _)| *due <= now) {
             self.visible = self.pending.remove(0).1;
@@ -57,7 +57,7 @@
     }
 
     /// The list as it is, regardless of the lag.
-    fn latest(&self) -> &[platform::Vm] {
+    fn latest(&self) -> &[services::Vm] {
         self.pending.last().map_or(&self.visible, |(_, vms)| vms)
     }
 }
@@ -81,7 +81,7 @@
 }
 
 /// The tag of a list's content.
-fn tag(vms: &[platform::Vm]) -> HeaderValue {
+fn tag(vms: &[services::Vm]) -> HeaderValue {
     let mut hasher = DefaultHasher::new();
     for listed in vms {
         (&listed.vm, &listed.domain, &listed.region, listed.role).hash(&mut hasher);
@@ -132,12 +132,12 @@
     }
 
     /// Replaces the list; readers see it after the lag.
-    pub fn set(&self, vms: Vec<platform::Vm>) {
+    pub fn set(&self, vms: Vec<services::Vm>) {
         self.control(InventoryCommand::Vms(vms));
     }
 
     /// Changes the state of one VM.
-    pub fn set_state(&self, vm: &str, vm_state: platform::VmState) {
+    pub fn set_state(&self, vm: &str, vm_state: services::VmState) {
         let mut vms = self.vms();
         for listed in &mut vms {
             if listed.vm.as_str() == vm {
@@ -156,7 +156,7 @@
 
     /// The list as it is, regardless of the lag.
     #[must_use]
-    pub fn vms(&self) -> Vec<platform::Vm> {
+    pub fn vms(&self) -> Vec<services::Vm> {
         self.list.lock().latest().to_vec()
     }
 }
--- a/src/system/allotment.rs
+++ b/src/system/allotment.rs
@@ -6,8 +6,8 @@
 use crate::control;
 use crate::ids;
 use crate::ledger;
-use crate::platform;
 use crate::rollout;
+use crate::services;
 
 /// Runs the system.
 pub fn run(world: &mut control::World, cx: &mut control::TickCx) {
@@ -103,7 +103,7 @@
         let linked = row.link.as_ref().map(|link| link.incarnation);
         let told = row.member.as_ref().map(|member| member.incarnation);
         if let Some(run) = linked.max(told)
-            && row.state == platform::VmState::Live
+            && row.state == services::VmState::Live
         {
             live.push((row.vm.clone(), run, spent(&row.vm, run)));
         }
--- a/src/system/leaving.rs
+++ b/src/system/leaving.rs
@@ -6,7 +6,7 @@
 
 use crate::control;
 use crate::ids;
-use crate::platform;
+use crate::services;
 use crate::wire;
 
 /// Runs the system on an entry. It repeats with each report until the
@@ -19,7 +19,7 @@
         let Some(row) = world.endpoints.by_name(vm) else {
             continue;
         };
-        let leaving = row.state == platform::VmState::Leaving;
+        let leaving = row.state == services::VmState::Leaving;
         if report.leaving != leaving {
             let update = wire::Update::Leaving(leaving);
             cx.effects.push(control::Effect::Send(vm.clone(), update));
--- a/src/system/placement.rs
+++ b/src/system/placement.rs
@@ -7,8 +7,8 @@
 use crate::control;
 use crate::fleet;
 use crate::ids;
-use crate::platform;
 use crate::rollout;
+use crate::services;
 
 /// Time after which a load without a result counts as failed.
 const LOAD_TIMEOUT: Duration = Duration::from_mins(2);
@@ -117,7 +117,7 @@
         .endpoints
         .iter()
         .map(|(_, row)| row)
-        .filter(|row| row.report.service.is_none() && row.state == platform::VmState::Live)
+        .filter(|row| row.report.service.is_none() && row.state == services::VmState::Live)
         .filter(|row| control::World::is_heard(row.link.as_ref(), now))
         .collect();
     rows.sort_by(|a, b| a.vm.cmp(&b.vm));
--- a/src/system/snapshot.rs
+++ b/src/system/snapshot.rs
@@ -8,8 +8,8 @@
 use crate::control;
 use crate::fleet;
 use crate::ids;
-use crate::platform;
 use crate::rollout;
+use crate::services;
 use crate::units;
 
 /// Token counts by which versions are put in order of cost.
@@ -71,11 +71,11 @@
     world.me.role == fleet::NodeRole::Sidecar || world.ledger.is_caught_up()
 }
 
-fn self_state(world: &control::World) -> platform::VmState {
+fn self_state(world: &control::World) -> services::VmState {
     if world.leaving_by.is_empty() {
-        platform::VmState::Live
+        services::VmState::Live
     } else {
-        platform::VmState::Leaving
+        services::VmState::Leaving
     }
 }
 
@@ -216,7 +216,7 @@
 fn takes_work(world: &control::World, row: &control::EndpointRow, now: Instant) -> bool {
     control::World::is_heard(row.link.as_ref(), now)
         && row.report.accepting
-        && row.state == platform::VmState::Live
+        && row.state == services::VmState::Live
         && !world.is_out(&row.vm, &row.domain)
 }
 
--- a/tests/integration/control_proofs/leaving.rs
+++ b/tests/integration/control_proofs/leaving.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use quetzalworks::platform::VmState;
+use quetzalworks::services::VmState;
 use quetzalworks::standin::Faults;
 
 use crate::testing::cluster::Cluster;
--- a/tests/integration/direct/balance.rs
+++ b/tests/integration/direct/balance.rs
@@ -196,6 +196,21 @@
     }
 }
 
+/// Guards against second runs of cascades that leave no repeat for requests
+/// whose endpoint has failed.
+#[test]
+fn second_runs_leave_repeats_for_failures() {
+    let mut window = RetryWindow::new(0.9, Millis(10_000));
+    let now = Moment::from_millis(NOW);
+    for _ in 0..100 {
+        window.request(now);
+    }
+    let optional = (0..500).filter(|_| window.try_optional(now)).count();
+    let needed = (0..500).filter(|_| window.try_repeat(now)).count();
+    assert!(optional >= 45, "enough for the usual cascade: {optional}");
+    assert!(needed >= 10, "{needed}");
+}
+
 /// Guards against a failed endpoint that is never tried again.
 #[test]
 fn a_suspension_ends() {
--- a/tests/integration/proofs/leaving.rs
+++ b/tests/integration/proofs/leaving.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use quetzalworks::platform::{Stream, VmState};
+use quetzalworks::platform::Stream;
+use quetzalworks::services::VmState;
 use quetzalworks::standin::Faults;
 use serde_json::json;
 
--- a/tests/integration/testing/cluster.rs
+++ b/tests/integration/testing/cluster.rs
@@ -6,7 +6,8 @@
 use quetzalworks::catalog;
 use quetzalworks::fleet::NodeRole;
 use quetzalworks::ids::{ChangeId, Digest, Revision};
-use quetzalworks::platform::{Stream, Vm, VmState};
+use quetzalworks::platform::Stream;
+use quetzalworks::services::{Vm, VmState};
 use quetzalworks::settings;
 use quetzalworks::standin::{
     Authority, StandinEngine, StandinInventory, StandinLog, StandinRating, StandinService,
