--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -16,8 +16,11 @@
 /// Longest wait of a read of the operator's records. A read proves the
 /// configuration current only as of its start, so this bounds the age of the proof.
 const OPERATOR_WAIT: Duration = Duration::from_secs(1);
-/// Longest wait of a read of endpoints and reports.
-const IDLE_WAIT: Duration = Duration::from_secs(5);
+/// Longest wait of a read of endpoints. A read that hangs in an outage is only
+/// given up after its wait, and drains must be known soon after the outage.
+const ENDPOINT_WAIT: Duration = Duration::from_secs(1);
+/// Longest wait of a read of reports.
+const REPORT_WAIT: Duration = Duration::from_secs(2);
 /// Pause after a read of endpoints: each of them reports every second or so,
 /// and reading every report by itself would cost a call for each.
 const ENDPOINT_PAUSE: Duration = Duration::from_millis(700);
@@ -212,7 +215,8 @@
 ) -> Result<Step, platform::PlatformError> {
     let wait = match source {
         direct::Source::Operator => OPERATOR_WAIT,
-        direct::Source::Endpoints | direct::Source::Reports => IDLE_WAIT,
+        direct::Source::Endpoints => ENDPOINT_WAIT,
+        direct::Source::Reports => REPORT_WAIT,
     };
     let page = match store.read(topic(source), from, wait).await {
         Err(platform::PlatformError::Status(NO_TOPIC)) => {
--- a/src/rollout/canary.rs
+++ b/src/rollout/canary.rs
@@ -5,14 +5,15 @@
 use crate::runtime;
 use crate::units;
 
-/// Part of the time in which only the first share goes to the new version.
-/// Sessions keep the version that they began with until then.
-const PROBING_PART: f64 = 0.5;
+/// Part of the time in which only the first share goes to the new version. A
+/// version may turn bad at any moment, and all that it got before counts too:
+/// the rest is so short that its requests stay within the permitted exposure.
+const PROBING_PART: f64 = 0.76;
 /// Part of the time over which the share then grows to all.
-const RAMP_PART: f64 = 0.12;
-/// Part of the time after which the old version is given up; streams that
-/// began on it have ended by then.
-const DONE_PART: f64 = 0.8;
+const RAMP_PART: f64 = 0.06;
+/// Part of the time after which the old version is given up; most streams that
+/// began on it have ended by then, and the others are resumed.
+const DONE_PART: f64 = 0.87;
 /// Part of the permitted exposure that the first share uses. A session that is
 /// under way when the roll-out begins changes its version once if it is in the
 /// share, so the share must be small; it must also show a bad version in time.
