Direct role: unused fields and events removed, the relay of a stream in a file of its own

One figure for the entries among which limits are divided, and one rule for statuses that promise 'not run'. No change of behaviour.

--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -63,7 +63,6 @@
     suspensions: u32,
     suspended_until: runtime::Moment,
     heard: runtime::Moment,
-    asked: runtime::Moment,
     /// Until when it is taken for cold because it has failed.
     cold_until: runtime::Moment,
     gate: balance::ColdGate,
@@ -88,7 +87,6 @@
             state.heard = now;
         }
         state.in_flight += 1;
-        state.asked = now;
         state.pending_tokens += tokens.0;
         state.gate.take();
         drop(state);
@@ -190,12 +188,6 @@
         self.lock().pending_tokens
     }
 
-    /// Requests of this entry at it.
-    #[must_use]
-    pub fn in_flight(&self) -> u32 {
-        self.lock().in_flight
-    }
-
     /// Running mean of the time to the first byte.
     #[must_use]
     pub fn mean_first(&self) -> Option<Duration> {
--- a/src/catalog/deployment.rs
+++ b/src/catalog/deployment.rs
@@ -14,10 +14,6 @@
     pub head: units::Bytes,
     /// Largest body of a request.
     pub body: units::Bytes,
-    /// Time in which a head must be sent.
-    pub head_timeout: units::Millis,
-    /// Time for which a connection may be idle.
-    pub idle_timeout: units::Millis,
 }
 
 /// The team that holds a key.
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -30,6 +30,6 @@
 pub use service::{Service, UndatedKeys};
 pub use store::{Catalog, Entry};
 pub use team::Team;
-pub use upstream::{ColdStart, ModelCost, Upstream};
+pub use upstream::{ColdStart, Upstream};
 pub use verdict::{RejectReason, Verdict};
 pub use version::Version;
--- a/src/catalog/upstream.rs
+++ b/src/catalog/upstream.rs
@@ -12,15 +12,6 @@
     pub rate: units::Rate,
 }
 
-/// A model with its price.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ModelCost {
-    /// The model.
-    pub model: ids::ModelName,
-    /// Cost of 1,000 generated tokens; a token that is read costs a quarter.
-    pub per_1000_tokens: f64,
-}
-
 /// A service with the limits of its endpoints.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Upstream {
@@ -30,8 +21,4 @@
     pub max_connections: u32,
     /// Limits of cold endpoints; `None` where a cold start needs no care.
     pub cold_start: Option<ColdStart>,
-    /// Prices of its models; empty for a plain service.
-    pub models: Vec<ModelCost>,
-    /// Tokens that an endpoint's memory holds, for model engines.
-    pub kv_capacity: Option<units::Tokens>,
 }
--- a/src/direct/change.rs
+++ b/src/direct/change.rs
@@ -141,8 +141,6 @@
     },
     /// The settings of the process have changed.
     Settings(Box<settings::Direct>),
-    /// The process begins a planned stop.
-    Stop,
 }
 
 /// What the I/O tasks are asked to do.
--- a/src/direct/snapshot.rs
+++ b/src/direct/snapshot.rs
@@ -55,8 +55,6 @@
     pub services: HashMap<ids::ServiceName, Arc<ServiceView>>,
     /// How current the configuration is known to be.
     pub freshness: Arc<direct::Freshness>,
-    /// Whether a planned stop has begun.
-    pub stopping: bool,
 }
 
 impl Snapshot {
--- a/src/direct/system/process.rs
+++ b/src/direct/system/process.rs
@@ -1,18 +1,13 @@
-//! Changes of the process itself: its settings, and a planned stop.
+//! Changes of the process itself: its settings.
 
 use crate::direct;
 use crate::direct::system::TickCx;
 
-/// Takes changed settings and marks the process as stopping.
+/// Takes changed settings.
 pub fn run(world: &mut direct::World, cx: &mut TickCx) {
     for event in &cx.events {
-        match event {
-            direct::Event::Settings(settings) => world.settings = (**settings).clone(),
-            direct::Event::Stop => {
-                cx.changed |= !world.stopping;
-                world.stopping = true;
-            }
-            _ => {}
+        if let direct::Event::Settings(settings) = event {
+            world.settings = (**settings).clone();
         }
     }
 }
--- a/src/direct/system/snapshot.rs
+++ b/src/direct/system/snapshot.rs
@@ -24,7 +24,6 @@
         deployment: world.deployment.clone(),
         services,
         freshness: Arc::clone(&world.freshness),
-        stopping: world.stopping,
     }
 }
 
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -69,8 +69,6 @@
     pub freshness: Arc<direct::Freshness>,
     /// Whether the list of endpoints has been read once.
     pub listed: bool,
-    /// Whether a planned stop has begun.
-    pub stopping: bool,
 }
 
 impl World {
@@ -88,7 +86,6 @@
             health: HashMap::new(),
             freshness: Arc::default(),
             listed: false,
-            stopping: false,
         }
     }
 
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -18,9 +18,6 @@
 use crate::runtime;
 use crate::units;
 
-/// Entries for each failure domain among which the rate of a cold endpoint is divided.
-const ENTRIES_PER_DOMAIN: f64 = 2.0;
-
 /// A request with its progress.
 #[derive(Debug)]
 pub struct Call {
@@ -112,9 +109,7 @@
         let now = runtime::Moment::now();
         let wishes = self.version_wishes(view, now);
         let settings = self.cx.settings();
-        let domains = settings.domains.len().max(1);
-        #[allow(clippy::cast_precision_loss)]
-        let entries = domains as f64 * ENTRIES_PER_DOMAIN;
+        let entries = f64::from(settings.assumed_entries());
         let cold_rate = view
             .upstream
             .cold_start
--- a/src/gateway/facts.rs
+++ b/src/gateway/facts.rs
@@ -32,8 +32,6 @@
 pub struct Prompt {
     /// Tokens of the prompt.
     pub input: units::Tokens,
-    /// Most tokens of the answer.
-    pub max_output: units::Tokens,
     /// The parts in order; the last belongs to this request or its session.
     pub parts: Vec<PromptPart>,
 }
--- a/src/gateway/lanes.rs
+++ b/src/gateway/lanes.rs
@@ -13,8 +13,6 @@
 /// Time for a new connection; a round trip takes a few milliseconds, and a
 /// silent endpoint must leave time for another one.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Entries for each failure domain among which an endpoint's connections are divided.
-const ENTRIES_PER_DOMAIN: usize = 2;
 /// Fewest connections to an endpoint.
 const MIN_CONNECTIONS: usize = 4;
 
@@ -39,21 +37,20 @@
         self.clients.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The client of an endpoint that accepts `max_connections` of all entries
-    /// in `domains` failure domains together.
+    /// The client of an endpoint that accepts `max_connections` of `entries`
+    /// entries together.
     #[must_use]
     pub fn client(
         &self,
         record: &direct::EndpointRecord,
         max_connections: u32,
-        domains: usize,
+        entries: u32,
     ) -> http::Client {
         let key = (record.id.clone(), record.addr);
         if let Some(client) = self.lock().get(&key) {
             return client.clone();
         }
-        let entries = domains.max(1) * ENTRIES_PER_DOMAIN;
-        let share = usize::try_from(max_connections).unwrap_or(usize::MAX) / entries;
+        let share = usize::try_from(max_connections / entries.max(1)).unwrap_or(usize::MAX);
         let limits = http::ClientLimits {
             connect_timeout: CONNECT_TIMEOUT,
             max_connections: share.max(MIN_CONNECTIONS),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod plain;
 mod readiness;
 mod refuse;
+mod relay;
 mod role;
 mod send;
 mod stream;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -167,14 +167,7 @@
 }
 
 fn deliver(call: &mut call::Call, whole: Whole) -> http::Reply {
-    let promises_not_run = matches!(
-        whole.status,
-        StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-            | StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-    );
-    if promises_not_run {
+    if send::promises_not_run(whole.status) {
         // The endpoint has not marked its answer as not run, so this status
         // would promise the caller too much.
         return end_unknown(call);
--- a/src/gateway/role.rs
+++ b/src/gateway/role.rs
@@ -123,7 +123,6 @@
     pub async fn stop(&self) {
         let began = Instant::now();
         self.cx.begin_stop();
-        self.cx.control.send(direct::Event::Stop).await;
         Timer::after(CLOSE_IDLE_AFTER).await;
         self.callers.close_idle();
         let grace = self.cx.settings().bounds.grace.duration();
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -72,6 +72,19 @@
     }
 }
 
+/// Whether a status promises the caller that the request was not run. An
+/// endpoint that has not marked its answer so does not mean that.
+#[must_use]
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 impl fmt::Display for Unanswered {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -148,11 +161,11 @@
     patience: Duration,
 ) -> Result<Opened, Unanswered> {
     let req = request(call, &endpoint, resume_after)?;
-    let domains = call.cx.settings().domains.len();
+    let entries = call.cx.settings().assumed_entries();
     let client = call
         .cx
         .lanes
-        .client(&endpoint.record, view.upstream.max_connections, domains);
+        .client(&endpoint.record, view.upstream.max_connections, entries);
     let sent = Instant::now();
     let answer = client.send(req, patience);
     let answer = answer
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -1,6 +1,5 @@
 //! Requests whose answer is a stream of events.
 
-use std::io;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -12,14 +11,12 @@
 use crate::cascade;
 use crate::direct;
 use crate::errors;
-use crate::gateway::{call, plain, send, trace};
+use crate::gateway::{call, plain, relay, send, trace};
 use crate::http;
 use crate::platform;
 use crate::runtime;
 use crate::units;
 
-/// Largest event; more without a separator is not a stream of events.
-const MAX_EVENT: usize = 1_024 * 1_024;
 /// Largest body of a failure that is passed on.
 const MAX_FAILURE: units::Bytes = units::Bytes(64 * 1_024);
 /// Time to read it.
@@ -30,8 +27,6 @@
 const PATIENCE_OBJECTIVES: f64 = 1.6;
 /// The endpoint's usual time to the first byte, this many times, is waited for at least.
 const PATIENCE_USUAL: f64 = 5.0;
-/// Permitted pauses that are waited for the next event.
-const PATIENCE_GAPS: f64 = 2.0;
 /// Attempts that are refused as not run before the request is refused.
 const MAX_REFUSALS: usize = 5;
 /// Least time for another attempt.
@@ -39,13 +34,15 @@
 
 /// A stream that has begun.
 #[derive(Debug)]
-struct Source {
-    opened: send::Opened,
-    splitter: http::EventSplitter,
+pub struct Source {
+    /// The answer.
+    pub opened: send::Opened,
+    /// What has arrived of it and was not passed on.
+    pub splitter: http::EventSplitter,
 }
 
 /// Why no stream could be opened.
-enum Closed {
+pub enum Closed {
     /// The reply says it to the caller.
     Reply(Box<http::Reply>),
 }
@@ -59,12 +56,7 @@
     };
     let status = source.opened.answer.status;
     let headers = platform::headers::encode_answer(&source.opened.answer.headers);
-    let relay = Relay {
-        call,
-        source: Some(source),
-        last_event: resume_after,
-        status,
-    };
+    let relay = relay::Relay::new(call, source, resume_after, status);
     let chunks = stream::unfold(relay, |mut relay| async move {
         let chunk = relay.next().await?;
         Some((chunk, relay))
@@ -73,7 +65,7 @@
 }
 
 /// Finds an endpoint whose stream has begun.
-async fn open(call: &mut call::Call, resume_after: Option<u64>) -> Result<Source, Closed> {
+pub async fn open(call: &mut call::Call, resume_after: Option<u64>) -> Result<Source, Closed> {
     let closed = |reply| Closed::Reply(Box::new(reply));
     loop {
         let Some(view) = call.view() else {
@@ -144,7 +136,8 @@
     }
 }
 
-fn may_repeat(call: &call::Call) -> bool {
+/// Takes a repeat for a request that may run again; false where that is not allowed.
+pub fn may_repeat(call: &call::Call) -> bool {
     call.may_run_again() && call.time_left() >= MIN_TIME_LEFT && call.try_repeat()
 }
 
@@ -209,9 +202,8 @@
     status: StatusCode,
     reply: Option<http::Reply>,
 ) -> http::Reply {
-    let promises_not_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
     match reply {
-        Some(reply) if !promises_not_run => {
+        Some(reply) if !send::promises_not_run(status) => {
             call.trace.finish(trace::Outcome::Failed, status.as_u16());
             reply
         }
@@ -219,7 +211,8 @@
     }
 }
 
-fn note_break(
+/// Records that a stream has broken off.
+pub fn note_break(
     call: &mut call::Call,
     view: &direct::ServiceView,
     endpoint: &direct::EndpointView,
@@ -265,15 +258,19 @@
 }
 
 /// What a read of a stream has brought.
-enum Chunk {
+pub enum Chunk {
+    /// Bytes.
     Data(Bytes),
+    /// The end of the answer.
     End,
+    /// The connection broke.
     Broken,
     /// Nothing came until the deadline, or the endpoint is silent for all requests.
     Late,
 }
 
-async fn read(opened: &mut send::Opened, deadline: Instant) -> Chunk {
+/// Reads on until `deadline`.
+pub async fn read(opened: &mut send::Opened, deadline: Instant) -> Chunk {
     loop {
         let until = deadline.min(Instant::now() + send::DARK_CHECK);
         match runtime::timeout_at(until, opened.answer.chunk()).await {
@@ -296,122 +293,3 @@
         }
     }
 }
-
-/// Passes events on, and resumes the stream elsewhere where it breaks off.
-#[derive(Debug)]
-struct Relay {
-    call: call::Call,
-    source: Option<Source>,
-    last_event: Option<u64>,
-    status: StatusCode,
-}
-
-impl Relay {
-    async fn next(&mut self) -> Option<io::Result<Bytes>> {
-        loop {
-            let source = self.source.as_mut()?;
-            if let Some(bytes) = take_events(&mut source.splitter, &mut self.last_event) {
-                self.call.trace.first();
-                return Some(Ok(bytes));
-            }
-            let deadline = gap_deadline(&self.call);
-            match read(&mut source.opened, deadline).await {
-                Chunk::Data(bytes) => {
-                    source.splitter.push(&bytes);
-                    if source.splitter.pending() > MAX_EVENT {
-                        return Some(Err(self.interrupt("event too large")));
-                    }
-                }
-                Chunk::End if source.splitter.pending() == 0 => {
-                    let id = source.opened.endpoint.record.id.clone();
-                    self.call.trace.attempt(&id, "answered", &"complete");
-                    let status = self.status.as_u16();
-                    self.call.trace.finish(trace::Outcome::Answered, status);
-                    self.source = None;
-                    return None;
-                }
-                Chunk::End | Chunk::Broken => {
-                    if let Err(err) = self.resume(balance::Failure::Broken).await {
-                        return Some(Err(err));
-                    }
-                }
-                Chunk::Late => {
-                    if let Err(err) = self.resume(balance::Failure::Silent).await {
-                        return Some(Err(err));
-                    }
-                }
-            }
-        }
-    }
-
-    /// Goes on after the last whole event at another endpoint.
-    async fn resume(&mut self, failure: balance::Failure) -> io::Result<()> {
-        // Dropped first: the endpoint must not work on while another one goes on.
-        if let Some(source) = self.source.take() {
-            let endpoint = source.opened.endpoint;
-            if let Some(view) = self.call.view() {
-                note_break(&mut self.call, &view, &endpoint, failure);
-            }
-        }
-        if self.last_event.is_none() {
-            return Err(self.interrupt("the stream has no event ids"));
-        }
-        if !may_repeat(&self.call) {
-            return Err(self.interrupt("no further run is allowed"));
-        }
-        match open(&mut self.call, self.last_event).await {
-            Ok(source) => {
-                self.source = Some(source);
-                Ok(())
-            }
-            Err(Closed::Reply(_)) => Err(self.interrupt("no endpoint goes on")),
-        }
-    }
-
-    fn interrupt(&mut self, reason: &'static str) -> io::Error {
-        self.call.trace.note("interrupted", &reason);
-        self.call
-            .trace
-            .finish(trace::Outcome::Interrupted, self.status.as_u16());
-        io::Error::new(io::ErrorKind::ConnectionAborted, reason)
-    }
-}
-
-/// The whole events that have arrived, leaving out those that the caller has.
-fn take_events(splitter: &mut http::EventSplitter, last: &mut Option<u64>) -> Option<Bytes> {
-    let mut taken: Option<Vec<u8>> = None;
-    let mut single: Option<Bytes> = None;
-    while let Some(event) = splitter.next_event() {
-        if let (Some(id), Some(last)) = (event.id, *last)
-            && id <= last
-        {
-            continue;
-        }
-        if event.id.is_some() {
-            *last = event.id;
-        }
-        match (&mut taken, single.take()) {
-            (Some(taken), _) => taken.extend_from_slice(&event.bytes),
-            (None, Some(first)) => {
-                let mut both = first.to_vec();
-                both.extend_from_slice(&event.bytes);
-                taken = Some(both);
-            }
-            (None, None) => single = Some(event.bytes),
-        }
-    }
-    single.or_else(|| taken.map(Bytes::from))
-}
-
-/// Until when the next event is waited for.
-fn gap_deadline(call: &call::Call) -> Instant {
-    let Some(gap) = call.rule.event_gap else {
-        return call.ends;
-    };
-    let can_resume = call.may_run_again();
-    if !can_resume {
-        return call.ends;
-    }
-    call.ends
-        .min(Instant::now() + gap.duration().mul_f64(PATIENCE_GAPS))
-}
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body as _, Bytes, Incoming};
+use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1;
 use hyper::header::{HOST, HeaderValue};
 use hyper::{HeaderMap, Request, StatusCode};
@@ -294,12 +294,6 @@
         }
     }
 
-    /// Length of the body, where the server has stated it.
-    #[must_use]
-    pub fn stated_length(&self) -> Option<u64> {
-        self.body.size_hint().exact()
-    }
-
     /// The next part of the body; `None` at its end.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, http::HttpError> {
         while let Some(frame) = self.body.frame().await {
--- a/src/platform/boot.rs
+++ b/src/platform/boot.rs
@@ -14,8 +14,6 @@
 const PATH_VARIABLE: &str = "QUETZALWORKS_BOOT";
 /// Used where the file states no grace time; a platform kills seconds after SIGTERM.
 const DEFAULT_GRACE_S: f64 = 8.0;
-/// Used where the file states no heartbeat interval of endpoints.
-const DEFAULT_HEARTBEAT_MS: f64 = 1_000.0;
 /// Used where the file states no bound on draining.
 const DEFAULT_DRAIN_MS: f64 = 2_000.0;
 /// Used where the file states no bound on withdrawn keys.
@@ -39,7 +37,6 @@
     zones: BTreeMap<ids::DomainName, String>,
     listen_addrs: ListenAddrs,
     platform: Store,
-    heartbeat_ms: Option<f64>,
     #[serde(default)]
     limits: Limits,
     /// Figures of the deployment's rules.
@@ -123,7 +120,6 @@
         readiness_addr: file.listen_addrs.ready,
         metrics_addr: None,
         store_addr: file.platform.address,
-        heartbeat: units::Millis::rounded(file.heartbeat_ms.unwrap_or(DEFAULT_HEARTBEAT_MS)),
         max_descriptors: file.limits.max_fds.unwrap_or(DEFAULT_DESCRIPTORS),
         bounds: settings::Bounds {
             drain: units::Millis::rounded(params.drain_ms.unwrap_or(DEFAULT_DRAIN_MS)),
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -96,11 +96,10 @@
 }
 
 fn prompt(headers: &HeaderMap) -> Option<gateway::Prompt> {
-    let (read, written) = text(headers, &TOKEN_COUNT)?.split_once(',')?;
+    let (read, _) = text(headers, &TOKEN_COUNT)?.split_once(',')?;
     let parts = text(headers, &PROMPT_PARTS).unwrap_or_default();
     Some(gateway::Prompt {
         input: units::Tokens(read.trim().parse().ok()?),
-        max_output: units::Tokens(written.trim().parse().ok()?),
         parts: parts
             .split(',')
             .filter_map(|part| {
--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -83,23 +83,6 @@
     warmup_s: f64,
     #[serde(default)]
     warmup_per_s: f64,
-    engine: Option<Engine>,
-}
-
-#[derive(serde::Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Engine {
-    kv_capacity: Option<f64>,
-    #[serde(default)]
-    models: Vec<Model>,
-}
-
-#[derive(serde::Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Model {
-    name: ids::ModelName,
-    #[serde(default)]
-    cost: f64,
 }
 
 #[derive(serde::Deserialize)]
@@ -107,8 +90,6 @@
 struct Limits {
     max_header_bytes: f64,
     max_body_bytes: f64,
-    header_timeout_ms: f64,
-    idle_timeout_ms: f64,
 }
 
 #[derive(serde::Deserialize)]
@@ -165,8 +146,6 @@
     let limits = catalog::CallerLimits {
         head: units::Bytes(whole(config.limits.max_header_bytes)),
         body: units::Bytes(whole(config.limits.max_body_bytes)),
-        head_timeout: units::Millis::rounded(config.limits.header_timeout_ms),
-        idle_timeout: units::Millis::rounded(config.limits.idle_timeout_ms),
     };
     catalog::Deployment::new(
         ids::Revision(whole(config.version)),
@@ -225,24 +204,12 @@
         duration: units::Millis::from_seconds(service.warmup_s),
         rate: units::Rate::clamped(service.warmup_per_s),
     });
-    let (kv_capacity, models) = match service.engine {
-        Some(engine) => (engine.kv_capacity, engine.models),
-        None => (None, Vec::new()),
-    };
     catalog::Upstream {
         name: service.name,
         max_connections: service.max_connections.map_or(u32::MAX, |most| {
             u32::try_from(whole(most)).unwrap_or(u32::MAX)
         }),
         cold_start,
-        models: models
-            .into_iter()
-            .map(|model| catalog::ModelCost {
-                model: model.name,
-                per_1000_tokens: model.cost,
-            })
-            .collect(),
-        kv_capacity: kv_capacity.map(|tokens| units::Tokens(whole(tokens))),
     }
 }
 
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -22,14 +22,25 @@
     pub metrics_addr: Option<SocketAddr>,
     /// Address of the metadata store (TCP).
     pub store_addr: SocketAddr,
-    /// Interval at which endpoints renew their records.
-    pub heartbeat: units::Millis,
     /// Descriptors that the process may have open.
     pub max_descriptors: u32,
     /// Bounds that the operators of the deployment state.
     pub bounds: Bounds,
 }
 
+/// Entries for each failure domain among which what endpoints bear is divided.
+/// Entries know nothing of each other; with fewer of them some of it is unused.
+const ENTRIES_PER_DOMAIN: u32 = 2;
+
+impl Direct {
+    /// Number of entries among which limits that hold over all are divided.
+    #[must_use]
+    pub fn assumed_entries(&self) -> u32 {
+        let domains = u32::try_from(self.domains.len()).unwrap_or(u32::MAX);
+        domains.max(1).saturating_mul(ENTRIES_PER_DOMAIN)
+    }
+}
+
 /// Bounds that the operators of a deployment state.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
