--- a/src/balance/choose.rs
+++ b/src/balance/choose.rs
@@ -62,22 +62,12 @@
     pub now: runtime::Moment,
 }
 
-/// An endpoint with what decided for it.
-#[derive(Clone, Debug)]
-pub struct Chosen {
-    /// The endpoint.
-    pub endpoint: Arc<direct::EndpointView>,
-    /// Requests at it.
-    pub load: u32,
-    /// Endpoints that could be chosen.
-    pub candidates: usize,
-    /// Whether it was chosen for the prompt that it may have read.
-    pub by_affinity: bool,
-}
-
 /// Chooses among `endpoints`; `None` where none may be sent a request now.
 #[must_use]
-pub fn choose(endpoints: &[Arc<direct::EndpointView>], ask: &Ask<'_>) -> Option<Chosen> {
+pub fn choose(
+    endpoints: &[Arc<direct::EndpointView>],
+    ask: &Ask<'_>,
+) -> Option<Arc<direct::EndpointView>> {
     let open: Vec<_> = endpoints
         .iter()
         .filter(|endpoint| is_open(endpoint, ask))
@@ -89,17 +79,10 @@
         .collect();
     // An endpoint that has failed is better than none.
     let candidates = if well.is_empty() { &open } else { &well };
-    let preferred = ask
-        .affinity
-        .and_then(|part| by_affinity(candidates, part, ask.now));
-    let by_affinity = preferred.is_some();
-    let endpoint = preferred.or_else(|| by_score(candidates, ask))?;
-    Some(Chosen {
-        load: endpoint.live.load(ask.now),
-        candidates: candidates.len(),
-        by_affinity,
-        endpoint: Arc::clone(endpoint),
-    })
+    ask.affinity
+        .and_then(|part| by_affinity(candidates, part, ask.now))
+        .or_else(|| by_score(candidates, ask))
+        .cloned()
 }
 
 fn is_open(endpoint: &direct::EndpointView, ask: &Ask<'_>) -> bool {
--- a/src/catalog/upstream.rs
+++ b/src/catalog/upstream.rs
@@ -1,5 +1,7 @@
 //! Services whose endpoints an entry calls itself.
 
+use std::time::Duration;
+
 use crate::ids;
 use crate::units;
 
@@ -22,3 +24,12 @@
     /// Limits of cold endpoints; `None` where a cold start needs no care.
     pub cold_start: Option<ColdStart>,
 }
+
+impl Upstream {
+    /// How long an endpoint is cold after its start; zero where that needs no care.
+    #[must_use]
+    pub fn cold_span(&self) -> Duration {
+        self.cold_start
+            .map_or(Duration::ZERO, |cold| cold.duration.duration())
+    }
+}
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -21,4 +21,4 @@
 pub use plane::Plane;
 pub use snapshot::{EndpointView, ServiceView, Snapshot, VersionSplit};
 pub use store_health::StoreHealth;
-pub use world::{EndpointKey, EndpointRow, RolloutRow, World};
+pub use world::{EndpointKey, EndpointRow, RolloutRow, World, cold_span};
--- a/src/direct/system/endpoints.rs
+++ b/src/direct/system/endpoints.rs
@@ -38,10 +38,7 @@
     cx: &mut TickCx,
     batch: &direct::Batch<direct::EndpointChange>,
 ) {
-    let health = world.health.entry(direct::Source::Endpoints).or_default();
-    if health.succeeded(cx.now) {
-        log::info!(target: "store", source:% = direct::Source::Endpoints; "store regained");
-    }
+    world.store_answered(direct::Source::Endpoints, cx.now);
     let mut gone = Vec::new();
     for change in &batch.items {
         match change {
@@ -129,12 +126,7 @@
 }
 
 fn seen(world: &mut direct::World, cx: &mut TickCx, record: &direct::EndpointRecord) {
-    let cold_span = world
-        .deployment
-        .as_ref()
-        .and_then(|deployment| deployment.services.get(&record.service))
-        .and_then(|upstream| upstream.cold_start)
-        .map_or(Duration::ZERO, |cold| cold.duration.duration());
+    let cold_span = world.cold_span(&record.service);
     let mut cold_until = cx.now.after(record.cold_left.duration());
     let known_at_start = !world.listed;
     let Some(row) = world.endpoints.by_name_mut(&record.id) else {
--- a/src/direct/system/operator.rs
+++ b/src/direct/system/operator.rs
@@ -15,12 +15,7 @@
     for event in &events {
         match event {
             direct::Event::Operator(batch) => apply(world, cx, batch),
-            direct::Event::ReadFailed(source, reason) => {
-                let health = world.health.entry(*source).or_default();
-                if health.failed() {
-                    log::warn!(target: "store", source:% = source, reason:% = reason; "store lost");
-                }
-            }
+            direct::Event::ReadFailed(source, reason) => world.store_failed(*source, reason),
             _ => {}
         }
     }
@@ -32,10 +27,7 @@
     cx: &mut TickCx,
     batch: &direct::Batch<direct::OperatorChange>,
 ) {
-    let health = world.health.entry(direct::Source::Operator).or_default();
-    if health.succeeded(cx.now) {
-        log::info!(target: "store", source:% = direct::Source::Operator; "store regained");
-    }
+    world.store_answered(direct::Source::Operator, cx.now);
     if batch.whole {
         forget_missing(world, cx, batch);
     }
@@ -127,18 +119,11 @@
 
 /// Endpoints of a domain that was out may have become cold meanwhile.
 fn chill(world: &mut direct::World, cx: &TickCx, domain: &ids::DomainName) {
+    let deployment = world.deployment.clone();
     for (_, row) in world.endpoints.iter_mut() {
-        if row.record.domain != *domain {
-            continue;
-        }
-        let cold = world
-            .deployment
-            .as_ref()
-            .and_then(|deployment| deployment.services.get(&row.record.service))
-            .and_then(|upstream| upstream.cold_start);
-        if let Some(cold) = cold {
-            let until = cx.now.after(cold.duration.duration());
-            row.cold_until = row.cold_until.max(until);
+        if row.record.domain == *domain {
+            let span = direct::cold_span(deployment.as_deref(), &row.record.service);
+            row.cold_until = row.cold_until.max(cx.now.after(span));
         }
     }
 }
--- a/src/direct/system/reports.rs
+++ b/src/direct/system/reports.rs
@@ -25,10 +25,7 @@
 }
 
 fn apply(world: &mut direct::World, cx: &mut TickCx, batch: &direct::Batch<direct::RolloutReport>) {
-    let health = world.health.entry(direct::Source::Reports).or_default();
-    if health.succeeded(cx.now) {
-        log::info!(target: "store", source:% = direct::Source::Reports; "store regained");
-    }
+    world.store_answered(direct::Source::Reports, cx.now);
     if batch.whole {
         world.reports.clear();
     }
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::balance;
 use crate::catalog;
@@ -94,4 +95,33 @@
     pub fn health(&self, source: direct::Source) -> direct::StoreHealth {
         self.health.get(&source).copied().unwrap_or_default()
     }
+
+    /// A read of a topic has succeeded.
+    pub fn store_answered(&mut self, source: direct::Source, now: runtime::Moment) {
+        if self.health.entry(source).or_default().succeeded(now) {
+            log::info!(target: "store", source:% = source; "store regained");
+        }
+    }
+
+    /// A read of a topic has failed.
+    pub fn store_failed(&mut self, source: direct::Source, reason: &str) {
+        if self.health.entry(source).or_default().failed() {
+            log::warn!(target: "store", source:% = source, reason:% = reason; "store lost");
+        }
+    }
+
+    /// How long an endpoint of a service is cold after its start.
+    #[must_use]
+    pub fn cold_span(&self, service: &ids::ServiceName) -> Duration {
+        cold_span(self.deployment.as_deref(), service)
+    }
+}
+
+/// How long an endpoint of a service is cold after its start; zero where the
+/// configuration or the service is not known.
+#[must_use]
+pub fn cold_span(deployment: Option<&catalog::Deployment>, service: &ids::ServiceName) -> Duration {
+    deployment
+        .and_then(|deployment| deployment.services.get(service))
+        .map_or(Duration::ZERO, |upstream| upstream.cold_span())
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -18,6 +18,19 @@
 use crate::runtime;
 use crate::units;
 
+/// When a request is repeated, for one kind of answer.
+#[derive(Clone, Copy, Debug)]
+pub struct RepeatLimits {
+    /// Objectives that are waited for an answer before another endpoint is asked.
+    pub patience_objectives: f64,
+    /// The endpoint's usual time to the first byte, this many times, is waited for at least.
+    pub patience_usual: f64,
+    /// Attempts that are refused as not run before the request is refused.
+    pub max_refusals: usize,
+    /// Least time for another attempt.
+    pub min_time_left: Duration,
+}
+
 /// A request with its progress.
 #[derive(Debug)]
 pub struct Call {
@@ -81,16 +94,48 @@
         !self.rule.kind.is_repeatable() || self.runs + 1 >= self.rule.max_attempts
     }
 
-    /// Takes a repeat of the shared budget.
+    /// Takes a repeat for a request that may have run; false where it may not
+    /// run again, too little time is left or the budget is used up.
     #[must_use]
-    pub fn try_repeat(&self) -> bool {
-        self.cx.try_repeat(&self.service, runtime::Moment::now())
+    pub fn try_run_again(&self, limits: &RepeatLimits) -> bool {
+        self.may_run_again() && self.has_time(limits) && self.try_repeat()
+    }
+
+    /// Takes a repeat after an endpoint has not run the request.
+    #[must_use]
+    pub fn try_elsewhere(&self, limits: &RepeatLimits) -> bool {
+        self.tried.len() <= limits.max_refusals && self.has_time(limits) && self.try_repeat()
     }
 
     /// Takes a repeat that only makes the answer better.
     #[must_use]
-    pub fn try_optional(&self) -> bool {
-        self.cx.try_optional(&self.service, runtime::Moment::now())
+    pub fn try_better(&self, limits: &RepeatLimits) -> bool {
+        self.may_run_again()
+            && self.has_time(limits)
+            && self.cx.try_optional(&self.service, runtime::Moment::now())
+    }
+
+    fn has_time(&self, limits: &RepeatLimits) -> bool {
+        self.time_left() >= limits.min_time_left
+    }
+
+    fn try_repeat(&self) -> bool {
+        self.cx.try_repeat(&self.service, runtime::Moment::now())
+    }
+
+    /// How long to wait for the answer of an endpoint before another is asked.
+    #[must_use]
+    pub fn patience(&self, endpoint: &direct::EndpointView, limits: &RepeatLimits) -> Duration {
+        let left = self.time_left();
+        if self.is_last_run() {
+            return left;
+        }
+        let usual = endpoint.live.mean_first().unwrap_or_default();
+        let objective = self.rule.objective.duration();
+        objective
+            .mul_f64(limits.patience_objectives)
+            .max(usual.mul_f64(limits.patience_usual))
+            .min(left)
     }
 
     /// Model that the router chooses; `None` where the caller's holds.
@@ -105,7 +150,7 @@
 
     /// Chooses an endpoint; `None` where none may be sent a request now.
     #[must_use]
-    pub fn choose(&self, view: &direct::ServiceView) -> Option<balance::Chosen> {
+    pub fn choose(&self, view: &direct::ServiceView) -> Option<Arc<direct::EndpointView>> {
         let now = runtime::Moment::now();
         let wishes = self.version_wishes(view, now);
         let settings = self.cx.settings();
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -54,7 +54,7 @@
         let snapshot = self.snapshot().await;
         let admitted = match self.admit(&req, &snapshot, &facts, now) {
             Ok(admitted) => admitted,
-            Err(refusal) => return refuse(&mut trace, &refusal),
+            Err(refusal) => return refuse::refuse(&mut trace, &refusal),
         };
         note(&mut trace, &admitted);
         if let Some(session) = facts.session {
@@ -66,7 +66,7 @@
             .cloned()
         else {
             let code = errors::ResultCode::NoEndpoint;
-            return refuse(
+            return refuse::refuse(
                 &mut trace,
                 &errors::Refusal::new(code, "route without service"),
             );
@@ -80,7 +80,7 @@
         let (head, body) = req.into_parts();
         let body = match read_body(body, &admitted.deployment.limits, ends).await {
             Ok(body) => body,
-            Err(refusal) => return refuse(&mut trace, &refusal),
+            Err(refusal) => return refuse::refuse(&mut trace, &refusal),
         };
         let target = head
             .uri
@@ -201,10 +201,3 @@
         };
     Err(errors::Refusal::new(code, reason).retry_after(units::Millis(0)))
 }
-
-fn refuse(trace: &mut trace::Trace, refusal: &errors::Refusal) -> http::Reply {
-    trace.note("code", &refusal.code);
-    trace.note("reason", &refusal.message);
-    trace.finish(trace::Outcome::Refused, refusal.code.http_status());
-    refuse::reply(refusal)
-}
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -16,17 +16,15 @@
 
 /// Largest answer that is read whole before it is delivered.
 const MAX_WHOLE: units::Bytes = units::Bytes(8 * 1_024 * 1_024);
-/// Part of the objective after which a repeatable request is sent to another
-/// endpoint; at twice the objective most of the credit is lost anyway.
-const PATIENCE_OBJECTIVES: f64 = 2.0;
-/// The endpoint's usual time to an answer, this many times, is waited for at least.
-const PATIENCE_USUAL: f64 = 4.0;
+/// At twice the objective most of the credit is lost anyway.
+const LIMITS: call::RepeatLimits = call::RepeatLimits {
+    patience_objectives: 2.0,
+    patience_usual: 4.0,
+    max_refusals: 4,
+    min_time_left: Duration::from_millis(20),
+};
 /// Time after which a caller may come back when all endpoints are busy.
 const BUSY_RETRY: units::Millis = units::Millis(150);
-/// Attempts that are refused as not run before the request is refused.
-const MAX_REFUSALS: usize = 4;
-/// Least time for another attempt.
-const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 
 /// An endpoint's whole answer.
 struct Whole {
@@ -45,28 +43,24 @@
                 "the service is unknown",
             );
         };
-        let Some(chosen) = call.choose(&view) else {
+        let Some(endpoint) = call.choose(&view) else {
             return match failure {
                 Some(whole) => deliver(&mut call, whole),
                 None => end_unsent(&mut call),
             };
         };
-        let patience = patience(&call, &chosen);
-        let endpoint = Arc::clone(&chosen.endpoint);
+        let patience = call.patience(&endpoint, &LIMITS);
         match attempt(&mut call, &view, endpoint, patience).await {
             Ok(whole) => {
                 let is_failure = whole.status.is_server_error();
-                if is_failure && may_repeat(&call) {
+                if is_failure && call.try_run_again(&LIMITS) {
                     failure = Some(whole);
                     continue;
                 }
                 return deliver(&mut call, whole);
             }
             Err(send::Unanswered::NotRun(..)) => {
-                if call.tried.len() > MAX_REFUSALS
-                    || call.time_left() < MIN_TIME_LEFT
-                    || !call.try_repeat()
-                {
+                if !call.try_elsewhere(&LIMITS) {
                     return match failure {
                         Some(whole) => deliver(&mut call, whole),
                         None => end_unsent(&mut call),
@@ -74,7 +68,7 @@
                 }
             }
             Err(send::Unanswered::Unknown(..)) => {
-                if !may_repeat(&call) {
+                if !call.try_run_again(&LIMITS) {
                     return match failure {
                         Some(whole) => deliver(&mut call, whole),
                         None => end_unknown(&mut call),
@@ -85,21 +79,6 @@
     }
 }
 
-fn may_repeat(call: &call::Call) -> bool {
-    call.may_run_again() && call.time_left() >= MIN_TIME_LEFT && call.try_repeat()
-}
-
-/// How long to wait for the answer of an endpoint.
-fn patience(call: &call::Call, chosen: &balance::Chosen) -> Duration {
-    let left = call.time_left();
-    if call.is_last_run() {
-        return left;
-    }
-    let usual = chosen.endpoint.live.mean_first().unwrap_or_default();
-    let objective = call.rule.objective.duration().mul_f64(PATIENCE_OBJECTIVES);
-    objective.max(usual.mul_f64(PATIENCE_USUAL)).min(left)
-}
-
 async fn attempt(
     call: &mut call::Call,
     view: &direct::ServiceView,
@@ -182,8 +161,8 @@
     whole.reply
 }
 
-/// Ends a request that no endpoint has taken.
-fn end_unsent(call: &mut call::Call) -> http::Reply {
+/// Ends a request that no endpoint takes now; one that may have run is not refused.
+pub fn end_unsent(call: &mut call::Call) -> http::Reply {
     if call.runs > 0 {
         return end_unknown(call);
     }
@@ -215,9 +194,5 @@
     reason: &'static str,
 ) -> http::Reply {
     let refusal = errors::Refusal::new(code, reason).retry_after(BUSY_RETRY);
-    call.trace.note("code", &code);
-    call.trace.note("reason", &reason);
-    call.trace
-        .finish(trace::Outcome::Refused, code.http_status());
-    refuse::reply(&refusal)
+    refuse::refuse(&mut call.trace, &refusal)
 }
--- a/src/gateway/refuse.rs
+++ b/src/gateway/refuse.rs
@@ -4,8 +4,17 @@
 use hyper::header::{HeaderValue, RETRY_AFTER};
 
 use crate::errors;
+use crate::gateway::trace;
 use crate::http;
 
+/// Refuses a request that was not run, and writes its record.
+pub fn refuse(trace: &mut trace::Trace, refusal: &errors::Refusal) -> http::Reply {
+    trace.note("code", &refusal.code);
+    trace.note("reason", &refusal.message);
+    trace.finish(trace::Outcome::Refused, refusal.code.http_status());
+    reply(refusal)
+}
+
 /// The reply to a request that the router ends itself.
 #[must_use]
 pub fn reply(refusal: &errors::Refusal) -> http::Reply {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -92,7 +92,7 @@
         if self.last_event.is_none() {
             return Err(self.interrupt("the stream has no event ids"));
         }
-        if !stream::may_repeat(&self.call) {
+        if !self.call.try_run_again(&stream::LIMITS) {
             return Err(self.interrupt("no further run is allowed"));
         }
         match stream::open(&mut self.call, self.last_event).await {
@@ -100,7 +100,7 @@
                 self.source = Some(source);
                 Ok(())
             }
-            Err(stream::Closed::Reply(_)) => Err(self.interrupt("no endpoint goes on")),
+            Err(_) => Err(self.interrupt("no endpoint goes on")),
         }
     }
 
@@ -115,8 +115,7 @@
 
 /// The whole events that have arrived, leaving out those that the caller has.
 fn take_events(splitter: &mut http::EventSplitter, last: &mut Option<u64>) -> Option<Bytes> {
-    let mut taken: Option<Vec<u8>> = None;
-    let mut single: Option<Bytes> = None;
+    let mut taken = Vec::new();
     while let Some(event) = splitter.next_event() {
         if let (Some(id), Some(last)) = (event.id, *last)
             && id <= last
@@ -126,17 +125,9 @@
         if event.id.is_some() {
             *last = event.id;
         }
-        match (&mut taken, single.take()) {
-            (Some(taken), _) => taken.extend_from_slice(&event.bytes),
-            (None, Some(first)) => {
-                let mut both = first.to_vec();
-                both.extend_from_slice(&event.bytes);
-                taken = Some(both);
-            }
-            (None, None) => single = Some(event.bytes),
-        }
+        taken.extend_from_slice(&event.bytes);
     }
-    single.or_else(|| taken.map(Bytes::from))
+    (!taken.is_empty()).then(|| taken.into())
 }
 
 /// Until when the next event is waited for.
@@ -144,8 +135,7 @@
     let Some(gap) = call.rule.event_gap else {
         return call.ends;
     };
-    let can_resume = call.may_run_again();
-    if !can_resume {
+    if !call.may_run_again() {
         return call.ends;
     }
     call.ends
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -137,10 +137,7 @@
     endpoint: &direct::EndpointView,
     unanswered: &Unanswered,
 ) {
-    let cold = view
-        .upstream
-        .cold_start
-        .map_or(Duration::ZERO, |cold| cold.duration.duration());
+    let cold = view.upstream.cold_span();
     let now = runtime::Moment::now();
     match unanswered {
         Unanswered::NotRun(failure, _) => endpoint.live.failed(*failure, cold, now),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -21,16 +21,14 @@
 const MAX_FAILURE: units::Bytes = units::Bytes(64 * 1_024);
 /// Time to read it.
 const FAILURE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Objectives that are waited for the first event of an endpoint that is not
-/// silent for other requests. A busy endpoint would have to read the prompt
-/// again for a request that is sent once more.
-const PATIENCE_OBJECTIVES: f64 = 1.6;
-/// The endpoint's usual time to the first byte, this many times, is waited for at least.
-const PATIENCE_USUAL: f64 = 5.0;
-/// Attempts that are refused as not run before the request is refused.
-const MAX_REFUSALS: usize = 5;
-/// Least time for another attempt.
-const MIN_TIME_LEFT: Duration = Duration::from_millis(50);
+/// The patience is for an endpoint that is not silent for other requests: a busy
+/// one would have to read the prompt again for a request that is sent once more.
+pub const LIMITS: call::RepeatLimits = call::RepeatLimits {
+    patience_objectives: 1.6,
+    patience_usual: 5.0,
+    max_refusals: 5,
+    min_time_left: Duration::from_millis(50),
+};
 
 /// A stream that has begun.
 #[derive(Debug)]
@@ -41,18 +39,12 @@
     pub splitter: http::EventSplitter,
 }
 
-/// Why no stream could be opened.
-pub enum Closed {
-    /// The reply says it to the caller.
-    Reply(Box<http::Reply>),
-}
-
 /// Runs the request; the reply carries its events as they come.
 pub async fn run(mut call: call::Call) -> http::Reply {
     let resume_after = call.facts.last_event;
     let source = match open(&mut call, resume_after).await {
         Ok(source) => source,
-        Err(Closed::Reply(reply)) => return *reply,
+        Err(reply) => return *reply,
     };
     let status = source.opened.answer.status;
     let headers = platform::headers::encode_answer(&source.opened.answer.headers);
@@ -64,34 +56,33 @@
     http::generated(status, headers, chunks)
 }
 
-/// Finds an endpoint whose stream has begun.
-pub async fn open(call: &mut call::Call, resume_after: Option<u64>) -> Result<Source, Closed> {
-    let closed = |reply| Closed::Reply(Box::new(reply));
+/// Finds an endpoint whose stream has begun; the reply says why there is none.
+pub async fn open(
+    call: &mut call::Call,
+    resume_after: Option<u64>,
+) -> Result<Source, Box<http::Reply>> {
     loop {
         let Some(view) = call.view() else {
             let code = errors::ResultCode::NoEndpoint;
-            return Err(closed(plain::refuse(call, code, "the service is unknown")));
+            let reply = plain::refuse(call, code, "the service is unknown");
+            return Err(Box::new(reply));
         };
-        let Some(chosen) = call.choose(&view) else {
-            return Err(closed(end(call)));
+        let Some(endpoint) = call.choose(&view) else {
+            return Err(Box::new(plain::end_unsent(call)));
         };
-        let patience = patience(call, &chosen);
+        let patience = call.patience(&endpoint, &LIMITS);
         let started = Instant::now();
-        let endpoint = Arc::clone(&chosen.endpoint);
         let opened = match send::send(call, &view, endpoint, resume_after, patience).await {
             Ok(opened) => opened,
             Err(send::Unanswered::NotRun(..)) => {
-                if call.tried.len() > MAX_REFUSALS
-                    || call.time_left() < MIN_TIME_LEFT
-                    || !call.try_repeat()
-                {
-                    return Err(closed(end(call)));
+                if !call.try_elsewhere(&LIMITS) {
+                    return Err(Box::new(plain::end_unsent(call)));
                 }
                 continue;
             }
             Err(send::Unanswered::Unknown(..)) => {
-                if !may_repeat(call) {
-                    return Err(closed(end(call)));
+                if !call.try_run_again(&LIMITS) {
+                    return Err(Box::new(plain::end_unsent(call)));
                 }
                 continue;
             }
@@ -99,10 +90,10 @@
         let status = opened.answer.status;
         if !status.is_success() {
             let reply = failed(call, &view, opened).await;
-            if status.is_server_error() && may_repeat(call) {
+            if status.is_server_error() && call.try_run_again(&LIMITS) {
                 continue;
             }
-            return Err(closed(deliver_failure(call, status, reply)));
+            return Err(Box::new(deliver_failure(call, status, reply)));
         }
         if resume_after.is_none()
             && let Some(larger) = escalation(call, &opened)
@@ -128,51 +119,21 @@
             }
             Err((endpoint, failure)) => {
                 note_break(call, &view, &endpoint, failure);
-                if !may_repeat(call) {
-                    return Err(closed(end(call)));
+                if !call.try_run_again(&LIMITS) {
+                    return Err(Box::new(plain::end_unsent(call)));
                 }
             }
         }
     }
 }
 
-/// Takes a repeat for a request that may run again; false where that is not allowed.
-pub fn may_repeat(call: &call::Call) -> bool {
-    call.may_run_again() && call.time_left() >= MIN_TIME_LEFT && call.try_repeat()
-}
-
-/// Ends a request for which no stream could be opened.
-fn end(call: &mut call::Call) -> http::Reply {
-    if call.runs > 0 {
-        return plain::end_unknown(call);
-    }
-    plain::refuse(
-        call,
-        errors::ResultCode::Overloaded,
-        "no endpoint takes the request now",
-    )
-}
-
-fn patience(call: &call::Call, chosen: &balance::Chosen) -> Duration {
-    let left = call.time_left();
-    if call.is_last_run() {
-        return left;
-    }
-    let usual = chosen.endpoint.live.mean_first().unwrap_or_default();
-    let objective = call.rule.objective.duration().mul_f64(PATIENCE_OBJECTIVES);
-    objective.max(usual.mul_f64(PATIENCE_USUAL)).min(left)
-}
-
 /// The larger model that must run instead of the one that has answered.
 fn escalation(call: &call::Call, opened: &send::Opened) -> Option<usize> {
     call.chosen_model()?;
     let ladder = cascade::Ladder::new(&call.rule.models);
     let pressure = call.cx.pressure(&call.service);
     match ladder.judge(call.model, opened.facts.confidence, pressure) {
-        cascade::Step::Escalate(larger) => {
-            let has_time = call.may_run_again() && call.time_left() >= MIN_TIME_LEFT;
-            (has_time && call.try_optional()).then_some(larger)
-        }
+        cascade::Step::Escalate(larger) => call.try_better(&LIMITS).then_some(larger),
         cascade::Step::Keep => None,
     }
 }
@@ -221,10 +182,7 @@
     let note = format!("stream broke off ({failure})");
     call.trace
         .attempt(&endpoint.record.id, failure.into(), &note);
-    let cold = view
-        .upstream
-        .cold_start
-        .map_or(Duration::ZERO, |cold| cold.duration.duration());
+    let cold = view.upstream.cold_span();
     endpoint.live.failed(failure, cold, runtime::Moment::now());
     call.observe(view, endpoint, false, None);
 }
--- a/tests/integration/direct/balance.rs
+++ b/tests/integration/direct/balance.rs
@@ -35,7 +35,7 @@
 }
 
 fn chosen(endpoints: &[Arc<EndpointView>], ask: &Ask<'_>) -> Option<String> {
-    choose(endpoints, ask).map(|chosen| chosen.endpoint.record.id.to_string())
+    choose(endpoints, ask).map(|chosen| chosen.record.id.to_string())
 }
 
 /// Guards against requests that go to a busy, failing or far endpoint while a
@@ -145,10 +145,7 @@
     let mut sent = 0;
     for at in (NOW..NOW + 5_000).step_by(10) {
         if let Some(chosen) = choose(&endpoints, &ask(&domain, None, at)) {
-            let _permit = chosen
-                .endpoint
-                .live
-                .begin(Tokens(1), Moment::from_millis(at));
+            let _permit = chosen.live.begin(Tokens(1), Moment::from_millis(at));
             sent += 1;
         }
     }
