An innocent request is in one crash of a poison request at most

The retry after a failed engine ran alone only where the process beside the next endpoint had read the crash from the log; the entry knows it earlier.

Mend: a dispatch says that it must run alone; the gate lets none in while a lost connection is examined.

--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -45,6 +45,8 @@
     first_tokens: first_token::FirstTokens,
     /// Whether a request runs that shares the endpoint with no other.
     occupied: bool,
+    /// Lost connections of which it is not known yet whether the endpoint crashed.
+    unclear_losses: u32,
 }
 
 impl Gate {
@@ -58,14 +60,17 @@
             boot: None,
             first_tokens: first_token::FirstTokens::default(),
             occupied: false,
+            unclear_losses: 0,
         }
     }
 
     /// Lets a request in; `None` at the limit. A request that runs `alone`
-    /// enters only an idle endpoint and keeps others out.
+    /// enters only an idle endpoint and keeps others out. None enters while it
+    /// is not clear whether the endpoint has crashed: the crash would end it too.
     pub fn try_enter(&mut self, alone: bool, now: Instant) -> Option<Permit> {
         self.warmth = self.warmth.advanced(now);
-        if self.running >= self.limit() || self.occupied || (alone && self.running > 0) {
+        let is_held = self.occupied || self.unclear_losses > 0;
+        if self.running >= self.limit() || is_held || (alone && self.running > 0) {
             return None;
         }
         self.running += 1;
@@ -117,6 +122,16 @@
         counts && outcome == Outcome::Error
     }
 
+    /// A connection was lost, perhaps by a crash of the endpoint.
+    pub const fn suspect_crash(&mut self) {
+        self.unclear_losses += 1;
+    }
+
+    /// It is clear now what the lost connection meant.
+    pub const fn clear_suspicion(&mut self) {
+        self.unclear_losses = self.unclear_losses.saturating_sub(1);
+    }
+
     /// The endpoint said which start of it answers. Returns whether this has reset the gate.
     pub fn saw_boot(&mut self, boot: &Arc<str>, now: Instant) -> bool {
         let changed = self.boot.as_ref().is_some_and(|known| known != boot);
--- a/src/attempt/dispatch.rs
+++ b/src/attempt/dispatch.rs
@@ -49,6 +49,9 @@
     pub priority: Priority,
     /// Fingerprint of team and content, for poison requests.
     pub fingerprint: ids::Fingerprint,
+    /// Whether the request may have crashed an endpoint and must share this one
+    /// with no other request.
+    pub alone: bool,
     /// The last configuration record that the sender has applied.
     pub config: Option<ids::Offset>,
     /// What to run.
--- a/src/entry/dispatcher.rs
+++ b/src/entry/dispatcher.rs
@@ -14,6 +14,7 @@
 use crate::errors;
 use crate::ids;
 use crate::observe;
+use crate::poison;
 use crate::route;
 use crate::runtime;
 use crate::session;
@@ -38,6 +39,8 @@
     pub bill: bill::Bill,
     /// Why the session's version was not kept, where it was not.
     pub moved: Option<session::Moved>,
+    /// Whether an engine has failed the request.
+    pub failed_before: bool,
     tried: Vec<control::EndpointKey>,
     number: u16,
     left: u16,
@@ -76,6 +79,7 @@
         Self {
             bill: bill::Bill::new(cx.clone(), draft),
             moved: ask.moved,
+            failed_before: false,
             cx,
             ask,
             tried: Vec::new(),
@@ -255,6 +259,7 @@
         progress: Progress<'_>,
     ) -> attempt::Dispatch {
         let ask = &self.ask;
+        let suspicion = snapshot.quarantine.suspicion(ask.fingerprint);
         attempt::Dispatch {
             request: ask.id,
             attempt: self.number,
@@ -262,6 +267,7 @@
             time_left: units::Millis::from(ask.deadline.saturating_duration_since(Instant::now())),
             priority: ask.priority,
             fingerprint: ask.fingerprint,
+            alone: self.failed_before || suspicion == poison::Suspicion::Suspect,
             config: snapshot.config,
             work: attempt::Work::Model {
                 profile: ask.profile.name.clone(),
--- a/src/entry/generation.rs
+++ b/src/entry/generation.rs
@@ -188,6 +188,7 @@
                 self.settle(usage);
                 if refusal.code == errors::ResultCode::Interrupted {
                     self.failed = true;
+                    self.dispatcher.failed_before = true;
                     self.engine_failures += 1;
                     Progress::Interrupted(refusal)
                 } else {
--- a/src/entry/service_run.rs
+++ b/src/entry/service_run.rs
@@ -212,6 +212,7 @@
             time_left: ask.time_left(),
             priority: ask.priority,
             fingerprint: ask.fingerprint(),
+            alone: false,
             config: snapshot.config,
             work: attempt::Work::Service {
                 service: ask.service.clone(),
--- a/src/sidecar/crash.rs
+++ b/src/sidecar/crash.rs
@@ -6,6 +6,7 @@
 use crate::attempt;
 use crate::control;
 use crate::sidecar::cx;
+use crate::sidecar::place;
 
 /// A request that the engine runs.
 pub struct InFlight<'a> {
@@ -33,6 +34,7 @@
             return;
         }
         if let Some(loss) = self.cx.with_crashes(|crashes| crashes.lost(self.flight)) {
+            self.cx.with_admission(|adm| adm.gate_mut().suspect_crash());
             let task = confirm(Arc::clone(self.cx), loss, self.boot.clone());
             self.cx.traffic.spawn(task).detach();
         }
@@ -45,9 +47,11 @@
     }
 }
 
-/// An engine that answers under the same boot id has only ended one answer.
 async fn confirm(cx: cx::Shared, loss: admission::Loss, boot: Option<Arc<str>>) {
-    if is_same(&cx, boot.as_ref()).await {
+    let is_same = is_same(&cx, boot.as_ref()).await;
+    cx.with_admission(|adm| adm.gate_mut().clear_suspicion());
+    place::call_next(&cx);
+    if is_same {
         cx.with_crashes(|crashes| crashes.dismiss(&loss));
         return;
     }
@@ -60,6 +64,7 @@
     cx.control.send(control::Event::Crash(report)).await;
 }
 
+/// Whether the engine still answers under the same boot id: it has only ended one answer then.
 async fn is_same(cx: &cx::Shared, boot: Option<&Arc<str>>) -> bool {
     let status = cx.engine.status().await.ok();
     let same = status
--- a/src/sidecar/run.rs
+++ b/src/sidecar/run.rs
@@ -69,7 +69,8 @@
 
 /// Waits for a place. A suspect of a crash shares the endpoint with no other
 /// request, so that a further crash by it ends no other request and puts no
-/// other under suspicion.
+/// other under suspicion. The entry may know of the crash before this process
+/// has read it from the log.
 async fn admit(
     cx: &cx::Shared,
     dispatch: &attempt::Dispatch,
@@ -84,7 +85,7 @@
     let ask = admission::Ask {
         priority: dispatch.priority,
         deadline,
-        alone: suspicion == poison::Suspicion::Suspect,
+        alone: dispatch.alone || suspicion == poison::Suspicion::Suspect,
     };
     let place = place::enter(cx, ask).await?;
     check::check(cx, dispatch)?;
--- a/tests/integration/admission/gate.rs
+++ b/tests/integration/admission/gate.rs
@@ -210,3 +210,61 @@
     let cold = AnyWarmth::Cold(Warmth::new(flat, None));
     assert_eq!(cold.limit(), 7, "the cold limit never exceeds the maximum");
 }
+
+/// Guards against a request that is let in behind a lost connection and is
+/// ended by the crash that the loss was a sign of.
+#[test]
+fn none_enters_while_a_crash_is_unclear() {
+    struct Case {
+        name: &'static str,
+        losses: usize,
+        cleared: usize,
+        alone: bool,
+        enters: bool,
+    }
+    let cases = [
+        Case {
+            name: "no loss",
+            losses: 0,
+            cleared: 0,
+            alone: false,
+            enters: true,
+        },
+        Case {
+            name: "unclear",
+            losses: 1,
+            cleared: 0,
+            alone: false,
+            enters: false,
+        },
+        Case {
+            name: "unclear, for one that runs alone",
+            losses: 1,
+            cleared: 0,
+            alone: true,
+            enters: false,
+        },
+        Case {
+            name: "one of two is clear",
+            losses: 2,
+            cleared: 1,
+            alone: false,
+            enters: false,
+        },
+        Case {
+            name: "all clear",
+            losses: 2,
+            cleared: 2,
+            alone: true,
+            enters: true,
+        },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut gate = Gate::new(LIMITS);
+        (0..case.losses).for_each(|_| gate.suspect_crash());
+        (0..case.cleared).for_each(|_| gate.clear_suspicion());
+        let entered = gate.try_enter(case.alone, now).is_some();
+        assert_eq!(entered, case.enters, "{}", case.name);
+    }
+}
--- a/tests/integration/sidecar/beside.rs
+++ b/tests/integration/sidecar/beside.rs
@@ -217,6 +217,7 @@
             time_left: Millis(60_000),
             priority: Priority::High,
             fingerprint: Fingerprint(u64::try_from(id).unwrap()),
+            alone: false,
             config: None,
             work,
         })))
