--- a/tests/integration/proofs/poison.rs
+++ b/tests/integration/proofs/poison.rs
@@ -77,14 +77,14 @@
         let engines = cluster.engines.iter();
         engines.map(|engine| engine.stats().crashes).sum()
     };
-    let set_logs = |faults: &Faults| {
+    let set_logs = |faults: Faults| {
         for node in &cluster.sidecars {
-            node.log_proxy.as_ref().unwrap().set(faults.clone());
+            node.log_proxy.as_ref().unwrap().set(faults);
         }
     };
     for case in CASES {
         if case.blind {
-            set_logs(&Faults::cut());
+            set_logs(Faults::cut());
         }
         let before = crashes();
         let chat = Chat {
@@ -100,7 +100,7 @@
         });
         let lost = crashes() - before;
         assert!(lost <= MAX_LOST, "{}: {lost} lost: {poison:?}", case.name);
-        set_logs(&Faults::default());
+        set_logs(Faults::default());
         let quarantined = Ended::Refused {
             number: QUARANTINED,
             not_run: true,
