The log line of a request tells what its choice of an endpoint weighed

The line said which endpoint was tried and what came of it, not what decided for it: the ground (shared prompt, score, last resort), how many endpoints were known, open and well, the load at the chosen one and the age of its report. An attempt that was under way when the caller left was missing altogether.

The choice now returns these inputs with the endpoint; the trace writes them behind each attempt.

--- a/src/balance/choose.rs
+++ b/src/balance/choose.rs
@@ -1,5 +1,6 @@
 //! The pure choice of an endpoint.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -62,12 +63,61 @@
     pub now: runtime::Moment,
 }
 
+/// What decided for an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Ground {
+    /// It has read the prompt's shared part.
+    Affinity,
+    /// It is expected to answer first.
+    Score,
+    /// All that are open have failed lately; it is expected to answer first among them.
+    LastResort,
+}
+
+/// A chosen endpoint with the inputs of the choice.
+#[derive(Clone, Debug)]
+pub struct Choice {
+    /// The endpoint.
+    pub endpoint: Arc<direct::EndpointView>,
+    /// What decided.
+    pub ground: Ground,
+    /// Endpoints of the service.
+    pub known: usize,
+    /// Those that run the version, have not been tried and may be sent a request now.
+    pub open: usize,
+    /// Those of the open ones that have not failed lately.
+    pub well: usize,
+    /// Requests at the endpoint.
+    pub load: u32,
+    /// Age of its last report of its load; `None` where only the own requests are known.
+    pub load_age: Option<Duration>,
+}
+
+impl fmt::Display for Choice {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            ground,
+            known,
+            open,
+            well,
+            load,
+            ..
+        } = self;
+        write!(
+            f,
+            "{ground}, {well} well of {open} open of {known}, load {load}"
+        )?;
+        match self.load_age {
+            Some(age) => write!(f, " reported {} ms ago", age.as_millis()),
+            None => write!(f, " own only"),
+        }
+    }
+}
+
 /// Chooses among `endpoints`; `None` where none may be sent a request now.
 #[must_use]
-pub fn choose(
-    endpoints: &[Arc<direct::EndpointView>],
-    ask: &Ask<'_>,
-) -> Option<Arc<direct::EndpointView>> {
+pub fn choose(endpoints: &[Arc<direct::EndpointView>], ask: &Ask<'_>) -> Option<Choice> {
     let open: Vec<_> = endpoints
         .iter()
         .filter(|endpoint| is_open(endpoint, ask))
@@ -78,11 +128,25 @@
         .filter(|endpoint| !endpoint.live.is_suspended(ask.now) && !endpoint.live.is_dark(ask.now))
         .collect();
     // An endpoint that has failed is better than none.
-    let candidates = if well.is_empty() { &open } else { &well };
-    ask.affinity
+    let (candidates, otherwise) = if well.is_empty() {
+        (&open, Ground::LastResort)
+    } else {
+        (&well, Ground::Score)
+    };
+    let (endpoint, ground) = ask
+        .affinity
         .and_then(|part| by_affinity(candidates, part, ask.now))
-        .or_else(|| by_score(candidates, ask))
-        .cloned()
+        .map(|endpoint| (endpoint, Ground::Affinity))
+        .or_else(|| Some((by_score(candidates, ask)?, otherwise)))?;
+    Some(Choice {
+        ground,
+        known: endpoints.len(),
+        open: open.len(),
+        well: well.len(),
+        load: endpoint.live.load(ask.now),
+        load_age: endpoint.live.load_age(ask.now),
+        endpoint: Arc::clone(endpoint),
+    })
 }
 
 fn is_open(endpoint: &direct::EndpointView, ask: &Ask<'_>) -> bool {
--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -68,6 +68,13 @@
     gate: balance::ColdGate,
 }
 
+impl State {
+    fn fresh_report(&self, now: runtime::Moment) -> Option<(ReportedLoad, runtime::Moment, u32)> {
+        self.reported
+            .filter(|(_, at, _)| now.since(*at) < LOAD_MEMORY)
+    }
+}
+
 /// Record of one endpoint, shared between the snapshot and requests.
 #[derive(Debug, Default)]
 pub struct Live {
@@ -173,15 +180,22 @@
     #[must_use]
     pub fn load(&self, now: runtime::Moment) -> u32 {
         let state = self.lock();
-        match state.reported {
-            Some((load, at, own)) if now.since(at) < LOAD_MEMORY => {
+        match state.fresh_report(now) {
+            Some((load, _, own)) => {
                 let others = (load.running + load.waiting).saturating_sub(own);
                 others + state.in_flight
             }
-            _ => state.in_flight,
+            None => state.in_flight,
         }
     }
 
+    /// Age of the report that [`Self::load`] counts.
+    #[must_use]
+    pub fn load_age(&self, now: runtime::Moment) -> Option<Duration> {
+        let (_, at, _) = self.lock().fresh_report(now)?;
+        Some(now.since(at))
+    }
+
     /// Prompt tokens of this entry that it has not begun to answer.
     #[must_use]
     pub fn pending_tokens(&self) -> u64 {
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -7,7 +7,7 @@
 mod pressure;
 mod retry_window;
 
-pub use choose::{Ask, VersionWish, choose};
+pub use choose::{Ask, Choice, Ground, VersionWish, choose};
 pub use cold_gate::ColdGate;
 pub use live::{Failure, Live, Permit, ReportedLoad};
 pub use pressure::Pressure;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -150,7 +150,7 @@
 
     /// Chooses an endpoint; `None` where none may be sent a request now.
     #[must_use]
-    pub fn choose(&self, view: &direct::ServiceView) -> Option<Arc<direct::EndpointView>> {
+    pub fn choose(&self, view: &direct::ServiceView) -> Option<balance::Choice> {
         let now = runtime::Moment::now();
         let wishes = self.version_wishes(view, now);
         let settings = self.cx.settings();
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -1,6 +1,5 @@
 //! Requests whose answer is delivered whole.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
@@ -43,14 +42,14 @@
                 "the service is unknown",
             );
         };
-        let Some(endpoint) = call.choose(&view) else {
+        let Some(choice) = call.choose(&view) else {
             return match failure {
                 Some(whole) => deliver(&mut call, whole),
                 None => end_unsent(&mut call),
             };
         };
-        let patience = call.patience(&endpoint, &LIMITS);
-        match attempt(&mut call, &view, endpoint, patience).await {
+        let patience = call.patience(&choice.endpoint, &LIMITS);
+        match attempt(&mut call, &view, choice, patience).await {
             Ok(whole) => {
                 let is_failure = whole.status.is_server_error();
                 if is_failure && call.try_run_again(&LIMITS) {
@@ -82,11 +81,11 @@
 async fn attempt(
     call: &mut call::Call,
     view: &direct::ServiceView,
-    endpoint: Arc<direct::EndpointView>,
+    choice: balance::Choice,
     patience: Duration,
 ) -> Result<Whole, send::Unanswered> {
     let deadline = Instant::now() + patience;
-    let opened = send::send(call, view, endpoint, None, patience).await?;
+    let opened = send::send(call, view, choice, None, patience).await?;
     let first = opened.sent.elapsed();
     let send::Opened {
         answer,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -94,15 +94,17 @@
     }
 }
 
-/// Sends the request to `endpoint` and waits up to `patience` for the head of
+/// Sends the request to the chosen endpoint and waits up to `patience` for the head of
 /// the answer. The call's record of runs and tried endpoints follows.
 pub async fn send(
     call: &mut call::Call,
     view: &direct::ServiceView,
-    endpoint: Arc<direct::EndpointView>,
+    choice: balance::Choice,
     resume_after: Option<u64>,
     patience: Duration,
 ) -> Result<Opened, Unanswered> {
+    call.trace.chosen(&choice);
+    let endpoint = choice.endpoint;
     let tokens = call
         .facts
         .prompt
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -67,12 +67,12 @@
             let reply = plain::refuse(call, code, "the service is unknown");
             return Err(Box::new(reply));
         };
-        let Some(endpoint) = call.choose(&view) else {
+        let Some(choice) = call.choose(&view) else {
             return Err(Box::new(plain::end_unsent(call)));
         };
-        let patience = call.patience(&endpoint, &LIMITS);
+        let patience = call.patience(&choice.endpoint, &LIMITS);
         let started = Instant::now();
-        let opened = match send::send(call, &view, endpoint, resume_after, patience).await {
+        let opened = match send::send(call, &view, choice, resume_after, patience).await {
             Ok(opened) => opened,
             Err(send::Unanswered::NotRun(..)) => {
                 if !call.try_elsewhere(&LIMITS) {
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::balance;
 use crate::ids;
 use crate::observe;
 
@@ -34,6 +35,8 @@
     route: Option<ids::RouteName>,
     summary: String,
     attempts: String,
+    /// Choice for the attempt that is under way, and when it was made.
+    chosen: Option<(balance::Choice, Duration)>,
     first: Option<Duration>,
     is_over: bool,
 }
@@ -48,6 +51,7 @@
             route: None,
             summary: String::new(),
             attempts: String::new(),
+            chosen: None,
             first: None,
             is_over: false,
         }
@@ -66,6 +70,11 @@
         self.route = Some(route.clone());
     }
 
+    /// Notes the choice of an endpoint for an attempt that begins now.
+    pub fn chosen(&mut self, choice: &balance::Choice) {
+        self.chosen = Some((choice.clone(), self.began.elapsed()));
+    }
+
     /// Notes what came of one attempt at an endpoint; `kind` is its label in the metrics.
     pub fn attempt(
         &mut self,
@@ -74,10 +83,18 @@
         result: &dyn std::fmt::Display,
     ) {
         observe::metrics().direct_attempt(endpoint, kind);
+        self.note_attempt(endpoint, result);
+    }
+
+    fn note_attempt(&mut self, endpoint: &ids::EndpointId, result: &dyn std::fmt::Display) {
         let at = self.began.elapsed().as_millis();
         let separator = if self.attempts.is_empty() { "" } else { "; " };
         // Writing to a string cannot fail.
         let _ = write!(self.attempts, "{separator}{endpoint} {result} at {at} ms");
+        if let Some((choice, sent)) = self.chosen.take() {
+            let sent = sent.as_millis();
+            let _ = write!(self.attempts, " [{choice}, sent at {sent} ms]");
+        }
     }
 
     /// The first part of the answer goes to the caller.
@@ -90,6 +107,13 @@
         if std::mem::replace(&mut self.is_over, true) {
             return;
         }
+        if let Some(id) = self
+            .chosen
+            .as_ref()
+            .map(|(choice, _)| choice.endpoint.record.id.clone())
+        {
+            self.note_attempt(&id, &"under way");
+        }
         let total = self.began.elapsed();
         observe::metrics().direct_ended(&observe::DirectEnded {
             route: self.route.as_ref().map_or("", ids::RouteName::as_str),
--- a/tests/integration/direct/balance.rs
+++ b/tests/integration/direct/balance.rs
@@ -35,7 +35,7 @@
 }
 
 fn chosen(endpoints: &[Arc<EndpointView>], ask: &Ask<'_>) -> Option<String> {
-    choose(endpoints, ask).map(|chosen| chosen.record.id.to_string())
+    choose(endpoints, ask).map(|choice| choice.endpoint.record.id.to_string())
 }
 
 /// Guards against requests that go to a busy, failing or far endpoint while a
@@ -133,6 +133,62 @@
     );
 }
 
+/// Guards against a choice whose inputs the log does not tell.
+#[test]
+fn a_choice_tells_its_inputs() {
+    struct Case {
+        name: &'static str,
+        affinity: Option<u64>,
+        prepare: fn(&EndpointView, Moment),
+        told: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "first in the own failure domain",
+            affinity: None,
+            prepare: |_, _| {},
+            told: "score, 2 well of 2 open of 2, load 0 own only",
+        },
+        Case {
+            name: "reported load",
+            affinity: None,
+            prepare: |endpoint, now| {
+                let load = ReportedLoad {
+                    running: 1,
+                    waiting: 0,
+                    slots: 1_000,
+                };
+                endpoint.live.reported(load, now);
+            },
+            told: "score, 2 well of 2 open of 2, load 1 reported 30 ms ago",
+        },
+        Case {
+            name: "shared part",
+            affinity: Some(7),
+            prepare: |_, _| {},
+            told: "affinity, 2 well of 2 open of 2, load 0 own only",
+        },
+        Case {
+            name: "all have failed",
+            affinity: None,
+            prepare: |endpoint, now| {
+                let failure = Failure::Unreachable;
+                endpoint.live.failed(failure, Duration::ZERO, now);
+            },
+            told: "last_resort, 0 well of 2 open of 2, load 0 own only",
+        },
+    ];
+    for case in cases {
+        let endpoints = [endpoint("near", "north"), endpoint("far", "south")];
+        for endpoint in &endpoints {
+            (case.prepare)(endpoint, Moment::from_millis(NOW));
+        }
+        let domain = "north".parse().unwrap();
+        let choice = choose(&endpoints, &ask(&domain, case.affinity, NOW + 30)).unwrap();
+        assert_eq!(choice.to_string(), case.told, "{}", case.name);
+    }
+}
+
 /// Guards against more requests than a cold endpoint bears.
 #[test]
 fn a_cold_endpoint_gets_its_share_only() {
@@ -144,8 +200,11 @@
     let domain = "north".parse().unwrap();
     let mut sent = 0;
     for at in (NOW..NOW + 5_000).step_by(10) {
-        if let Some(chosen) = choose(&endpoints, &ask(&domain, None, at)) {
-            let _permit = chosen.live.begin(Tokens(1), Moment::from_millis(at));
+        if let Some(choice) = choose(&endpoints, &ask(&domain, None, at)) {
+            let _permit = choice
+                .endpoint
+                .live
+                .begin(Tokens(1), Moment::from_millis(at));
             sent += 1;
         }
     }
