A soak of real processes under faults drawn from a seed

Two to six entries as processes, with callers that keep their connections, endpoints that misbehave, a store and links that fail: signals, cuts one way and both, resets, slow links, outages, lost history, drains, withdrawn keys, new routes, in series and at once. What callers and endpoints have seen is checked against the promises: whole answers, true refusals, bounded runs, unchanged requests, withdrawn keys, answers in time, nothing lost around planned work, a log line for each failure, recovery, clean ends.

Once a link could not be bound: a process that is being started has copies of the sockets that try addresses out.

--- a/tests/integration/direct/endpoint.rs
+++ b/tests/integration/direct/endpoint.rs
@@ -6,6 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
+use crate::soak::backend::Draw;
 use crate::testing::place;
 
 /// What an endpoint does with one request.
@@ -15,6 +16,10 @@
     Answer(u16, &'static str),
     /// Like `Answer`, after a pause.
     Slow(Duration, &'static str),
+    /// Answers with the request's id, after a pause.
+    Echo(Duration),
+    /// Whatever is drawn for the request.
+    Drawn(Draw),
     /// Refuses with the mark that the request was not run.
     NotRun,
     /// Refuses without the mark.
@@ -45,11 +50,20 @@
 /// A request as it arrived.
 #[derive(Clone, Debug)]
 pub struct Received {
+    /// The endpoint's id.
+    pub endpoint: &'static str,
     pub head: String,
     pub body: Vec<u8>,
+    /// Whether the endpoint ran it, or may seem to have.
+    pub ran: bool,
 }
 
 impl Received {
+    /// Path and query.
+    pub fn path(&self) -> &str {
+        self.head.split(' ').nth(1).unwrap_or_default()
+    }
+
     pub fn header(&self, name: &str) -> Option<&str> {
         self.head.lines().skip(1).find_map(|line| {
             let (found, value) = line.split_once(':')?;
@@ -119,10 +133,17 @@
 
     fn serve(&self, tcp: &TcpStream) {
         let mut reader = BufReader::new(tcp.try_clone().unwrap());
-        while let Some(received) = read(&mut reader) {
-            self.state.lock().unwrap().received.push(received.clone());
+        while let Some(mut received) = read(&mut reader) {
             let next = self.script.lock().unwrap().pop();
-            let behaviour = next.unwrap_or_else(|| self.fallback.clone());
+            let mut behaviour = next.unwrap_or_else(|| self.fallback.clone());
+            let mut state = self.state.lock().unwrap();
+            if let Behaviour::Drawn(draw) = &behaviour {
+                behaviour = draw.behaviour(&received, state.received.len());
+            }
+            received.endpoint = self.id;
+            received.ran = !matches!(behaviour, Behaviour::NotRun);
+            state.received.push(received.clone());
+            drop(state);
             if !self.answer(tcp, &received, &behaviour) {
                 let _ = tcp.shutdown(Shutdown::Both);
                 return;
@@ -148,6 +169,11 @@
                 thread::sleep(*pause);
                 send(&whole(200, &id, &seal, body))
             }
+            Behaviour::Echo(pause) => {
+                thread::sleep(*pause);
+                send(&whole(200, &id, &seal, &format!("ran {id}")))
+            }
+            Behaviour::Drawn(_) => unreachable!("drawn before"),
             Behaviour::NotRun => send(&whole(503, &id, "Not-Executed: 1\r\n", "")),
             Behaviour::Busy => send(&whole(503, &id, &seal, "busy")),
             Behaviour::Close => false,
@@ -231,8 +257,10 @@
         head.push_str(&line);
     }
     let mut received = Received {
+        endpoint: "",
         head,
         body: Vec::new(),
+        ran: false,
     };
     let length = received
         .header("content-length")
--- a/tests/integration/harness.rs
+++ b/tests/integration/harness.rs
@@ -1,5 +1,9 @@
 //! Faults that the harness injects into a running cluster.
 
+use std::net::TcpListener;
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
 use std::time::Duration;
 
 use quetzalworks::standin::Faults;
@@ -8,7 +12,7 @@
 use crate::testing::cluster::Cluster;
 use crate::testing::load::{self, Load};
 use crate::testing::spec::Spec;
-use crate::testing::wait;
+use crate::testing::{place, wait};
 
 /// Guards against a link that bypasses its proxy, an answer that is cut or
 /// mixed up on a bad link, and a process that cannot be started again.
@@ -60,3 +64,26 @@
     cluster.entries[1].process.thaw();
     cluster.wait_until_ready();
 }
+
+/// Guards against an address that is in use for a moment because a process
+/// that is being started has a copy of the socket that tried it out.
+#[test]
+fn addresses_are_free_while_processes_start() {
+    /// Addresses that are taken; 20 of them were in use before the guard.
+    const ADDRESSES: usize = 3_000;
+    let is_over = AtomicBool::new(false);
+    let taken = thread::scope(|scope| {
+        for _ in 0..3 {
+            scope.spawn(|| {
+                while !is_over.load(Ordering::Acquire) {
+                    place::spawn(&mut Command::new("true")).wait().unwrap();
+                }
+            });
+        }
+        let in_use = (0..ADDRESSES).filter(|_| TcpListener::bind(place::addr()).is_err());
+        let taken = in_use.count();
+        is_over.store(true, Ordering::Release);
+        taken
+    });
+    assert_eq!(taken, 0, "of {ADDRESSES} addresses");
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -29,6 +29,7 @@
 mod service_calls;
 mod session;
 mod sidecar;
+mod soak;
 mod standins;
 mod systems;
 mod testing;
--- a/tests/integration/testing/process.rs
+++ b/tests/integration/testing/process.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 
-use crate::testing::wait;
+use crate::testing::{place, wait};
 
 /// A process of the system; killed when dropped.
 #[derive(Debug)]
@@ -60,6 +60,16 @@
         signal("CONT", self.child.id());
     }
 
+    /// Asks to read the settings again (SIGHUP).
+    pub fn reload(&self) {
+        signal("HUP", self.child.id());
+    }
+
+    /// How the process has ended; `None` while it runs.
+    pub fn exited(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().unwrap()
+    }
+
     /// Asks for a planned stop (SIGTERM).
     pub fn terminate(&self) {
         signal("TERM", self.child.id());
@@ -90,11 +100,9 @@
 
 /// Sends a signal to a process that this test has started.
 pub fn signal(name: &str, pid: u32) {
-    let status = Command::new("kill")
-        .arg(format!("-{name}"))
-        .arg(pid.to_string())
-        .status()
-        .unwrap();
+    let mut command = Command::new("kill");
+    command.arg(format!("-{name}")).arg(pid.to_string());
+    let status = place::spawn(&mut command).wait().unwrap();
     assert!(status.success(), "signal {name} was not sent");
 }
 
@@ -115,7 +123,6 @@
         .env("RUST_LOG", "info")
         .stdin(Stdio::null())
         .stderr(output.try_clone().unwrap())
-        .stdout(output)
-        .spawn()
-        .unwrap()
+        .stdout(output);
+    place::spawn(&mut command)
 }
