Topics of the store are read at the pace that the bounds ask for

The configuration was read every second and endpoints every 0.8 s, whatever the bounds on withdrawn keys and drains; with a bound on keys of about a second they would have been refused between two reads. The waits now follow from the bounds. Test: table of bounds.

--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -12,18 +12,23 @@
 use crate::ids;
 use crate::platform;
 use crate::runtime;
+use crate::settings;
 
 /// Longest wait of a read of the operator's records. A read proves the
 /// configuration current only as of its start, so this bounds the age of the proof.
-const OPERATOR_WAIT: Duration = Duration::from_secs(1);
+const OPERATOR_WAIT: Duration = Duration::from_millis(1_500);
+/// The same as a part of the bound on withdrawn keys: keys must be taken all
+/// the while, also when a read is late.
+const OPERATOR_WAIT_PART: f64 = 0.3;
 /// Longest wait of a read of endpoints. A read that hangs in an outage is only
 /// given up after its wait, and drains must be known soon after the outage.
 const ENDPOINT_WAIT: Duration = Duration::from_secs(1);
 /// Longest wait of a read of reports.
 const REPORT_WAIT: Duration = Duration::from_secs(2);
-/// Pause after a read of endpoints: each of them reports every second or so,
-/// and reading every report by itself would cost a call for each.
-const ENDPOINT_PAUSE: Duration = Duration::from_millis(700);
+/// Pause after a read of endpoints, as a part of the bound on drains: each of
+/// them reports every second or so, and reading every report by itself would
+/// cost a call for each.
+const ENDPOINT_PAUSE_PART: f64 = 0.35;
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Status of a topic that nobody has written to yet.
@@ -31,22 +36,53 @@
 
 type Control = control::Control<direct::Plane>;
 
+/// How often a topic is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pace {
+    /// Longest wait of a read for news.
+    pub wait: Duration,
+    /// Pause after a read that has brought news.
+    pub pause: Duration,
+}
+
+impl Pace {
+    /// As often as the bounds of the deployment ask, and no more: each read is paid for.
+    #[must_use]
+    pub fn new(source: direct::Source, bounds: &settings::Bounds) -> Self {
+        let (wait, pause) = match source {
+            direct::Source::Operator => {
+                let most = bounds
+                    .revoke
+                    .map(|revoke| revoke.duration().mul_f64(OPERATOR_WAIT_PART));
+                let wait = most.map_or(OPERATOR_WAIT, |most| most.min(OPERATOR_WAIT));
+                (wait, Duration::ZERO)
+            }
+            direct::Source::Endpoints => (
+                ENDPOINT_WAIT,
+                bounds.drain.duration().mul_f64(ENDPOINT_PAUSE_PART),
+            ),
+            direct::Source::Reports => (REPORT_WAIT, Duration::ZERO),
+        };
+        Self { wait, pause }
+    }
+}
+
 /// Follows one topic until the process ends.
-pub async fn follow(store: platform::Store, source: direct::Source, control: Control) {
+pub async fn follow(store: platform::Store, source: direct::Source, pace: Pace, control: Control) {
     let mut position = None;
     loop {
         let asked = runtime::Moment::now();
         let read = match position {
             None => list(&store, source).await,
-            Some(from) => read_on(&store, source, from).await,
+            Some(from) => read_on(&store, source, from, pace.wait).await,
         };
         match read {
             Ok(Step::Records(batch)) => {
                 position = Some(batch.end);
-                let pause = source == direct::Source::Endpoints && !batch.records.is_empty();
+                let has_news = !batch.records.is_empty();
                 control.send(batch.decode(source, asked)).await;
-                if pause {
-                    Timer::after(ENDPOINT_PAUSE).await;
+                if has_news && !pace.pause.is_zero() {
+                    Timer::after(pace.pause).await;
                 }
             }
             Ok(Step::Expired(first)) => {
@@ -212,12 +248,8 @@
     store: &platform::Store,
     source: direct::Source,
     from: ids::Offset,
+    wait: Duration,
 ) -> Result<Step, platform::PlatformError> {
-    let wait = match source {
-        direct::Source::Operator => OPERATOR_WAIT,
-        direct::Source::Endpoints => ENDPOINT_WAIT,
-        direct::Source::Reports => REPORT_WAIT,
-    };
     let page = match store.read(topic(source), from, wait).await {
         Err(platform::PlatformError::Status(NO_TOPIC)) => {
             Timer::after(wait).await;
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -16,7 +16,7 @@
     RolloutReport, Source,
 };
 pub use evidence::{Evidence, Sample};
-pub use feed::{follow, report};
+pub use feed::{Pace, follow, report};
 pub use freshness::Freshness;
 pub use plane::Plane;
 pub use snapshot::{EndpointView, ServiceView, Snapshot, VersionSplit};
--- a/src/gateway/role.rs
+++ b/src/gateway/role.rs
@@ -93,7 +93,9 @@
             direct::Source::Endpoints,
             direct::Source::Reports,
         ] {
-            tasks.push(traffic.spawn(direct::follow(store.clone(), source, control.clone())));
+            let pace = direct::Pace::new(source, &settings.bounds);
+            let follow = direct::follow(store.clone(), source, pace, control.clone());
+            tasks.push(traffic.spawn(follow));
         }
         Ok(Self {
             cx,
--- a/tests/integration/direct/store.rs
+++ b/tests/integration/direct/store.rs
@@ -1,11 +1,15 @@
-//! The store client against the stand-in store.
+//! The store client against the stand-in store, and how often it is asked.
 
 use std::time::Duration;
 
+use quetzalworks::direct::{Pace, Source};
 use quetzalworks::ids::Offset;
 use quetzalworks::platform::{Appended, Read, Store, with_key};
+use quetzalworks::settings::Bounds;
 use quetzalworks::standin::StandinLog;
+use quetzalworks::units::Millis;
 
+use crate::direct::world::settings;
 use crate::testing::{http, place};
 
 const TOPIC: &str = "keyed.test";
@@ -56,3 +60,70 @@
         assert_eq!(newest.records[0].value.as_deref(), Some(b"3".as_slice()));
     });
 }
+
+/// Guards against keys that are refused between two reads where the bound on
+/// withdrawn keys is short, and against drains that are read too late.
+#[test]
+fn topics_are_read_as_often_as_the_bounds_ask() {
+    struct Case {
+        name: &'static str,
+        source: Source,
+        revoke_ms: Option<u64>,
+        drain_ms: u64,
+        wait_ms: u64,
+        pause_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "configuration, keys in force 5 s at most",
+            source: Source::Operator,
+            revoke_ms: Some(5_000),
+            drain_ms: 2_000,
+            wait_ms: 1_500,
+            pause_ms: 0,
+        },
+        Case {
+            name: "configuration, keys in force 1 s at most",
+            source: Source::Operator,
+            revoke_ms: Some(1_000),
+            drain_ms: 2_000,
+            wait_ms: 300,
+            pause_ms: 0,
+        },
+        Case {
+            name: "configuration, no bound on keys",
+            source: Source::Operator,
+            revoke_ms: None,
+            drain_ms: 2_000,
+            wait_ms: 1_500,
+            pause_ms: 0,
+        },
+        Case {
+            name: "endpoints, drains within 2 s",
+            source: Source::Endpoints,
+            revoke_ms: None,
+            drain_ms: 2_000,
+            wait_ms: 1_000,
+            pause_ms: 700,
+        },
+        Case {
+            name: "endpoints, drains within 3 s",
+            source: Source::Endpoints,
+            revoke_ms: None,
+            drain_ms: 3_000,
+            wait_ms: 1_000,
+            pause_ms: 1_050,
+        },
+    ];
+    for case in cases {
+        let bounds = Bounds {
+            revoke: case.revoke_ms.map(Millis),
+            drain: Millis(case.drain_ms),
+            ..settings().bounds
+        };
+        let pace = Pace::new(case.source, &bounds);
+        let found = (pace.wait.as_millis(), pace.pause.as_millis());
+        let expected = (u128::from(case.wait_ms), u128::from(case.pause_ms));
+        assert_eq!(found, expected, "{}", case.name);
+    }
+}
