A silent endpoint is asked for a connection before it is given up

Cause: an endpoint that sent nothing for 0.9 s while one request of this entry was at it was taken for dark, although it only read a long prompt.

Now the first waiting request opens a connection, for the next one to use; only an endpoint that accepts none is dark.

Test: a busy endpoint gets the request once (2 arrivals where the question is left out), one that refuses connections is given up before the patience ends.

--- a/src/balance/choose.rs
+++ b/src/balance/choose.rs
@@ -125,7 +125,9 @@
     let well: Vec<_> = open
         .iter()
         .copied()
-        .filter(|endpoint| !endpoint.live.is_suspended(ask.now) && !endpoint.live.is_dark(ask.now))
+        .filter(|endpoint| {
+            !endpoint.live.is_suspended(ask.now) && !endpoint.live.is_silent(ask.now)
+        })
         .collect();
     // An endpoint that has failed is better than none.
     let (candidates, otherwise) = if well.is_empty() {
--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -17,12 +17,27 @@
 const MAX_FAILURE_SHARE: f64 = 0.45;
 /// Time after which a reported load is no longer counted.
 const LOAD_MEMORY: Duration = Duration::from_millis(1_500);
-/// Least silence of an endpoint with work of this entry after which it is taken for dark.
+/// Least silence of an endpoint with work of this entry after which it is asked
+/// for a connection: a busy engine is silent too while it reads long prompts.
 const DARK_SILENCE: Duration = Duration::from_millis(900);
 /// The endpoint's usual time to the first byte, this many times, is no such
 /// silence: a busy engine reads long prompts before it says anything.
 const DARK_USUAL: f64 = 3.0;
 
+/// Time in which one request asks a silent endpoint for a connection, for all.
+const ASK_TIME: Duration = Duration::from_millis(400);
+
+/// What to do about an endpoint's silence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Silence {
+    /// Nothing: it is not silent, or another request is finding out why.
+    None,
+    /// Ask it for a connection, and report [`Live::heard`] or [`Live::lost`].
+    Ask,
+    /// Give it up: it accepts no connection.
+    Dark,
+}
+
 /// Load as an endpoint reports it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReportedLoad {
@@ -51,6 +66,18 @@
     Refused,
 }
 
+/// Whether a silent endpoint accepts connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Reach {
+    /// It was heard, or nothing is known yet.
+    #[default]
+    Open,
+    /// A request of this entry is finding out, until then.
+    Asked(runtime::Moment),
+    /// It does not.
+    Lost,
+}
+
 #[derive(Debug, Default)]
 struct State {
     in_flight: u32,
@@ -63,12 +90,19 @@
     suspensions: u32,
     suspended_until: runtime::Moment,
     heard: runtime::Moment,
+    reach: Reach,
     /// Until when it is taken for cold because it has failed.
     cold_until: runtime::Moment,
     gate: balance::ColdGate,
 }
 
 impl State {
+    fn is_silent(&self, now: runtime::Moment) -> bool {
+        let usual = self.mean_first.unwrap_or_default() * DARK_USUAL / 1_000.0;
+        let silence = DARK_SILENCE.max(Duration::from_secs_f64(usual));
+        self.in_flight > 0 && now.since(self.heard) > silence
+    }
+
     fn fresh_report(&self, now: runtime::Moment) -> Option<(ReportedLoad, runtime::Moment, u32)> {
         self.reported
             .filter(|(_, at, _)| now.since(*at) < LOAD_MEMORY)
@@ -92,6 +126,7 @@
         let mut state = self.lock();
         if state.in_flight == 0 {
             state.heard = now;
+            state.reach = Reach::Open;
         }
         state.in_flight += 1;
         state.pending_tokens += tokens.0;
@@ -109,18 +144,37 @@
         state.reported = Some((load, now, state.in_flight));
     }
 
-    /// The endpoint has sent something.
+    /// The endpoint has sent something, or has accepted a connection.
     pub fn heard(&self, now: runtime::Moment) {
-        self.lock().heard = now;
+        let mut state = self.lock();
+        state.heard = now;
+        state.reach = Reach::Open;
+    }
+
+    /// The silent endpoint accepts no connection.
+    pub fn lost(&self) {
+        self.lock().reach = Reach::Lost;
     }
 
     /// Whether the endpoint has been silent with work of this entry.
     #[must_use]
-    pub fn is_dark(&self, now: runtime::Moment) -> bool {
-        let state = self.lock();
-        let usual = state.mean_first.unwrap_or_default() * DARK_USUAL / 1_000.0;
-        let silence = DARK_SILENCE.max(Duration::from_secs_f64(usual));
-        state.in_flight > 0 && now.since(state.heard) > silence
+    pub fn is_silent(&self, now: runtime::Moment) -> bool {
+        self.lock().is_silent(now)
+    }
+
+    /// What a request that waits for the endpoint has to do about its silence.
+    #[must_use]
+    pub fn silence(&self, now: runtime::Moment) -> Silence {
+        let mut state = self.lock();
+        match state.reach {
+            _ if !state.is_silent(now) => Silence::None,
+            Reach::Lost => Silence::Dark,
+            Reach::Asked(until) if now < until => Silence::None,
+            Reach::Open | Reach::Asked(_) => {
+                state.reach = Reach::Asked(now.after(ASK_TIME));
+                Silence::Ask
+            }
+        }
     }
 
     /// A run has been answered; `first` is the time to its first byte.
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -25,7 +25,7 @@
 
 /// Interval at which a request looks whether its endpoint has gone silent for
 /// all requests.
-pub const DARK_CHECK: Duration = Duration::from_millis(300);
+pub const SILENCE_CHECK: Duration = Duration::from_millis(300);
 
 /// An endpoint that has begun to answer.
 #[derive(Debug)]
@@ -36,6 +36,8 @@
     pub facts: gateway::AnswerFacts,
     /// The endpoint.
     pub endpoint: Arc<direct::EndpointView>,
+    /// Its client.
+    pub client: http::Client,
     /// Its place in the endpoint's count.
     pub permit: balance::Permit,
     /// When the request was sent.
@@ -168,7 +170,7 @@
     let sent = Instant::now();
     let answer = client.send(req, patience);
     let answer = answer
-        .or(until_dark(call, &endpoint))
+        .or(until_dark(call, &endpoint, &client))
         .await
         .map_err(|err| match err {
             http::HttpError::NotSent(reason) => {
@@ -205,28 +207,51 @@
         answer,
         facts,
         endpoint,
+        client,
         permit,
         sent,
     })
 }
 
-/// Ends once the endpoint has been silent for all requests of this entry; never
-/// for a request that could not be sent to another one.
+/// Ends once the endpoint is silent for all requests of this entry and accepts
+/// no connection; never for a request that could not be sent to another one.
 async fn until_dark<T>(
     call: &call::Call,
     endpoint: &direct::EndpointView,
+    client: &http::Client,
 ) -> Result<T, http::HttpError> {
     if call.is_last_run() {
         std::future::pending::<()>().await;
     }
     loop {
-        Timer::after(DARK_CHECK).await;
-        if endpoint.live.is_dark(runtime::Moment::now()) {
+        Timer::after(SILENCE_CHECK).await;
+        if is_dark(endpoint, client).await {
             return Err(http::HttpError::TimedOut);
         }
     }
 }
 
+/// Whether an endpoint that has been silent for all requests of this entry is
+/// cut off or gone, and not busy. One request asks it for all.
+pub async fn is_dark(endpoint: &direct::EndpointView, client: &http::Client) -> bool {
+    match endpoint.live.silence(runtime::Moment::now()) {
+        balance::Silence::None => false,
+        balance::Silence::Dark => true,
+        balance::Silence::Ask => match client.open_idle().await {
+            Ok(()) => {
+                endpoint.live.heard(runtime::Moment::now());
+                false
+            }
+            Err(err) => {
+                log::info!(target: "endpoint", endpoint:% = endpoint.record.id, error:% = err;
+                    "silent, and accepts no connection");
+                endpoint.live.lost();
+                true
+            }
+        },
+    }
+}
+
 fn request(
     call: &call::Call,
     endpoint: &direct::EndpointView,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -230,7 +230,7 @@
 /// Reads on until `deadline`.
 pub async fn read(opened: &mut send::Opened, deadline: Instant) -> Chunk {
     loop {
-        let until = deadline.min(Instant::now() + send::DARK_CHECK);
+        let until = deadline.min(Instant::now() + send::SILENCE_CHECK);
         match runtime::timeout_at(until, opened.answer.chunk()).await {
             Some(Ok(Some(bytes))) => {
                 opened.endpoint.live.heard(runtime::Moment::now());
@@ -243,8 +243,9 @@
                 return Chunk::Broken;
             }
             None => {
-                let is_dark = opened.endpoint.live.is_dark(runtime::Moment::now());
-                if Instant::now() >= deadline || is_dark {
+                if Instant::now() >= deadline
+                    || send::is_dark(&opened.endpoint, &opened.client).await
+                {
                     return Chunk::Late;
                 }
             }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -189,6 +189,13 @@
         self.shared.open.fetch_sub(closed, Ordering::AcqRel);
     }
 
+    /// Opens a connection for a later request. Tells whether the server accepts
+    /// one, which it does also while it is too busy to answer.
+    pub async fn open_idle(&self) -> Result<(), http::HttpError> {
+        self.connect().await?.give_back();
+        Ok(())
+    }
+
     /// Sends a request and waits for the head of the response. A request
     /// without a host is addressed to the server itself.
     pub async fn send(
--- a/tests/integration/direct/balance.rs
+++ b/tests/integration/direct/balance.rs
@@ -343,6 +343,6 @@
             .in_flight
             .then(|| endpoint.live.begin(Tokens(1), asked));
         let now = Moment::from_millis(NOW + case.silent_ms);
-        assert_eq!(endpoint.live.is_dark(now), case.dark, "{}", case.name);
+        assert_eq!(endpoint.live.is_silent(now), case.dark, "{}", case.name);
     }
 }
--- a/tests/integration/direct/endpoint.rs
+++ b/tests/integration/direct/endpoint.rs
@@ -42,6 +42,8 @@
     Stall(u64),
     /// Sends all events, with this confidence of the model.
     Events(&'static str),
+    /// Like `Events`, after a pause.
+    LateEvents(Duration),
 }
 
 /// Events of a whole stream.
@@ -100,6 +102,17 @@
         Self::shared(id, &Arc::new(Mutex::new(script)), fallback)
     }
 
+    /// An endpoint that the test itself plays on this address.
+    pub fn at(id: &'static str, addr: SocketAddr) -> Self {
+        Self {
+            id,
+            addr,
+            state: Arc::default(),
+            script: Arc::default(),
+            fallback: Behaviour::Silent,
+        }
+    }
+
     /// Like `spawn`, with a script that other endpoints follow too.
     pub fn shared(id: &'static str, script: &Script, fallback: Behaviour) -> Self {
         let addr = place::addr();
@@ -206,6 +219,10 @@
                 self.wait_until_left(tcp);
                 false
             }
+            Behaviour::LateEvents(pause) => {
+                thread::sleep(*pause);
+                self.answer(tcp, req, &Behaviour::Events("90"))
+            }
             Behaviour::Events(confidence) => {
                 self.events(tcp, req, confidence, EVENTS);
                 let _ = tcp.write_all(b"0\r\n\r\n");
--- a/tests/integration/direct/streams.rs
+++ b/tests/integration/direct/streams.rs
@@ -1,7 +1,13 @@
 //! Streams of model engines: whole events, resumed, from the right model.
 
+use std::net::TcpListener;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
 use crate::direct::endpoint::{Behaviour, EVENTS, Endpoint};
-use crate::direct::site::Site;
+use crate::direct::site::{Site, put_endpoint};
+use crate::testing::place;
 
 fn ids(text: &str) -> Vec<u64> {
     let lines = text.lines().filter_map(|line| line.strip_prefix("id: "));
@@ -159,3 +165,39 @@
         );
     }
 }
+
+/// Guards against a busy endpoint that is taken for one that is gone because it
+/// says nothing while it reads a prompt.
+#[test]
+fn a_silent_endpoint_that_accepts_connections_is_waited_for() {
+    let busy = Behaviour::LateEvents(Duration::from_millis(1_300));
+    let script = Arc::new(Mutex::new(vec![busy]));
+    let engines = ["a", "b"].map(|id| Endpoint::shared(id, &script, Behaviour::Events("90")));
+    let site = Site::spawn(&engines.each_ref().map(|engine| ("writer", engine)));
+    let answer = site.chat("id-1").unwrap();
+    assert_eq!((answer.status, ids(&answer.text()).len()), (200, 6));
+    let arrivals: usize = engines.iter().map(|engine| engine.received().len()).sum();
+    assert_eq!(arrivals, 1, "sent once");
+}
+
+/// Guards against waiting out the patience for an endpoint that has gone.
+#[test]
+fn a_silent_endpoint_that_accepts_no_connection_is_given_up() {
+    let listener = TcpListener::bind(place::addr()).unwrap();
+    let gone = Endpoint::at("gone", listener.local_addr().unwrap());
+    let site = Site::spawn(&[("writer", &gone)]);
+    let next = Endpoint::spawn("next", &[], Behaviour::Events("90"));
+    thread::scope(|scope| {
+        let asked = Instant::now();
+        let answer = scope.spawn(|| site.chat("id-1").unwrap());
+        let (tcp, _) = listener.accept().unwrap();
+        put_endpoint(&site.store, "writer", &next, 2);
+        drop(listener);
+        let answer = answer.join().unwrap();
+        assert_eq!((answer.status, ids(&answer.text()).len()), (200, 6));
+        // The patience alone is 1.6 objectives of a second.
+        let took = asked.elapsed();
+        assert!(took < Duration::from_millis(1_500), "{took:?}");
+        drop(tcp);
+    });
+}
