--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -29,8 +29,8 @@
 /// them reports every second or so, and reading every report by itself would
 /// cost a call for each.
 const ENDPOINT_PAUSE_PART: f64 = 0.35;
-/// Pause after a failed read.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after a failed read; calls that the store refuses are paid for too.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// Status of a topic that nobody has written to yet.
 const NO_TOPIC: u16 = 404;
 
