--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -17,9 +17,9 @@
 /// Longest wait of a read of the operator's records. A read proves the
 /// configuration current only as of its start, so this bounds the age of the proof.
 const OPERATOR_WAIT: Duration = Duration::from_millis(1_500);
-/// The same as a part of the bound on withdrawn keys: keys must be taken all
-/// the while, also when a read is late.
-const OPERATOR_WAIT_PART: f64 = 0.3;
+/// The same as a part of the bound on withdrawn keys: when the store goes away,
+/// keys are taken for the rest of the bound, and the age of the last proof is lost.
+const OPERATOR_WAIT_PART: f64 = 0.25;
 /// Longest wait of a read of endpoints. A read that hangs in an outage is only
 /// given up after its wait, and drains must be known soon after the outage.
 const ENDPOINT_WAIT: Duration = Duration::from_secs(1);
--- a/tests/integration/direct/store.rs
+++ b/tests/integration/direct/store.rs
@@ -79,7 +79,7 @@
             source: Source::Operator,
             revoke_ms: Some(5_000),
             drain_ms: 2_000,
-            wait_ms: 1_500,
+            wait_ms: 1_250,
             pause_ms: 0,
         },
         Case {
@@ -87,7 +87,7 @@
             source: Source::Operator,
             revoke_ms: Some(1_000),
             drain_ms: 2_000,
-            wait_ms: 300,
+            wait_ms: 250,
             pause_ms: 0,
         },
         Case {
