--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -14,6 +14,7 @@
 mod pool;
 mod rollouts;
 mod site;
+mod smuggling;
 mod stop;
 mod store;
 mod streams;
