Requests that crash endpoints are refused by all entries after the third

There was no mechanism but the limit of runs of each attempt: a caller that tried again, through any entry, crashed further endpoints.

An entry whose run is broken off asks the endpoint for a connection; where it accepts none, the request's fingerprint (team, method, target, body) is under suspicion of this crash. Two crashes of one request are told to the other entries, in the topic of the roll-outs' reports, which all follow already. After three endpoints it is refused as not run (1513, 503). An answer clears it everywhere, also that of an equal request; else it is forgotten after 30 s.

Not covered: an endpoint that accepts connections again within milliseconds of its crash.

Tests: table of crashes, reports and answers; two entries, three endpoints that crash and one that must not get the request (it ran there before).

--- a/src/direct/change.rs
+++ b/src/direct/change.rs
@@ -5,6 +5,7 @@
 
 use crate::catalog;
 use crate::ids;
+use crate::poison;
 use crate::rollout;
 use crate::runtime;
 use crate::settings;
@@ -130,6 +131,17 @@
     Endpoints(Batch<EndpointChange>),
     /// Reports of roll-outs.
     Reports(Batch<RolloutReport>),
+    /// Crashes that entries have put on record.
+    CrashReports(Vec<poison::CrashReport>),
+    /// An endpoint accepts no connection after it broke off a run.
+    Crashed {
+        /// The request's team and content.
+        fingerprint: ids::Fingerprint,
+        /// The endpoint.
+        endpoint: ids::EndpointId,
+    },
+    /// A request under suspicion was answered.
+    Cleared(ids::Fingerprint),
     /// A read of a topic failed, and why.
     ReadFailed(Source, Arc<str>),
     /// A report was written, or not.
@@ -148,4 +160,6 @@
 pub enum Effect {
     /// Write a report, if the topic ends at this offset.
     Report(RolloutReport, ids::Offset),
+    /// Tell other entries of crashes.
+    TellCrashes(poison::CrashReport),
 }
--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -11,6 +11,7 @@
 use crate::direct;
 use crate::ids;
 use crate::platform;
+use crate::poison;
 use crate::runtime;
 use crate::settings;
 
@@ -80,6 +81,9 @@
             Ok(Step::Records(batch)) => {
                 position = Some(batch.end);
                 let has_news = !batch.records.is_empty();
+                if let Some(crashes) = batch.crashes(source) {
+                    control.send(crashes).await;
+                }
                 control.send(batch.decode(source, asked)).await;
                 if has_news && !pace.pause.is_zero() {
                     Timer::after(pace.pause).await;
@@ -102,27 +106,57 @@
     }
 }
 
-/// Writes reports of roll-outs as the control thread asks.
+/// Writes what the control thread asks for.
 pub async fn report(store: platform::Store, effects: Receiver<direct::Effect>, control: Control) {
-    while let Ok(direct::Effect::Report(report, at)) = effects.recv().await {
-        let done = match write(&store, &report, at).await {
-            Ok(platform::Appended::At(offset)) => {
-                log::info!(target: "rollout", service:% = report.service, target_version:% = report.target,
-                    stage:% = report.stage, offset:% = offset; "report is on record");
-                true
-            }
-            Ok(platform::Appended::Moved { end }) => {
-                log::info!(target: "rollout", service:% = report.service, target_version:% = report.target,
-                    stage:% = report.stage, expected:% = at, end:% = end; "another entry wrote before");
-                false
+    while let Ok(effect) = effects.recv().await {
+        match effect {
+            direct::Effect::Report(report, at) => {
+                let done = write_report(&store, &report, at).await;
+                control.send(direct::Event::Reported { report, done }).await;
             }
-            Err(err) => {
-                log::warn!(target: "rollout", service:% = report.service, target_version:% = report.target,
-                    stage:% = report.stage, error:% = err; "report was not written");
-                false
+            direct::Effect::TellCrashes(report) => {
+                if let Err(err) = tell(&store, &report).await {
+                    log::warn!(target: "suspects", fingerprint:% = report.fingerprint, error:% = err;
+                        "crashes were not put on record, other entries do not know of them");
+                }
             }
-        };
-        control.send(direct::Event::Reported { report, done }).await;
+        }
+    }
+}
+
+async fn tell(
+    store: &platform::Store,
+    report: &poison::CrashReport,
+) -> Result<(), platform::PlatformError> {
+    let record = platform::crash_record::encode(report)
+        .map_err(|err| unencodable(&err.to_string()))?
+        .ok_or_else(|| unencodable("key too long"))?;
+    let topic = platform::rollout_status::TOPIC;
+    store.append(topic, None, &[record]).await.map(|_| ())
+}
+
+/// Returns whether the report is on record.
+async fn write_report(
+    store: &platform::Store,
+    report: &direct::RolloutReport,
+    at: ids::Offset,
+) -> bool {
+    match write(store, report, at).await {
+        Ok(platform::Appended::At(offset)) => {
+            log::info!(target: "rollout", service:% = report.service, target_version:% = report.target,
+                stage:% = report.stage, offset:% = offset; "report is on record");
+            true
+        }
+        Ok(platform::Appended::Moved { end }) => {
+            log::info!(target: "rollout", service:% = report.service, target_version:% = report.target,
+                stage:% = report.stage, expected:% = at, end:% = end; "another entry wrote before");
+            false
+        }
+        Err(err) => {
+            log::warn!(target: "rollout", service:% = report.service, target_version:% = report.target,
+                stage:% = report.stage, error:% = err; "report was not written");
+            false
+        }
     }
 }
 
@@ -171,6 +205,18 @@
         }
     }
 
+    /// Crashes under requests, which stand beside the reports of roll-outs.
+    fn crashes(&self, source: direct::Source) -> Option<direct::Event> {
+        if source != direct::Source::Reports {
+            return None;
+        }
+        let records = self.records.iter();
+        let reports: Vec<_> = records
+            .filter_map(|(key, value)| platform::crash_record::decode(key, value.as_ref()))
+            .collect();
+        (!reports.is_empty()).then_some(direct::Event::CrashReports(reports))
+    }
+
     fn map<T>(
         self,
         asked: runtime::Moment,
--- a/src/direct/snapshot.rs
+++ b/src/direct/snapshot.rs
@@ -7,6 +7,7 @@
 use crate::catalog;
 use crate::direct;
 use crate::ids;
+use crate::poison;
 use crate::rollout;
 use crate::runtime;
 
@@ -53,6 +54,8 @@
     pub deployment: Option<Arc<catalog::Deployment>>,
     /// Services of the configuration.
     pub services: HashMap<ids::ServiceName, Arc<ServiceView>>,
+    /// Requests whose endpoints have crashed.
+    pub suspects: Arc<poison::Suspects>,
     /// How current the configuration is known to be.
     pub freshness: Arc<direct::Freshness>,
 }
--- a/src/direct/system/mod.rs
+++ b/src/direct/system/mod.rs
@@ -6,6 +6,7 @@
 mod reports;
 mod rollouts;
 mod snapshot;
+mod suspects;
 mod tick;
 
 pub use snapshot::take as snapshot;
@@ -17,10 +18,11 @@
 type System = fn(&mut direct::World, &mut TickCx);
 
 /// All systems in their order.
-pub const ALL: [System; 5] = [
+pub const ALL: [System; 6] = [
     process::run,
     operator::run,
     endpoints::run,
     reports::run,
     rollouts::run,
+    suspects::run,
 ];
--- a/src/direct/system/snapshot.rs
+++ b/src/direct/system/snapshot.rs
@@ -23,6 +23,7 @@
     direct::Snapshot {
         deployment: world.deployment.clone(),
         services,
+        suspects: Arc::clone(&world.suspects),
         freshness: Arc::clone(&world.freshness),
     }
 }
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -8,6 +8,7 @@
 use crate::catalog;
 use crate::direct;
 use crate::ids;
+use crate::poison;
 use crate::rollout;
 use crate::runtime;
 use crate::settings;
@@ -62,6 +63,8 @@
     pub reports: HashMap<ids::ServiceName, direct::RolloutReport>,
     /// End of the topic of reports, as far as it has been read.
     pub reports_end: Option<ids::Offset>,
+    /// Requests whose endpoints have crashed.
+    pub suspects: Arc<poison::Suspects>,
     /// Failure domains that are taken out.
     pub domains_out: HashSet<ids::DomainName>,
     /// Health of the store by topic.
@@ -83,6 +86,7 @@
             rollouts: HashMap::new(),
             reports: HashMap::new(),
             reports_end: None,
+            suspects: Arc::default(),
             domains_out: HashSet::new(),
             health: HashMap::new(),
             freshness: Arc::default(),
--- a/src/errors/result_code.rs
+++ b/src/errors/result_code.rs
@@ -67,6 +67,8 @@
     VersionNotLoaded = 1511,
     /// Not run: the usage queue is full while the log is unavailable.
     UsageQueueFull = 1512,
+    /// Not run for now: the request has crashed several endpoints.
+    CrashSuspect = 1513,
     /// No service has this name.
     UnknownService = 2004,
     /// The idempotency key was used before with another body.
@@ -179,6 +181,7 @@
             | Self::Unreachable
             | Self::VersionNotLoaded
             | Self::UsageQueueFull
+            | Self::CrashSuspect
             | Self::ClaimUnavailable
             | Self::IncarnationMismatch
             | Self::AttemptFenced
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -23,6 +23,10 @@
 /// Time in which a caller that states no deadline must have sent its body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time after which a caller may come back with a request that has crashed
+/// endpoints, about how long it is remembered.
+const SUSPECT_RETRY: units::Millis = units::Millis(30_000);
+
 /// Longest wait of a request for the first configuration: an eighth of an
 /// objective of 1.5 s, up to which a refusal is not late.
 const START_HOLD: Duration = Duration::from_millis(180);
@@ -86,7 +90,7 @@
             .uri
             .path_and_query()
             .map_or("/", |target| target.as_str());
-        let call = call::Call {
+        let mut call = call::Call {
             cx: Arc::clone(&self.0),
             id,
             method: head.method,
@@ -104,6 +108,11 @@
             trace,
             rule: admitted.rule,
         };
+        if call.crashes_endpoints() {
+            let code = errors::ResultCode::CrashSuspect;
+            let refusal = errors::Refusal::new(code, "the request has crashed several endpoints");
+            return refuse::refuse(&mut call.trace, &refusal.retry_after(SUSPECT_RETRY));
+        }
         if call.rule.kind.is_stream() {
             stream::run(call).await
         } else {
--- a/src/gateway/lanes.rs
+++ b/src/gateway/lanes.rs
@@ -60,6 +60,11 @@
         client
     }
 
+    /// Runs a task that belongs to no request.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.traffic.spawn(task).detach();
+    }
+
     /// Closes connections to endpoints that are gone and connections that were
     /// idle for too long.
     pub fn sweep(&self, snapshot: &direct::Snapshot) {
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -120,6 +120,9 @@
                 .live
                 .failed(failure, Duration::ZERO, runtime::Moment::now());
             call.observe(view, &endpoint, false, None);
+            if failure == balance::Failure::Broken {
+                call.broken_off(view, &endpoint);
+            }
             Err(unanswered)
         }
     }
@@ -135,6 +138,7 @@
     let answered = !status.is_server_error();
     if answered {
         endpoint.live.succeeded(first);
+        call.clear_suspicion();
     } else {
         let now = runtime::Moment::now();
         endpoint
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -61,6 +61,7 @@
                 stream::Chunk::End if source.splitter.pending() == 0 => {
                     let id = source.opened.endpoint.record.id.clone();
                     self.call.trace.attempt(&id, "answered", &"complete");
+                    self.call.clear_suspicion();
                     let status = self.status.as_u16();
                     self.call.trace.finish(trace::Outcome::Answered, status);
                     self.source = None;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -149,6 +149,9 @@
             call.runs += 1;
             endpoint.live.failed(*failure, cold, now);
             call.observe(view, endpoint, false, None);
+            if *failure == balance::Failure::Broken {
+                call.broken_off(view, endpoint);
+            }
         }
     }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -185,6 +185,9 @@
     let cold = view.upstream.cold_span();
     endpoint.live.failed(failure, cold, runtime::Moment::now());
     call.observe(view, endpoint, false, None);
+    if failure == balance::Failure::Broken {
+        call.broken_off(view, endpoint);
+    }
 }
 
 /// Waits until the stream has a whole event, or has ended without one.
--- a/src/ids/fingerprint.rs
+++ b/src/ids/fingerprint.rs
@@ -31,8 +31,13 @@
     /// The fingerprint of a team's request content.
     #[must_use]
     pub fn of(team: &ids::TeamName, content: &[u8]) -> Self {
-        let digest = ids::Digest::of_parts(&[team.as_str().as_bytes(), content]);
-        Self((digest.head() >> 64) as u64)
+        Self::of_parts(&[team.as_str().as_bytes(), content])
+    }
+
+    /// The fingerprint of content in several parts.
+    #[must_use]
+    pub fn of_parts(parts: &[&[u8]]) -> Self {
+        Self((ids::Digest::of_parts(parts).head() >> 64) as u64)
     }
 
     /// A fingerprint of a short text, without protection against collisions
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,6 +3,7 @@
 mod append_once;
 mod appender;
 pub mod boot;
+pub mod crash_record;
 pub mod endpoint_record;
 mod error;
 pub mod headers;
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -18,5 +18,6 @@
 mod stop;
 mod store;
 mod streams;
+mod suspects;
 mod tally;
 pub mod world;
--- a/tests/integration/direct/site.rs
+++ b/tests/integration/direct/site.rs
@@ -38,26 +38,26 @@
         for (service, endpoint) in endpoints {
             put_endpoint(&store, service, endpoint, 1);
         }
-        let (callers, readiness) = (place::addr(), place::addr());
-        let settings = SETTINGS
-            .replace("127.0.0.1:1", &callers.to_string())
-            .replace("127.0.0.1:2", &readiness.to_string())
-            .replace("127.0.0.1:3", &store.addr().to_string());
-        let path = place::dir().join("settings.toml");
-        fs::write(&path, settings).unwrap();
+        let (process, callers, readiness) = spawn(store.addr());
         let site = Self {
             store,
             callers,
             readiness,
-            process: Process::spawn(path),
+            process,
         };
         wait::until("the process is ready", || site.is_ready());
         site
     }
 
+    /// Starts another entry on the same store; returns its address for callers.
+    pub fn another(&self) -> (Process, SocketAddr) {
+        let (process, callers, readiness) = spawn(self.store.addr());
+        wait::until("the other process is ready", || is_ready(readiness));
+        (process, callers)
+    }
+
     pub fn is_ready(&self) -> bool {
-        http::send(self.readiness, &Method::GET, "/ready", &[], b"")
-            .is_ok_and(|answer| answer.status == 200)
+        is_ready(self.readiness)
     }
 
     pub fn put_config(&self, config: &Value) {
@@ -77,6 +77,17 @@
         path: &str,
         id: &str,
         headers: &[(&str, &str)],
+    ) -> Result<http::Answer, HttpError> {
+        Self::call_at(self.callers, method, path, id, headers)
+    }
+
+    /// Sends a request to any entry.
+    pub fn call_at(
+        callers: SocketAddr,
+        method: &Method,
+        path: &str,
+        id: &str,
+        headers: &[(&str, &str)],
     ) -> Result<http::Answer, HttpError> {
         let mut all = vec![
             ("host", "example.test"),
@@ -84,7 +95,7 @@
             ("deadline-ms", "4000"),
         ];
         all.extend_from_slice(headers);
-        http::send(self.callers, method, path, &all, b"body of the request")
+        http::send(callers, method, path, &all, b"body of the request")
     }
 
     /// Sends a request for a model's stream.
@@ -106,3 +117,19 @@
     let value = value.to_string();
     store.put(endpoint_record::TOPIC, endpoint.id, Some(value.as_bytes()));
 }
+
+/// Starts a process on a store; returns its addresses for callers and readiness.
+fn spawn(store: SocketAddr) -> (Process, SocketAddr, SocketAddr) {
+    let (callers, readiness) = (place::addr(), place::addr());
+    let settings = SETTINGS
+        .replace("127.0.0.1:1", &callers.to_string())
+        .replace("127.0.0.1:2", &readiness.to_string())
+        .replace("127.0.0.1:3", &store.to_string());
+    let path = place::dir().join("settings.toml");
+    fs::write(&path, settings).unwrap();
+    (Process::spawn(path), callers, readiness)
+}
+
+fn is_ready(readiness: SocketAddr) -> bool {
+    http::send(readiness, &Method::GET, "/ready", &[], b"").is_ok_and(|answer| answer.status == 200)
+}
--- /dev/null
+++ b/tests/integration/direct/suspects.rs
@@ -0,0 +1,159 @@
+//! Requests that crash the endpoints that run them.
+
+use std::io::Read;
+use std::net::TcpListener;
+use std::thread;
+
+use hyper::Method;
+use quetzalworks::direct::{Effect, Event};
+use quetzalworks::ids::{EndpointId, Fingerprint};
+use quetzalworks::poison::CrashReport;
+
+use crate::direct::endpoint::{Behaviour, Endpoint};
+use crate::direct::site::{Site, put_endpoint};
+use crate::direct::world::Ticked;
+use crate::testing::{place, wait};
+
+const REQUEST: Fingerprint = Fingerprint(7);
+
+enum Step {
+    Crash(&'static str),
+    /// Another entry tells of these endpoints.
+    Told(&'static [&'static str]),
+    Answered,
+    Pass(u64),
+}
+
+fn id(text: &str) -> EndpointId {
+    text.parse().unwrap()
+}
+
+/// Guards against a request that goes on crashing endpoints, through other
+/// entries too, and against refusing one that has only been near some crashes.
+#[test]
+fn a_request_is_refused_after_three_crashes() {
+    use Step::{Answered, Crash, Pass, Told};
+    struct Case {
+        name: &'static str,
+        steps: &'static [Step],
+        refused: bool,
+        /// Reports to other entries.
+        told: usize,
+    }
+    let cases = [
+        Case {
+            name: "one crash",
+            steps: &[Crash("a")],
+            refused: false,
+            told: 0,
+        },
+        Case {
+            name: "the same endpoint three times",
+            steps: &[Crash("a"), Crash("a"), Crash("a")],
+            refused: false,
+            told: 0,
+        },
+        Case {
+            name: "three endpoints",
+            steps: &[Crash("a"), Crash("b"), Crash("c")],
+            refused: true,
+            told: 2,
+        },
+        Case {
+            name: "one here, two at another entry",
+            steps: &[Crash("a"), Told(&["b", "c"])],
+            refused: true,
+            told: 1,
+        },
+        Case {
+            name: "the same two here and at another entry",
+            steps: &[Crash("a"), Crash("b"), Told(&["a", "b"])],
+            refused: false,
+            told: 1,
+        },
+        Case {
+            name: "answered after two crashes",
+            steps: &[Crash("a"), Crash("b"), Answered, Crash("c")],
+            refused: false,
+            told: 2,
+        },
+        Case {
+            name: "cleared by another entry",
+            steps: &[Crash("a"), Crash("b"), Crash("c"), Told(&[])],
+            refused: false,
+            told: 2,
+        },
+        Case {
+            name: "long ago",
+            steps: &[Crash("a"), Crash("b"), Crash("c"), Pass(31_000)],
+            refused: false,
+            told: 3,
+        },
+    ];
+    for case in cases {
+        let mut ticked = Ticked::new();
+        for step in case.steps {
+            match step {
+                Crash(endpoint) => ticked.tick(vec![Event::Crashed {
+                    fingerprint: REQUEST,
+                    endpoint: id(endpoint),
+                }]),
+                Told(endpoints) => ticked.tick(vec![Event::CrashReports(vec![CrashReport {
+                    fingerprint: REQUEST,
+                    endpoints: endpoints.iter().map(|endpoint| id(endpoint)).collect(),
+                }])]),
+                Answered => ticked.tick(vec![Event::Cleared(REQUEST)]),
+                Pass(millis) => ticked.pass(*millis),
+            }
+        }
+        let refused = ticked.snapshot.suspects.is_refused(REQUEST);
+        assert_eq!(refused, case.refused, "{}", case.name);
+        let told = ticked.effects.iter();
+        let told = told.filter(|effect| matches!(effect, Effect::TellCrashes(_)));
+        assert_eq!(told.count(), case.told, "{}", case.name);
+    }
+}
+
+/// An endpoint that accepts one connection and crashes with its first request.
+fn crasher(id: &'static str) -> Endpoint {
+    let listener = TcpListener::bind(place::addr()).unwrap();
+    let endpoint = Endpoint::at(id, listener.local_addr().unwrap());
+    thread::spawn(move || {
+        let (mut tcp, _) = listener.accept().unwrap();
+        let read = tcp.read(&mut [0; 4_096]);
+        drop(listener);
+        drop((read, tcp));
+    });
+    endpoint
+}
+
+/// Guards against an entry that lets such a request through although another
+/// one knows it, and against refusing other requests for it.
+#[test]
+fn all_entries_refuse_a_request_that_crashes_endpoints() {
+    let crashers = ["a", "b", "c"].map(crasher);
+    let site = Site::spawn(&crashers.each_ref().map(|endpoint| ("writer", endpoint)));
+    let (_other, callers) = site.another();
+    let ask = |callers, path, id| {
+        let headers = [("key", "key-red"), ("model", "*")];
+        Site::call_at(callers, &Method::POST, path, id, &headers).unwrap()
+    };
+    let first = ask(site.callers, "/chat/poison", "id-1");
+    assert_eq!(first.status, 502, "{}", first.text());
+    let next = Endpoint::spawn("next", &[], Behaviour::Events("90"));
+    put_endpoint(&site.store, "writer", &next, 2);
+    for (entry, callers) in [("this", site.callers), ("the other", callers)] {
+        wait::until("others are served", || {
+            ask(callers, "/chat/other", "id-2").status == 200
+        });
+        wait::until("the request is refused", || {
+            ask(callers, "/chat/poison", "id-3").status == 503
+        });
+        let refused = ask(callers, "/chat/poison", "id-4");
+        assert_eq!(refused.json()["title"], "crash_suspect", "{entry}");
+        assert!(refused.header("retry-after").is_some(), "{entry}");
+    }
+    let received = next.received();
+    let poison = received.iter().filter(|req| req.path() == "/chat/poison");
+    assert_eq!(poison.count(), 0, "runs after the third crash");
+}
