Callers' connections are kept for the idle time of the configuration

They were kept for 20 s whatever the configuration stated: where it states more, a connection was closed that its caller may still use, where less it was kept too long. Test: 2 s stated, kept for 20 s before. The limit on the time for a head alone is still not enforced: a head may take as long as the idle time.

--- a/src/catalog/deployment.rs
+++ b/src/catalog/deployment.rs
@@ -14,6 +14,8 @@
     pub head: units::Bytes,
     /// Largest body of a request.
     pub body: units::Bytes,
+    /// How long a connection may stay idle; `None` where that is not stated.
+    pub idle: Option<units::Millis>,
 }
 
 /// The team that holds a key.
--- a/src/gateway/role.rs
+++ b/src/gateway/role.rs
@@ -18,7 +18,7 @@
 use crate::settings;
 use crate::units;
 
-/// Interval at which unused connections are closed.
+/// Interval at which unused connections are closed and limits of callers follow the configuration.
 const SWEEP: Duration = Duration::from_secs(1);
 /// Interval at which a stop looks whether requests are still being answered.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
@@ -29,9 +29,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(250);
 /// Descriptors that are not for callers: connections to endpoints and the store, files.
 const OWN_DESCRIPTORS: u32 = 1_600;
-/// Longest idle time of a caller's connection, and longest time in which a
-/// caller takes nothing. Over the idle time that configurations allow, so that
-/// no request crosses the close.
+/// Longest time in which a caller takes nothing, and longest idle time of its
+/// connection before the configuration is known.
 const CALLER_TIMEOUT: units::Millis = units::Millis(20_000);
 /// Largest head that is read; the configuration's limit is checked afterwards.
 const MAX_HEAD: units::Bytes = units::Bytes(32 * 1_024);
@@ -41,7 +40,7 @@
 pub struct Gateway {
     cx: Arc<gateway::Cx>,
     store: platform::Store,
-    callers: http::Server,
+    callers: Arc<http::Server>,
     _readiness: http::Server,
     _metrics: Option<http::Server>,
     _tasks: Vec<Task<()>>,
@@ -68,6 +67,7 @@
         };
         let front = Arc::new(handler::Front(Arc::clone(&cx)));
         let callers = http::Server::bind(settings.callers_addr, limits, traffic, front).await?;
+        let callers = Arc::new(callers);
         let ready = Arc::new(readiness::Readiness(Arc::clone(&cx)));
         let readiness = http::Server::bind(
             settings.readiness_addr,
@@ -86,7 +86,7 @@
         };
         let mut tasks = vec![
             traffic.spawn(direct::report(store.clone(), effects, control.clone())),
-            traffic.spawn(sweep(Arc::clone(&cx))),
+            traffic.spawn(sweep(Arc::clone(&cx), Arc::clone(&callers))),
         ];
         for source in [
             direct::Source::Operator,
@@ -109,7 +109,7 @@
 
     /// The address for callers.
     #[must_use]
-    pub const fn callers_addr(&self) -> SocketAddr {
+    pub fn callers_addr(&self) -> SocketAddr {
         self.callers.addr()
     }
 
@@ -137,9 +137,17 @@
     }
 }
 
-async fn sweep(cx: Arc<gateway::Cx>) {
+/// Applies now and then what needs not be applied at once.
+async fn sweep(cx: Arc<gateway::Cx>, callers: Arc<http::Server>) {
     loop {
         Timer::after(SWEEP).await;
-        cx.lanes.sweep(&cx.control.snapshot());
+        let snapshot = cx.control.snapshot();
+        cx.lanes.sweep(&snapshot);
+        let limits = snapshot.deployment.as_ref().map(|known| known.limits);
+        callers.set_idle(
+            limits
+                .and_then(|limits| limits.idle)
+                .unwrap_or(CALLER_TIMEOUT),
+        );
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hyper::body::Incoming;
@@ -22,6 +22,7 @@
 use crate::http::stall;
 use crate::runtime;
 use crate::settings;
+use crate::units;
 
 /// Pause after a failed accept, such as one for lack of descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -44,6 +45,7 @@
     addr: SocketAddr,
     closing: Sender<Infallible>,
     active: Arc<AtomicUsize>,
+    idle_ms: Arc<AtomicU64>,
     _accept: Task<()>,
 }
 
@@ -70,6 +72,7 @@
         let addr = listener.local_addr()?;
         let (closing, closed) = channel::bounded(1);
         let active = Arc::new(AtomicUsize::new(0));
+        let idle_ms = Arc::new(AtomicU64::new(limits.send_timeout_ms.0));
         let acceptor = Acceptor {
             listener,
             limits,
@@ -77,12 +80,14 @@
             handler,
             closed,
             active: Arc::clone(&active),
+            idle_ms: Arc::clone(&idle_ms),
             connections,
         };
         Ok(Self {
             addr,
             closing,
             active,
+            idle_ms,
             _accept: traffic.spawn(acceptor.run()),
         })
     }
@@ -93,6 +98,12 @@
         self.addr
     }
 
+    /// Sets how long later connections may stay idle, or take for a head; at
+    /// first it is the time to send a request.
+    pub fn set_idle(&self, idle: units::Millis) {
+        self.idle_ms.store(idle.0, Ordering::Release);
+    }
+
     /// Connections that were open when the server was asked to close, and
     /// still have an answer to deliver; all open connections before that.
     #[must_use]
@@ -115,6 +126,7 @@
     handler: Arc<H>,
     closed: Receiver<Infallible>,
     active: Arc<AtomicUsize>,
+    idle_ms: Arc<AtomicU64>,
     connections: http::Connections,
 }
 
@@ -143,6 +155,7 @@
 
     fn serve(&self, tcp: TcpStream) -> impl Future<Output = ()> + Send + 'static {
         let limits = self.limits;
+        let idle = units::Millis(self.idle_ms.load(Ordering::Acquire));
         let handler = Arc::clone(&self.handler);
         let closed = self.closed.clone();
         let severed = self.connections.severed();
@@ -163,7 +176,7 @@
             });
             let connection = http1::Builder::new()
                 .timer(SmolTimer::new())
-                .header_read_timeout(limits.send_timeout_ms.duration())
+                .header_read_timeout(idle.duration())
                 .max_buf_size(limits.head_bytes.as_usize().max(MIN_BUFFER) + HEAD_SLACK)
                 .serve_connection(FuturesIo::new(io), service);
             let severed = async {
--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -90,6 +90,7 @@
 struct Limits {
     max_header_bytes: f64,
     max_body_bytes: f64,
+    idle_timeout_ms: Option<f64>,
 }
 
 #[derive(serde::Deserialize)]
@@ -146,6 +147,7 @@
     let limits = catalog::CallerLimits {
         head: units::Bytes(whole(config.limits.max_header_bytes)),
         body: units::Bytes(whole(config.limits.max_body_bytes)),
+        idle: config.limits.idle_timeout_ms.map(units::Millis::rounded),
     };
     catalog::Deployment::new(
         ids::Revision(whole(config.version)),
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -9,6 +9,7 @@
 mod endpoints;
 mod events;
 mod explain;
+mod idle;
 mod keys;
 mod operator;
 mod pool;
