An endpoint that cannot be reached uses no repeat up

The repeat was paid for from the budget that bounds the load on the service, although a refused connection is none. Test: eight endpoints that are gone and one that is well; refused before.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -60,6 +60,8 @@
     pub ends: Instant,
     /// Endpoints that were tried.
     pub tried: Vec<ids::EndpointId>,
+    /// Endpoints that refused it.
+    pub refusals: usize,
     /// Runs that may have happened.
     pub runs: u16,
     /// Index of the model in use on a route with several.
@@ -152,10 +154,15 @@
         self.may_run_again() && self.has_time(limits) && self.try_repeat()
     }
 
-    /// Takes a repeat after an endpoint has not run the request.
+    /// Takes a repeat after an endpoint has not run the request. One that could
+    /// not be reached has borne no load, so another try is free.
     #[must_use]
-    pub fn try_elsewhere(&self, limits: &RepeatLimits) -> bool {
-        self.tried.len() <= limits.max_refusals && self.has_time(limits) && self.try_repeat()
+    pub fn try_elsewhere(&mut self, failure: balance::Failure, limits: &RepeatLimits) -> bool {
+        if failure == balance::Failure::Unreachable {
+            return self.has_time(limits);
+        }
+        self.refusals += 1;
+        self.refusals <= limits.max_refusals && self.has_time(limits) && self.try_repeat()
     }
 
     /// Takes a repeat that only makes the answer better.
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -103,6 +103,7 @@
             priority: admitted.priority,
             ends,
             tried: Vec::new(),
+            refusals: 0,
             runs: 0,
             model: 0,
             trace,
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -58,8 +58,8 @@
                 }
                 return deliver(&mut call, whole);
             }
-            Err(send::Unanswered::NotRun(..)) => {
-                if !call.try_elsewhere(&LIMITS) {
+            Err(send::Unanswered::NotRun(cause, _)) => {
+                if !call.try_elsewhere(cause, &LIMITS) {
                     return match failure {
                         Some(whole) => deliver(&mut call, whole),
                         None => end_unsent(&mut call),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -74,8 +74,8 @@
         let started = Instant::now();
         let opened = match send::send(call, &view, choice, resume_after, patience).await {
             Ok(opened) => opened,
-            Err(send::Unanswered::NotRun(..)) => {
-                if !call.try_elsewhere(&LIMITS) {
+            Err(send::Unanswered::NotRun(cause, _)) => {
+                if !call.try_elsewhere(cause, &LIMITS) {
                     return Err(Box::new(plain::end_unsent(call)));
                 }
                 continue;
--- a/tests/integration/direct/calls.rs
+++ b/tests/integration/direct/calls.rs
@@ -6,6 +6,7 @@
 
 use crate::direct::endpoint::{Behaviour, Endpoint};
 use crate::direct::site::Site;
+use crate::testing::place;
 
 /// A call, how two endpoints behave one after the other, and what comes of it.
 struct Case {
@@ -278,3 +279,18 @@
     crate::testing::wait::until("the endpoint is told", || desk.left() == 1);
     assert_eq!(desk.received().len(), 1, "and nobody else is asked");
 }
+
+/// Guards against a request that is refused although an endpoint has room,
+/// because many others cannot be reached: they bear no load by it.
+#[test]
+fn endpoints_that_cannot_be_reached_use_no_repeats_up() {
+    const GONE: [&str; 8] = ["g1", "g2", "g3", "g4", "g5", "g6", "g7", "g8"];
+    let gone = GONE.map(|id| Endpoint::at(id, place::addr()));
+    let desk = Endpoint::spawn("z", &[], Behaviour::Answer(200, "good"));
+    let mut endpoints: Vec<_> = gone.iter().map(|endpoint| ("desk", endpoint)).collect();
+    endpoints.push(("desk", &desk));
+    let site = Site::spawn(&endpoints);
+    let answer = site.call(&Method::POST, "/hold/a", "id-1").unwrap();
+    assert_eq!((answer.status, answer.text().as_str()), (200, "good"));
+    assert_eq!(desk.received().len(), 1);
+}
