Sessions stay on their version in the first half of a roll-out

The share was small, but on fleets with hundreds of sessions it has more than three of them.

For 0.52 of the time only requests without a session go to the new version, by the hash of their id.

Test: the shares of sessions and of other requests over the time.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -267,13 +267,13 @@
     /// Entries see requests of one session without knowing of each other's, so
     /// only a hash of the session keeps it on one version.
     fn goes_to_target(&self, canary: &rollout::AnyCanary, now: runtime::Moment) -> bool {
-        let seed = self
-            .facts
-            .session
-            .unwrap_or_else(|| ids::Fingerprint::of_text(&self.id));
+        let (seed, share) = match self.facts.session {
+            Some(session) => (session, canary.session_share(now)),
+            None => (ids::Fingerprint::of_text(&self.id), canary.share(now)),
+        };
         #[allow(clippy::cast_precision_loss)]
         let place = route::mix(seed.0) as f64 / u64::MAX as f64;
-        place < canary.share(now).get()
+        place < share.get()
     }
 
     /// Records what a run has shown of an endpoint's version.
--- a/src/rollout/canary.rs
+++ b/src/rollout/canary.rs
@@ -9,14 +9,17 @@
 /// version may turn bad at any moment, and all that it got before counts too:
 /// the rest is so short that its requests stay within the permitted exposure.
 const PROBING_PART: f64 = 0.76;
+/// Part of the time in which only requests without a session go to the new
+/// version: sessions under way would change their version, and a change in the
+/// first half is a breach.
+const SESSIONLESS_PART: f64 = 0.52;
 /// Part of the time over which the share then grows to all.
 const RAMP_PART: f64 = 0.06;
 /// Part of the time after which the old version is given up; most streams that
 /// began on it have ended by then, and the others are resumed.
 const DONE_PART: f64 = 0.87;
-/// Part of the permitted exposure that the first share uses. A session that is
-/// under way when the roll-out begins changes its version once if it is in the
-/// share, so the share must be small; it must also show a bad version in time.
+/// Part of the permitted exposure that the first share uses. It must show a bad
+/// version in time, and leave most of the exposure for one that turns bad late.
 const PROBING_SHARE_OF_EXPOSURE: f64 = 0.2;
 /// Share at the start of the ramp.
 const RAMP_START: f64 = 0.25;
@@ -192,7 +195,18 @@
         matches!(self, Self::Completed(_) | Self::RolledBack(_))
     }
 
-    /// Part of the sessions that go to the new version.
+    /// Part of the sessions that go to the new version; those in it stay there.
+    #[must_use]
+    pub fn session_share(&self, now: runtime::Moment) -> units::Share {
+        match self {
+            Self::Probing(canary) if canary.part_passed(now) < SESSIONLESS_PART => {
+                units::Share::clamped(0.0)
+            }
+            _ => self.share(now),
+        }
+    }
+
+    /// Part of the requests without a session that go to the new version.
     #[must_use]
     pub fn share(&self, now: runtime::Moment) -> units::Share {
         units::Share::clamped(match self {
--- a/tests/integration/direct/canary.rs
+++ b/tests/integration/direct/canary.rs
@@ -148,6 +148,64 @@
     assert!(share.get() > 0.0 && share.get() <= 0.15 / 2.0, "{share}");
 }
 
+/// Guards against sessions that are under way when a roll-out begins and are
+/// moved to a version that is hardly tried: the contract allows three of them
+/// in the first half, whatever the size of the fleet.
+#[test]
+fn no_session_changes_its_version_in_the_first_half() {
+    struct Case {
+        passed: u64,
+        moves_sessions: bool,
+        moves_others: bool,
+    }
+    let cases = [
+        Case {
+            passed: 0,
+            moves_sessions: false,
+            moves_others: true,
+        },
+        Case {
+            passed: 5_000,
+            moves_sessions: false,
+            moves_others: true,
+        },
+        Case {
+            passed: 9_900,
+            moves_sessions: false,
+            moves_others: true,
+        },
+        Case {
+            passed: 11_000,
+            moves_sessions: true,
+            moves_others: true,
+        },
+        Case {
+            passed: 15_000,
+            moves_sessions: true,
+            moves_others: true,
+        },
+        Case {
+            passed: 16_000,
+            moves_sessions: true,
+            moves_others: true,
+        },
+    ];
+    for case in cases {
+        let now = Moment::from_millis(START + case.passed);
+        let canary = begin().advance(Observation {
+            now,
+            bad: false,
+            enough_endpoints: true,
+        });
+        let moves = (
+            canary.session_share(now).get() > 0.0,
+            canary.share(now).get() > 0.0,
+        );
+        let expected = (case.moves_sessions, case.moves_others);
+        assert_eq!(moves, expected, "after {} ms", case.passed);
+    }
+}
+
 /// Guards against a version that turns bad late, after most of the traffic has
 /// moved: whenever it does, its part of all requests stays within the bound.
 #[test]
