Direct role: pace, writer and suspicion in files of their own; no copy of the suspects at each tick

The system cloned the table of suspects at every tick while it had rows, and rows that no other entry was told of were never forgotten. Test: a crash that is long ago does not count.

--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -1,35 +1,17 @@
-//! Tasks that follow the store's topics and write reports.
+//! The task that follows a topic of the store.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::body::Bytes;
 use smol::Timer;
-use smol::channel::Receiver;
 
 use crate::control;
 use crate::direct;
 use crate::ids;
 use crate::platform;
-use crate::poison;
 use crate::runtime;
-use crate::settings;
 
-/// Longest wait of a read of the operator's records. A read proves the
-/// configuration current only as of its start, so this bounds the age of the proof.
-const OPERATOR_WAIT: Duration = Duration::from_millis(1_500);
-/// The same as a part of the bound on withdrawn keys: when the store goes away,
-/// keys are taken for the rest of the bound, and the age of the last proof is lost.
-const OPERATOR_WAIT_PART: f64 = 0.25;
-/// Longest wait of a read of endpoints. A read that hangs in an outage is only
-/// given up after its wait, and drains must be known soon after the outage.
-const ENDPOINT_WAIT: Duration = Duration::from_secs(1);
-/// Longest wait of a read of reports.
-const REPORT_WAIT: Duration = Duration::from_secs(2);
-/// Pause after a read of endpoints, as a part of the bound on drains: each of
-/// them reports every second or so, and reading every report by itself would
-/// cost a call for each.
-const ENDPOINT_PAUSE_PART: f64 = 0.35;
 /// Pause after a failed read; calls that the store refuses are paid for too.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// Status of a topic that nobody has written to yet.
@@ -37,39 +19,13 @@
 
 type Control = control::Control<direct::Plane>;
 
-/// How often a topic is read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Pace {
-    /// Longest wait of a read for news.
-    pub wait: Duration,
-    /// Pause after a read that has brought news.
-    pub pause: Duration,
-}
-
-impl Pace {
-    /// As often as the bounds of the deployment ask, and no more: each read is paid for.
-    #[must_use]
-    pub fn new(source: direct::Source, bounds: &settings::Bounds) -> Self {
-        let (wait, pause) = match source {
-            direct::Source::Operator => {
-                let most = bounds
-                    .revoke
-                    .map(|revoke| revoke.duration().mul_f64(OPERATOR_WAIT_PART));
-                let wait = most.map_or(OPERATOR_WAIT, |most| most.min(OPERATOR_WAIT));
-                (wait, Duration::ZERO)
-            }
-            direct::Source::Endpoints => (
-                ENDPOINT_WAIT,
-                bounds.drain.duration().mul_f64(ENDPOINT_PAUSE_PART),
-            ),
-            direct::Source::Reports => (REPORT_WAIT, Duration::ZERO),
-        };
-        Self { wait, pause }
-    }
-}
-
 /// Follows one topic until the process ends.
-pub async fn follow(store: platform::Store, source: direct::Source, pace: Pace, control: Control) {
+pub async fn follow(
+    store: platform::Store,
+    source: direct::Source,
+    pace: direct::Pace,
+    control: Control,
+) {
     let mut position = None;
     loop {
         let asked = runtime::Moment::now();
@@ -106,79 +62,6 @@
     }
 }
 
-/// Writes what the control thread asks for.
-pub async fn report(store: platform::Store, effects: Receiver<direct::Effect>, control: Control) {
-    while let Ok(effect) = effects.recv().await {
-        match effect {
-            direct::Effect::Report(report, at) => {
-                let done = write_report(&store, &report, at).await;
-                control.send(direct::Event::Reported { report, done }).await;
-            }
-            direct::Effect::TellCrashes(report) => {
-                if let Err(err) = tell(&store, &report).await {
-                    log::warn!(target: "suspects", fingerprint:% = report.fingerprint, error:% = err;
-                        "crashes were not put on record, other entries do not know of them");
-                }
-            }
-        }
-    }
-}
-
-async fn tell(
-    store: &platform::Store,
-    report: &poison::CrashReport,
-) -> Result<(), platform::PlatformError> {
-    let record = platform::crash_record::encode(report)
-        .map_err(|err| unencodable(&err.to_string()))?
-        .ok_or_else(|| unencodable("key too long"))?;
-    let topic = platform::rollout_status::TOPIC;
-    store.append(topic, None, &[record]).await.map(|_| ())
-}
-
-/// Returns whether the report is on record.
-async fn write_report(
-    store: &platform::Store,
-    report: &direct::RolloutReport,
-    at: ids::Offset,
-) -> bool {
-    match write(store, report, at).await {
-        Ok(platform::Appended::At(offset)) => {
-            log::info!(target: "rollout", service:% = report.service, target_version:% = report.target,
-                stage:% = report.stage, offset:% = offset; "report is on record");
-            true
-        }
-        Ok(platform::Appended::Moved { end }) => {
-            log::info!(target: "rollout", service:% = report.service, target_version:% = report.target,
-                stage:% = report.stage, expected:% = at, end:% = end; "another entry wrote before");
-            false
-        }
-        Err(err) => {
-            log::warn!(target: "rollout", service:% = report.service, target_version:% = report.target,
-                stage:% = report.stage, error:% = err; "report was not written");
-            false
-        }
-    }
-}
-
-async fn write(
-    store: &platform::Store,
-    report: &direct::RolloutReport,
-    at: ids::Offset,
-) -> Result<platform::Appended, platform::PlatformError> {
-    match platform::rollout_status::encode(report) {
-        Ok(Some(record)) => {
-            let topic = platform::rollout_status::TOPIC;
-            store.append(topic, Some(at), &[record]).await
-        }
-        Ok(None) => Err(unencodable("name too long")),
-        Err(err) => Err(unencodable(&err.to_string())),
-    }
-}
-
-fn unencodable(reason: &str) -> platform::PlatformError {
-    platform::PlatformError::Refused(crate::http::HttpError::Malformed(reason.into()))
-}
-
 /// What one read has brought.
 enum Step {
     Records(RawBatch),
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -5,20 +5,24 @@
 mod evidence;
 mod feed;
 mod freshness;
+mod pace;
 mod plane;
 mod snapshot;
 mod store_health;
 mod system;
 mod world;
+mod writer;
 
 pub use change::{
     Batch, Effect, EndpointChange, EndpointRecord, Event, OperatorChange, RolloutOrder,
     RolloutReport, Source,
 };
 pub use evidence::{Evidence, Sample};
-pub use feed::{Pace, follow, report};
+pub use feed::follow;
 pub use freshness::Freshness;
+pub use pace::Pace;
 pub use plane::Plane;
 pub use snapshot::{EndpointView, ServiceView, Snapshot, VersionSplit};
 pub use store_health::StoreHealth;
 pub use world::{EndpointKey, EndpointRow, RolloutRow, World, cold_span};
+pub use writer::write;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod role;
 mod send;
 mod stream;
+mod suspicion;
 mod trace;
 
 pub use cx::Cx;
--- a/src/gateway/role.rs
+++ b/src/gateway/role.rs
@@ -85,7 +85,7 @@
             None => None,
         };
         let mut tasks = vec![
-            traffic.spawn(direct::report(store.clone(), effects, control.clone())),
+            traffic.spawn(direct::write(store.clone(), effects, control.clone())),
             traffic.spawn(sweep(Arc::clone(&cx), Arc::clone(&callers))),
         ];
         for source in [
--- a/src/poison/suspects.rs
+++ b/src/poison/suspects.rs
@@ -106,12 +106,19 @@
         told.collect()
     }
 
+    fn is_old(row: &Row, now: runtime::Moment) -> bool {
+        now.since(row.last) >= MEMORY
+    }
+
+    /// Whether something is older than the memory.
+    #[must_use]
+    pub fn has_old(&self, now: runtime::Moment) -> bool {
+        self.rows.values().any(|row| Self::is_old(row, now))
+    }
+
     /// Forgets what is older than the memory. Returns what other entries must be told.
     pub fn expire(&mut self, now: runtime::Moment) -> Vec<CrashReport> {
-        let old = self
-            .rows
-            .iter()
-            .filter(|(_, row)| now.since(row.last) >= MEMORY);
+        let old = self.rows.iter().filter(|(_, row)| Self::is_old(row, now));
         let old: Vec<_> = old.map(|(fingerprint, _)| *fingerprint).collect();
         old.into_iter()
             .filter_map(|fingerprint| self.answered(fingerprint))
--- a/tests/integration/direct/suspects.rs
+++ b/tests/integration/direct/suspects.rs
@@ -83,6 +83,12 @@
             refused: false,
             told: 2,
         },
+        Case {
+            name: "one long ago, two now",
+            steps: &[Crash("a"), Pass(31_000), Crash("b"), Crash("c")],
+            refused: false,
+            told: 1,
+        },
         Case {
             name: "long ago",
             steps: &[Crash("a"), Crash("b"), Crash("c"), Pass(31_000)],
