A roll-out is completed only where no other entry objects

Three entries found the version bad; the fourth had 4 runs, completed by time alone, and its report was the first on record when the store came back. From then on all entries followed it.

Now an entry completes only once the full stage has been on record for 0.7 s, so that the others have read it and written their verdict.

Ruled out: the comparison of versions (three entries had the verdict within 0.6 s of the move).

Test: stages on record, objections and pauses in a table.

--- a/src/direct/system/operator.rs
+++ b/src/direct/system/operator.rs
@@ -98,6 +98,7 @@
             canary,
             evidence: Arc::default(),
             reported: None,
+            reported_at: cx.now,
             asked: None,
         },
     );
--- a/src/direct/system/reports.rs
+++ b/src/direct/system/reports.rs
@@ -48,6 +48,7 @@
             continue;
         }
         row.reported = on_record;
+        row.reported_at = cx.now;
         let Some(stage) = on_record else { continue };
         let settled = row.canary.clone().settle(stage, cx.now);
         if settled != row.canary {
--- a/src/direct/system/rollouts.rs
+++ b/src/direct/system/rollouts.rs
@@ -9,6 +9,10 @@
 
 /// Pause between tries to write a report.
 const REPORT_PAUSE: Duration = Duration::from_millis(400);
+/// Time for which the full stage is on record before an entry completes a
+/// roll-out: another one that has found the version bad needs a read and a
+/// write to say so, also right after the return of the store.
+const OBJECTION_TIME: Duration = Duration::from_millis(700);
 /// Part of the old version's endpoints that the new one must have before the
 /// traffic moves.
 const ENOUGH_ENDPOINTS: f64 = 0.6;
@@ -36,6 +40,8 @@
         now: cx.now,
         bad: comparison.is_bad(),
         enough_endpoints: has_enough_endpoints(world, service, &row.order.target),
+        unopposed: row.reported == Some(rollout::Stage::Full)
+            && cx.now.since(row.reported_at) >= OBJECTION_TIME,
     };
     let next = row.canary.clone().advance(seen);
     if next != row.canary {
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -44,6 +44,8 @@
     pub evidence: Arc<direct::Evidence>,
     /// What is on record.
     pub reported: Option<rollout::Stage>,
+    /// Since when this entry knows it.
+    pub reported_at: runtime::Moment,
     /// When the pending report was asked for; reports are not repeated at every tick.
     pub asked: Option<runtime::Moment>,
 }
--- a/src/rollout/canary.rs
+++ b/src/rollout/canary.rs
@@ -95,6 +95,9 @@
     pub bad: bool,
     /// Whether endpoints of the new version can bear the traffic of the old ones.
     pub enough_endpoints: bool,
+    /// Whether other entries know that all traffic goes to the new version, and
+    /// have had time to object.
+    pub unopposed: bool,
 }
 
 impl<S> Canary<S> {
@@ -240,7 +243,7 @@
             {
                 Self::Ramping(canary.ramp(seen.now))
             }
-            Self::Ramping(canary) if canary.may_complete(seen.now) => {
+            Self::Ramping(canary) if seen.unopposed && canary.may_complete(seen.now) => {
                 Self::Completed(canary.with(Completed))
             }
             other => other,
--- a/tests/integration/direct/canary.rs
+++ b/tests/integration/direct/canary.rs
@@ -74,6 +74,7 @@
                 now,
                 bad: case.bad_from.is_some_and(|from| passed >= from),
                 enough_endpoints: passed >= case.enough_from,
+                unopposed: true,
             });
             if let Some((_, stage)) = case.stages.iter().find(|(at, _)| *at == passed) {
                 assert_eq!(canary.stage(now), *stage, "{} at {passed} ms", case.name);
@@ -196,6 +197,7 @@
             now,
             bad: false,
             enough_endpoints: true,
+            unopposed: true,
         });
         let moves = (
             canary.session_share(now).get() > 0.0,
@@ -222,6 +224,7 @@
                 now,
                 bad: passed >= bad_from + DETECTION,
                 enough_endpoints: true,
+                unopposed: true,
             });
             if canary.stage(now) == Stage::Completed {
                 break;
--- a/tests/integration/direct/rollouts.rs
+++ b/tests/integration/direct/rollouts.rs
@@ -197,3 +197,52 @@
     ticked.reports(true, vec![report(Stage::RolledBack)], 3);
     assert_eq!(stage(&ticked), Stage::RolledBack);
 }
+
+/// Guards against an entry that has seen little and completes a roll-out by
+/// time alone, although another one has found the version bad and could not
+/// say so while the store was away.
+#[test]
+fn a_roll_out_is_completed_where_no_entry_objects() {
+    struct Case {
+        name: &'static str,
+        /// What comes on record after the time for it, each with a pause after it.
+        reports: &'static [(Stage, u64)],
+        end: Stage,
+    }
+    let cases = [
+        Case {
+            name: "nothing is on record",
+            reports: &[],
+            end: Stage::Full,
+        },
+        Case {
+            name: "an earlier stage is on record",
+            reports: &[(Stage::Ramping, 3_000)],
+            end: Stage::Full,
+        },
+        Case {
+            name: "all traffic is on record, but not for long",
+            reports: &[(Stage::Full, 500)],
+            end: Stage::Full,
+        },
+        Case {
+            name: "no entry objects",
+            reports: &[(Stage::Full, 1_000)],
+            end: Stage::Completed,
+        },
+        Case {
+            name: "an entry objects",
+            reports: &[(Stage::Full, 500), (Stage::RolledBack, 3_000)],
+            end: Stage::RolledBack,
+        },
+    ];
+    for case in cases {
+        let mut ticked = started();
+        ticked.pass(19_000);
+        for (end, (on_record, pause)) in (1..).zip(case.reports) {
+            ticked.reports(false, vec![report(*on_record)], end);
+            ticked.pass(*pause);
+        }
+        assert_eq!(stage(&ticked), case.end, "{}", case.name);
+    }
+}
