One copy of what follows a failed run, of the endpoint's client and of an append to the status topic

No change of behaviour meant; found when the change was read once more. - The failure of a run was recorded in three places (head, body, stream), each with the same three steps: Call::run_failed. The client of an endpoint was looked up in two: Call::client. - plain::run ended in three copies of one match; it leaves the loop now. A run of unknown outcome counts as a run, so end_unsent tells it as before. - The two writers to the status topic share the refusal of records that cannot be encoded. - The hold of endpoints that vanish together follows from the pause between reads instead of repeating its figure: 0.8 of the bound less the pause. - Whether an engine failed before is derived from the count of its failures. - Ladder::first and Evidence::clear had no caller.

--- a/src/cascade/ladder.rs
+++ b/src/cascade/ladder.rs
@@ -34,12 +34,6 @@
         Self { models }
     }
 
-    /// Index of the model that runs first.
-    #[must_use]
-    pub const fn first(&self) -> usize {
-        0
-    }
-
     /// The model with an index; `None` on a route without models.
     #[must_use]
     pub fn model(&self, index: usize) -> Option<&'a ids::ModelName> {
--- a/src/direct/evidence.rs
+++ b/src/direct/evidence.rs
@@ -45,11 +45,6 @@
             .add(sample.answered, sample.first);
     }
 
-    /// Forgets all runs.
-    pub fn clear(&self) {
-        self.lock().clear();
-    }
-
     /// Judges `target` against the other versions.
     #[must_use]
     pub fn judge(&self, target: &ids::VersionName) -> rollout::Comparison {
--- a/src/direct/system/endpoints.rs
+++ b/src/direct/system/endpoints.rs
@@ -16,10 +16,10 @@
 const MASS_PART: f64 = 0.3;
 /// Removals that are an outage rather than chance.
 const MASS_LEAST: usize = 2;
-/// Part of the time in which a leaving endpoint may still get work, for which
-/// an endpoint stays in use after such a removal. The pause between two reads
-/// takes another 0.35 of it, and the way of a request some 0.2 s.
-const MASS_HOLD_PART: f64 = 0.45;
+/// Part of the time in which a leaving endpoint may still get work that a late
+/// read and the hold after such a removal may take; the rest is for the read
+/// itself and the way of a request.
+const LEAVING_PART: f64 = 0.8;
 
 /// Applies the endpoints' records of this tick, and gives up those that have
 /// not come back after an outage of the store.
@@ -69,12 +69,10 @@
         .map(|returned| returned.after(RETURN_TIME))
         .filter(|back_by| *back_by > cx.now);
     let mass = masses(world, gone);
-    let mass_hold = world
-        .settings
-        .bounds
-        .drain
-        .duration()
-        .mul_f64(MASS_HOLD_PART);
+    let bounds = &world.settings.bounds;
+    let pause = direct::Pace::new(direct::Source::Endpoints, bounds).pause;
+    let longest = bounds.drain.duration().mul_f64(LEAVING_PART);
+    let mass_hold = longest.saturating_sub(pause);
     for id in gone {
         let Some(row) = world.endpoints.by_name_mut(id) else {
             continue;
--- a/src/direct/writer.rs
+++ b/src/direct/writer.rs
@@ -1,9 +1,11 @@
 //! The task that writes to the store.
 
+use hyper::body::Bytes;
 use smol::channel::Receiver;
 
 use crate::control;
 use crate::direct;
+use crate::http;
 use crate::ids;
 use crate::platform;
 use crate::poison;
@@ -32,11 +34,8 @@
     store: &platform::Store,
     report: &poison::CrashReport,
 ) -> Result<(), platform::PlatformError> {
-    let record = platform::crash_record::encode(report)
-        .map_err(|err| unencodable(&err.to_string()))?
-        .ok_or_else(|| unencodable("key too long"))?;
-    let topic = platform::rollout_status::TOPIC;
-    store.append(topic, None, &[record]).await.map(|_| ())
+    let record = platform::crash_record::encode(report);
+    append(store, None, record).await.map(|_| ())
 }
 
 /// Returns whether the report is on record.
@@ -45,7 +44,8 @@
     report: &direct::RolloutReport,
     at: ids::Offset,
 ) -> bool {
-    match append_report(store, report, at).await {
+    let record = platform::rollout_status::encode(report);
+    match append(store, Some(at), record).await {
         Ok(platform::Appended::At(offset)) => {
             log::info!(target: "rollout", service:% = report.service, target_version:% = report.target,
                 stage:% = report.stage, offset:% = offset; "report is on record");
@@ -64,21 +64,18 @@
     }
 }
 
-async fn append_report(
+/// Appends a record to the topic that all entries write to.
+async fn append(
     store: &platform::Store,
-    report: &direct::RolloutReport,
-    at: ids::Offset,
+    at: Option<ids::Offset>,
+    record: serde_json::Result<Option<Bytes>>,
 ) -> Result<platform::Appended, platform::PlatformError> {
-    match platform::rollout_status::encode(report) {
-        Ok(Some(record)) => {
-            let topic = platform::rollout_status::TOPIC;
-            store.append(topic, Some(at), &[record]).await
-        }
-        Ok(None) => Err(unencodable("name too long")),
-        Err(err) => Err(unencodable(&err.to_string())),
-    }
-}
-
-fn unencodable(reason: &str) -> platform::PlatformError {
-    platform::PlatformError::Refused(crate::http::HttpError::Malformed(reason.into()))
+    let unencodable = |reason: String| {
+        platform::PlatformError::Refused(http::HttpError::Malformed(reason.into()))
+    };
+    let record = record
+        .map_err(|err| unencodable(err.to_string()))?
+        .ok_or_else(|| unencodable("key too long".into()))?;
+    let topic = platform::rollout_status::TOPIC;
+    store.append(topic, at, &[record]).await
 }
--- a/src/entry/dispatcher.rs
+++ b/src/entry/dispatcher.rs
@@ -39,8 +39,8 @@
     pub bill: bill::Bill,
     /// Why the session's version was not kept, where it was not.
     pub moved: Option<session::Moved>,
-    /// Whether an engine has failed the request.
-    pub failed_before: bool,
+    /// Attempts that engines have failed.
+    pub engine_failures: u32,
     tried: Vec<control::EndpointKey>,
     number: u16,
     left: u16,
@@ -79,7 +79,7 @@
         Self {
             bill: bill::Bill::new(cx.clone(), draft),
             moved: ask.moved,
-            failed_before: false,
+            engine_failures: 0,
             cx,
             ask,
             tried: Vec::new(),
@@ -267,7 +267,7 @@
             time_left: units::Millis::from(ask.deadline.saturating_duration_since(Instant::now())),
             priority: ask.priority,
             fingerprint: ask.fingerprint,
-            alone: self.failed_before || suspicion == poison::Suspicion::Suspect,
+            alone: self.engine_failures > 0 || suspicion == poison::Suspicion::Suspect,
             config: snapshot.config,
             work: attempt::Work::Model {
                 profile: ask.profile.name.clone(),
--- a/src/entry/generation.rs
+++ b/src/entry/generation.rs
@@ -58,8 +58,6 @@
     settled: bool,
     /// Whether the engine has failed the present attempt.
     failed: bool,
-    /// Attempts that engines have failed.
-    engine_failures: u32,
 }
 
 impl Generation {
@@ -74,7 +72,6 @@
                 text: String::new(),
                 settled: false,
                 failed: false,
-                engine_failures: 0,
             }),
             Err(refusal) => {
                 dispatcher.bill.close(Some(refusal.code));
@@ -164,7 +161,7 @@
                     if self.failed {
                         self.wait_for_report().await;
                     }
-                    if self.engine_failures >= MAX_ENGINE_FAILURES {
+                    if self.dispatcher.engine_failures >= MAX_ENGINE_FAILURES {
                         return Err(refusal);
                     }
                     self.resume(refusal).await?;
@@ -188,8 +185,7 @@
                 self.settle(usage);
                 if refusal.code == errors::ResultCode::Interrupted {
                     self.failed = true;
-                    self.dispatcher.failed_before = true;
-                    self.engine_failures += 1;
+                    self.dispatcher.engine_failures += 1;
                     Progress::Interrupted(refusal)
                 } else {
                     Progress::Ended(refusal)
@@ -262,7 +258,7 @@
     async fn wait_for_report(&self) {
         let control = &self.dispatcher.cx.control;
         let fingerprint = self.ask().fingerprint;
-        let wanted = if self.engine_failures < MAX_ENGINE_FAILURES {
+        let wanted = if self.dispatcher.engine_failures < MAX_ENGINE_FAILURES {
             [poison::Suspicion::Suspect, poison::Suspicion::Quarantined]
         } else {
             [poison::Suspicion::Quarantined; 2]
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -12,6 +12,7 @@
 use crate::direct;
 use crate::gateway;
 use crate::gateway::trace;
+use crate::http;
 use crate::ids;
 use crate::rollout;
 use crate::route;
@@ -227,6 +228,35 @@
         place < share.get()
     }
 
+    /// The client of an endpoint.
+    #[must_use]
+    pub fn client(
+        &self,
+        view: &direct::ServiceView,
+        endpoint: &direct::EndpointView,
+    ) -> http::Client {
+        let entries = self.cx.settings().assumed_entries();
+        let limit = view.upstream.max_connections;
+        self.cx.lanes.client(&endpoint.record, limit, entries)
+    }
+
+    /// Records a run that has brought no whole answer. `cold` is how long the
+    /// endpoint may be cold if it has started again.
+    pub fn run_failed(
+        &self,
+        view: &direct::ServiceView,
+        endpoint: &direct::EndpointView,
+        failure: balance::Failure,
+        cold: Duration,
+    ) {
+        let now = runtime::Moment::now();
+        endpoint.live.failed(failure, cold, now);
+        self.observe(view, endpoint, false, None);
+        if failure == balance::Failure::Broken {
+            self.suspect_crash(view, endpoint);
+        }
+    }
+
     /// Records what a run has shown of an endpoint's version.
     pub fn observe(
         &self,
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -33,7 +33,8 @@
 
 /// Runs the request and returns its answer.
 pub async fn run(mut call: call::Call) -> http::Reply {
-    let mut failure: Option<Whole> = None;
+    // The last whole answer: a success, or a failure that is delivered if no other comes.
+    let mut whole: Option<Whole> = None;
     loop {
         let Some(view) = call.view() else {
             return refuse(
@@ -43,39 +44,26 @@
             );
         };
         let Some(choice) = call.choose(&view) else {
-            return match failure {
-                Some(whole) => deliver(&mut call, whole),
-                None => end_unsent(&mut call),
-            };
+            break;
         };
         let patience = call.patience(&choice.endpoint, &LIMITS);
-        match attempt(&mut call, &view, choice, patience).await {
-            Ok(whole) => {
-                let is_failure = whole.status.is_server_error();
-                if is_failure && call.try_run_again(&LIMITS) {
-                    failure = Some(whole);
-                    continue;
-                }
-                return deliver(&mut call, whole);
-            }
-            Err(send::Unanswered::NotRun(cause, _)) => {
-                if !call.try_elsewhere(cause, &LIMITS) {
-                    return match failure {
-                        Some(whole) => deliver(&mut call, whole),
-                        None => end_unsent(&mut call),
-                    };
-                }
-            }
-            Err(send::Unanswered::Unknown(..)) => {
-                if !call.try_run_again(&LIMITS) {
-                    return match failure {
-                        Some(whole) => deliver(&mut call, whole),
-                        None => end_unknown(&mut call),
-                    };
-                }
+        let goes_on = match attempt(&mut call, &view, choice, patience).await {
+            Ok(answer) => {
+                let is_failure = answer.status.is_server_error();
+                whole = Some(answer);
+                is_failure && call.try_run_again(&LIMITS)
             }
+            Err(send::Unanswered::NotRun(cause, _)) => call.try_elsewhere(cause, &LIMITS),
+            Err(send::Unanswered::Unknown(..)) => call.try_run_again(&LIMITS),
+        };
+        if !goes_on {
+            break;
         }
     }
+    match whole {
+        Some(whole) => deliver(&mut call, whole),
+        None => end_unsent(&mut call),
+    }
 }
 
 async fn attempt(
@@ -116,13 +104,7 @@
             let unanswered = send::Unanswered::Unknown(failure, "the answer broke off".into());
             call.trace
                 .attempt(&endpoint.record.id, unanswered.label(), &unanswered);
-            endpoint
-                .live
-                .failed(failure, Duration::ZERO, runtime::Moment::now());
-            call.observe(view, &endpoint, false, None);
-            if failure == balance::Failure::Broken {
-                call.broken_off(view, &endpoint);
-            }
+            call.run_failed(view, &endpoint, failure, Duration::ZERO);
             Err(unanswered)
         }
     }
--- a/src/gateway/role.rs
+++ b/src/gateway/role.rs
@@ -143,11 +143,8 @@
         Timer::after(SWEEP).await;
         let snapshot = cx.control.snapshot();
         cx.lanes.sweep(&snapshot);
-        let limits = snapshot.deployment.as_ref().map(|known| known.limits);
-        callers.set_idle(
-            limits
-                .and_then(|limits| limits.idle)
-                .unwrap_or(CALLER_TIMEOUT),
-        );
+        let deployment = snapshot.deployment.as_ref();
+        let idle = deployment.and_then(|known| known.limits.idle);
+        callers.set_idle(idle.unwrap_or(CALLER_TIMEOUT));
     }
 }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -142,16 +142,13 @@
     unanswered: &Unanswered,
 ) {
     let cold = view.upstream.cold_span();
-    let now = runtime::Moment::now();
     match unanswered {
-        Unanswered::NotRun(failure, _) => endpoint.live.failed(*failure, cold, now),
+        Unanswered::NotRun(failure, _) => {
+            endpoint.live.failed(*failure, cold, runtime::Moment::now());
+        }
         Unanswered::Unknown(failure, _) => {
             call.runs += 1;
-            endpoint.live.failed(*failure, cold, now);
-            call.observe(view, endpoint, false, None);
-            if *failure == balance::Failure::Broken {
-                call.broken_off(view, endpoint);
-            }
+            call.run_failed(view, endpoint, *failure, cold);
         }
     }
 }
@@ -165,11 +162,7 @@
     patience: Duration,
 ) -> Result<Opened, Unanswered> {
     let req = request(call, &endpoint, resume_after)?;
-    let entries = call.cx.settings().assumed_entries();
-    let client = call
-        .cx
-        .lanes
-        .client(&endpoint.record, view.upstream.max_connections, entries);
+    let client = call.client(view, &endpoint);
     let sent = Instant::now();
     let answer = client.send(req, patience);
     let answer = answer
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -182,12 +182,7 @@
     let note = format!("stream broke off ({failure})");
     call.trace
         .attempt(&endpoint.record.id, failure.into(), &note);
-    let cold = view.upstream.cold_span();
-    endpoint.live.failed(failure, cold, runtime::Moment::now());
-    call.observe(view, endpoint, false, None);
-    if failure == balance::Failure::Broken {
-        call.broken_off(view, endpoint);
-    }
+    call.run_failed(view, endpoint, failure, view.upstream.cold_span());
 }
 
 /// Waits until the stream has a whole event, or has ended without one.
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -26,10 +26,12 @@
     }
 
     /// The endpoint has broken off a run; finds out whether it has crashed.
-    pub fn broken_off(&self, view: &direct::ServiceView, endpoint: &direct::EndpointView) {
-        let entries = self.cx.settings().assumed_entries();
-        let limit = view.upstream.max_connections;
-        let client = self.cx.lanes.client(&endpoint.record, limit, entries);
+    pub(super) fn suspect_crash(
+        &self,
+        view: &direct::ServiceView,
+        endpoint: &direct::EndpointView,
+    ) {
+        let client = self.client(view, endpoint);
         let crashed = direct::Event::Crashed {
             fingerprint: self.fingerprint(),
             endpoint: endpoint.record.id.clone(),
--- a/src/poison/suspects.rs
+++ b/src/poison/suspects.rs
@@ -84,6 +84,10 @@
     /// The request was answered, so it has crashed nothing. Returns what other
     /// entries must be told.
     pub fn answered(&mut self, fingerprint: ids::Fingerprint) -> Option<CrashReport> {
+        self.forget(fingerprint)
+    }
+
+    fn forget(&mut self, fingerprint: ids::Fingerprint) -> Option<CrashReport> {
         let row = self.rows.remove(&fingerprint)?;
         (!row.told.is_empty()).then_some(CrashReport {
             fingerprint,
@@ -121,7 +125,7 @@
         let old = self.rows.iter().filter(|(_, row)| Self::is_old(row, now));
         let old: Vec<_> = old.map(|(fingerprint, _)| *fingerprint).collect();
         old.into_iter()
-            .filter_map(|fingerprint| self.answered(fingerprint))
+            .filter_map(|fingerprint| self.forget(fingerprint))
             .collect()
     }
 
