--- a/tests/integration/direct/endpoint.rs
+++ b/tests/integration/direct/endpoint.rs
@@ -118,11 +118,9 @@
         let addr = place::addr();
         let listener = TcpListener::bind(addr).unwrap();
         let endpoint = Self {
-            id,
-            addr,
-            state: Arc::default(),
             script: Arc::clone(script),
             fallback,
+            ..Self::at(id, addr)
         };
         let serving = endpoint.clone();
         thread::spawn(move || {
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -14,7 +14,7 @@
 mod operator;
 mod pool;
 mod rollouts;
-mod site;
+pub mod site;
 mod smuggling;
 mod stop;
 mod store;
--- a/tests/integration/direct/operator.rs
+++ b/tests/integration/direct/operator.rs
@@ -44,27 +44,15 @@
 /// Guards against an outdated configuration that counts as current.
 #[test]
 fn a_read_proves_the_configuration_current_as_of_its_start() {
+    let age = |ticked: &Ticked| {
+        let age = ticked.snapshot.freshness.age(ticked.now);
+        age.unwrap().as_millis()
+    };
     let mut ticked = Ticked::new();
     ticked.pass(700);
-    assert_eq!(
-        ticked
-            .snapshot
-            .freshness
-            .age(ticked.now)
-            .unwrap()
-            .as_millis(),
-        700
-    );
+    assert_eq!(age(&ticked), 700);
     ticked.operator(false, vec![]);
-    assert_eq!(
-        ticked
-            .snapshot
-            .freshness
-            .age(ticked.now)
-            .unwrap()
-            .as_millis(),
-        0
-    );
+    assert_eq!(age(&ticked), 0);
 }
 
 /// Guards against work in a failure domain that is taken out, and against full
--- a/tests/integration/direct/site.rs
+++ b/tests/integration/direct/site.rs
@@ -38,12 +38,12 @@
         for (service, endpoint) in endpoints {
             put_endpoint(&store, service, endpoint, 1);
         }
-        let (process, callers, readiness) = spawn(store.addr());
+        let entry = Entry::spawn(NAME, store.addr());
         let site = Self {
             store,
-            callers,
-            readiness,
-            process,
+            callers: entry.callers,
+            readiness: entry.readiness,
+            process: entry.process,
         };
         wait::until("the process is ready", || site.is_ready());
         site
@@ -51,9 +51,9 @@
 
     /// Starts another entry on the same store; returns its address for callers.
     pub fn another(&self) -> (Process, SocketAddr) {
-        let (process, callers, readiness) = spawn(self.store.addr());
-        wait::until("the other process is ready", || is_ready(readiness));
-        (process, callers)
+        let entry = Entry::spawn(NAME, self.store.addr());
+        wait::until("the other process is ready", || is_ready(entry.readiness));
+        (entry.process, entry.callers)
     }
 
     pub fn is_ready(&self) -> bool {
@@ -112,24 +112,61 @@
 
 /// Writes what an endpoint says of itself.
 pub fn put_endpoint(store: &StandinLog, service: &str, endpoint: &Endpoint, sequence: u64) {
+    put_record(
+        store,
+        service,
+        endpoint.id,
+        endpoint.addr,
+        "ready",
+        sequence,
+    );
+}
+
+/// Writes what an endpoint that is reached at `addr` says of itself.
+pub fn put_record(
+    store: &StandinLog,
+    service: &str,
+    id: &str,
+    addr: SocketAddr,
+    state: &str,
+    sequence: u64,
+) {
     let mut value = entry(service, "v1", sequence);
-    value["Address"] = json!(endpoint.addr);
+    value["Address"] = json!(addr);
+    value["State"] = state.into();
     let value = value.to_string();
-    store.put(endpoint_record::TOPIC, endpoint.id, Some(value.as_bytes()));
+    store.put(endpoint_record::TOPIC, id, Some(value.as_bytes()));
+}
+
+/// Name of an entry where it does not matter; the one of the settings.
+pub const NAME: &str = "edge-north-1";
+
+/// A process in the direct role with its addresses.
+pub struct Entry {
+    pub process: Process,
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
 }
 
-/// Starts a process on a store; returns its addresses for callers and readiness.
-fn spawn(store: SocketAddr) -> (Process, SocketAddr, SocketAddr) {
-    let (callers, readiness) = (place::addr(), place::addr());
-    let settings = SETTINGS
-        .replace("127.0.0.1:1", &callers.to_string())
-        .replace("127.0.0.1:2", &readiness.to_string())
-        .replace("127.0.0.1:3", &store.to_string());
-    let path = place::dir().join("settings.toml");
-    fs::write(&path, settings).unwrap();
-    (Process::spawn(path), callers, readiness)
+impl Entry {
+    /// Starts a process on a store.
+    pub fn spawn(name: &str, store: SocketAddr) -> Self {
+        let (callers, readiness) = (place::addr(), place::addr());
+        let settings = SETTINGS
+            .replace(NAME, name)
+            .replace("127.0.0.1:1", &callers.to_string())
+            .replace("127.0.0.1:2", &readiness.to_string())
+            .replace("127.0.0.1:3", &store.to_string());
+        let path = place::dir().join("settings.toml");
+        fs::write(&path, settings).unwrap();
+        Self {
+            process: Process::spawn(path),
+            callers,
+            readiness,
+        }
+    }
 }
 
-fn is_ready(readiness: SocketAddr) -> bool {
+pub fn is_ready(readiness: SocketAddr) -> bool {
     http::send(readiness, &Method::GET, "/ready", &[], b"").is_ok_and(|answer| answer.status == 200)
 }
--- a/tests/integration/direct/store.rs
+++ b/tests/integration/direct/store.rs
@@ -14,14 +14,19 @@
 
 const TOPIC: &str = "keyed.test";
 
+/// An empty store and its client.
+async fn empty() -> (StandinLog, Store) {
+    let traffic = http::traffic();
+    let log = StandinLog::bind(place::addr(), &traffic).await.unwrap();
+    let store = Store::new(log.addr(), traffic);
+    (log, store)
+}
+
 /// Guards against a write that a paused process makes too late.
 #[test]
 fn an_append_under_a_condition_is_refused_once_the_end_has_moved() {
     smol::block_on(async {
-        let log = StandinLog::bind(place::addr(), &http::traffic())
-            .await
-            .unwrap();
-        let store = Store::new(log.addr(), http::traffic());
+        let (_log, store) = empty().await;
         let record = with_key("k", b"v").unwrap();
         let append = |at| store.append(TOPIC, Some(Offset(at)), std::slice::from_ref(&record));
         assert_eq!(append(0).await, Ok(Appended::At(Offset(0))));
@@ -34,10 +39,7 @@
 #[test]
 fn the_newest_record_of_each_key_outlives_the_history() {
     smol::block_on(async {
-        let log = StandinLog::bind(place::addr(), &http::traffic())
-            .await
-            .unwrap();
-        let store = Store::new(log.addr(), http::traffic());
+        let (log, store) = empty().await;
         for (key, value) in [
             ("a", Some("1")),
             ("b", Some("2")),
--- a/tests/integration/soak/site.rs
+++ b/tests/integration/soak/site.rs
@@ -1,17 +1,16 @@
 //! Processes, endpoints and links of one soak.
 
-use std::fs;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hyper::Method;
 use quetzalworks::ids::Offset;
 use quetzalworks::platform::{endpoint_record, operator};
 use quetzalworks::standin::{StandinLog, TcpProxy};
 use serde_json::{Value, json};
 
 use crate::direct::endpoint::{Behaviour, Endpoint};
-use crate::direct::world::{SETTINGS, config, entry};
+use crate::direct::site;
+use crate::direct::world::config;
 use crate::soak::backend::Draw;
 use crate::soak::callers::BLUE;
 use crate::testing::process::Process;
@@ -111,19 +110,12 @@
     }
 
     fn spawn_node(&self, i: usize) -> Node {
-        let (callers, readiness) = (place::addr(), place::addr());
         let store = proxy(self.store.addr());
-        let settings = SETTINGS
-            .replace("edge-north-1", &format!("edge-north-{i}"))
-            .replace("127.0.0.1:1", &callers.to_string())
-            .replace("127.0.0.1:2", &readiness.to_string())
-            .replace("127.0.0.1:3", &store.addr().to_string());
-        let path = place::dir().join("settings.toml");
-        fs::write(&path, settings).unwrap();
+        let entry = site::Entry::spawn(&format!("edge-north-{i}"), store.addr());
         Node {
-            process: Process::spawn(path),
-            callers,
-            readiness,
+            process: entry.process,
+            callers: entry.callers,
+            readiness: entry.readiness,
             store,
             life: Life::Runs,
             stops_since: Instant::now(),
@@ -140,16 +132,19 @@
 
     /// Writes what an endpoint says of itself; `None` removes it.
     pub fn put_endpoint(&mut self, i: usize, state: Option<&str>) {
-        let back_end = &self.back_ends[i];
-        let value = state.map(|state| {
-            let mut value = entry(back_end.service, "v1", self.puts[1] + 1);
-            value["Address"] = json!(back_end.link.addr());
-            value["State"] = state.into();
-            value.to_string()
-        });
-        let value = value.as_ref().map(String::as_bytes);
-        self.store
-            .put(endpoint_record::TOPIC, back_end.endpoint.id, value);
+        let BackEnd {
+            service,
+            endpoint,
+            link,
+            ..
+        } = &self.back_ends[i];
+        let (store, sequence) = (&self.store, self.puts[1] + 1);
+        match state {
+            Some(state) => {
+                site::put_record(store, service, endpoint.id, link.addr(), state, sequence);
+            }
+            None => store.put(endpoint_record::TOPIC, endpoint.id, None),
+        }
         self.puts[1] += 1;
     }
 
@@ -172,8 +167,7 @@
 
 impl Node {
     pub fn is_ready(&self) -> bool {
-        http::send(self.readiness, &Method::GET, "/ready", &[], b"")
-            .is_ok_and(|answer| answer.status == 200)
+        site::is_ready(self.readiness)
     }
 
     /// Whether signals may be sent to it.
