Crashes are told to entries at once and count before they are on record

Cause: the process beside an endpoint told of a crash only with its heartbeat, once a second, while an entry waits 500 ms for the report after each of two runs. A delay of some milliseconds, and the caller came again before the second crash counted.

Change: sidecars push a crash to all their entries, and the quarantine counts what is told, once per incident, before the log has it. The wait lasts until the crash is also on record, for other entries.

Found with it: with the log away, a poison request took two more endpoints each time it was sent ("6 lost" after three), without end.

Ruled out: the gate's hold on lost connections (the crashes were one request's own); a report lost between the processes (it was on record 1 s later).

Tests, seen failing: a single entry with the log away, 6 lost; the table of crashes at the moment they are told.

--- a/src/control/snapshot.rs
+++ b/src/control/snapshot.rs
@@ -52,7 +52,8 @@
     pub leased: Option<ids::Fence>,
     /// Fencing number of the last accepted claim, whoever made it.
     pub fence: Option<ids::Fence>,
-    /// Crashes of this endpoint that are not on record yet.
+    /// Crashes that are not on record yet: those of this endpoint, at an entry
+    /// those that endpoints have told.
     pub unrecorded: Vec<fleet::CrashReport>,
     /// Whether operators have taken this process's VM or failure domain out.
     pub self_out: bool,
@@ -94,6 +95,13 @@
 }
 
 impl Snapshot {
+    /// Whether a crash under the request waits to be put on record.
+    #[must_use]
+    pub fn is_unrecorded(&self, fingerprint: ids::Fingerprint) -> bool {
+        let mut in_flight = self.unrecorded.iter().flat_map(|crash| &*crash.in_flight);
+        in_flight.any(|(_, other)| *other == fingerprint)
+    }
+
     /// Whether the process takes new work.
     #[must_use]
     pub const fn is_serving(&self) -> bool {
--- a/src/control/world.rs
+++ b/src/control/world.rs
@@ -70,7 +70,7 @@
     pub estimates: Arc<estimate::Estimates>,
     /// Requests under suspicion.
     pub quarantine: Arc<poison::Quarantine>,
-    /// Crashes of the ledger that the quarantine includes.
+    /// Crashes that the quarantine includes: those of the ledger and those not on record yet.
     pub counted_crashes: HashSet<fleet::Incident>,
     /// Crashes that are not on record yet.
     pub unrecorded: Vec<fleet::CrashReport>,
--- a/src/entry/generation.rs
+++ b/src/entry/generation.rs
@@ -251,10 +251,10 @@
         }
     }
 
-    /// Waits until the crash that may have ended the present attempt is on
-    /// record. A retry before that would not be kept apart from other
+    /// Waits until the crash that may have ended the present attempt is known
+    /// and on record. A retry before that would not be kept apart from other
     /// requests, and a caller who is refused earlier could send a request
-    /// that crashes engines to a third one.
+    /// that crashes engines to a third one through another entry.
     async fn wait_for_report(&self) {
         let control = &self.dispatcher.cx.control;
         let fingerprint = self.ask().fingerprint;
@@ -264,9 +264,12 @@
             [poison::Suspicion::Quarantined; 2]
         };
         let until = self.ask().deadline.min(Instant::now() + REPORT_WAIT);
-        while !wanted.contains(&control.snapshot().quarantine.suspicion(fingerprint))
-            && Instant::now() < until
-        {
+        while Instant::now() < until {
+            let snapshot = control.snapshot();
+            let is_known = wanted.contains(&snapshot.quarantine.suspicion(fingerprint));
+            if is_known && !snapshot.is_unrecorded(fingerprint) {
+                return;
+            }
             Timer::after(REPORT_POLL).await;
         }
     }
--- a/src/sidecar/crash.rs
+++ b/src/sidecar/crash.rs
@@ -61,6 +61,7 @@
         report.incident,
         report.in_flight.len()
     );
+    cx.tell_crash(&report);
     cx.control.send(control::Event::Crash(report)).await;
 }
 
--- a/src/sidecar/cx.rs
+++ b/src/sidecar/cx.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use smol::channel::Sender;
+use smol::channel::{self, Receiver, Sender};
 
 use crate::admission;
 use crate::control;
@@ -26,6 +26,10 @@
 /// Most copies of usage records: about 40 MB.
 const MAX_COPIES: usize = 200_000;
 
+/// Crashes that may wait for the control stream of one entry; a crash takes
+/// seconds, and each is repeated with the heartbeat until it is on record.
+const MAX_WAITING_CRASHES: usize = 8;
+
 /// How one who waits for a place is told.
 pub type Waiter = Sender<Result<place::Place, errors::Refusal>>;
 
@@ -55,6 +59,8 @@
     crashes: Mutex<admission::Crashes>,
     copies: Mutex<admission::UsageCopies>,
     status: Mutex<Option<sidecar::EngineStatus>>,
+    /// Control streams of entries, which are told of crashes at once.
+    crash_watchers: Mutex<Vec<Sender<fleet::CrashReport>>>,
     stopping: AtomicBool,
 }
 
@@ -90,6 +96,7 @@
             crashes: Mutex::default(),
             copies: Mutex::new(admission::UsageCopies::new(MAX_COPIES)),
             status: Mutex::default(),
+            crash_watchers: Mutex::default(),
             stopping: AtomicBool::new(false),
             cfg: cfg.clone(),
             me,
@@ -141,6 +148,25 @@
         }
     }
 
+    /// Crashes of the endpoint from now on, for one entry.
+    #[must_use]
+    pub fn watch_crashes(&self) -> Receiver<fleet::CrashReport> {
+        let (tx, rx) = channel::bounded(MAX_WAITING_CRASHES);
+        let mut watchers = lock(&self.crash_watchers);
+        watchers.retain(|tx| !tx.is_closed());
+        watchers.push(tx);
+        rx
+    }
+
+    /// Tells the entries of a crash. One that is missed comes with the next report.
+    pub fn tell_crash(&self, report: &fleet::CrashReport) {
+        for tx in &*lock(&self.crash_watchers) {
+            if tx.try_send(report.clone()).is_err() {
+                log::debug!("peer: an entry hears of a crash with the next report only.");
+            }
+        }
+    }
+
     /// Begins a planned stop.
     pub fn set_stopping(&self) {
         self.stopping.store(true, Ordering::Release);
--- a/src/sidecar/updates.rs
+++ b/src/sidecar/updates.rs
@@ -1,14 +1,14 @@
 //! The control stream of an entry's connection.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use quinn::{RecvStream, SendStream};
-use smol::Timer;
 use smol::future::FutureExt;
 
 use crate::control;
 use crate::fleet;
 use crate::ids;
+use crate::runtime;
 use crate::sidecar::cx;
 use crate::wire;
 
@@ -23,10 +23,14 @@
     mut rx: RecvStream,
 ) -> Result<(), wire::WireError> {
     wire::write(&mut tx, &wire::Update::Hello(cx.me.clone())).await?;
+    let crashes = cx.watch_crashes();
     let send = async {
         loop {
             report(cx, &mut tx).await?;
-            Timer::after(REPORT_INTERVAL).await;
+            let next = Instant::now() + REPORT_INTERVAL;
+            while let Some(Ok(crash)) = runtime::timeout_at(next, crashes.recv()).await {
+                wire::write(&mut tx, &wire::Update::Crash(crash)).await?;
+            }
         }
     };
     let receive = async {
--- a/src/system/poison.rs
+++ b/src/system/poison.rs
@@ -2,22 +2,25 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::time::Instant;
 
 use crate::control;
 use crate::fleet;
 use crate::ledger;
+use crate::poison;
 
 /// Runs the system.
 pub fn run(world: &mut control::World, cx: &mut control::TickCx) {
     note(world, cx);
     if cx.ledger_changed {
-        count(world, cx);
+        follow_ledger(world, cx);
     }
     record(world, cx);
     clear(world, cx);
 }
 
-/// Keeps new crashes until they are on record.
+/// Counts new crashes at once, also while the log is away, and keeps them
+/// until they are on record.
 fn note(world: &mut control::World, cx: &mut control::TickCx) {
     for event in &cx.events {
         if let control::Event::Crash(report) = event
@@ -30,6 +33,8 @@
                 report.in_flight.len()
             );
             world.unrecorded.push(report.clone());
+            let (quarantine, counted) = (&mut world.quarantine, &mut world.counted_crashes);
+            count(quarantine, counted, report, cx.now);
             cx.changed = true;
         }
     }
@@ -46,20 +51,35 @@
     }
 }
 
-fn count(world: &mut control::World, cx: &mut control::TickCx) {
-    let crashes = &world.ledger.state().crashes;
-    let quarantine = Arc::make_mut(&mut world.quarantine);
-    for crash in crashes {
-        if world.counted_crashes.insert(crash.id()) {
-            let fingerprints = crash.in_flight.iter().map(|(_, fingerprint)| *fingerprint);
-            quarantine.crashed(fingerprints, cx.now);
-        }
+/// Counts a crash, once however often it is reported or recorded.
+fn count(
+    quarantine: &mut Arc<poison::Quarantine>,
+    counted: &mut HashSet<fleet::Incident>,
+    report: &fleet::CrashReport,
+    now: Instant,
+) {
+    if counted.insert(report.id()) {
+        let fingerprints = report.in_flight.iter().map(|(_, fingerprint)| *fingerprint);
+        Arc::make_mut(quarantine).crashed(fingerprints, now);
+    }
+}
+
+fn follow_ledger(world: &mut control::World, cx: &mut control::TickCx) {
+    let control::World {
+        ledger,
+        quarantine,
+        counted_crashes,
+        unrecorded,
+        ..
+    } = world;
+    let recorded = &ledger.state().crashes;
+    for report in recorded {
+        count(quarantine, counted_crashes, report, cx.now);
     }
-    let known: HashSet<fleet::Incident> = crashes.iter().map(fleet::CrashReport::id).collect();
-    world.counted_crashes.retain(|id| known.contains(id));
-    world
-        .unrecorded
-        .retain(|report| !known.contains(&report.id()));
+    let known: HashSet<fleet::Incident> = recorded.iter().map(fleet::CrashReport::id).collect();
+    unrecorded.retain(|report| !known.contains(&report.id()));
+    let waits = |id: &fleet::Incident| unrecorded.iter().any(|report| report.id() == *id);
+    counted_crashes.retain(|id| known.contains(id) || waits(id));
     cx.changed = true;
 }
 
--- a/tests/integration/proofs/poison.rs
+++ b/tests/integration/proofs/poison.rs
@@ -1,5 +1,6 @@
 //! A poison request takes at most two endpoints with it.
 
+use quetzalworks::standin::EngineProfile;
 use quetzalworks::standin::Faults;
 use serde_json::json;
 
@@ -55,6 +56,18 @@
     },
 ];
 
+fn poisonable() -> EngineProfile {
+    EngineProfile {
+        poison: Some("poison".into()),
+        ..serving(&["small-1"])
+    }
+}
+
+fn crashes(cluster: &Cluster) -> u64 {
+    let engines = cluster.engines.iter();
+    engines.map(|engine| engine.stats().crashes).sum()
+}
+
 /// Guards against a poison request that crashes a third endpoint when its
 /// caller sends it again, through another entry too, and against other
 /// requests that are lost or refused with it.
@@ -64,19 +77,11 @@
         entries: 3,
         engines: 6,
         proxy_log: true,
-        engine: Box::new(|_| {
-            let mut profile = serving(&["small-1"]);
-            profile.poison = Some("poison".into());
-            profile
-        }),
+        engine: Box::new(|_| poisonable()),
         sidecar: json!({ "cold_limit": 16, "max_concurrent": 16 }),
         ..Spec::default()
     });
     let caller = Caller::of(&cluster);
-    let crashes = || -> u64 {
-        let engines = cluster.engines.iter();
-        engines.map(|engine| engine.stats().crashes).sum()
-    };
     let set_logs = |faults: Faults| {
         for node in &cluster.sidecars {
             node.log_proxy.as_ref().unwrap().set(faults);
@@ -86,7 +91,7 @@
         if case.blind {
             set_logs(Faults::cut());
         }
-        let before = crashes();
+        let before = crashes(&cluster);
         let chat = Chat {
             stream: case.stream,
             ..Chat::default()
@@ -98,7 +103,7 @@
                 poison.push(caller.chat(*entry, &text, chat).1);
             }
         });
-        let lost = crashes() - before;
+        let lost = crashes(&cluster) - before;
         assert!(lost <= MAX_LOST, "{}: {lost} lost: {poison:?}", case.name);
         set_logs(Faults::default());
         let quarantined = Ended::Refused {
@@ -114,3 +119,57 @@
         }
     }
 }
+
+struct Alone {
+    name: &'static str,
+    /// Whether the entry cannot put crashes on record.
+    log_away: bool,
+    /// Poison requests, each sent three times in a row.
+    requests: usize,
+}
+
+const ALONE: &[Alone] = &[
+    Alone {
+        name: "the log answers",
+        log_away: false,
+        requests: 6,
+    },
+    Alone {
+        name: "the log is away",
+        log_away: true,
+        requests: 3,
+    },
+];
+
+/// Guards against an entry that hears of a crash only with the next heartbeat
+/// of the process beside the endpoint, or only from the log: with one entry no
+/// other one's heartbeat comes earlier.
+#[test]
+fn a_single_entry_knows_a_crash_before_its_caller_comes_again() {
+    let cluster = Cluster::start_spec(Spec {
+        engines: 6,
+        proxy_log: true,
+        engine: Box::new(|_| poisonable()),
+        ..Spec::default()
+    });
+    let caller = Caller::of(&cluster);
+    for case in ALONE {
+        let faults = if case.log_away {
+            Faults::cut()
+        } else {
+            Faults::default()
+        };
+        for node in &cluster.entries {
+            node.log_proxy.as_ref().unwrap().set(faults);
+        }
+        for i in 0..case.requests {
+            let text = format!("poison: {} {i}", case.name);
+            let before = crashes(&cluster);
+            let ended: Vec<Ended> = (0..3)
+                .map(|_| caller.chat(0, &text, Chat::default()).1)
+                .collect();
+            let lost = crashes(&cluster) - before;
+            assert!(lost <= MAX_LOST, "{text}: {lost} lost: {ended:?}");
+        }
+    }
+}
--- a/tests/integration/systems.rs
+++ b/tests/integration/systems.rs
@@ -190,44 +190,54 @@
     /// Endpoint and number of the crash, as recorded.
     crashes: Vec<(&'static str, u32)>,
     completed: bool,
+    /// Once the crashes are told.
+    told: Suspicion,
+    /// Once they are on record and the request was completed or not.
     expected: Suspicion,
 }
+
 fn crash_cases() -> Vec<CrashCase> {
     vec![
         CrashCase {
             name: "none",
             crashes: vec![],
             completed: false,
+            told: Suspicion::Clear,
             expected: Suspicion::Clear,
         },
         CrashCase {
             name: "one",
             crashes: vec![("e0", 0)],
             completed: false,
+            told: Suspicion::Suspect,
             expected: Suspicion::Suspect,
         },
         CrashCase {
             name: "one, recorded twice",
             crashes: vec![("e0", 0), ("e0", 0)],
             completed: false,
+            told: Suspicion::Suspect,
             expected: Suspicion::Suspect,
         },
         CrashCase {
             name: "one, then answered",
             crashes: vec![("e0", 0)],
             completed: true,
+            told: Suspicion::Suspect,
             expected: Suspicion::Clear,
         },
         CrashCase {
             name: "two of one endpoint",
             crashes: vec![("e0", 0), ("e0", 1)],
             completed: false,
+            told: Suspicion::Quarantined,
             expected: Suspicion::Quarantined,
         },
         CrashCase {
             name: "two endpoints, then answered",
             crashes: vec![("e0", 0), ("e1", 0)],
             completed: true,
+            told: Suspicion::Quarantined,
             expected: Suspicion::Quarantined,
         },
     ]
@@ -279,6 +289,13 @@
             "{}",
             case.name
         );
+        // Before the log has them: it may be away.
+        assert_eq!(
+            world.quarantine.suspicion(fingerprint),
+            case.told,
+            "{}: told",
+            case.name
+        );
         let records = reports.into_iter().zip(0..);
         let records = records
             .map(|(report, i)| record(i, Body::Crash(report)))
