Stand-in engine: a killed one counts nothing

A kill makes the core cold and then severs the connections, but each connection was polled once more before it saw that, and ran what had arrived: three such requests were "more than a cold engine bears".

Change: a severed connection ends before its handler runs again, and a killed engine takes nothing until it has started again.

Ruled out: places given back too early by the sidecar (the engine was not started when the overload was counted).

Test, seen failing: six requests that arrive with a kill; 2 were accepted and the third counted as an overload.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -183,7 +183,8 @@
                 severed.await;
                 Ok(())
             };
-            if let Err(err) = serve_until_closed(connection, closed).or(severed).await {
+            // Severed first: a request that arrives with it must not reach the handler.
+            if let Err(err) = severed.or(serve_until_closed(connection, closed)).await {
                 log::debug!("http: connection ended: {err}");
             }
         }
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -64,12 +64,14 @@
     /// Stops without warning: drops all connections and refuses new ones.
     pub fn kill(&self) {
         self.put(None);
+        self.engine.lock().down = true;
         self.engine.crash();
     }
 
     /// Starts again after a kill, on the same address, with the same versions, cold.
     pub async fn restart(&self) -> io::Result<()> {
         let server = self.serve().await?;
+        self.engine.lock().down = false;
         self.put(Some(server));
         Ok(())
     }
--- a/src/standin/engine_api.rs
+++ b/src/standin/engine_api.rs
@@ -142,7 +142,14 @@
         return serve::status(StatusCode::NOT_FOUND);
     };
     let priority = priority(&body["priority"]);
-    let accepted = engine.lock().accept(&version, &body["messages"], priority);
+    let accepted = {
+        let mut core = engine.lock();
+        // A request that was being read when the engine was killed.
+        if core.down {
+            return http::abandoned();
+        }
+        core.accept(&version, &body["messages"], priority)
+    };
     let Ok((ticket, turn)) = accepted else {
         engine.crash();
         return http::abandoned();
--- a/src/standin/engine_core.rs
+++ b/src/standin/engine_core.rs
@@ -86,6 +86,8 @@
     pub(super) versions: Vec<ids::VersionName>,
     pub(super) fence: ids::Fence,
     pub(super) stats: EngineStats,
+    /// Whether the engine was killed and has not started again.
+    pub(super) down: bool,
     boot: Arc<str>,
     epoch: u64,
     running: u32,
@@ -108,6 +110,7 @@
             profile,
             fence: ids::Fence::default(),
             stats: EngineStats::default(),
+            down: false,
             boot: new_boot(),
             epoch: 0,
             running: 0,
--- a/tests/integration/standins.rs
+++ b/tests/integration/standins.rs
@@ -1,9 +1,11 @@
 //! Behaviour of the stand-ins that other tests rely on.
 
+use std::io::{Read, Write};
 use std::time::Duration;
 
 use quetzalworks::ids::{Offset, VersionName};
 use quetzalworks::platform::{LogClient, PlatformError, Stream};
+use quetzalworks::runtime::Traffic;
 use quetzalworks::standin::{
     ColdStart, EngineProfile, Faults, LogCommand, Outage, StandinEngine, StandinLog, TcpProxy,
     answer_text,
@@ -12,7 +14,7 @@
 use serde_json::{Value, json};
 use smol::future;
 
-use crate::testing::{http, place, wait};
+use crate::testing::{http, place, raw, wait};
 
 const LONG: Duration = Duration::from_secs(30);
 
@@ -202,6 +204,82 @@
     assert_eq!(ask().unwrap().status, 200);
 }
 
+/// Guards against a killed engine that counts the requests which arrive with
+/// the kill against its next, cold start: they would look like the router's overload.
+#[test]
+fn killed_engine_runs_nothing() {
+    struct Case {
+        name: &'static str,
+        /// Whether the requests arrive before the kill, and are read after it.
+        sent_before: bool,
+    }
+    const CASES: &[Case] = &[
+        Case {
+            name: "requests are read after the kill",
+            sent_before: true,
+        },
+        Case {
+            name: "requests are sent after the kill",
+            sent_before: false,
+        },
+    ];
+    const CONNECTIONS: usize = 6;
+    let request = {
+        let body = body("hello", 5).to_string();
+        let length = body.len();
+        format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: e\r\ncontent-length: {length}\r\n\r\n{body}"
+        )
+    };
+    for case in CASES {
+        // One thread, which the test can hold up.
+        let traffic = Traffic::spawn_threads(1).unwrap();
+        let profile = EngineProfile {
+            versions: vec![version()],
+            cold: Some(ColdStart {
+                bears: 2,
+                answers: 100,
+                warm_ms: Millis(60_000),
+            }),
+            ..EngineProfile::default()
+        };
+        let engine = StandinEngine::bind(place::addr(), profile, &traffic);
+        let engine = smol::block_on(engine).unwrap();
+        let mut connections: Vec<_> = (0..CONNECTIONS)
+            .map(|_| {
+                let tcp = raw::open(engine.addr(), b"GET /status HTTP/1.1\r\nhost: e\r\n\r\n");
+                let mut buf = [0; 1_024];
+                assert!((&tcp).read(&mut buf).unwrap() > 0, "{}", case.name);
+                tcp
+            })
+            .collect();
+        let (release, held) = std::sync::mpsc::channel::<()>();
+        let (begun, is_held) = std::sync::mpsc::channel::<()>();
+        let busy = traffic.spawn(async move {
+            begun.send(()).unwrap();
+            let _ = held.recv();
+        });
+        is_held.recv().unwrap();
+        if !case.sent_before {
+            engine.kill();
+        }
+        for tcp in &mut connections {
+            let _ = tcp.write_all(request.as_bytes());
+        }
+        if case.sent_before {
+            engine.kill();
+        }
+        drop(release);
+        smol::block_on(busy);
+        for tcp in connections {
+            let answer = raw::read_to_close(tcp);
+            assert!(!answer.contains("data:"), "{}: {answer}", case.name);
+        }
+        assert_eq!(engine.stats().overloads, 0, "{}", case.name);
+        assert_eq!(engine.stats().requests, 0, "{}", case.name);
+    }
+}
+
 /// Guards against orders with an old fencing number that are carried out by
 /// an engine that checks it, or refused by one that doesn't.
 #[test]
