A suspect's refused attempt uses up no run

Change: routing is told how many attempts may have run, and bounds a suspect by that. The number of attempts of any kind stays bounded as before.

Ruled out: the innocent request in both crashes (endpoint-5 had one request in flight, the poison request alone).

Test: the table of endpoints gained the count of runs; a suspect that has run twice is still refused, one whose retry was refused goes on.

--- a/src/entry/dispatcher.rs
+++ b/src/entry/dispatcher.rs
@@ -42,6 +42,8 @@
     /// Attempts that engines have failed.
     pub engine_failures: u32,
     tried: Vec<control::EndpointKey>,
+    /// Attempts that may have run.
+    ran: usize,
     number: u16,
     left: u16,
 }
@@ -83,6 +85,7 @@
             cx,
             ask,
             tried: Vec::new(),
+            ran: 0,
             number: 0,
             left: MAX_ATTEMPTS,
         }
@@ -91,6 +94,7 @@
     /// Allows as many attempts as at first, on any endpoint, for another version.
     pub fn reset(&mut self) {
         self.tried.clear();
+        self.ran = 0;
         self.left = MAX_ATTEMPTS;
     }
 
@@ -153,6 +157,7 @@
             prefix: Some(ask.prefix),
             time_left: ask.time_left(),
             excluded: &self.tried,
+            ran: self.ran,
             domain: &self.cx.me.domain,
             region: &self.cx.me.region,
         };
@@ -190,7 +195,7 @@
         let until = self.ask.deadline + REFUSAL_GRACE;
         match runtime::timeout_at(until, wire::read::<wire::Reply>(&mut rx)).await {
             Some(Ok(Some(wire::Reply::Accepted))) => {
-                self.bill.mark_ran();
+                self.mark_ran();
                 Ok(Running {
                     attempt: dispatched.accepted(),
                     version,
@@ -204,7 +209,7 @@
                 Err(lag::current(refusal, load.config, snapshot.config))
             }
             None => {
-                self.bill.mark_ran();
+                self.mark_ran();
                 Err(errors::Refusal::new(
                     errors::ResultCode::DeadlineExceeded,
                     "the deadline passed before an endpoint answered",
@@ -213,7 +218,7 @@
             // A model request may be repeated, so a lost connection is retried
             // although the work may have begun.
             Some(other) => {
-                self.bill.mark_ran();
+                self.mark_ran();
                 Err(unreachable(match other {
                     Ok(reply) => format!("unexpected reply: {reply:?}"),
                     Err(err) => err.to_string(),
@@ -222,6 +227,11 @@
         }
     }
 
+    fn mark_ran(&mut self) {
+        self.ran += 1;
+        self.bill.mark_ran();
+    }
+
     fn record(
         &mut self,
         snapshot: &control::Snapshot,
--- a/src/entry/service_run.rs
+++ b/src/entry/service_run.rs
@@ -29,6 +29,8 @@
     /// Its bill.
     pub bill: bill::Bill,
     tried: Vec<control::EndpointKey>,
+    /// Attempts that may have run.
+    ran: usize,
 }
 
 /// An attempt that gave no answer.
@@ -51,6 +53,7 @@
             cx,
             ask,
             tried: Vec::new(),
+            ran: 0,
         }
     }
 
@@ -109,6 +112,7 @@
             prefix: None,
             time_left: self.ask.time_left(),
             excluded: &self.tried,
+            ran: self.ran,
             domain: &self.cx.me.domain,
             region: &self.cx.me.region,
         };
@@ -123,6 +127,9 @@
         call: Option<attempt::CallRef>,
     ) -> Result<attempt::ServiceAnswer, Failure> {
         let result = self.exchange(snapshot, endpoint, call).await;
+        if !matches!(result, Err(Failure::NotRun(_))) {
+            self.ran += 1;
+        }
         if let Err(Failure::NotRun(refusal) | Failure::MayHaveRun(refusal)) = &result {
             self.bill.failed(refusal);
         }
--- a/src/route/decide.rs
+++ b/src/route/decide.rs
@@ -9,8 +9,8 @@
 use crate::route;
 use crate::route::{endpoints, versions};
 
-/// Endpoints on which a suspect may be tried: one and a single retry.
-const MAX_SUSPECT_ATTEMPTS: usize = 2;
+/// Endpoints on which a suspect may run: one and a single retry.
+const MAX_SUSPECT_RUNS: usize = 2;
 
 /// Chooses version and endpoint for a model request.
 pub fn decide(
@@ -57,7 +57,7 @@
 ) -> Result<bool, errors::Refusal> {
     match snapshot.quarantine.suspicion(req.fingerprint) {
         poison::Suspicion::Clear => Ok(false),
-        poison::Suspicion::Suspect if req.excluded.len() < MAX_SUSPECT_ATTEMPTS => Ok(true),
+        poison::Suspicion::Suspect if req.ran < MAX_SUSPECT_RUNS => Ok(true),
         poison::Suspicion::Suspect => Err(errors::Refusal::new(
             errors::ResultCode::NoEndpoint,
             "the request was in flight in a crash and is not tried again",
--- a/src/route/request.rs
+++ b/src/route/request.rs
@@ -21,6 +21,8 @@
     pub time_left: units::Millis,
     /// Endpoints that have refused or failed this request.
     pub excluded: &'a [control::EndpointKey],
+    /// Attempts that may have run; a refused one has not.
+    pub ran: usize,
     /// The failure domain of this entry.
     pub domain: &'a ids::DomainName,
     /// The region of this entry.
--- a/tests/integration/route.rs
+++ b/tests/integration/route.rs
@@ -95,7 +95,7 @@
     snapshot: &Snapshot,
     profile: &ProfileView,
     pin: Option<Pin>,
-    excluded: &[EndpointKey],
+    (excluded, ran): (&[EndpointKey], usize),
     time_left: u64,
     seed: u64,
 ) -> Result<route::Route, ResultCode> {
@@ -107,6 +107,7 @@
         prefix: Some(Fingerprint(9)),
         time_left: Millis(time_left),
         excluded,
+        ran,
         domain: &domain,
         region: &region,
     };
@@ -222,7 +223,7 @@
             .withdrawn
             .extend(case.withdrawn.map(|name| name.parse().unwrap()));
         let profile = profile(case.rollout.0, case.rollout.1);
-        let route = decide(&snapshot, &profile, case.pin, &[], 1_000, 1);
+        let route = decide(&snapshot, &profile, case.pin, (&[], 0), 1_000, 1);
         let found = route
             .as_ref()
             .map(|route| (route.version.as_str(), route.reason, route.moved))
@@ -258,7 +259,7 @@
         let mut profile = profile(0.0, 0);
         profile.versions.push(version("new", 20, case.prior));
         let reasons = (0..10_000).map(|seed| {
-            let route = decide(&snapshot, &profile, None, &[], 1_000, seed).unwrap();
+            let route = decide(&snapshot, &profile, None, (&[], 0), 1_000, seed).unwrap();
             let expected = ["large", "new"][usize::from(route.reason == Reason::Explore)];
             assert_eq!(route.version.as_str(), expected, "{}", case.name);
             route.reason
@@ -269,88 +270,104 @@
     }
 }
 
-/// Guards against an endpoint that is excluded, too slow, or not the one that
-/// affinity, distance or suspicion ask for.
-#[test]
-fn endpoints_are_chosen() {
-    struct Case {
-        name: &'static str,
-        edit: fn(usize, &mut Report),
-        pinned: bool,
-        crashes: u32,
-        excluded: usize,
-        time_left: u64,
-        /// Endpoints that may be chosen, or the code.
-        chosen: Result<&'static [usize], ResultCode>,
-    }
-    let plain = Case {
+struct EndpointCase {
+    name: &'static str,
+    edit: fn(usize, &mut Report),
+    pinned: bool,
+    crashes: u32,
+    excluded: usize,
+    /// Attempts at the excluded endpoints that may have run.
+    ran: usize,
+    time_left: u64,
+    /// Endpoints that may be chosen, or the code.
+    chosen: Result<&'static [usize], ResultCode>,
+}
+
+fn endpoint_cases() -> Vec<EndpointCase> {
+    let plain = EndpointCase {
         name: "prefix, in the own domain",
         edit: |_, _| {},
         pinned: false,
         crashes: 0,
         excluded: 0,
+        ran: 0,
         time_left: 1_000,
         chosen: Ok(&[0, 1]),
     };
-    let cases = [
-        Case {
+    vec![
+        EndpointCase {
             name: "session's endpoint",
             pinned: true,
             chosen: Ok(&[5]),
             ..plain
         },
-        Case {
+        EndpointCase {
             name: "session's endpoint is loaded",
             edit: |i, report| report.running = if i == 5 { 9 } else { 0 },
             pinned: true,
             ..plain
         },
-        Case {
+        EndpointCase {
             name: "session's endpoint is cold",
             edit: |i, report| report.warmth = if i == 5 { Warmth::Cold } else { Warmth::Warm },
             pinned: true,
             ..plain
         },
-        Case {
+        EndpointCase {
             name: "own domain has failed the request",
             excluded: 2,
             chosen: Ok(&[2, 3]),
             ..plain
         },
-        Case {
+        EndpointCase {
             name: "own region has failed the request",
             excluded: 4,
             chosen: Ok(&[4, 5]),
             ..plain
         },
-        Case {
+        EndpointCase {
             name: "all have failed the request",
             excluded: 6,
             chosen: Err(ResultCode::NoEndpoint),
             ..plain
         },
-        Case {
+        EndpointCase {
             name: "too late",
             time_left: 100,
             chosen: Err(ResultCode::DeadlineNotRun),
             ..plain
         },
-        Case {
+        EndpointCase {
             name: "suspect after its retry",
             crashes: 1,
             excluded: 2,
+            ran: 2,
             chosen: Err(ResultCode::NoEndpoint),
             ..plain
         },
-        Case {
+        EndpointCase {
+            name: "suspect whose retry was refused",
+            crashes: 1,
+            excluded: 2,
+            ran: 1,
+            chosen: Ok(&[2, 3, 4, 5]),
+            ..plain
+        },
+        EndpointCase {
             name: "quarantined",
             crashes: 2,
             chosen: Err(ResultCode::Quarantined),
             ..plain
         },
         plain,
-    ];
-    for case in cases {
+    ]
+}
+
+/// Guards against an endpoint that is excluded, too slow, or not the one that
+/// affinity, distance or suspicion ask for.
+#[test]
+fn endpoints_are_chosen() {
+    for case in endpoint_cases() {
         let (mut snapshot, keys) = fleet(case.edit);
         let mut quarantine = Quarantine::default();
         for _ in 0..case.crashes {
@@ -359,7 +376,7 @@
         snapshot.quarantine = Arc::new(quarantine);
         for seed in 0..50 {
             let pin = case.pinned.then(|| session("large"));
-            let excluded = &keys[..case.excluded];
+            let excluded = (&keys[..case.excluded], case.ran);
             let profile = profile(0.0, 0);
             let route = decide(&snapshot, &profile, pin, excluded, case.time_left, seed);
             match (route, case.chosen) {
@@ -387,7 +404,7 @@
                 &snapshot,
                 &profile(0.0, 0),
                 Some(session("large")),
-                &[],
+                (&[], 0),
                 1_000,
                 seed,
             )
