An endpoint that hangs gets no new requests

Cause: a silent endpoint was asked for a connection, and one that it accepted counted as heard.

Change: an accepted connection only says that waiting requests wait on. The endpoint stays silent for the choice until it sends something.

Test: a table of what becomes known of a silent endpoint.

--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -32,7 +32,7 @@
 pub enum Silence {
     /// Nothing: it is not silent, or another request is finding out why.
     None,
-    /// Ask it for a connection, and report [`Live::heard`] or [`Live::lost`].
+    /// Ask it for a connection, and report [`Live::reached`] or [`Live::lost`].
     Ask,
     /// Give it up: it accepts no connection.
     Dark,
@@ -72,8 +72,8 @@
     /// It was heard, or nothing is known yet.
     #[default]
     Open,
-    /// A request of this entry is finding out, until then.
-    Asked(runtime::Moment),
+    /// It does, or a request of this entry is finding out; not asked again until then.
+    Checked(runtime::Moment),
     /// It does not.
     Lost,
 }
@@ -97,10 +97,14 @@
 }
 
 impl State {
-    fn is_silent(&self, now: runtime::Moment) -> bool {
+    /// Silence that is longer than the endpoint's usual.
+    fn long_silence(&self) -> Duration {
         let usual = self.mean_first.unwrap_or_default() * DARK_USUAL / 1_000.0;
-        let silence = DARK_SILENCE.max(Duration::from_secs_f64(usual));
-        self.in_flight > 0 && now.since(self.heard) > silence
+        DARK_SILENCE.max(Duration::from_secs_f64(usual))
+    }
+
+    fn is_silent(&self, now: runtime::Moment) -> bool {
+        self.in_flight > 0 && now.since(self.heard) > self.long_silence()
     }
 
     fn fresh_report(&self, now: runtime::Moment) -> Option<(ReportedLoad, runtime::Moment, u32)> {
@@ -144,13 +148,20 @@
         state.reported = Some((load, now, state.in_flight));
     }
 
-    /// The endpoint has sent something, or has accepted a connection.
+    /// The endpoint has sent something.
     pub fn heard(&self, now: runtime::Moment) {
         let mut state = self.lock();
         state.heard = now;
         state.reach = Reach::Open;
     }
 
+    /// The silent endpoint accepts a connection, so its requests wait on. New
+    /// ones go elsewhere: a process that hangs accepts connections too.
+    pub fn reached(&self, now: runtime::Moment) {
+        let mut state = self.lock();
+        state.reach = Reach::Checked(now.after(state.long_silence()));
+    }
+
     /// The silent endpoint accepts no connection.
     pub fn lost(&self) {
         self.lock().reach = Reach::Lost;
@@ -169,9 +180,9 @@
         match state.reach {
             _ if !state.is_silent(now) => Silence::None,
             Reach::Lost => Silence::Dark,
-            Reach::Asked(until) if now < until => Silence::None,
-            Reach::Open | Reach::Asked(_) => {
-                state.reach = Reach::Asked(now.after(ASK_TIME));
+            Reach::Checked(until) if now < until => Silence::None,
+            Reach::Open | Reach::Checked(_) => {
+                state.reach = Reach::Checked(now.after(ASK_TIME));
                 Silence::Ask
             }
         }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -235,7 +235,7 @@
         balance::Silence::Dark => true,
         balance::Silence::Ask => match client.open_idle().await {
             Ok(()) => {
-                endpoint.live.heard(runtime::Moment::now());
+                endpoint.live.reached(runtime::Moment::now());
                 false
             }
             Err(err) => {
--- a/tests/integration/direct/balance.rs
+++ b/tests/integration/direct/balance.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quetzalworks::balance::{Ask, Failure, ReportedLoad, RetryWindow, VersionWish, choose};
+use quetzalworks::balance::{
+    Ask, Failure, Live, ReportedLoad, RetryWindow, Silence, VersionWish, choose,
+};
 use quetzalworks::direct::EndpointView;
 use quetzalworks::ids::{DomainName, Fingerprint};
 use quetzalworks::runtime::Moment;
@@ -346,3 +348,54 @@
         assert_eq!(endpoint.live.is_silent(now), case.dark, "{}", case.name);
     }
 }
+
+/// Guards against new requests for an endpoint that hangs: it accepts
+/// connections and answers nothing.
+#[test]
+fn a_silent_endpoint_that_accepts_connections_gets_no_new_request() {
+    struct Case {
+        name: &'static str,
+        /// What becomes known of the silent endpoint.
+        then: fn(&Live, Moment),
+        /// What a waiting request does right after that, and much later.
+        waiting: [Silence; 2],
+        chosen: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "it accepts a connection",
+            then: Live::reached,
+            waiting: [Silence::None, Silence::Ask],
+            chosen: "other",
+        },
+        Case {
+            name: "it sends something",
+            then: Live::heard,
+            waiting: [Silence::None, Silence::Ask],
+            chosen: "near",
+        },
+        Case {
+            name: "it accepts none",
+            then: |live, _| live.lost(),
+            waiting: [Silence::Dark, Silence::Dark],
+            chosen: "other",
+        },
+    ];
+    for case in cases {
+        let endpoints = [endpoint("near", "north"), endpoint("other", "south")];
+        let live = &endpoints[0].live;
+        let _permit = live.begin(Tokens(1), Moment::from_millis(NOW));
+        let at = NOW + 1_000;
+        let now = Moment::from_millis(at);
+        assert_eq!(live.silence(now), Silence::Ask, "{}", case.name);
+        (case.then)(live, now);
+        let _as_busy = endpoints[1].live.begin(Tokens(1), now);
+        let later = Moment::from_millis(at + 5_000);
+        assert_eq!(live.silence(now), case.waiting[0], "{}", case.name);
+        assert_eq!(live.silence(later), case.waiting[1], "{}: later", case.name);
+        let north = "north".parse().unwrap();
+        let ask = ask(&north, None, at);
+        let found = chosen(&endpoints, &ask);
+        assert_eq!(found.as_deref(), Some(case.chosen), "{}", case.name);
+    }
+}
