Endpoints that hang are given up, and the log tells the longest pause

Cause: a request at an endpoint that accepts connections and answers nothing waited out its patience of 1.6 objectives (2.4 to 3.2 s), too late in any case; a busy endpoint is silent for that long only seldom.

Change: after one and a half long silences (1.35 s at least, 4.5 times the endpoint's usual time to the first byte at least) it is given up. The line of a request tells the longest pause between two parts of its answer (`pause_ms`).

--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -23,6 +23,10 @@
 /// The endpoint's usual time to the first byte, this many times, is no such
 /// silence: a busy engine reads long prompts before it says anything.
 const DARK_USUAL: f64 = 3.0;
+/// Long silences after which an endpoint that accepts connections is given up
+/// too, since one that hangs accepts them; a second run then still begins
+/// within an objective of 1.5 to 2 s.
+const HUNG_SILENCES: f64 = 1.5;
 
 /// Time in which one request asks a silent endpoint for a connection, for all.
 const ASK_TIME: Duration = Duration::from_millis(400);
@@ -34,7 +38,7 @@
     None,
     /// Ask it for a connection, and report [`Live::reached`] or [`Live::lost`].
     Ask,
-    /// Give it up: it accepts no connection.
+    /// Give it up: it accepts no connection, or has been silent for too long.
     Dark,
 }
 
@@ -107,6 +111,10 @@
         self.in_flight > 0 && now.since(self.heard) > self.long_silence()
     }
 
+    fn hangs(&self, now: runtime::Moment) -> bool {
+        now.since(self.heard) > self.long_silence().mul_f64(HUNG_SILENCES)
+    }
+
     fn fresh_report(&self, now: runtime::Moment) -> Option<(ReportedLoad, runtime::Moment, u32)> {
         self.reported
             .filter(|(_, at, _)| now.since(*at) < LOAD_MEMORY)
@@ -155,8 +163,8 @@
         state.reach = Reach::Open;
     }
 
-    /// The silent endpoint accepts a connection, so its requests wait on. New
-    /// ones go elsewhere: a process that hangs accepts connections too.
+    /// The silent endpoint accepts a connection, so its requests wait on for a
+    /// while. New ones go elsewhere: a process that hangs accepts connections too.
     pub fn reached(&self, now: runtime::Moment) {
         let mut state = self.lock();
         state.reach = Reach::Checked(now.after(state.long_silence()));
@@ -180,6 +188,7 @@
         match state.reach {
             _ if !state.is_silent(now) => Silence::None,
             Reach::Lost => Silence::Dark,
+            _ if state.hangs(now) => Silence::Dark,
             Reach::Checked(until) if now < until => Silence::None,
             Reach::Open | Reach::Checked(_) => {
                 state.reach = Reach::Checked(now.after(ASK_TIME));
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -141,7 +141,7 @@
     } else {
         trace::Outcome::Failed
     };
-    call.trace.first();
+    call.trace.part();
     call.trace.finish(outcome, whole.status.as_u16());
     whole.reply
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -47,7 +47,7 @@
         loop {
             let source = self.source.as_mut()?;
             if let Some(bytes) = take_events(&mut source.splitter, &mut self.last_event) {
-                self.call.trace.first();
+                self.call.trace.part();
                 return Some(Ok(bytes));
             }
             let deadline = gap_deadline(&self.call);
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -38,6 +38,10 @@
     /// Choice for the attempt that is under way, and when it was made.
     chosen: Option<(balance::Choice, Duration)>,
     first: Option<Duration>,
+    /// When the last part of the answer went to the caller.
+    last: Option<Duration>,
+    /// Longest time between two parts.
+    pause: Option<Duration>,
     is_over: bool,
 }
 
@@ -53,6 +57,8 @@
             attempts: String::new(),
             chosen: None,
             first: None,
+            last: None,
+            pause: None,
             is_over: false,
         }
     }
@@ -97,9 +103,13 @@
         }
     }
 
-    /// The first part of the answer goes to the caller.
-    pub fn first(&mut self) {
-        self.first.get_or_insert(self.began.elapsed());
+    /// A part of the answer goes to the caller.
+    pub fn part(&mut self) {
+        let now = self.began.elapsed();
+        self.first.get_or_insert(now);
+        if let Some(last) = self.last.replace(now) {
+            self.pause = self.pause.max(Some(now.saturating_sub(last)));
+        }
     }
 
     /// Writes the record.
@@ -124,7 +134,7 @@
         });
         let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
         log::info!(target: "request", request:% = self.id, outcome:% = outcome, status = status,
-            first_ms = self.first.map(millis), total_ms = millis(total), decided:% = self.summary,
+            first_ms = self.first.map(millis), pause_ms = self.pause.map(millis), total_ms = millis(total), decided:% = self.summary,
             attempts:% = self.attempts; "request ended");
     }
 }
