Misdirected endpoints are left alone; crashes are found from a request's id

- A plain answer that breaks off in its body marks the endpoint as cold, like every other broken run; the span is looked up in one place.
- The line of a request refused as a crash suspect names its fingerprint, and explain-log shows the crashes by it, as OPERATIONS.md says.
- The handler's state of a request (5.6 KB) is on the heap, not in each idle connection.

Ruled out for the use of models: a threshold by what is known of a request beforehand.

Tests: a table of failures; the way from a refused request's id to its crashes.

--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -66,8 +66,10 @@
     Answered,
     /// Nothing came in time.
     Silent,
-    /// The endpoint refused as it is full or is not the expected one.
+    /// The endpoint refused as it is full.
     Refused,
+    /// Another process answers at its address.
+    Misdirected,
 }
 
 /// Whether a silent endpoint accepts connections.
@@ -219,8 +221,11 @@
             return;
         }
         state.failure_share = MEAN_WEIGHT.mul_add(1.0 - state.failure_share, state.failure_share);
-        let is_down = matches!(failure, Failure::Unreachable | Failure::Silent);
-        if failure != Failure::Answered {
+        let is_down = matches!(
+            failure,
+            Failure::Unreachable | Failure::Silent | Failure::Misdirected
+        );
+        if !matches!(failure, Failure::Answered | Failure::Misdirected) {
             state.cold_until = now.after(cold);
         }
         if is_down || state.failure_share > MAX_FAILURE_SHARE {
--- a/src/cli/explain_log.rs
+++ b/src/cli/explain_log.rs
@@ -14,6 +14,8 @@
 const CONTEXT_S: f64 = 10.0;
 /// Parts of the log that tell of the process and what it knows, and not of requests.
 const STATE_PARTS: [&str; 5] = ["process", "store", "catalog", "rollout", "journal"];
+/// Part of the log that tells of crashes, by the fingerprint of the request.
+const SUSPECTS: &str = "suspects";
 /// Members that each line has, or that have a column of their own.
 const COMMON: [&str; 4] = ["ts", "level", "part", "msg"];
 
@@ -78,6 +80,15 @@
         return Vec::new();
     };
     let span = time(first) - CONTEXT_S..=time(last);
+    let is_suspicion = |line: &Line| {
+        let fingerprint = format!("fingerprint={}", text(line, "fingerprint"));
+        text(line, "part") == SUSPECTS
+            && time(line) <= time(last)
+            && own.iter().any(|own| {
+                let mut decided = text(own, "decided").split(' ');
+                decided.any(|note| note == fingerprint)
+            })
+    };
     let concerns = |line: &Line| {
         let endpoint = text(line, "endpoint");
         STATE_PARTS.contains(&text(line, "part"))
@@ -89,7 +100,9 @@
     lines
         .iter()
         .filter(|line| {
-            text(line, "request") == id || (span.contains(&time(line)) && concerns(line))
+            text(line, "request") == id
+                || is_suspicion(line)
+                || (span.contains(&time(line)) && concerns(line))
         })
         .collect()
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -240,16 +240,16 @@
         self.cx.lanes.client(&endpoint.record, limit, entries)
     }
 
-    /// Records a run that has brought no whole answer. `cold` is how long the
-    /// endpoint may be cold if it has started again.
+    /// Records a run that has brought no whole answer. The endpoint may have
+    /// started again, and is taken for cold.
     pub fn run_failed(
         &self,
         view: &direct::ServiceView,
         endpoint: &direct::EndpointView,
         failure: balance::Failure,
-        cold: Duration,
     ) {
         let now = runtime::Moment::now();
+        let cold = view.upstream.cold_span();
         endpoint.live.failed(failure, cold, now);
         self.observe(view, endpoint, false, None);
         if failure == balance::Failure::Broken {
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -39,7 +39,8 @@
 
 impl http::Handler for Front {
     async fn handle(&self, req: Request<Incoming>) -> http::Reply {
-        let mut reply = self.answer(req).await;
+        // On the heap, so that an idle connection does not hold room for it.
+        let mut reply = Box::pin(self.answer(req)).await;
         if self.0.stopping_for(runtime::Moment::now()).is_some() {
             let close = HeaderValue::from_static("close");
             reply.headers_mut().insert(CONNECTION, close);
@@ -112,6 +113,7 @@
         if call.crashes_endpoints() {
             let code = errors::ResultCode::CrashSuspect;
             let refusal = errors::Refusal::new(code, "the request has crashed several endpoints");
+            call.note_fingerprint();
             return refuse::refuse(&mut call.trace, &refusal.retry_after(SUSPECT_RETRY));
         }
         if call.rule.kind.is_stream() {
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -104,7 +104,7 @@
             let unanswered = send::Unanswered::Unknown(failure, "the answer broke off".into());
             call.trace
                 .attempt(&endpoint.record.id, unanswered.label(), &unanswered);
-            call.run_failed(view, &endpoint, failure, Duration::ZERO);
+            call.run_failed(view, &endpoint, failure);
             Err(unanswered)
         }
     }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -141,14 +141,14 @@
     endpoint: &direct::EndpointView,
     unanswered: &Unanswered,
 ) {
-    let cold = view.upstream.cold_span();
     match unanswered {
         Unanswered::NotRun(failure, _) => {
+            let cold = view.upstream.cold_span();
             endpoint.live.failed(*failure, cold, runtime::Moment::now());
         }
         Unanswered::Unknown(failure, _) => {
             call.runs += 1;
-            call.run_failed(view, endpoint, *failure, cold);
+            call.run_failed(view, endpoint, *failure);
         }
     }
 }
@@ -186,11 +186,16 @@
     }
     if facts.not_run || answer.status == StatusCode::MISDIRECTED_REQUEST {
         let status = answer.status;
+        let failure = if status == StatusCode::MISDIRECTED_REQUEST {
+            balance::Failure::Misdirected
+        } else {
+            balance::Failure::Refused
+        };
         // Read to its end only to keep the connection; what it says does not matter.
         let rest = answer.bytes(REFUSAL_BODY);
         let _ = runtime::timeout_at(Instant::now() + REFUSAL_TIMEOUT, rest).await;
         let reason = format!("status {status}").into();
-        return Err(Unanswered::NotRun(balance::Failure::Refused, reason));
+        return Err(Unanswered::NotRun(failure, reason));
     }
     let broken = |reason: &str| Unanswered::Unknown(balance::Failure::Broken, reason.into());
     if facts.id.as_deref() != Some(&*call.id) {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -182,7 +182,7 @@
     let note = format!("stream broke off ({failure})");
     call.trace
         .attempt(&endpoint.record.id, failure.into(), &note);
-    call.run_failed(view, endpoint, failure, view.upstream.cold_span());
+    call.run_failed(view, endpoint, failure);
 }
 
 /// Waits until the stream has a whole event, or has ended without one.
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -25,6 +25,12 @@
         !suspects.is_empty() && suspects.is_refused(self.fingerprint())
     }
 
+    /// Notes the fingerprint for the log, where crashes are listed by it.
+    pub(super) fn note_fingerprint(&mut self) {
+        let fingerprint = self.fingerprint();
+        self.trace.note("fingerprint", &fingerprint);
+    }
+
     /// The endpoint has broken off a run; finds out whether it has crashed.
     pub(super) fn suspect_crash(
         &self,
--- a/tests/integration/direct/balance.rs
+++ b/tests/integration/direct/balance.rs
@@ -269,6 +269,46 @@
     assert!(needed >= 10, "{needed}");
 }
 
+/// Guards against requests for an endpoint whose address another process has,
+/// and against a full endpoint that is left alone or taken for cold.
+#[test]
+fn a_failure_tells_whether_the_endpoint_is_there() {
+    struct Case {
+        failure: Failure,
+        /// Whether it is left alone for a while.
+        suspended: bool,
+        /// Whether it may have started again.
+        cold: bool,
+    }
+    let case = |failure, suspended, cold| Case {
+        failure,
+        suspended,
+        cold,
+    };
+    let cases = [
+        case(Failure::Unreachable, true, true),
+        case(Failure::Silent, true, true),
+        case(Failure::Broken, false, true),
+        case(Failure::Answered, false, false),
+        case(Failure::Refused, false, false),
+        case(Failure::Misdirected, true, false),
+    ];
+    for case in cases {
+        let endpoint = endpoint("e", "north");
+        let live = &endpoint.live;
+        let now = Moment::from_millis(NOW);
+        live.failed(case.failure, Duration::from_secs(3), now);
+        let name = case.failure;
+        assert_eq!(live.is_suspended(now), case.suspended, "{name}");
+        let admits = || live.admits(Moment::default(), Some(Rate::clamped(2.0)), now);
+        // The first request to a cold endpoint uses its share up.
+        assert!(admits(), "{name}");
+        drop(live.begin(Tokens(1), now));
+        let admits = admits();
+        assert_eq!(!admits, case.cold, "{name}");
+    }
+}
+
 /// Guards against a failed endpoint that is never tried again.
 #[test]
 fn a_suspension_ends() {
--- a/tests/integration/direct/suspects.rs
+++ b/tests/integration/direct/suspects.rs
@@ -2,6 +2,7 @@
 
 use std::io::Read;
 use std::net::TcpListener;
+use std::process::Command;
 use std::thread;
 
 use hyper::Method;
@@ -159,6 +160,19 @@
         assert_eq!(refused.json()["title"], "crash_suspect", "{entry}");
         assert!(refused.header("retry-after").is_some(), "{entry}");
     }
+    // From the id of the refused request to the crashes.
+    let log_file = &site.process.log_file;
+    wait::until("the request is logged", || {
+        !site.process.lines_with("id-4").is_empty()
+    });
+    let told = Command::new(env!("CARGO_BIN_EXE_quetzalworks"))
+        .args(["explain-log", "id-4"])
+        .arg(log_file)
+        .output()
+        .unwrap();
+    let told = String::from_utf8(told.stdout).unwrap();
+    let lines = told.matches("endpoint crashed under a request").count();
+    assert!(lines >= 3, "{lines} crashes in {told}");
     let received = next.received();
     let poison = received.iter().filter(|req| req.path() == "/chat/poison");
     assert_eq!(poison.count(), 0, "runs after the third crash");
