An entry whose work waits for the processor sends callers elsewhere

Change: two timers in a row that are late by 100 ms make the entry not ready for 3 s. While an entry is not ready, for whatever reason, its answers close their connections, since an open connection stays with its entry.

Tests: a table of late timers; a process that gets no processor time.

--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -10,11 +10,31 @@
 use crate::balance;
 use crate::control;
 use crate::direct;
-use crate::gateway::lanes;
+use crate::gateway::{lanes, strain};
 use crate::ids;
 use crate::runtime;
 use crate::settings;
 
+/// Part of the bound on withdrawn keys after which the configuration is too
+/// old to send callers here: keyed requests will soon be refused.
+const READY_PART: f64 = 0.6;
+
+/// Why callers should go to another entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum NotReady {
+    /// A planned stop has begun.
+    Stopping,
+    /// The configuration is not known yet.
+    NoConfiguration,
+    /// It is not known whether the configuration is current.
+    ConfigurationTooOld,
+    /// No endpoint is known.
+    NoEndpoints,
+    /// Work waits too long for the processor.
+    Strained,
+}
+
 /// What this entry keeps of a service.
 #[derive(Debug)]
 struct ServiceState {
@@ -33,6 +53,7 @@
     services: Mutex<HashMap<ids::ServiceName, ServiceState>>,
     /// When a planned stop began, in milliseconds of the moment; 0 before.
     stopping: AtomicU64,
+    strain: Mutex<strain::Strain>,
 }
 
 impl Cx {
@@ -49,6 +70,7 @@
             lanes: lanes::Lanes::new(traffic),
             services: Mutex::default(),
             stopping: AtomicU64::new(0),
+            strain: Mutex::default(),
         })
     }
 
@@ -107,6 +129,42 @@
         run(services.entry(service.clone()).or_insert(state))
     }
 
+    /// A timer of the traffic thread was late by `lag`.
+    pub fn timer_was_late(&self, lag: Duration, now: runtime::Moment) {
+        let mut strain = self.strain.lock().unwrap_or_else(PoisonError::into_inner);
+        if strain.timer(lag, now) {
+            log::warn!(target: "process", lag_ms:% = lag.as_millis();
+                "work waits for the processor, callers are sent elsewhere");
+        }
+    }
+
+    /// Whether callers should come here.
+    pub fn readiness(&self, now: runtime::Moment) -> Result<(), NotReady> {
+        if self.stopping_for(now).is_some() {
+            return Err(NotReady::Stopping);
+        }
+        let snapshot = self.control.snapshot();
+        if snapshot.deployment.is_none() {
+            return Err(NotReady::NoConfiguration);
+        }
+        let revoke = self.settings().bounds.revoke;
+        let is_old = revoke.is_some_and(|revoke| {
+            let limit = revoke.duration().mul_f64(READY_PART);
+            snapshot.freshness.age(now).is_none_or(|age| age > limit)
+        });
+        if is_old {
+            return Err(NotReady::ConfigurationTooOld);
+        }
+        if !snapshot.can_serve() {
+            return Err(NotReady::NoEndpoints);
+        }
+        let strain = self.strain.lock().unwrap_or_else(PoisonError::into_inner);
+        if strain.is_on(now) {
+            return Err(NotReady::Strained);
+        }
+        Ok(())
+    }
+
     /// Begins a planned stop.
     pub fn begin_stop(&self) {
         let now = runtime::Moment::now().as_millis().max(1);
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -41,7 +41,8 @@
     async fn handle(&self, req: Request<Incoming>) -> http::Reply {
         // On the heap, so that an idle connection does not hold room for it.
         let mut reply = Box::pin(self.answer(req)).await;
-        if self.0.stopping_for(runtime::Moment::now()).is_some() {
+        // An open connection stays with its entry until it is closed.
+        if self.0.readiness(runtime::Moment::now()).is_err() {
             let close = HeaderValue::from_static("close");
             reply.headers_mut().insert(CONNECTION, close);
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,10 +12,12 @@
 mod relay;
 mod role;
 mod send;
+mod strain;
 mod stream;
 mod suspicion;
 mod trace;
 
-pub use cx::Cx;
+pub use cx::{Cx, NotReady};
 pub use facts::{AnswerFacts, Forward, Prompt, PromptPart, RequestFacts, WantedModel};
 pub use role::Gateway;
+pub use strain::Strain;
--- a/src/gateway/role.rs
+++ b/src/gateway/role.rs
@@ -10,7 +10,7 @@
 use crate::control;
 use crate::direct;
 use crate::gateway;
-use crate::gateway::{handler, readiness};
+use crate::gateway::{handler, readiness, strain};
 use crate::http;
 use crate::observe;
 use crate::platform;
@@ -87,6 +87,7 @@
         let mut tasks = vec![
             traffic.spawn(direct::write(store.clone(), effects, control.clone())),
             traffic.spawn(sweep(Arc::clone(&cx), Arc::clone(&callers))),
+            traffic.spawn(watch_timers(Arc::clone(&cx))),
         ];
         for source in [
             direct::Source::Operator,
@@ -137,6 +138,15 @@
     }
 }
 
+/// Measures how late the traffic thread gets to its work.
+async fn watch_timers(cx: Arc<gateway::Cx>) {
+    loop {
+        let due = Instant::now() + strain::INTERVAL;
+        Timer::at(due).await;
+        cx.timer_was_late(due.elapsed(), runtime::Moment::now());
+    }
+}
+
 /// Applies now and then what needs not be applied at once.
 async fn sweep(cx: Arc<gateway::Cx>, callers: Arc<http::Server>) {
     loop {
--- a/tests/integration/direct/stop.rs
+++ b/tests/integration/direct/stop.rs
@@ -1,9 +1,11 @@
-//! Starts and planned stops.
+//! Starts, planned stops and processes that get no processor.
 
 use std::thread;
 use std::time::Duration;
 
 use hyper::Method;
+use quetzalworks::gateway::Strain;
+use quetzalworks::runtime::Moment;
 
 use crate::direct::endpoint::{Behaviour, Endpoint};
 use crate::direct::site::Site;
@@ -49,3 +51,84 @@
         assert_eq!(first.unwrap().status, 200, "start {i}");
     }
 }
+
+/// Guards against an entry that sends callers away for one late moment, and
+/// one that keeps them although its work waits for the processor.
+#[test]
+fn late_timers_in_a_row_are_a_strain() {
+    struct Case {
+        name: &'static str,
+        /// Lateness of the timers, one every 100 ms.
+        late_ms: &'static [u64],
+        /// Time from the last timer to the question.
+        asked_after_ms: u64,
+        strained: bool,
+    }
+    let cases = [
+        Case {
+            name: "in time",
+            late_ms: &[0, 5, 40, 90],
+            asked_after_ms: 0,
+            strained: false,
+        },
+        Case {
+            name: "stopped for a moment",
+            late_ms: &[0, 4_000, 0],
+            asked_after_ms: 0,
+            strained: false,
+        },
+        Case {
+            name: "late again after a timer in time",
+            late_ms: &[200, 0, 200, 0],
+            asked_after_ms: 0,
+            strained: false,
+        },
+        Case {
+            name: "late twice in a row",
+            late_ms: &[0, 200, 150, 0],
+            asked_after_ms: 1_000,
+            strained: true,
+        },
+        Case {
+            name: "over",
+            late_ms: &[200, 150, 0],
+            asked_after_ms: 3_000,
+            strained: false,
+        },
+    ];
+    for case in cases {
+        let mut strain = Strain::default();
+        let mut now = Moment::from_millis(1_000_000);
+        for late in case.late_ms {
+            let late = Duration::from_millis(*late);
+            now = now.after(Duration::from_millis(100) + late);
+            strain.timer(late, now);
+        }
+        let asked = now.after(Duration::from_millis(case.asked_after_ms));
+        assert_eq!(strain.is_on(asked), case.strained, "{}", case.name);
+    }
+}
+
+/// Guards against a process without processor time that keeps its callers, and
+/// one that never takes them again.
+#[test]
+fn a_strained_entry_sends_callers_elsewhere_for_a_while() {
+    let desk = Endpoint::spawn("desk-1", &[], Behaviour::Answer(200, "good"));
+    let site = Site::spawn(&[("desk", &desk)]);
+    let mut answer = None;
+    wait::until("the entry is not ready", || {
+        // Stopped over and over, with moments too short for the timer between.
+        for _ in 0..3 {
+            site.process.freeze();
+            thread::sleep(Duration::from_millis(300));
+            site.process.thaw();
+            thread::sleep(Duration::from_millis(40));
+        }
+        answer = site.call(&Method::GET, "/look/a", "id-1").ok();
+        !site.is_ready()
+    });
+    let answer = answer.unwrap();
+    assert_eq!((answer.status, answer.text().as_str()), (200, "good"));
+    assert_eq!(answer.header("connection"), Some("close"));
+    wait::until("the entry is ready again", || site.is_ready());
+}
