Affinity yields where requests wait much longer than elsewhere

Cause: requests followed a hot shared part to an endpoint that was busy with the requests of other entries.

Change: the time to the first byte that is expected of an endpoint is its usual one, or the time that present requests have waited there, whichever is longer. It enters the score, and affinity yields at 2.5 times the mean and 300 ms.

Test: a table of waiting requests and usual times.

--- a/src/balance/choose.rs
+++ b/src/balance/choose.rs
@@ -16,6 +16,12 @@
 const BUSY_FACTOR: f64 = 1.6;
 /// Requests over the mean at which an endpoint is too busy for affinity.
 const BUSY_SLACK: f64 = 4.0;
+/// Expected time to the first byte over the mean at which an endpoint is too
+/// busy for affinity. With 1.4 and 2 times the mean, shared parts were read
+/// again for no gain (grown himsagar-mats).
+const SLOW_FACTOR: f64 = 2.5;
+/// The same in time: about what the largest model takes to read a long prompt.
+const SLOW_SLACK: Duration = Duration::from_millis(300);
 /// Pending prompt tokens that count as one request in the load.
 const TOKENS_PER_REQUEST: f64 = 4_000.0;
 /// Load that a way to another failure domain costs, as a part of the slots.
@@ -179,6 +185,16 @@
         .sum::<f64>()
         / count;
     let bound = mean.mul_add(BUSY_FACTOR, BUSY_SLACK);
+    let expected = |endpoint: &direct::EndpointView| {
+        let first = endpoint.live.expected_first(now);
+        first.unwrap_or(UNKNOWN_FIRST).as_secs_f64()
+    };
+    let mean = candidates
+        .iter()
+        .map(|endpoint| expected(endpoint))
+        .sum::<f64>()
+        / count;
+    let slowest = mean.mul_add(SLOW_FACTOR, SLOW_SLACK.as_secs_f64());
     let mut ranked = candidates.to_vec();
     ranked.sort_by_cached_key(|endpoint| {
         std::cmp::Reverse(route::rank_of(part, endpoint.record.id.as_str()))
@@ -186,7 +202,7 @@
     ranked
         .into_iter()
         .take(AFFINITY_PLACES)
-        .find(|endpoint| weight(endpoint, now) <= bound)
+        .find(|endpoint| weight(endpoint, now) <= bound && expected(endpoint) <= slowest)
 }
 
 fn by_score<'a>(
@@ -207,7 +223,8 @@
     } else {
         FAR_PENALTY
     };
-    let first = endpoint.live.mean_first().unwrap_or(UNKNOWN_FIRST);
+    let first = endpoint.live.expected_first(ask.now);
+    let first = first.unwrap_or(UNKNOWN_FIRST);
     let load = weight(endpoint, ask.now) / slots;
     let failures = endpoint.live.failure_share() * FAILURE_PENALTY;
     first.as_secs_f64().max(0.001) * (1.0 + load + far + failures)
--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -89,6 +89,10 @@
     in_flight: u32,
     /// Prompt tokens of requests that have not begun to answer.
     pending_tokens: u64,
+    /// Requests that have not begun to answer.
+    waiting: u32,
+    /// Sum of the moments at which those were sent, in milliseconds.
+    waiting_since: u64,
     reported: Option<(ReportedLoad, runtime::Moment, u32)>,
     /// Running mean of the time to the first byte, in milliseconds.
     mean_first: Option<f64>,
@@ -144,11 +148,13 @@
         }
         state.in_flight += 1;
         state.pending_tokens += tokens.0;
+        state.waiting += 1;
+        state.waiting_since += now.as_millis();
         state.gate.take();
         drop(state);
         Permit {
             live: Arc::clone(self),
-            pending: tokens.0,
+            waiting: Some((tokens, now)),
         }
     }
 
@@ -288,6 +294,20 @@
         Some(Duration::from_secs_f64(millis / 1_000.0))
     }
 
+    /// Time after which a request that is sent now may be answered: as long as
+    /// of late, or as long as the present ones have waited already. `None`
+    /// where the endpoint was not used yet.
+    #[must_use]
+    pub fn expected_first(&self, now: runtime::Moment) -> Option<Duration> {
+        let state = self.lock();
+        let usual = state
+            .mean_first
+            .map(|millis| Duration::from_secs_f64(millis / 1_000.0));
+        let since = state.waiting_since.checked_div(u64::from(state.waiting));
+        let waited = since.map(|since| now.since(runtime::Moment::from_millis(since)));
+        usual.max(waited)
+    }
+
     /// Share of its runs that failed lately.
     #[must_use]
     pub fn failure_share(&self) -> f64 {
@@ -299,21 +319,26 @@
 #[derive(Debug)]
 pub struct Permit {
     live: Arc<Live>,
-    pending: u64,
+    /// Prompt and moment of the request, until the endpoint begins to answer.
+    waiting: Option<(units::Tokens, runtime::Moment)>,
 }
 
 impl Permit {
     /// The endpoint has begun to answer.
     pub fn answered(&mut self) {
-        let pending = std::mem::take(&mut self.pending);
-        self.live.lock().pending_tokens -= pending;
+        let Some((tokens, sent)) = self.waiting.take() else {
+            return;
+        };
+        let mut state = self.live.lock();
+        state.pending_tokens -= tokens.0;
+        state.waiting -= 1;
+        state.waiting_since -= sent.as_millis();
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        let mut state = self.live.lock();
-        state.in_flight -= 1;
-        state.pending_tokens -= self.pending;
+        self.answered();
+        self.live.lock().in_flight -= 1;
     }
 }
--- a/tests/integration/direct/balance.rs
+++ b/tests/integration/direct/balance.rs
@@ -135,6 +135,77 @@
     );
 }
 
+/// Guards against requests that follow their prompt to an endpoint which is
+/// busy with the requests of other entries: its answers are late, and with
+/// them what it reports of its load.
+#[test]
+fn affinity_yields_where_requests_wait() {
+    struct Case {
+        name: &'static str,
+        /// How long requests of this entry have waited there.
+        waited_ms: &'static [u64],
+        /// Time to the first byte of earlier answers there.
+        usual_ms: Option<u64>,
+        kept: bool,
+    }
+    let cases = [
+        Case {
+            name: "idle",
+            waited_ms: &[],
+            usual_ms: Some(200),
+            kept: true,
+        },
+        Case {
+            name: "asked a moment ago",
+            waited_ms: &[10, 200],
+            usual_ms: Some(200),
+            kept: true,
+        },
+        Case {
+            name: "a request has waited for long",
+            waited_ms: &[1_500],
+            usual_ms: Some(200),
+            kept: false,
+        },
+        Case {
+            name: "a first request has waited for long",
+            waited_ms: &[1_500],
+            usual_ms: None,
+            kept: false,
+        },
+        Case {
+            name: "its answers begin late",
+            waited_ms: &[],
+            usual_ms: Some(3_000),
+            kept: false,
+        },
+    ];
+    let domain = "north".parse().unwrap();
+    for case in cases {
+        let endpoints: Vec<_> = (0..6)
+            .map(|i| endpoint(&format!("e{i}"), "north"))
+            .collect();
+        for other in &endpoints {
+            other.live.succeeded(Duration::from_millis(100));
+        }
+        let before = chosen(&endpoints, &ask(&domain, Some(7), NOW)).unwrap();
+        let is_place = |e: &&Arc<EndpointView>| e.record.id.as_str() == before;
+        let place = endpoints.iter().find(is_place).unwrap();
+        if let Some(usual) = case.usual_ms {
+            for _ in 0..50 {
+                place.live.succeeded(Duration::from_millis(usual));
+            }
+        }
+        let sent = |waited: &u64| {
+            let at = Moment::from_millis(NOW - waited);
+            place.live.begin(Tokens(1), at)
+        };
+        let _waiting: Vec<_> = case.waited_ms.iter().map(sent).collect();
+        let after = chosen(&endpoints, &ask(&domain, Some(7), NOW)).unwrap();
+        assert_eq!(after == before, case.kept, "{}", case.name);
+    }
+}
+
 /// Guards against a choice whose inputs the log does not tell.
 #[test]
 fn a_choice_tells_its_inputs() {
