--- a/src/balance/choose.rs
+++ b/src/balance/choose.rs
@@ -28,8 +28,6 @@
 const FAR_PENALTY: f64 = 0.08;
 /// Part by which failures raise the score of an endpoint.
 const FAILURE_PENALTY: f64 = 4.0;
-/// Time to the first byte of an endpoint that has not answered yet.
-const UNKNOWN_FIRST: Duration = Duration::from_millis(40);
 
 /// Which versions a request may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -185,10 +183,8 @@
         .sum::<f64>()
         / count;
     let bound = mean.mul_add(BUSY_FACTOR, BUSY_SLACK);
-    let expected = |endpoint: &direct::EndpointView| {
-        let first = endpoint.live.expected_first(now);
-        first.unwrap_or(UNKNOWN_FIRST).as_secs_f64()
-    };
+    let expected =
+        |endpoint: &direct::EndpointView| endpoint.live.expected_first(now).as_secs_f64();
     let mean = candidates
         .iter()
         .map(|endpoint| expected(endpoint))
@@ -224,7 +220,6 @@
         FAR_PENALTY
     };
     let first = endpoint.live.expected_first(ask.now);
-    let first = first.unwrap_or(UNKNOWN_FIRST);
     let load = weight(endpoint, ask.now) / slots;
     let failures = endpoint.live.failure_share() * FAILURE_PENALTY;
     first.as_secs_f64().max(0.001) * (1.0 + load + far + failures)
--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -23,6 +23,8 @@
 /// The endpoint's usual time to the first byte, this many times, is no such
 /// silence: a busy engine reads long prompts before it says anything.
 const DARK_USUAL: f64 = 3.0;
+/// Time to the first byte of an endpoint that has not answered yet.
+const UNKNOWN_FIRST: Duration = Duration::from_millis(40);
 /// Long silences after which an endpoint that accepts connections is given up
 /// too, since one that hangs accepts them; a second run then still begins
 /// within an objective of 1.5 to 2 s.
@@ -295,17 +297,16 @@
     }
 
     /// Time after which a request that is sent now may be answered: as long as
-    /// of late, or as long as the present ones have waited already. `None`
-    /// where the endpoint was not used yet.
+    /// of late, or as long as the present ones have waited already.
     #[must_use]
-    pub fn expected_first(&self, now: runtime::Moment) -> Option<Duration> {
+    pub fn expected_first(&self, now: runtime::Moment) -> Duration {
         let state = self.lock();
-        let usual = state
-            .mean_first
-            .map(|millis| Duration::from_secs_f64(millis / 1_000.0));
+        let usual = state.mean_first.map_or(UNKNOWN_FIRST, |millis| {
+            Duration::from_secs_f64(millis / 1_000.0)
+        });
         let since = state.waiting_since.checked_div(u64::from(state.waiting));
         let waited = since.map(|since| now.since(runtime::Moment::from_millis(since)));
-        usual.max(waited)
+        usual.max(waited.unwrap_or_default())
     }
 
     /// Share of its runs that failed lately.
