Soak: faults on the links between callers and entries

The soak cut, slowed and reset the links to the store and to endpoints only. Each entry has a proxy in front of its callers now: cut, deaf to callers, slow, reset. An answer over such a link may be late; all other promises are checked as before.

--- a/tests/integration/soak/check.rs
+++ b/tests/integration/soak/check.rs
@@ -187,11 +187,15 @@
     })
 }
 
-/// Whether the entry was stopped, killed or frozen at some time in this span.
+/// Whether the entry was stopped, killed, frozen or harmed in its link to
+/// callers at some time in this span.
 fn is_disturbed(seen: &Seen, entry: usize, from: Instant, to: Instant) -> bool {
     let kinds = [Kind::Terminate, Kind::Kill, Kind::Freeze];
     seen.over.iter().any(|over| {
-        kinds.contains(&over.kind) && over.target == entry && over.from <= to && over.to >= from
+        (kinds.contains(&over.kind) || over.kind.is_of_callers())
+            && over.target == entry
+            && over.from <= to
+            && over.to >= from
     })
 }
 
--- a/tests/integration/soak/fault.rs
+++ b/tests/integration/soak/fault.rs
@@ -67,6 +67,7 @@
             }),
             Kind::StoreForgets => site.forget(),
             Kind::StoreReset => site.nodes[target].store.reset(),
+            Kind::CallersReset => site.nodes[target].link.reset(),
             Kind::EndpointReset => site.back_ends[target].link.reset(),
             _ if kind.is_of_entry() && site.nodes[target].is_there() => {
                 signal(kind, target, site, now);
@@ -133,12 +134,12 @@
     /// What it does to a link.
     pub fn on_link(&self) -> Faults {
         match self.kind {
-            Kind::StoreCut | Kind::EndpointCut => Faults::cut(),
-            Kind::StoreDeaf | Kind::EndpointMute => Faults {
+            Kind::StoreCut | Kind::CallersCut | Kind::EndpointCut => Faults::cut(),
+            Kind::StoreDeaf | Kind::CallersDeaf | Kind::EndpointMute => Faults {
                 cut_to_client: true,
                 ..Faults::default()
             },
-            Kind::StoreFar | Kind::EndpointFar => Faults {
+            Kind::StoreFar | Kind::CallersFar | Kind::EndpointFar => Faults {
                 delay: FAR,
                 ..Faults::default()
             },
--- a/tests/integration/soak/plan.rs
+++ b/tests/integration/soak/plan.rs
@@ -48,6 +48,14 @@
     StoreSlow,
     /// The store drops its history.
     StoreForgets,
+    /// An entry and its callers are cut from each other.
+    CallersCut,
+    /// An entry gets requests, and its callers get nothing.
+    CallersDeaf,
+    /// The way between an entry and its callers is slow.
+    CallersFar,
+    /// The connections of an entry's callers are reset.
+    CallersReset,
     /// An endpoint is cut off.
     EndpointCut,
     /// An endpoint gets requests, and its answers are lost.
@@ -81,6 +89,14 @@
                 | Self::StoreDeaf
                 | Self::StoreFar
                 | Self::StoreReset
+        ) || self.is_of_callers()
+    }
+
+    /// Whether it happens to the link between an entry and its callers.
+    pub const fn is_of_callers(self) -> bool {
+        matches!(
+            self,
+            Self::CallersCut | Self::CallersDeaf | Self::CallersFar | Self::CallersReset
         )
     }
 
--- a/tests/integration/soak/site.rs
+++ b/tests/integration/soak/site.rs
@@ -44,7 +44,8 @@
 /// An entry.
 pub struct Node {
     pub process: Process,
-    pub callers: SocketAddr,
+    /// The link from its callers.
+    pub link: TcpProxy,
     pub readiness: SocketAddr,
     /// The link to the store.
     pub store: TcpProxy,
@@ -114,7 +115,7 @@
         let entry = site::Entry::spawn(&format!("edge-north-{i}"), store.addr());
         Node {
             process: entry.process,
-            callers: entry.callers,
+            link: proxy(entry.callers),
             readiness: entry.readiness,
             store,
             life: Life::Runs,
--- a/tests/integration/soak/world.rs
+++ b/tests/integration/soak/world.rs
@@ -43,7 +43,11 @@
     let plan = plan::plan(seed);
     let soak = Soak::spawn(seed, &plan);
     let callers = Callers::new(
-        soak.site.nodes.iter().map(|node| node.callers).collect(),
+        soak.site
+            .nodes
+            .iter()
+            .map(|node| node.link.addr())
+            .collect(),
         seed,
     );
     let (soak, sent) = soak.play(&callers);
@@ -123,16 +127,20 @@
 
     /// Faults on the links, joined where several are in force.
     fn set_links(&self) {
-        let joined = |of_entry: bool, i: usize| {
+        let joined = |is_of_link: fn(Kind) -> bool, i: usize| {
             let here = self.active.iter();
-            let here = here.filter(|a| a.kind.is_of_entry() == of_entry && a.target == i);
+            let here = here.filter(|a| is_of_link(a.kind) && a.target == i);
             here.map(Active::on_link).fold(Faults::default(), join)
         };
         for (i, node) in self.site.nodes.iter().enumerate() {
-            node.store.set(joined(true, i));
+            node.store.set(joined(
+                |kind| kind.is_of_entry() && !kind.is_of_callers(),
+                i,
+            ));
+            node.link.set(joined(Kind::is_of_callers, i));
         }
         for (i, back_end) in self.site.back_ends.iter().enumerate() {
-            back_end.link.set(joined(false, i));
+            back_end.link.set(joined(|kind| !kind.is_of_entry(), i));
         }
     }
 
