Second runs of larger models stand behind first runs at the engine

Cause: the rank at an engine was the request's priority alone.

Change: a run of a larger model stands three ranks behind; a stream that goes on after a break keeps its priority.

Tests: a table of ranks; the ranks of both runs as an engine sees them.

--- a/src/cascade/ladder.rs
+++ b/src/cascade/ladder.rs
@@ -12,6 +12,13 @@
 /// times the work of a smaller one, with which more callers are served in time.
 const FULL: f64 = 1.2;
 
+/// Ranks by which a run of a larger model stands behind one of the smallest.
+/// It takes several times the work, and short work first shortens the wait of
+/// all; the contract's routes and teams use ranks 0 to 2.
+const LARGER_RANKS: u8 = 3;
+/// The last rank that an engine knows.
+const LAST_RANK: u8 = 9;
+
 /// What to do with an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -40,6 +47,19 @@
         self.models.get(index)
     }
 
+    /// Rank at an engine of a run of the model with an index, for a request of
+    /// this priority; 0 goes first. A stream that goes on after a break keeps
+    /// its priority, as its caller waits in the middle of it.
+    #[must_use]
+    pub fn rank(index: usize, priority: u8, resumes: bool) -> u8 {
+        let behind = if index > 0 && !resumes {
+            LARGER_RANKS
+        } else {
+            0
+        };
+        priority.saturating_add(behind).min(LAST_RANK)
+    }
+
     /// Judges an answer by the model's own confidence and by how busy the
     /// service is.
     #[must_use]
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -10,6 +10,7 @@
 use smol::future::FutureExt;
 
 use crate::balance;
+use crate::cascade;
 use crate::direct;
 use crate::gateway;
 use crate::gateway::call;
@@ -258,12 +259,13 @@
     endpoint: &direct::EndpointView,
     resume_after: Option<u64>,
 ) -> Result<Request<Full<hyper::body::Bytes>>, Unanswered> {
+    let rank = cascade::Ladder::rank(call.model, call.priority, resume_after.is_some());
     let forward = gateway::Forward {
         endpoint: endpoint.record.id.clone(),
         time_left: units::Millis::from(call.time_left()),
         team: call.team.clone(),
         model: call.chosen_model().cloned(),
-        urgency: call.facts.prompt.as_ref().map(|_| call.priority),
+        urgency: call.facts.prompt.as_ref().map(|_| rank),
         resume_after,
     };
     let mut req = Request::new(Full::new(call.body.clone()));
--- a/tests/integration/direct/cascade.rs
+++ b/tests/integration/direct/cascade.rs
@@ -91,3 +91,35 @@
         assert_eq!(step, case.step, "{}", case.name);
     }
 }
+
+/// Guards against short runs that wait for long ones, against a priority that
+/// is lost, and against a stream that waits in its middle.
+#[test]
+fn a_larger_model_stands_behind_first_runs() {
+    struct Case {
+        name: &'static str,
+        index: usize,
+        priority: u8,
+        resumes: bool,
+        rank: u8,
+    }
+    let case = |name, index, priority, resumes, rank| Case {
+        name,
+        index,
+        priority,
+        resumes,
+        rank,
+    };
+    let cases = [
+        case("first run", 0, 0, false, 0),
+        case("first run of a lower priority", 0, 2, false, 2),
+        case("larger model", 2, 0, false, 3),
+        case("larger model, lower priority", 1, 2, false, 5),
+        case("stream that goes on", 2, 1, true, 1),
+        case("lowest priority", 2, 9, false, 9),
+    ];
+    for case in cases {
+        let rank = Ladder::rank(case.index, case.priority, case.resumes);
+        assert_eq!(rank, case.rank, "{}", case.name);
+    }
+}
--- a/tests/integration/direct/streams.rs
+++ b/tests/integration/direct/streams.rs
@@ -122,17 +122,21 @@
         name: &'static str,
         confidence: &'static str,
         models: &'static [&'static str],
+        /// Rank of each run at the engine.
+        ranks: &'static [&'static str],
     }
     let cases = [
         Case {
             name: "sure",
             confidence: "90",
             models: &["small"],
+            ranks: &["2"],
         },
         Case {
             name: "not sure",
             confidence: "5",
             models: &["small", "large"],
+            ranks: &["2", "5"],
         },
     ];
     for case in cases {
@@ -157,12 +161,12 @@
             case.name,
             answer.text()
         );
-        let urgency = received[0].header("request-urgency");
-        assert_eq!(
-            urgency,
-            Some("2"),
-            "the team's priority goes before the route's"
-        );
+        let ranks: Vec<_> = received
+            .iter()
+            .filter_map(|req| req.header("request-urgency"))
+            .collect();
+        // The team's priority goes before the route's.
+        assert_eq!(ranks, case.ranks, "{}", case.name);
     }
 }
 
