--- a/src/balance/choose.rs
+++ b/src/balance/choose.rs
@@ -17,8 +17,7 @@
 /// Requests over the mean at which an endpoint is too busy for affinity.
 const BUSY_SLACK: f64 = 4.0;
 /// Expected time to the first byte over the mean at which an endpoint is too
-/// busy for affinity. With 1.4 and 2 times the mean, shared parts were read
-/// again for no gain (grown himsagar-mats).
+/// busy for affinity; at less, more is read again than the shorter wait saves.
 const SLOW_FACTOR: f64 = 2.5;
 /// The same in time: about what the largest model takes to read a long prompt.
 const SLOW_SLACK: Duration = Duration::from_millis(300);
--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -51,8 +51,6 @@
     pub running: u32,
     /// Requests that wait at it.
     pub waiting: u32,
-    /// Requests that it can run at a time.
-    pub slots: u32,
 }
 
 /// How a run has failed.
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -132,9 +132,15 @@
     /// A timer of the traffic thread was late by `lag`.
     pub fn timer_was_late(&self, lag: Duration, now: runtime::Moment) {
         let mut strain = self.strain.lock().unwrap_or_else(PoisonError::into_inner);
-        if strain.timer(lag, now) {
-            log::warn!(target: "process", lag_ms:% = lag.as_millis();
-                "work waits for the processor, callers are sent elsewhere");
+        match strain.timer(lag, now) {
+            strain::Change::None => {}
+            strain::Change::Begins => {
+                log::warn!(target: "process", lag_ms:% = lag.as_millis();
+                    "work waits for the processor, callers are sent elsewhere");
+            }
+            strain::Change::Ends => {
+                log::info!(target: "process", "work begins in time again, callers are taken");
+            }
         }
     }
 
--- a/src/gateway/strain.rs
+++ b/src/gateway/strain.rs
@@ -22,22 +22,34 @@
 pub struct Strain {
     late_timers: u32,
     until: runtime::Moment,
+    /// Whether it was on at the last timer.
+    was_on: bool,
+}
+
+/// What a timer has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing.
+    None,
+    /// Work waits for the processor from now on.
+    Begins,
+    /// It has begun in time for a while.
+    Ends,
 }
 
 impl Strain {
-    /// A timer was late by `lag`. Returns whether the strain begins with it.
-    pub fn timer(&mut self, lag: Duration, now: runtime::Moment) -> bool {
-        if lag < LATE {
-            self.late_timers = 0;
-            return false;
+    /// A timer was late by `lag`.
+    pub fn timer(&mut self, lag: Duration, now: runtime::Moment) -> Change {
+        self.late_timers = if lag < LATE { 0 } else { self.late_timers + 1 };
+        if self.late_timers >= LATE_TIMERS {
+            self.until = now.after(HOLD);
         }
-        self.late_timers += 1;
-        if self.late_timers < LATE_TIMERS {
-            return false;
+        let is_on = self.is_on(now);
+        match (std::mem::replace(&mut self.was_on, is_on), is_on) {
+            (false, true) => Change::Begins,
+            (true, false) => Change::Ends,
+            _ => Change::None,
         }
-        let begins = !self.is_on(now);
-        self.until = now.after(HOLD);
-        begins
     }
 
     /// Whether work waits so long for the processor that callers should go elsewhere.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -164,7 +164,6 @@
     Some(balance::ReportedLoad {
         running: next()?,
         waiting: next()?,
-        slots: next()?,
     })
 }
 
--- a/tests/integration/direct/balance.rs
+++ b/tests/integration/direct/balance.rs
@@ -62,7 +62,6 @@
                     ReportedLoad {
                         running: 4,
                         waiting: 3,
-                        slots: 4,
                     },
                     now,
                 );
@@ -229,7 +228,6 @@
                 let load = ReportedLoad {
                     running: 1,
                     waiting: 0,
-                    slots: 1_000,
                 };
                 endpoint.live.reported(load, now);
             },
--- a/tests/integration/direct/stop.rs
+++ b/tests/integration/direct/stop.rs
@@ -131,4 +131,9 @@
     assert_eq!((answer.status, answer.text().as_str()), (200, "good"));
     assert_eq!(answer.header("connection"), Some("close"));
     wait::until("the entry is ready again", || site.is_ready());
+    for told in ["work waits for the processor", "work begins in time again"] {
+        wait::until("the log tells both", || {
+            !site.process.lines_with(told).is_empty()
+        });
+    }
 }
