--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -9,6 +9,7 @@
 mod endpoints;
 mod events;
 mod explain;
+mod failures;
 mod idle;
 mod keys;
 mod operator;
