--- a/src/balance/choose.rs
+++ b/src/balance/choose.rs
@@ -4,26 +4,31 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::balance;
 use crate::direct;
 use crate::ids;
 use crate::route;
 use crate::runtime;
 use crate::units;
 
-/// Endpoints considered for a prompt's shared prefix before the score alone decides.
-const AFFINITY_CANDIDATES: usize = 2;
+/// Endpoints that are taken to have cached a shared prefix: the first by rank, to which
+/// all entries send it, whether or not this entry has.
+const PRESUMED_HOLDERS: usize = 1;
 /// Multiple of the mean load above which an endpoint is too busy for affinity.
 const AFFINITY_MAX_LOAD_FACTOR: f64 = 1.6;
 /// Requests added to that limit, so that small loads do not break affinity.
 const AFFINITY_LOAD_SLACK_REQUESTS: f64 = 4.0;
-/// Multiple of the mean expected time to first byte above which an endpoint is
-/// too busy for affinity. With a lower value, reading prompts again at another
-/// endpoint costs more than the shorter wait saves.
+/// Multiple of the mean expected wait above which an endpoint is too busy for affinity.
+/// With a lower value, reading prompts again at another endpoint costs more than the
+/// shorter wait saves.
 const AFFINITY_MAX_WAIT_FACTOR: f64 = 2.5;
 /// Time added to that limit: about what the largest model takes to read a long prompt.
 const AFFINITY_WAIT_SLACK: Duration = Duration::from_millis(300);
-/// Pending prompt tokens that weigh as much as one request in the load.
-const PENDING_TOKENS_PER_REQUEST: f64 = 4_000.0;
+/// Pending reading time that weighs as much as one request in the load.
+const PENDING_READING_PER_REQUEST: Duration = Duration::from_millis(100);
+/// Weight of the time to read a prompt against the wait. Above 1, since reading also
+/// delays the other requests of the endpoint and evicts what it has cached.
+const READING_WEIGHT: f64 = 2.0;
 /// Cost of a path to another failure domain, as a load relative to the slots.
 const CROSS_DOMAIN_PENALTY: f64 = 0.08;
 /// Weight of an endpoint's failure rate in its score.
@@ -55,9 +60,9 @@
 pub struct Query<'a> {
     /// Versions that may execute the request.
     pub version: VersionFilter<'a>,
-    /// Fingerprint of the prompt prefix that an endpoint may have cached;
-    /// `None` selects by score alone.
-    pub affinity: Option<ids::Fingerprint>,
+    /// Prompt of the request, parts of which an endpoint may have cached; `None` selects
+    /// by load alone.
+    pub reading: Option<balance::Reading<'a>>,
     /// Endpoints excluded because an earlier attempt used them.
     pub tried: &'a [ids::EndpointId],
     /// Failure domain of this entry; endpoints in it are preferred.
@@ -73,7 +78,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum ChoiceReason {
-    /// Ranked for the prompt's shared prefix, which it has probably cached.
+    /// Has probably cached a part of the prompt, and is expected to answer first.
     Affinity,
     /// Has the lowest score, i.e. is expected to answer first.
     Score,
@@ -99,6 +104,12 @@
     /// Age of the endpoint's load report; `None` where `load` counts only this
     /// entry's own requests.
     pub load_age: Option<Duration>,
+    /// Expected time from the send to the first byte.
+    pub expected: Duration,
+    /// Expected time within it to read the prompt; zero without one.
+    pub reading: Duration,
+    /// Prompt tokens that the endpoint has to read; zero without a prompt.
+    pub unread: units::Tokens,
 }
 
 impl fmt::Display for Choice {
@@ -142,88 +153,139 @@
     } else {
         (&healthy, ChoiceReason::Score)
     };
-    let (endpoint, reason) = query
-        .affinity
-        .and_then(|prefix| choose_by_affinity(candidates, prefix, query.now))
-        .map(|endpoint| (endpoint, ChoiceReason::Affinity))
-        .or_else(|| Some((choose_by_score(candidates, query)?, default_reason)))?;
+    let candidates = weigh(candidates, query);
+    let best = candidates
+        .into_iter()
+        .min_by(|a, b| a.score.total_cmp(&b.score))?;
+    let reason = if best.is_holder {
+        ChoiceReason::Affinity
+    } else {
+        default_reason
+    };
     Some(Choice {
         reason,
         total: endpoints.len(),
         eligible: eligible.len(),
         healthy: healthy.len(),
-        load: endpoint.live.load(query.now),
-        load_age: endpoint.live.load_age(query.now),
-        endpoint: Arc::clone(endpoint),
+        load: best.figures.load,
+        load_age: best.endpoint.live.load_age(query.now),
+        expected: best.wait() + best.reading,
+        reading: best.reading,
+        unread: best.unread,
+        endpoint: Arc::clone(best.endpoint),
     })
 }
 
-fn is_eligible(endpoint: &direct::EndpointView, query: &Query<'_>) -> bool {
-    query.version.allows(&endpoint.record.version)
-        && !query.tried.contains(&endpoint.record.id)
-        && endpoint
-            .live
-            .admits(endpoint.cold_until, query.cold_rate, query.now)
+/// An endpoint that may be chosen, with the figures behind its score.
+struct Candidate<'a> {
+    endpoint: &'a Arc<direct::EndpointView>,
+    figures: balance::Figures,
+    /// Whether it has probably cached a part of the prompt and is not too busy to use it.
+    is_holder: bool,
+    unread: units::Tokens,
+    /// Time to read the prompt.
+    reading: Duration,
+    /// Relative expected time to an answer; lower is better.
+    score: f64,
 }
 
-/// Requests at an endpoint plus its pending prompt tokens, in units of requests.
-fn weighted_load(endpoint: &direct::EndpointView, now: runtime::Moment) -> f64 {
-    #[allow(clippy::cast_precision_loss)]
-    let pending = endpoint.live.pending_tokens() as f64;
-    f64::from(endpoint.live.load(now)) + pending / PENDING_TOKENS_PER_REQUEST
+impl Candidate<'_> {
+    /// Expected time until the engine begins to read the prompt.
+    fn wait(&self) -> Duration {
+        self.figures.wait + self.figures.pending_reading
+    }
+
+    /// Requests at the endpoint plus its pending reading time, in units of requests.
+    fn weighted_load(&self) -> f64 {
+        let pending = self.figures.pending_reading.as_secs_f64();
+        f64::from(self.figures.load) + pending / PENDING_READING_PER_REQUEST.as_secs_f64()
+    }
+
+    fn rate(&mut self, query: &Query<'_>) {
+        let record = &self.endpoint.record;
+        let slots = f64::from(record.slots.max(1));
+        let domain_penalty = if record.domain == *query.domain {
+            0.0
+        } else {
+            CROSS_DOMAIN_PENALTY
+        };
+        let load = f64::from(self.figures.load) / slots;
+        let failure_penalty = self.figures.failure_share * FAILURE_PENALTY_FACTOR;
+        let time = self.wait() + self.reading.mul_f64(READING_WEIGHT);
+        self.score =
+            time.as_secs_f64().max(0.001) * (1.0 + load + domain_penalty + failure_penalty);
+    }
 }
 
-fn choose_by_affinity<'a>(
-    candidates: &[&'a Arc<direct::EndpointView>],
-    prefix: ids::Fingerprint,
-    now: runtime::Moment,
-) -> Option<&'a Arc<direct::EndpointView>> {
-    #[allow(clippy::cast_precision_loss)]
-    let count = candidates.len().max(1) as f64;
-    let mean = candidates
+/// Rates all candidates. Where an endpoint has probably cached a part of the prompt, only
+/// the rest has to be read.
+fn weigh<'a>(endpoints: &[&'a Arc<direct::EndpointView>], query: &Query<'_>) -> Vec<Candidate<'a>> {
+    let reading = query.reading.as_ref();
+    let prompt_tokens = reading.map_or(units::Tokens(0), |reading| reading.prompt.input);
+    let mut candidates: Vec<_> = endpoints
         .iter()
-        .map(|endpoint| weighted_load(endpoint, now))
-        .sum::<f64>()
-        / count;
-    let max_load = mean.mul_add(AFFINITY_MAX_LOAD_FACTOR, AFFINITY_LOAD_SLACK_REQUESTS);
-    let expected =
-        |endpoint: &direct::EndpointView| endpoint.live.expected_first_byte(now).as_secs_f64();
-    let mean = candidates
-        .iter()
-        .map(|endpoint| expected(endpoint))
-        .sum::<f64>()
-        / count;
-    let max_wait = mean.mul_add(AFFINITY_MAX_WAIT_FACTOR, AFFINITY_WAIT_SLACK.as_secs_f64());
-    let mut ranked = candidates.to_vec();
-    ranked.sort_by_cached_key(|endpoint| {
-        std::cmp::Reverse(route::rank_of(prefix, endpoint.record.id.as_str()))
-    });
-    ranked
-        .into_iter()
-        .take(AFFINITY_CANDIDATES)
-        .find(|endpoint| weighted_load(endpoint, now) <= max_load && expected(endpoint) <= max_wait)
+        .map(|endpoint| Candidate {
+            endpoint,
+            figures: endpoint.live.figures(reading, query.now),
+            is_holder: false,
+            unread: prompt_tokens,
+            reading: Duration::ZERO,
+            score: 0.0,
+        })
+        .collect();
+    if let Some(reading) = reading {
+        mark_holders(&mut candidates, reading);
+        for candidate in &mut candidates {
+            candidate.reading = reading.time(candidate.unread);
+        }
+    }
+    for candidate in &mut candidates {
+        candidate.rate(query);
+    }
+    candidates
 }
 
-fn choose_by_score<'a>(
-    candidates: &[&'a Arc<direct::EndpointView>],
-    query: &Query<'_>,
-) -> Option<&'a Arc<direct::EndpointView>> {
-    candidates
+/// Marks the candidates that have probably cached a part of the prompt. Busy ones are
+/// left out, so that a popular prefix is spread over more endpoints.
+fn mark_holders(candidates: &mut [Candidate<'_>], reading: &balance::Reading<'_>) {
+    let Some(prefix) = reading.affinity() else {
+        return;
+    };
+    #[allow(clippy::cast_precision_loss)]
+    let count = candidates.len().max(1) as f64;
+    let loads: f64 = candidates.iter().map(Candidate::weighted_load).sum();
+    let waits: Duration = candidates
         .iter()
-        .copied()
-        .min_by(|a, b| score(a, query).total_cmp(&score(b, query)))
+        .map(|candidate| candidate.figures.wait)
+        .sum();
+    let (mean_load, mean_wait) = (loads / count, waits.as_secs_f64() / count);
+    let max_load = mean_load.mul_add(AFFINITY_MAX_LOAD_FACTOR, AFFINITY_LOAD_SLACK_REQUESTS);
+    let max_wait = mean_wait.mul_add(AFFINITY_MAX_WAIT_FACTOR, AFFINITY_WAIT_SLACK.as_secs_f64());
+    candidates.sort_by_cached_key(|candidate| {
+        std::cmp::Reverse(route::rank_of(
+            prefix,
+            candidate.endpoint.record.id.as_str(),
+        ))
+    });
+    let own_tokens = reading.own_tokens();
+    for (rank, candidate) in candidates.iter_mut().enumerate() {
+        let is_free = candidate.weighted_load() <= max_load
+            && candidate.figures.wait.as_secs_f64() <= max_wait;
+        let mut unread = candidate.figures.unread.unwrap_or(candidate.unread);
+        if rank < PRESUMED_HOLDERS {
+            unread = unread.min(own_tokens);
+        }
+        if is_free && unread < candidate.unread {
+            candidate.is_holder = true;
+            candidate.unread = unread;
+        }
+    }
 }
 
-/// Relative expected time to an answer; lower is better.
-fn score(endpoint: &direct::EndpointView, query: &Query<'_>) -> f64 {
-    let slots = f64::from(endpoint.record.slots.max(1));
-    let domain_penalty = if endpoint.record.domain == *query.domain {
-        0.0
-    } else {
-        CROSS_DOMAIN_PENALTY
-    };
-    let first_byte = endpoint.live.expected_first_byte(query.now);
-    let load = weighted_load(endpoint, query.now) / slots;
-    let failure_penalty = endpoint.live.failure_share() * FAILURE_PENALTY_FACTOR;
-    first_byte.as_secs_f64().max(0.001) * (1.0 + load + domain_penalty + failure_penalty)
+fn is_eligible(endpoint: &direct::EndpointView, query: &Query<'_>) -> bool {
+    query.version.allows(&endpoint.record.version)
+        && !query.tried.contains(&endpoint.record.id)
+        && endpoint
+            .live
+            .admits(endpoint.cold_until, query.cold_rate, query.now)
 }
--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -16,7 +16,7 @@
 /// Fraction of failed attempts above which an endpoint is suspended.
 const MAX_FAILURE_SHARE: f64 = 0.45;
 /// Age at which a load report is ignored.
-const LOAD_REPORT_TTL: Duration = Duration::from_millis(1_500);
+const LOAD_REPORT_TTL: Duration = Duration::from_secs(4);
 /// Minimum silence of an endpoint with requests of this entry before a
 /// connection attempt checks it. A busy engine is silent too while it reads
 /// long prompts.
@@ -24,8 +24,11 @@
 /// Multiple of the endpoint's mean time to first byte that raises this
 /// timeout: a busy engine reads long prompts before it sends anything.
 const SILENCE_TIMEOUT_FACTOR: f64 = 3.0;
-/// Expected time to first byte of an endpoint that has not answered yet.
-const DEFAULT_FIRST_BYTE_TIME: Duration = Duration::from_millis(40);
+/// Multiple of the longest reading time among the waiting requests that is added
+/// to the timeout. Other entries may have sent a prompt of this length just before.
+const SILENCE_READING_FACTOR: f64 = 2.0;
+/// Expected wait at an endpoint that has not answered yet.
+const DEFAULT_WAIT: Duration = Duration::from_millis(40);
 /// Multiple of the silence timeout after which an endpoint is abandoned even
 /// though it accepts connections, since a hung process accepts them too. A
 /// retry then still starts within a latency objective of 1.5 to 2 s.
@@ -55,6 +58,22 @@
     pub waiting: u32,
 }
 
+/// Figures of an endpoint that the choice of one weighs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Figures {
+    /// Requests running or queued at the endpoint: the reported load of other callers
+    /// plus this entry's requests in flight.
+    pub load: u32,
+    /// Expected wait before the engine reads the prompt of a request sent now.
+    pub wait: Duration,
+    /// Time to read the prompts of this entry's requests whose answer has not begun.
+    pub pending_reading: Duration,
+    /// Prompt tokens that the endpoint would have to read; `None` without a prompt.
+    pub unread: Option<units::Tokens>,
+    /// Moving average of the fraction of failed attempts, from 0 to 1.
+    pub failure_share: f64,
+}
+
 /// How an attempt at an endpoint failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -89,8 +108,10 @@
 #[derive(Debug, Default)]
 struct State {
     in_flight: u32,
-    /// Prompt tokens of the requests counted in `waiting`.
-    pending_tokens: u64,
+    /// Expected reading time of the requests counted in `waiting`, in sum.
+    pending_reading: Duration,
+    /// Longest such time since requests last began to wait.
+    longest_reading: Duration,
     /// Requests whose answer has not begun.
     waiting: u32,
     /// Sum of the times at which those were sent, in milliseconds.
@@ -99,6 +120,11 @@
     load_report: Option<(ReportedLoad, runtime::Moment, u32)>,
     /// Moving average of the time to first byte, in milliseconds.
     mean_first_byte_ms: Option<f64>,
+    /// Moving average of the part of it that reading the prompt does not explain, in
+    /// milliseconds.
+    mean_wait_ms: Option<f64>,
+    /// Prompt parts that the endpoint has probably cached.
+    cached: balance::CachedParts,
     failure_share: f64,
     suspensions: u32,
     suspended_until: runtime::Moment,
@@ -114,7 +140,31 @@
     fn silence_timeout(&self) -> Duration {
         let typical =
             self.mean_first_byte_ms.unwrap_or_default() * SILENCE_TIMEOUT_FACTOR / 1_000.0;
-        MIN_SILENCE_TIMEOUT.max(Duration::from_secs_f64(typical))
+        let reading = self.longest_reading.mul_f64(SILENCE_READING_FACTOR);
+        MIN_SILENCE_TIMEOUT.max(Duration::from_secs_f64(typical)) + reading
+    }
+
+    /// Moving average of the wait before an engine reads a prompt, or the mean time that
+    /// current requests have already waited if that is longer.
+    fn expected_wait(&self, now: runtime::Moment) -> Duration {
+        let typical = self.mean_wait_ms.map_or(DEFAULT_WAIT, |millis| {
+            Duration::from_secs_f64(millis / 1_000.0)
+        });
+        let since = self
+            .waiting_since_sum_ms
+            .checked_div(u64::from(self.waiting));
+        let waited = since.map(|since| now.saturating_since(runtime::Moment::from_millis(since)));
+        typical.max(waited.unwrap_or_default())
+    }
+
+    fn load(&self, now: runtime::Moment) -> u32 {
+        match self.current_report(now) {
+            Some((load, _, own_requests)) => {
+                let other_requests = (load.running + load.waiting).saturating_sub(own_requests);
+                other_requests + self.in_flight
+            }
+            None => self.in_flight,
+        }
     }
 
     fn is_silent(&self, now: runtime::Moment) -> bool {
@@ -143,22 +193,28 @@
     }
 
     /// Counts a request that is about to be sent, for as long as the permit lives.
+    /// `reading` is the time that the engine takes to read its prompt.
     #[must_use]
-    pub fn begin(self: &Arc<Self>, tokens: units::Tokens, now: runtime::Moment) -> Permit {
+    pub fn begin(self: &Arc<Self>, reading: Duration, now: runtime::Moment) -> Permit {
         let mut state = self.lock();
         if state.in_flight == 0 {
             state.last_seen = now;
             state.reachability = Reachability::Unchecked;
         }
         state.in_flight += 1;
-        state.pending_tokens += tokens.0;
+        state.longest_reading = if state.waiting == 0 {
+            reading
+        } else {
+            state.longest_reading.max(reading)
+        };
+        state.pending_reading += reading;
         state.waiting += 1;
         state.waiting_since_sum_ms += now.as_millis();
         state.gate.take();
         drop(state);
         Permit {
             live: Arc::clone(self),
-            waiting: Some((tokens, now)),
+            waiting: Some((reading, now)),
         }
     }
 
@@ -210,14 +266,23 @@
         }
     }
 
-    /// Records an answered attempt; `first` is its time to first byte.
-    pub fn record_success(&self, first: Duration) {
+    /// Records that the endpoint reads a prompt and keeps its parts.
+    pub fn record_prompt(&self, reading: &balance::Reading<'_>, now: runtime::Moment) {
+        self.lock().cached.record(reading.cached_ids(), now);
+    }
+
+    /// Prompt tokens that the endpoint would have to read.
+    #[must_use]
+    pub fn unread(&self, reading: &balance::Reading<'_>, now: runtime::Moment) -> units::Tokens {
+        reading.unread(&self.lock().cached, now)
+    }
+
+    /// Records an answered attempt. `first` is its time to first byte, of which the engine
+    /// needed `reading` to read the prompt.
+    pub fn record_success(&self, first: Duration, reading: Duration) {
         let mut state = self.lock();
-        let millis = first.as_secs_f64() * 1_000.0;
-        state.mean_first_byte_ms = Some(match state.mean_first_byte_ms {
-            None => millis,
-            Some(mean) => MEAN_WEIGHT.mul_add(millis - mean, mean),
-        });
+        add_sample(&mut state.mean_first_byte_ms, first);
+        add_sample(&mut state.mean_wait_ms, first.saturating_sub(reading));
         state.failure_share *= 1.0 - MEAN_WEIGHT;
         if state.failure_share < MAX_FAILURE_SHARE / 2.0 {
             state.suspensions = 0;
@@ -238,6 +303,7 @@
         );
         if !matches!(failure, Failure::Answered | Failure::Misdirected) {
             state.cold_until = now.saturating_add(cold);
+            state.cached.clear();
         }
         if is_unavailable || state.failure_share > MAX_FAILURE_SHARE {
             let doubled = INITIAL_SUSPENSION * 2_u32.saturating_pow(state.suspensions.min(4));
@@ -266,20 +332,6 @@
         cold_until.max(state.cold_until) <= now || state.gate.is_open(rate, now)
     }
 
-    /// Requests running or queued at the endpoint: the reported load of other
-    /// callers plus this entry's requests in flight.
-    #[must_use]
-    pub fn load(&self, now: runtime::Moment) -> u32 {
-        let state = self.lock();
-        match state.current_report(now) {
-            Some((load, _, own_requests)) => {
-                let other_requests = (load.running + load.waiting).saturating_sub(own_requests);
-                other_requests + state.in_flight
-            }
-            None => state.in_flight,
-        }
-    }
-
     /// Age of the report used by [`Self::load`]; `None` when there is no current one.
     #[must_use]
     pub fn load_age(&self, now: runtime::Moment) -> Option<Duration> {
@@ -287,10 +339,18 @@
         Some(now.saturating_since(at))
     }
 
-    /// Prompt tokens of this entry's requests whose answer has not begun.
+    /// Figures that the choice of an endpoint weighs. `reading` is the prompt of the
+    /// request, if it has one.
     #[must_use]
-    pub fn pending_tokens(&self) -> u64 {
-        self.lock().pending_tokens
+    pub fn figures(&self, reading: Option<&balance::Reading<'_>>, now: runtime::Moment) -> Figures {
+        let state = self.lock();
+        Figures {
+            load: state.load(now),
+            wait: state.expected_wait(now),
+            pending_reading: state.pending_reading,
+            unread: reading.map(|reading| reading.unread(&state.cached, now)),
+            failure_share: state.failure_share,
+        }
     }
 
     /// Moving average of the time to first byte; `None` before the first answer.
@@ -299,47 +359,33 @@
         let millis = self.lock().mean_first_byte_ms?;
         Some(Duration::from_secs_f64(millis / 1_000.0))
     }
+}
 
-    /// Expected time to first byte of a request sent now: the moving average, or
-    /// the mean time that current requests have already waited if that is longer.
-    #[must_use]
-    pub fn expected_first_byte(&self, now: runtime::Moment) -> Duration {
-        let state = self.lock();
-        let typical = state
-            .mean_first_byte_ms
-            .map_or(DEFAULT_FIRST_BYTE_TIME, |millis| {
-                Duration::from_secs_f64(millis / 1_000.0)
-            });
-        let since = state
-            .waiting_since_sum_ms
-            .checked_div(u64::from(state.waiting));
-        let waited = since.map(|since| now.saturating_since(runtime::Moment::from_millis(since)));
-        typical.max(waited.unwrap_or_default())
-    }
-
-    /// Moving average of the fraction of failed attempts, from 0 to 1.
-    #[must_use]
-    pub fn failure_share(&self) -> f64 {
-        self.lock().failure_share
-    }
+/// Adds a sample to a moving average in milliseconds.
+fn add_sample(mean_ms: &mut Option<f64>, sample: Duration) {
+    let millis = sample.as_secs_f64() * 1_000.0;
+    *mean_ms = Some(match *mean_ms {
+        None => millis,
+        Some(mean) => MEAN_WEIGHT.mul_add(millis - mean, mean),
+    });
 }
 
 /// Counts one request at an endpoint until dropped.
 #[derive(Debug)]
 pub struct Permit {
     live: Arc<Live>,
-    /// Prompt size and send time, until the answer begins.
-    waiting: Option<(units::Tokens, runtime::Moment)>,
+    /// Reading time and send time, until the answer begins.
+    waiting: Option<(Duration, runtime::Moment)>,
 }
 
 impl Permit {
     /// Records that the answer has begun; further calls have no effect.
     pub fn record_first_byte(&mut self) {
-        let Some((tokens, sent)) = self.waiting.take() else {
+        let Some((reading, sent)) = self.waiting.take() else {
             return;
         };
         let mut state = self.live.lock();
-        state.pending_tokens -= tokens.0;
+        state.pending_reading = state.pending_reading.saturating_sub(reading);
         state.waiting -= 1;
         state.waiting_since_sum_ms -= sent.as_millis();
     }
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -1,14 +1,20 @@
 //! Load balancing: endpoint selection by load, failures and cold start, and the
 //! limit on retries. Independent of any message encoding.
 
+mod cached_parts;
 mod choose;
 mod cold_gate;
 mod live;
 mod pressure;
+mod prompt;
+mod reading_speed;
 mod retry_window;
 
+pub use cached_parts::CachedParts;
 pub use choose::{Choice, ChoiceReason, Query, VersionFilter, choose};
 pub use cold_gate::ColdGate;
-pub use live::{Failure, Live, Permit, ReportedLoad, SilenceAction};
+pub use live::{Failure, Figures, Live, Permit, ReportedLoad, SilenceAction};
 pub use pressure::Pressure;
+pub use prompt::{Prompt, PromptPart, Reading};
+pub use reading_speed::ReadingSpeed;
 pub use retry_window::RetryWindow;
--- a/src/cascade/mod.rs
+++ b/src/cascade/mod.rs
@@ -2,5 +2,7 @@
 //! answer has too little confidence.
 
 mod models;
+mod standby;
 
-pub use models::{Cascade, Decision};
+pub use models::{Cascade, Decision, Forecast};
+pub use standby::standby_time;
--- a/src/cascade/models.rs
+++ b/src/cascade/models.rs
@@ -1,5 +1,7 @@
 //! The models of a route and the decision between keeping and escalating an answer.
 
+use std::time::Duration;
+
 use crate::balance;
 use crate::ids;
 
@@ -7,10 +9,18 @@
 /// of it is sent to the caller.
 const MIN_CONFIDENCE: f64 = 0.5;
 /// Pressure up to which the service has capacity for every escalation.
-const FULL_ESCALATION_PRESSURE: f64 = 0.4;
+const FULL_ESCALATION_PRESSURE: f64 = 0.3;
 /// Pressure from which nothing is escalated. A larger model takes several times
 /// the work of a smaller one, and that work serves more callers in time.
-const NO_ESCALATION_PRESSURE: f64 = 1.2;
+const NO_ESCALATION_PRESSURE: f64 = 1.0;
+
+/// Expected begin of the larger model's answer, as a fraction of the objective, up to
+/// which an escalation is worth as much as the answer.
+const FULL_ESCALATION_LATENESS: f64 = 0.9;
+/// The same, from which a late answer is worth less than one of low confidence.
+const NO_ESCALATION_LATENESS: f64 = 1.3;
+/// Weight of the pressure for each rank of priority below the highest.
+const PRIORITY_PRESSURE: f64 = 0.5;
 
 /// Ranks by which an attempt of a larger model is queued behind one of the
 /// smallest. It takes several times the work, and executing short work first
@@ -28,6 +38,37 @@
     Escalate(usize),
 }
 
+/// What is known about an answer of the largest model before it is requested.
+#[derive(Clone, Copy, Debug)]
+pub struct Forecast {
+    /// Expected time from the arrival of the request to the first event.
+    pub begin: Duration,
+    /// Latency objective for the first event.
+    pub objective: Duration,
+    /// How late the service's answers begin.
+    pub pressure: balance::Pressure,
+    /// Priority of the request; 0 is the most urgent.
+    pub priority: u8,
+}
+
+impl Forecast {
+    /// Returns the fraction of the required confidence that holds for this request, from 0
+    /// to 1. It falls with the load of the service, for less urgent requests first, and
+    /// where the larger model would begin after the objective.
+    fn capacity(&self) -> f64 {
+        let weight = PRIORITY_PRESSURE.mul_add(f64::from(self.priority), 1.0);
+        let load = self.pressure.get() * weight;
+        let objective = self.objective.as_secs_f64().max(0.001);
+        let lateness = self.begin.as_secs_f64() / objective;
+        let falling = |value: f64, from: f64, to: f64| ((to - value) / (to - from)).clamp(0.0, 1.0);
+        falling(load, FULL_ESCALATION_PRESSURE, NO_ESCALATION_PRESSURE).min(falling(
+            lateness,
+            FULL_ESCALATION_LATENESS,
+            NO_ESCALATION_LATENESS,
+        ))
+    }
+}
+
 /// The models of a cascade, in order of cost, cheapest first.
 #[derive(Clone, Copy, Debug)]
 pub struct Cascade<'a> {
@@ -47,6 +88,12 @@
         self.models.get(index)
     }
 
+    /// Index of the largest model; 0 on a route without models.
+    #[must_use]
+    pub fn largest(&self) -> usize {
+        self.models.len().saturating_sub(1)
+    }
+
     /// Queue rank at an engine for the model with an index and a request of this
     /// priority; 0 goes first. A resumed stream keeps its priority, as its caller
     /// waits in the middle of it.
@@ -64,16 +111,9 @@
     /// required confidence falls linearly between the two pressure limits; an
     /// answer without a confidence is kept.
     #[must_use]
-    pub fn evaluate(
-        &self,
-        index: usize,
-        confidence: Option<f64>,
-        pressure: balance::Pressure,
-    ) -> Decision {
-        let largest = self.models.len().saturating_sub(1);
-        let capacity = ((NO_ESCALATION_PRESSURE - pressure.get())
-            / (NO_ESCALATION_PRESSURE - FULL_ESCALATION_PRESSURE))
-            .clamp(0.0, 1.0);
+    pub fn evaluate(&self, index: usize, confidence: Option<f64>, forecast: &Forecast) -> Decision {
+        let largest = self.largest();
+        let capacity = forecast.capacity();
         match confidence {
             Some(confidence) if confidence < MIN_CONFIDENCE * capacity && index < largest => {
                 Decision::Escalate(largest)
--- /dev/null
+++ b/src/cascade/standby.rs
@@ -0,0 +1,23 @@
+//! How long an answer of a smaller model is held back for a better one.
+
+use std::time::Duration;
+
+/// Confidence from which an answer in time is worth more to the caller than a late one of
+/// a larger model.
+const MIN_CONFIDENCE_IN_TIME: f64 = 0.3;
+/// Fraction of the objective, or of the time limit, after which the answer is delivered.
+/// The rest is for the way to the caller.
+const HELD_FRACTION: f64 = 0.9;
+
+/// Returns the time since the arrival of a request up to which the answer of a smaller
+/// model is held back. An answer of some confidence is delivered within the objective;
+/// another one only if the larger model has not begun when the request is about to end.
+#[must_use]
+pub fn standby_time(confidence: f64, objective: Duration, time_limit: Duration) -> Duration {
+    let held = if confidence < MIN_CONFIDENCE_IN_TIME {
+        time_limit
+    } else {
+        objective.min(time_limit)
+    };
+    held.mul_f64(HELD_FRACTION)
+}
--- a/src/catalog/upstream.rs
+++ b/src/catalog/upstream.rs
@@ -23,6 +23,8 @@
     pub max_connections: u32,
     /// Limits for cold endpoints; `None` if a new endpoint takes full load at once.
     pub cold_start: Option<ColdStart>,
+    /// Whether the endpoints are model engines, which report their status on request.
+    pub is_engine: bool,
 }
 
 impl Upstream {
--- a/src/direct/snapshot.rs
+++ b/src/direct/snapshot.rs
@@ -20,6 +20,8 @@
     pub live: Arc<balance::Live>,
     /// Time until which the endpoint is cold.
     pub cold_until: runtime::Moment,
+    /// Whether it is a model engine, which reports its status on request.
+    pub is_engine: bool,
 }
 
 /// How the requests of a service are split over its versions.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -58,6 +58,8 @@
     pub team: Option<ids::TeamName>,
     /// Priority of the request; 0 is the most urgent.
     pub priority: u8,
+    /// Time at which the head of the request had arrived.
+    pub arrived: Instant,
     /// Time at which the answer must be complete.
     pub deadline: Instant,
     /// Endpoints that were tried with the model in use; not chosen again.
@@ -176,6 +178,32 @@
     /// Chooses an endpoint; `None` if no endpoint may be sent the request now.
     #[must_use]
     pub fn choose(&self, view: &direct::ServiceView) -> Option<balance::Choice> {
+        self.choose_for(view, self.model, &self.tried)
+    }
+
+    /// Returns the expected time to the first byte with the model of this index; `None` if
+    /// no endpoint may be sent the request now.
+    #[must_use]
+    pub fn expected_with(&self, view: &direct::ServiceView, model: usize) -> Option<Duration> {
+        let choice = self.choose_for(view, model, &[])?;
+        Some(choice.expected)
+    }
+
+    /// Returns the time until which a larger model may begin its answer before that of a
+    /// smaller one, with this confidence, is delivered.
+    #[must_use]
+    pub fn standby_until(&self, confidence: f64) -> Instant {
+        let objective = self.rule.objective.duration();
+        let limit = self.deadline.saturating_duration_since(self.arrived);
+        self.arrived + cascade::standby_time(confidence, objective, limit)
+    }
+
+    fn choose_for(
+        &self,
+        view: &direct::ServiceView,
+        model: usize,
+        tried: &[ids::EndpointId],
+    ) -> Option<balance::Choice> {
         let now = runtime::Moment::now();
         let filters = self.version_filters(view, now);
         let settings = self.cx.settings();
@@ -184,12 +212,12 @@
             .upstream
             .cold_start
             .map(|cold| units::Rate::clamped(cold.rate.get() / entries));
-        let affinity = self.affinity();
+        let reading = self.reading(model);
         filters.into_iter().flatten().find_map(|version| {
             let query = balance::Query {
                 version,
-                affinity,
-                tried: &self.tried,
+                reading,
+                tried,
                 domain: &settings.domain,
                 cold_rate,
                 now,
@@ -198,12 +226,17 @@
         })
     }
 
-    /// Returns the fingerprint of the shared part of the prompt that an endpoint may have
-    /// cached for the model in use.
-    fn affinity(&self) -> Option<ids::Fingerprint> {
-        let shared = self.metadata.prompt.as_ref()?.shared()?;
-        let model = u64::try_from(self.model).unwrap_or_default();
-        Some(ids::Fingerprint(route::mix(shared.id.0 ^ model)))
+    /// Returns the prompt as read by the model with this index; `None` for a request
+    /// without one.
+    #[must_use]
+    pub fn reading(&self, model: usize) -> Option<balance::Reading<'_>> {
+        let prompt = self.metadata.prompt.as_ref()?;
+        let speed = self.cx.reading_speed(&self.service, model);
+        Some(balance::Reading {
+            prompt,
+            model,
+            speed,
+        })
     }
 
     /// Returns the version filters in order of preference; the first with an available
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -14,6 +14,7 @@
 use crate::ids;
 use crate::runtime;
 use crate::settings;
+use crate::units;
 
 /// Fraction of the limit on the use of withdrawn keys at which the configuration is too
 /// old for the entry to be ready: requests with keys will soon be refused.
@@ -36,11 +37,12 @@
     Strained,
 }
 
-/// Retry budget and load pressure of one service at this entry.
+/// Retry budget, load pressure and reading speed of one service at this entry.
 #[derive(Debug)]
 struct ServiceState {
     window: balance::RetryWindow,
     pressure: balance::Pressure,
+    reading_speed: balance::ReadingSpeed,
 }
 
 /// Context that all requests of a direct entry share.
@@ -121,6 +123,26 @@
         self.with_service(service, |state| state.pressure)
     }
 
+    /// Records how long an endpoint took to begin its answer to a prompt of which it had
+    /// to read `unread` tokens.
+    pub fn record_reading(
+        &self,
+        service: &ids::ServiceName,
+        model: usize,
+        unread: units::Tokens,
+        first: Duration,
+    ) {
+        self.with_service(service, |state| {
+            state.reading_speed.record(model, unread, first);
+        });
+    }
+
+    /// Returns the speed at which the service's engines read prompts for a model.
+    #[must_use]
+    pub fn reading_speed(&self, service: &ids::ServiceName, model: usize) -> units::Rate {
+        self.with_service(service, |state| state.reading_speed.get(model))
+    }
+
     fn with_service<T>(
         &self,
         service: &ids::ServiceName,
@@ -134,6 +156,7 @@
         let state = ServiceState {
             window: balance::RetryWindow::new(bounds.retry_ratio, bounds.retry_window),
             pressure: balance::Pressure::default(),
+            reading_speed: balance::ReadingSpeed::default(),
         };
         update(services.entry(service.clone()).or_insert(state))
     }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -104,6 +104,7 @@
             service,
             team: admitted.team,
             priority: admitted.priority,
+            arrived,
             deadline,
             tried: Vec::new(),
             refusals: 0,
--- a/src/gateway/metadata.rs
+++ b/src/gateway/metadata.rs
@@ -18,34 +18,6 @@
     Named,
 }
 
-/// A part of a prompt, which several requests may share.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PromptPart {
-    /// Fingerprint by which the part is recognised.
-    pub id: ids::Fingerprint,
-    /// Length of the part in tokens.
-    pub tokens: units::Tokens,
-}
-
-/// Length and parts of a prompt, as stated by the caller.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Prompt {
-    /// Length of the prompt in tokens.
-    pub input: units::Tokens,
-    /// Parts in order. The last is specific to this request or its session.
-    pub parts: Vec<PromptPart>,
-}
-
-impl Prompt {
-    /// Returns the last part that other requests may share; `None` if there are fewer
-    /// than two parts.
-    #[must_use]
-    pub fn shared(&self) -> Option<PromptPart> {
-        let (_, shared) = self.parts.split_last()?;
-        shared.last().copied()
-    }
-}
-
 /// Metadata of a request, from the caller's headers.
 #[derive(Clone, Debug)]
 pub struct RequestMetadata {
@@ -60,7 +32,7 @@
     /// Model that the caller requests.
     pub model: RequestedModel,
     /// Length and parts of the prompt; `None` if not stated.
-    pub prompt: Option<Prompt>,
+    pub prompt: Option<balance::Prompt>,
     /// Id of the last event that the caller has, to resume a stream; `None` for a new
     /// one.
     pub last_event: Option<u64>,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,13 +13,12 @@
 mod relay;
 mod role;
 mod send;
+mod standby;
 mod stream;
 mod suspicion;
 mod trace;
 
 pub use cx::{Cx, NotReady};
-pub use metadata::{
-    AnswerMetadata, ForwardMetadata, Prompt, PromptPart, RequestMetadata, RequestedModel,
-};
+pub use metadata::{AnswerMetadata, ForwardMetadata, RequestMetadata, RequestedModel};
 pub use overload::OverloadDetector;
 pub use role::Gateway;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -122,7 +122,7 @@
 ) {
     let answered = !status.is_server_error();
     if answered {
-        endpoint.live.record_success(first);
+        endpoint.live.record_success(first, Duration::ZERO);
         call.clear_suspicion();
     } else {
         let now = runtime::Moment::now();
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -24,6 +24,11 @@
 /// Time limit for reading the body of a refusal.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Time limit for the status of an engine, which it answers beside its other work.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(350);
+/// Maximum size of a status.
+const MAX_STATUS_BODY: units::Bytes = units::Bytes(256 * 1_024);
+
 /// Interval at which a waiting request checks whether its endpoint is silent for all
 /// requests of this entry.
 pub const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(300);
@@ -43,6 +48,19 @@
     pub permit: balance::Permit,
     /// Time at which the request was sent.
     pub sent: Instant,
+    /// Prompt tokens that the endpoint had to read; zero without a prompt.
+    pub unread: units::Tokens,
+    /// Expected time in which it reads them.
+    pub reading: Duration,
+}
+
+impl Opened {
+    /// Records that the answer has begun `first` after the request was sent.
+    pub fn record_success(&self, call: &call::Call, first: Duration) {
+        self.endpoint.live.record_success(first, self.reading);
+        call.cx
+            .record_reading(&call.service, call.model, self.unread, first);
+    }
 }
 
 /// Error of an attempt without a usable answer.
@@ -108,23 +126,13 @@
     timeout: Duration,
 ) -> Result<Opened, AttemptError> {
     call.trace.chosen(&choice);
-    let endpoint = choice.endpoint;
-    let tokens = call
-        .metadata
-        .prompt
-        .as_ref()
-        .map_or(units::Tokens(0), |prompt| prompt.input);
+    let endpoint = Arc::clone(&choice.endpoint);
     let now = runtime::Moment::now();
-    let permit = endpoint.live.begin(tokens, now);
-    let result = exchange(
-        call,
-        view,
-        Arc::clone(&endpoint),
-        permit,
-        resume_after,
-        timeout,
-    )
-    .await;
+    let permit = endpoint.live.begin(choice.reading, now);
+    if let Some(reading) = call.reading(call.model) {
+        endpoint.live.record_prompt(&reading, now);
+    }
+    let result = exchange(call, view, choice, permit, resume_after, timeout).await;
     call.tried.push(endpoint.record.id.clone());
     match &result {
         Ok(_) => call.attempts += 1,
@@ -160,11 +168,12 @@
 async fn exchange(
     call: &call::Call,
     view: &direct::ServiceView,
-    endpoint: Arc<direct::EndpointView>,
+    choice: balance::Choice,
     permit: balance::Permit,
     resume_after: Option<u64>,
     timeout: Duration,
 ) -> Result<Opened, AttemptError> {
+    let endpoint = choice.endpoint;
     let req = build_request(call, &endpoint, resume_after)?;
     let client = call.client(view, &endpoint);
     let sent = Instant::now();
@@ -215,6 +224,8 @@
         client,
         permit,
         sent,
+        unread: choice.unread,
+        reading: choice.reading,
     })
 }
 
@@ -240,21 +251,46 @@
 /// unresponsive rather than busy. One request probes it on behalf of all.
 pub async fn is_unresponsive(endpoint: &direct::EndpointView, client: &http::Client) -> bool {
     match endpoint.live.silence_action(runtime::Moment::now()) {
-        balance::SilenceAction::None => false,
-        balance::SilenceAction::Unresponsive => true,
-        balance::SilenceAction::Probe => match client.open_idle().await {
-            Ok(()) => {
-                endpoint.live.record_reachable(runtime::Moment::now());
-                false
-            }
-            Err(err) => {
-                log::info!(target: "endpoint", endpoint:% = endpoint.record.id, error:% = err;
-                    "endpoint is unresponsive: it sends nothing and accepts no connection");
-                endpoint.live.record_unreachable();
-                true
-            }
-        },
+        balance::SilenceAction::None => return false,
+        balance::SilenceAction::Unresponsive => return true,
+        balance::SilenceAction::Probe => {}
     }
+    let probed = if endpoint.is_engine {
+        read_status(client).await.map(Some)
+    } else {
+        client.open_idle().await.map(|()| None)
+    };
+    let now = runtime::Moment::now();
+    match probed {
+        // An engine that reports its load is busy: it is reading prompts.
+        Ok(Some(load)) => {
+            endpoint.live.record_load(load, now);
+            endpoint.live.record_activity(now);
+            false
+        }
+        // A hung process accepts connections too.
+        Ok(None) => {
+            endpoint.live.record_reachable(now);
+            false
+        }
+        Err(err) => {
+            log::info!(target: "endpoint", endpoint:% = endpoint.record.id, error:% = err;
+                "endpoint is unresponsive: it sends nothing and does not answer a probe");
+            endpoint.live.record_unreachable();
+            true
+        }
+    }
+}
+
+/// Requests the load of an engine.
+async fn read_status(client: &http::Client) -> Result<balance::ReportedLoad, http::HttpError> {
+    let deadline = Instant::now() + STATUS_TIMEOUT;
+    let answer = client
+        .send(platform::endpoint_status::request(), STATUS_TIMEOUT)
+        .await?;
+    let body = runtime::timeout_at(deadline, answer.bytes(MAX_STATUS_BODY)).await;
+    let body = body.ok_or(http::HttpError::TimedOut)??;
+    platform::endpoint_status::decode(&body).map_err(|err| http::HttpError::Malformed(err.into()))
 }
 
 fn build_request(
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -11,7 +11,7 @@
 use crate::cascade;
 use crate::direct;
 use crate::errors;
-use crate::gateway::{call, plain, relay, send, trace};
+use crate::gateway::{call, plain, relay, send, standby, trace};
 use crate::http;
 use crate::platform;
 use crate::runtime;
@@ -40,12 +40,29 @@
     pub splitter: http::EventSplitter,
 }
 
+/// Why no stream has begun.
+pub enum NoStream {
+    /// The service of the route is unknown.
+    UnknownService,
+    /// No endpoint has begun to answer.
+    NoAnswer,
+    /// An endpoint has answered with a failure. The reply is `None` if it broke off.
+    Failed(StatusCode, Option<http::Reply>),
+}
+
 /// Runs the request. The reply passes events on as they arrive.
 pub async fn run(mut call: call::Call) -> http::Reply {
     let resume_after = call.metadata.last_event;
     let source = match open(&mut call, resume_after).await {
         Ok(source) => source,
-        Err(reply) => return *reply,
+        Err(NoStream::UnknownService) => {
+            let code = errors::ResultCode::NoEndpoint;
+            return plain::refuse(&mut call, code, "the service is unknown");
+        }
+        Err(NoStream::NoAnswer) => return plain::end_without_answer(&mut call),
+        Err(NoStream::Failed(status, reply)) => {
+            return deliver_failure(&mut call, status, reply);
+        }
     };
     let status = source.opened.answer.status;
     let headers = platform::headers::encode_answer(&source.opened.answer.headers);
@@ -57,33 +74,27 @@
     http::generated(status, headers, chunks)
 }
 
-/// Sends the request until a stream has begun. The error is the reply for the caller.
+/// Sends the request until a stream has begun.
 pub async fn open(
     call: &mut call::Call,
     resume_after: Option<u64>,
-) -> Result<EventSource, Box<http::Reply>> {
+) -> Result<EventSource, NoStream> {
     loop {
-        let Some(view) = call.view() else {
-            let code = errors::ResultCode::NoEndpoint;
-            let reply = plain::refuse(call, code, "the service is unknown");
-            return Err(Box::new(reply));
-        };
-        let Some(choice) = call.choose(&view) else {
-            return Err(Box::new(plain::end_without_answer(call)));
-        };
+        let view = call.view().ok_or(NoStream::UnknownService)?;
+        let choice = call.choose(&view).ok_or(NoStream::NoAnswer)?;
         let timeout = call.attempt_timeout(&choice.endpoint, &RETRY_LIMITS);
         let started = Instant::now();
         let opened = match send::send(call, &view, choice, resume_after, timeout).await {
             Ok(opened) => opened,
             Err(send::AttemptError::NotRun(cause, _)) => {
                 if !call.take_retry_elsewhere(cause, &RETRY_LIMITS) {
-                    return Err(Box::new(plain::end_without_answer(call)));
+                    return Err(NoStream::NoAnswer);
                 }
                 continue;
             }
             Err(send::AttemptError::Unknown(..)) => {
                 if !call.take_retry(&RETRY_LIMITS) {
-                    return Err(Box::new(plain::end_without_answer(call)));
+                    return Err(NoStream::NoAnswer);
                 }
                 continue;
             }
@@ -94,47 +105,99 @@
             if status.is_server_error() && call.take_retry(&RETRY_LIMITS) {
                 continue;
             }
-            return Err(Box::new(deliver_failure(call, status, reply)));
+            return Err(NoStream::Failed(status, reply));
         }
         if resume_after.is_none()
-            && let Some(larger) = escalation(call, &opened)
+            && let Some(larger) = escalation(call, &view, &opened)
         {
-            let confidence = opened.metadata.confidence.unwrap_or_default();
-            let note = format!("dropped at confidence {confidence}");
-            call.trace
-                .attempt(&opened.endpoint.record.id, "not_trusted", &note);
-            opened.endpoint.live.record_success(opened.sent.elapsed());
-            call.observe(&view, &opened.endpoint, true, Some(opened.sent.elapsed()));
-            call.model = larger;
-            call.tried.clear();
-            continue;
+            match escalate(call, &view, opened, larger).await {
+                Some(answer) => return answer,
+                None => continue,
+            }
         }
         match first_event(call, opened, started + timeout).await {
             Ok(source) => {
                 let first = source.opened.sent.elapsed();
                 let objective = call.rule.objective.duration();
                 call.cx.record_first_event(&call.service, first, objective);
-                source.opened.endpoint.live.record_success(first);
+                source.opened.record_success(call, first);
                 call.observe(&view, &source.opened.endpoint, true, Some(first));
                 return Ok(source);
             }
             Err((endpoint, failure)) => {
                 record_break(call, &view, &endpoint, failure);
                 if !call.take_retry(&RETRY_LIMITS) {
-                    return Err(Box::new(plain::end_without_answer(call)));
+                    return Err(NoStream::NoAnswer);
                 }
             }
         }
     }
 }
 
+/// Runs the request again with a larger model, and keeps the answer of the smaller one
+/// until the larger one has begun. Returns `None` if neither has, but time is left.
+async fn escalate(
+    call: &mut call::Call,
+    view: &direct::ServiceView,
+    opened: send::Opened,
+    larger: usize,
+) -> Option<Result<EventSource, NoStream>> {
+    let first = opened.sent.elapsed();
+    let confidence = opened.metadata.confidence.unwrap_or_default();
+    let note = format!("put on standby at confidence {confidence}");
+    call.trace
+        .attempt(&opened.endpoint.record.id, "not_trusted", &note);
+    opened.record_success(call, first);
+    call.observe(view, &opened.endpoint, true, Some(first));
+    let until = call.standby_until(confidence);
+    let mut standby = standby::Standby::new(opened, call.model, call.deadline);
+    call.model = larger;
+    let tried = std::mem::take(&mut call.tried);
+    let attempts = standby.buffer_during(Box::pin(open(call, None)));
+    let answer = runtime::timeout_at(until, attempts).await;
+    if let Some(Ok(answer)) = answer {
+        return Some(Ok(answer));
+    }
+    if answer.is_none() {
+        // The abandoned attempt may have been executed.
+        call.attempts += 1;
+        call.trace.abandon("not begun in time");
+    }
+    let model = standby.model();
+    let endpoint = standby.endpoint().record.id.clone();
+    let Some(source) = standby.into_source() else {
+        return answer;
+    };
+    call.model = model;
+    call.tried = tried;
+    call.trace.attempt(&endpoint, "kept", &"taken from standby");
+    match first_event_of(call, source, call.deadline).await {
+        Ok(source) => Some(Ok(source)),
+        Err((endpoint, failure)) => {
+            record_break(call, view, &endpoint, failure);
+            call.take_retry(&RETRY_LIMITS)
+                .then_some(())
+                .map_or(Some(Err(NoStream::NoAnswer)), |()| None)
+        }
+    }
+}
+
 /// Returns the index of the larger model that must answer instead; `None` if the answer
 /// is kept.
-fn escalation(call: &call::Call, opened: &send::Opened) -> Option<usize> {
+fn escalation(
+    call: &call::Call,
+    view: &direct::ServiceView,
+    opened: &send::Opened,
+) -> Option<usize> {
     call.chosen_model()?;
     let models = cascade::Cascade::new(&call.rule.models);
-    let pressure = call.cx.pressure(&call.service);
-    match models.evaluate(call.model, opened.metadata.confidence, pressure) {
+    let forecast = cascade::Forecast {
+        begin: call.arrived.elapsed() + call.expected_with(view, models.largest())?,
+        objective: call.rule.objective.duration(),
+        pressure: call.cx.pressure(&call.service),
+        priority: call.priority,
+    };
+    match models.evaluate(call.model, opened.metadata.confidence, &forecast) {
         cascade::Decision::Escalate(larger) => {
             call.take_optional_retry(&RETRY_LIMITS).then_some(larger)
         }
@@ -192,32 +255,45 @@
     call.record_failed_attempt(view, endpoint, failure);
 }
 
-/// Waits until the stream has a complete event or has ended without one. Fails if it
-/// broke off or timed out.
+/// Waits until a stream whose head has arrived has a complete event or has ended without
+/// one. Fails if it broke off or timed out.
 async fn first_event(
     call: &call::Call,
-    mut opened: send::Opened,
+    opened: send::Opened,
+    deadline: Instant,
+) -> Result<EventSource, (Arc<direct::EndpointView>, balance::Failure)> {
+    let source = EventSource {
+        opened,
+        splitter: http::EventSplitter::default(),
+    };
+    first_event_of(call, source, deadline).await
+}
+
+/// Like [`first_event`], for a stream of which a part may have been read.
+async fn first_event_of(
+    call: &call::Call,
+    mut source: EventSource,
     deadline: Instant,
 ) -> Result<EventSource, (Arc<direct::EndpointView>, balance::Failure)> {
     let deadline = deadline.min(call.deadline);
-    let mut splitter = http::EventSplitter::default();
     loop {
-        let chunk = read(&mut opened, deadline).await;
-        match chunk {
+        if source.splitter.has_event() {
+            source.opened.permit.record_first_byte();
+            return Ok(source);
+        }
+        let failure = match read(&mut source.opened, deadline).await {
             Chunk::Data(bytes) => {
-                splitter.push(&bytes);
-                if splitter.has_event() {
-                    opened.permit.record_first_byte();
-                    return Ok(EventSource { opened, splitter });
-                }
+                source.splitter.push(&bytes);
+                continue;
             }
-            Chunk::End if splitter.pending() == 0 => {
-                opened.permit.record_first_byte();
-                return Ok(EventSource { opened, splitter });
+            Chunk::End if source.splitter.pending() == 0 => {
+                source.opened.permit.record_first_byte();
+                return Ok(source);
             }
-            Chunk::End | Chunk::Broken => return Err((opened.endpoint, balance::Failure::Broken)),
-            Chunk::TimedOut => return Err((opened.endpoint, balance::Failure::Silent)),
-        }
+            Chunk::End | Chunk::Broken => balance::Failure::Broken,
+            Chunk::TimedOut => balance::Failure::Silent,
+        };
+        return Err((source.opened.endpoint, failure));
     }
 }
 
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -103,6 +103,14 @@
         }
     }
 
+    /// Records that the attempt in progress, if any, is abandoned.
+    pub fn abandon(&mut self, reason: &'static str) {
+        if let Some((choice, _)) = &self.chosen {
+            let id = choice.endpoint.record.id.clone();
+            self.attempt(&id, "abandoned", &reason);
+        }
+    }
+
     /// Records that a part of the answer is passed to the caller.
     pub fn record_part(&mut self) {
         let now = self.started_at.elapsed();
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -95,16 +95,16 @@
     }
 }
 
-fn prompt(headers: &HeaderMap) -> Option<gateway::Prompt> {
+fn prompt(headers: &HeaderMap) -> Option<balance::Prompt> {
     let (read, _) = text(headers, &TOKEN_COUNT)?.split_once(',')?;
     let parts = text(headers, &PROMPT_PARTS).unwrap_or_default();
-    Some(gateway::Prompt {
+    Some(balance::Prompt {
         input: units::Tokens(read.trim().parse().ok()?),
         parts: parts
             .split(',')
             .filter_map(|part| {
                 let (id, tokens) = part.trim().split_once(':')?;
-                Some(gateway::PromptPart {
+                Some(balance::PromptPart {
                     id: ids::Fingerprint::fnv1a(id),
                     tokens: units::Tokens(tokens.parse().ok()?),
                 })
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,6 +7,7 @@
 pub mod crash_record;
 pub mod direct_settings;
 pub mod endpoint_record;
+pub mod endpoint_status;
 mod error;
 pub mod headers;
 mod log_client;
--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -83,6 +83,8 @@
     warmup_s: f64,
     #[serde(default)]
     warmup_per_s: f64,
+    /// Present for the servers of models; its content is not used.
+    engine: Option<serde::de::IgnoredAny>,
 }
 
 #[derive(serde::Deserialize)]
@@ -216,6 +218,7 @@
             u32::try_from(to_integer(max)).unwrap_or(u32::MAX)
         }),
         cold_start,
+        is_engine: service.engine.is_some(),
     }
 }
 
--- a/tests/integration/direct/balance.rs
+++ b/tests/integration/direct/balance.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quetzalworks::balance::{Failure, Query, ReportedLoad, RetryWindow, VersionFilter, choose};
+use quetzalworks::balance::{
+    Failure, Prompt, PromptPart, Query, Reading, ReportedLoad, RetryWindow, VersionFilter, choose,
+};
 use quetzalworks::direct::EndpointView;
 use quetzalworks::ids::{DomainName, Fingerprint};
 use quetzalworks::runtime::Moment;
@@ -20,13 +22,35 @@
         record: record(id, &value),
         live: Arc::default(),
         cold_until: Moment::default(),
+        is_engine: false,
     })
 }
 
-pub fn query(domain: &DomainName, affinity: Option<u64>, at: u64) -> Query<'_> {
+/// Returns a prompt whose first part, of this many tokens, is shared.
+pub fn prompt(shared: u64, tokens: u64) -> Prompt {
+    let part = |id, tokens| PromptPart {
+        id: Fingerprint(id),
+        tokens: Tokens(tokens),
+    };
+    Prompt {
+        input: Tokens(tokens + 500),
+        parts: vec![part(shared, tokens), part(u64::MAX, 500)],
+    }
+}
+
+/// Returns the prompt as read by the smallest model.
+pub fn reading(prompt: &Prompt) -> Reading<'_> {
+    Reading {
+        prompt,
+        model: 0,
+        speed: Rate::clamped(20_000.0),
+    }
+}
+
+pub fn query<'a>(domain: &'a DomainName, prompt: Option<&'a Prompt>, at: u64) -> Query<'a> {
     Query {
         version: VersionFilter::Any,
-        affinity: affinity.map(Fingerprint),
+        reading: prompt.map(reading),
         tried: &[],
         domain,
         cold_rate: Some(Rate::clamped(2.0)),
@@ -78,7 +102,8 @@
             name: "slow to answer",
             prepare: |near, _| {
                 for _ in 0..20 {
-                    near.live.record_success(Duration::from_secs(1));
+                    near.live
+                        .record_success(Duration::from_secs(1), Duration::ZERO);
                 }
             },
             chosen: "far",
@@ -112,12 +137,14 @@
         .collect();
     let domain = "north".parse().unwrap();
     let now = Moment::from_millis(NOW);
-    let first = chosen(&endpoints, &query(&domain, Some(7), NOW)).unwrap();
+    let shared = prompt(7, 6_000);
+    let first = chosen(&endpoints, &query(&domain, Some(&shared), NOW)).unwrap();
     assert_eq!(
-        chosen(&endpoints, &query(&domain, Some(7), NOW)).unwrap(),
+        chosen(&endpoints, &query(&domain, Some(&shared), NOW)).unwrap(),
         first
     );
-    let others = (0..40).filter_map(|part| chosen(&endpoints, &query(&domain, Some(part), NOW)));
+    let others = (0..40)
+        .filter_map(|part| chosen(&endpoints, &query(&domain, Some(&prompt(part, 6_000)), NOW)));
     let used: std::collections::HashSet<_> = others.collect();
     assert!(
         used.len() > 3,
@@ -128,14 +155,79 @@
         .find(|e| e.record.id.as_str() == first)
         .unwrap();
     let _busy: Vec<_> = (0..20)
-        .map(|_| preferred.live.begin(Tokens(100), now))
+        .map(|_| preferred.live.begin(Duration::from_millis(5), now))
         .collect();
     assert_ne!(
-        chosen(&endpoints, &query(&domain, Some(7), NOW)).unwrap(),
+        chosen(&endpoints, &query(&domain, Some(&shared), NOW)).unwrap(),
         first
     );
 }
 
+/// Guards against reading a shared prefix again although an endpoint to which it was
+/// moved has it, and against one that may have lost it in a restart.
+#[test]
+fn a_prefix_is_read_where_it_was_read_before() {
+    struct Case {
+        name: &'static str,
+        /// Model that has read the prefix; the request is for model 0.
+        model: usize,
+        later_ms: u64,
+        broken: bool,
+        found_again: bool,
+    }
+    let case = |name, model, later_ms, broken, found_again| Case {
+        name,
+        model,
+        later_ms,
+        broken,
+        found_again,
+    };
+    let cases = [
+        case("a moment before", 0, 100, false, true),
+        case("by another model", 1, 100, false, false),
+        case("long ago", 0, 60_000, false, false),
+        case("the endpoint broke off since", 0, 100, true, false),
+    ];
+    let domain = "north".parse().unwrap();
+    for case in cases {
+        let endpoints: Vec<_> = (0..6)
+            .map(|i| endpoint(&format!("e{i}"), "north"))
+            .collect();
+        let shared = prompt(7, 6_000);
+        let first = chosen(&endpoints, &query(&domain, Some(&shared), NOW)).unwrap();
+        let (preferred, others): (Vec<_>, Vec<_>) = endpoints
+            .iter()
+            .partition(|e| e.record.id.as_str() == first);
+        let moved_to = others.last().unwrap();
+        let read_by = Reading {
+            model: case.model,
+            ..reading(&shared)
+        };
+        let now = Moment::from_millis(NOW);
+        moved_to.live.record_prompt(&read_by, now);
+        if case.broken {
+            moved_to
+                .live
+                .record_failure(Failure::Broken, Duration::ZERO, now);
+        }
+        let _busy: Vec<_> = (0..20)
+            .map(|_| preferred[0].live.begin(Duration::from_millis(5), now))
+            .collect();
+        let found = choose(
+            &endpoints,
+            &query(&domain, Some(&shared), NOW + case.later_ms),
+        );
+        let found = found.unwrap();
+        let again = found.endpoint.record.id == moved_to.record.id;
+        assert_eq!(
+            again && found.unread == Tokens(0),
+            case.found_again,
+            "{}",
+            case.name
+        );
+    }
+}
+
 /// Guards against affinity to an endpoint that is busy with requests of other
 /// entries. Its answers are late, and so are the load reports that come with them.
 #[test]
@@ -186,22 +278,27 @@
             .map(|i| endpoint(&format!("e{i}"), "north"))
             .collect();
         for other in &endpoints {
-            other.live.record_success(Duration::from_millis(100));
+            other
+                .live
+                .record_success(Duration::from_millis(100), Duration::ZERO);
         }
-        let before = chosen(&endpoints, &query(&domain, Some(7), NOW)).unwrap();
+        let shared = prompt(7, 6_000);
+        let before = chosen(&endpoints, &query(&domain, Some(&shared), NOW)).unwrap();
         let is_preferred = |e: &&Arc<EndpointView>| e.record.id.as_str() == before;
         let preferred = endpoints.iter().find(is_preferred).unwrap();
         if let Some(millis) = case.first_byte_ms {
             for _ in 0..50 {
-                preferred.live.record_success(Duration::from_millis(millis));
+                preferred
+                    .live
+                    .record_success(Duration::from_millis(millis), Duration::ZERO);
             }
         }
         let sent = |waited: &u64| {
             let at = Moment::from_millis(NOW - waited);
-            preferred.live.begin(Tokens(1), at)
+            preferred.live.begin(Duration::ZERO, at)
         };
         let _waiting: Vec<_> = case.waited_ms.iter().map(sent).collect();
-        let after = chosen(&endpoints, &query(&domain, Some(7), NOW)).unwrap();
+        let after = chosen(&endpoints, &query(&domain, Some(&shared), NOW)).unwrap();
         assert_eq!(after == before, case.affinity_kept, "{}", case.name);
     }
 }
@@ -256,7 +353,8 @@
             (case.prepare)(endpoint, Moment::from_millis(NOW));
         }
         let domain = "north".parse().unwrap();
-        let choice = choose(&endpoints, &query(&domain, case.affinity, NOW + 30)).unwrap();
+        let shared = case.affinity.map(|part| prompt(part, 6_000));
+        let choice = choose(&endpoints, &query(&domain, shared.as_ref(), NOW + 30)).unwrap();
         assert_eq!(choice.to_string(), case.logged, "{}", case.name);
     }
 }
@@ -276,7 +374,7 @@
             let _permit = choice
                 .endpoint
                 .live
-                .begin(Tokens(1), Moment::from_millis(at));
+                .begin(Duration::ZERO, Moment::from_millis(at));
             sent += 1;
         }
     }
--- a/tests/integration/direct/cascade.rs
+++ b/tests/integration/direct/cascade.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use quetzalworks::balance::Pressure;
-use quetzalworks::cascade::{Cascade, Decision};
+use quetzalworks::cascade::{Cascade, Decision, Forecast, standby_time};
 use quetzalworks::ids::ModelName;
 
 const OBJECTIVE: Duration = Duration::from_secs(1);
@@ -87,11 +87,81 @@
         .collect();
     for case in cases {
         let ladder = Cascade::new(&models);
-        let step = ladder.evaluate(case.index, case.confidence, pressure(case.first));
+        let forecast = Forecast {
+            begin: Duration::from_millis(100),
+            objective: OBJECTIVE,
+            pressure: pressure(case.first),
+            priority: 0,
+        };
+        let step = ladder.evaluate(case.index, case.confidence, &forecast);
         assert_eq!(step, case.step, "{}", case.name);
     }
 }
 
+/// Guards against a run of the largest model whose answer would come too late, and
+/// against less urgent runs that take the engines from more urgent ones.
+#[test]
+fn escalation_needs_time_and_urgency() {
+    struct Case {
+        name: &'static str,
+        begin_ms: u64,
+        load_ms: u64,
+        priority: u8,
+        step: Decision,
+    }
+    let case = |name, begin_ms, load_ms, priority, step| Case {
+        name,
+        begin_ms,
+        load_ms,
+        priority,
+        step,
+    };
+    let cases = [
+        case("in time", 800, 200, 0, Decision::Escalate(1)),
+        case("after the objective", 1_400, 200, 0, Decision::Keep),
+        case("loaded, urgent", 300, 550, 0, Decision::Escalate(1)),
+        case("loaded, less urgent", 300, 550, 2, Decision::Keep),
+    ];
+    let models: Vec<ModelName> = ["s", "l"].map(|name| name.parse().unwrap()).into();
+    for case in cases {
+        let forecast = Forecast {
+            begin: Duration::from_millis(case.begin_ms),
+            objective: OBJECTIVE,
+            pressure: pressure(Duration::from_millis(case.load_ms)),
+            priority: case.priority,
+        };
+        let step = Cascade::new(&models).evaluate(0, Some(0.2), &forecast);
+        assert_eq!(step, case.step, "{}", case.name);
+    }
+}
+
+/// Guards against an answer that is ready and not delivered because a larger model is late.
+#[test]
+fn an_answer_is_held_back_by_its_confidence() {
+    struct Case {
+        name: &'static str,
+        confidence: f64,
+        held_ms: std::ops::Range<u128>,
+    }
+    let cases = [
+        Case {
+            name: "of some confidence: in time",
+            confidence: 0.4,
+            held_ms: 500..1_000,
+        },
+        Case {
+            name: "of none: while the better one may still be complete",
+            confidence: 0.1,
+            held_ms: 1_000..5_000,
+        },
+    ];
+    let limit = Duration::from_secs(5);
+    for case in cases {
+        let held = standby_time(case.confidence, OBJECTIVE, limit).as_millis();
+        assert!(case.held_ms.contains(&held), "{}: {held} ms", case.name);
+    }
+}
+
 /// Guards against attempts of the smallest model that queue behind those of larger
 /// ones, against losing the priority, and against a resumed stream that is delayed.
 #[test]
--- a/tests/integration/direct/endpoint.rs
+++ b/tests/integration/direct/endpoint.rs
@@ -146,6 +146,12 @@
     fn serve(&self, tcp: &TcpStream) {
         let mut reader = BufReader::new(tcp.try_clone().unwrap());
         while let Some(mut received) = read(&mut reader) {
+            if received.path() == "/report" {
+                if !self.send_status(tcp) {
+                    return;
+                }
+                continue;
+            }
             let next = self.script.lock().unwrap().pop();
             let mut behaviour = next.unwrap_or_else(|| self.fallback.clone());
             let mut state = self.state.lock().unwrap();
@@ -230,6 +236,18 @@
         }
     }
 
+    /// Answers a probe of a busy engine; one that is silent by default hangs.
+    fn send_status(&self, mut tcp: &TcpStream) -> bool {
+        if matches!(self.fallback, Behaviour::Silent) {
+            self.wait_for_disconnect(tcp);
+            return false;
+        }
+        let body = r#"{"Queued":1,"Running":1}"#;
+        let length = body.len();
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}");
+        tcp.write_all(answer.as_bytes()).is_ok()
+    }
+
     fn send_events(&self, mut tcp: &TcpStream, req: &Received, confidence: &str, last: u64) {
         let id = req.header("attempt-id").unwrap_or_default();
         let head = format!(
--- a/tests/integration/direct/failures.rs
+++ b/tests/integration/direct/failures.rs
@@ -4,7 +4,7 @@
 
 use quetzalworks::balance::{Failure, Live, Permit, SilenceAction};
 use quetzalworks::runtime::Moment;
-use quetzalworks::units::{Rate, Tokens};
+use quetzalworks::units::Rate;
 
 use crate::direct::balance::{NOW, chosen, endpoint, query};
 
@@ -42,7 +42,7 @@
         let admits = || live.admits(Moment::default(), Some(Rate::clamped(2.0)), now);
         // The first request to a cold endpoint uses up its rate limit.
         assert!(admits(), "{name}");
-        drop(live.begin(Tokens(1), now));
+        drop(live.begin(Duration::ZERO, now));
         let admits = admits();
         assert_eq!(!admits, case.cold, "{name}");
     }
@@ -119,10 +119,12 @@
         for _ in 0..100 {
             endpoint
                 .live
-                .record_success(Duration::from_millis(case.usual_ms));
+                .record_success(Duration::from_millis(case.usual_ms), Duration::ZERO);
         }
         let sent = Moment::from_millis(NOW);
-        let _permit = case.in_flight.then(|| endpoint.live.begin(Tokens(1), sent));
+        let _permit = case
+            .in_flight
+            .then(|| endpoint.live.begin(Duration::ZERO, sent));
         let now = Moment::from_millis(NOW + case.silent_ms);
         assert_eq!(
             endpoint.live.is_silent(now),
@@ -133,6 +135,53 @@
     }
 }
 
+/// Guards against giving up an engine that is still reading a long prompt, and against
+/// waiting as long for one with short prompts only.
+#[test]
+fn silence_threshold_depends_on_the_prompts() {
+    struct Case {
+        name: &'static str,
+        /// Reading times of the requests that wait at the engine.
+        reading_ms: &'static [u64],
+        silent_ms: u64,
+        is_silent: bool,
+    }
+    let cases = [
+        Case {
+            name: "short prompt",
+            reading_ms: &[20],
+            silent_ms: 1_000,
+            is_silent: true,
+        },
+        Case {
+            name: "17,000 tokens of a large model",
+            reading_ms: &[1_060],
+            silent_ms: 2_500,
+            is_silent: false,
+        },
+        Case {
+            name: "a short prompt behind a long one",
+            reading_ms: &[1_060, 20],
+            silent_ms: 2_500,
+            is_silent: false,
+        },
+        Case {
+            name: "longer than a long prompt takes",
+            reading_ms: &[1_060],
+            silent_ms: 3_200,
+            is_silent: true,
+        },
+    ];
+    for case in cases {
+        let live = endpoint("e", "north").live.clone();
+        let sent = Moment::from_millis(NOW);
+        let begin = |millis: &u64| live.begin(Duration::from_millis(*millis), sent);
+        let _permits: Vec<_> = case.reading_ms.iter().map(begin).collect();
+        let now = Moment::from_millis(NOW + case.silent_ms);
+        assert_eq!(live.is_silent(now), case.is_silent, "{}", case.name);
+    }
+}
+
 /// Guards against new requests to an endpoint that hangs: it accepts connections but does
 /// not answer.
 #[test]
@@ -175,7 +224,7 @@
     for case in cases {
         let endpoints = [endpoint("near", "north"), endpoint("other", "south")];
         let live = &endpoints[0].live;
-        let mut permit = live.begin(Tokens(1), Moment::from_millis(NOW));
+        let mut permit = live.begin(Duration::ZERO, Moment::from_millis(NOW));
         let at = NOW + 1_000;
         let now = Moment::from_millis(at);
         assert_eq!(
@@ -185,7 +234,7 @@
             case.name
         );
         (case.event)(live, &mut permit, now);
-        let _as_busy = endpoints[1].live.begin(Tokens(1), now);
+        let _as_busy = endpoints[1].live.begin(Duration::ZERO, now);
         let later = Moment::from_millis(at + case.later_ms);
         assert_eq!(live.silence_action(now), case.waiting[0], "{}", case.name);
         assert_eq!(
--- a/tests/integration/direct/streams.rs
+++ b/tests/integration/direct/streams.rs
@@ -170,6 +170,61 @@
     }
 }
 
+/// Guards against throwing away an answer that is ready when a larger model fails or does
+/// not begin in time, and against delivering parts of both.
+#[test]
+fn a_smaller_answer_stands_by_for_a_larger_one() {
+    struct Case {
+        name: &'static str,
+        confidence: &'static str,
+        larger: Behaviour,
+        model: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "the larger model answers",
+            confidence: "40",
+            larger: Behaviour::Events("90"),
+            model: "large",
+        },
+        Case {
+            name: "the larger model does not begin in time",
+            confidence: "40",
+            larger: Behaviour::LateEvents(Duration::from_millis(2_500)),
+            model: "small",
+        },
+        Case {
+            name: "a late answer is better than one without confidence",
+            confidence: "5",
+            larger: Behaviour::LateEvents(Duration::from_millis(1_300)),
+            model: "large",
+        },
+        Case {
+            name: "the larger model is refused",
+            confidence: "5",
+            larger: Behaviour::NotRun,
+            model: "small",
+        },
+        Case {
+            name: "the larger model breaks off before its first event",
+            confidence: "5",
+            larger: Behaviour::Close,
+            model: "small",
+        },
+    ];
+    for case in cases {
+        let script = [Behaviour::Events(case.confidence), case.larger.clone()];
+        let engine = Endpoint::spawn("a", &script, Behaviour::NotRun);
+        let site = Site::spawn(&[("writer", &engine)]);
+        let answer = site.chat("id-1").unwrap();
+        let text = answer.text();
+        assert_eq!((answer.status, ids(&text).len()), (200, 6), "{}", case.name);
+        assert!(text.contains(case.model), "{}: {text}", case.name);
+        let expected: Vec<u64> = (1..=EVENTS).collect();
+        assert_eq!(ids(&text), expected, "{}", case.name);
+    }
+}
+
 /// Guards against treating a busy endpoint as gone because it sends nothing while it
 /// processes a prompt.
 #[test]
