A body that has failed stays failed: no broken answer looks complete

Cause: hyper reports the regular end of a body after its error, so an answer that broke off between two events while it was buffered was read to an 'end'. Change: http::Answer remembers the failure. The new test failed before ([1, 2, 3] in place of 1 to 6) and passes after.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -291,6 +291,8 @@
     pub headers: HeaderMap,
     body: Incoming,
     connection: Option<Connection>,
+    /// Whether the body has failed, after which `hyper` reports its regular end.
+    is_broken: bool,
 }
 
 impl Answer {
@@ -304,14 +306,19 @@
             headers: head.headers,
             body,
             connection: Some(connection),
+            is_broken: false,
         }
     }
 
     /// Returns the next chunk of the body; `None` at its end, where the connection is
-    /// released.
+    /// released. Once it has failed, each further call fails too.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, http::HttpError> {
+        if self.is_broken {
+            return Err(http::HttpError::Broken("the body has failed before".into()));
+        }
         while let Some(frame) = self.body.frame().await {
-            if let Ok(data) = frame?.into_data() {
+            let frame = frame.inspect_err(|_| self.is_broken = true)?;
+            if let Ok(data) = frame.into_data() {
                 return Ok(Some(data));
             }
         }
--- a/tests/integration/direct/endpoint.rs
+++ b/tests/integration/direct/endpoint.rs
@@ -38,6 +38,9 @@
     Twice,
     /// Sends events up to this id, and closes the connection in the middle of the next.
     Cut(u64),
+    /// Sends events up to this id, with this confidence of the model in percent, and closes
+    /// the connection between two events.
+    DoubtfulCut(u64, &'static str),
     /// Sends events up to this id, and then nothing more.
     Stall(u64),
     /// Sends all events, with this confidence of the model in percent.
@@ -213,6 +216,10 @@
                 let answer = complete_answer(200, &id, &seal, "once");
                 send(&format!("{answer}{answer}"))
             }
+            Behaviour::DoubtfulCut(last, confidence) => {
+                self.send_events(tcp, req, confidence, *last);
+                false
+            }
             Behaviour::Cut(last) => {
                 self.send_events(tcp, req, "90", *last);
                 // Half of the event that would come next.
--- a/tests/integration/direct/streams.rs
+++ b/tests/integration/direct/streams.rs
@@ -225,6 +225,38 @@
     }
 }
 
+/// Guards against a buffered answer that broke off and is delivered as if it were complete.
+#[test]
+fn an_answer_that_breaks_off_on_standby_is_resumed() {
+    struct Case {
+        name: &'static str,
+        /// Last event before the smaller model's answer breaks off.
+        last: u64,
+    }
+    let cases = [
+        Case {
+            name: "after some events",
+            last: 3,
+        },
+        Case {
+            name: "after the first event",
+            last: 1,
+        },
+    ];
+    for case in cases {
+        let script = [
+            Behaviour::DoubtfulCut(case.last, "40"),
+            Behaviour::LateEvents(Duration::from_millis(2_500)),
+        ];
+        let script = Arc::new(Mutex::new(script.into_iter().rev().collect()));
+        let engines = ["a", "b"].map(|id| Endpoint::shared(id, &script, Behaviour::Events("90")));
+        let site = Site::spawn(&engines.each_ref().map(|engine| ("writer", engine)));
+        let answer = site.chat("id-1").unwrap();
+        let expected: Vec<u64> = (1..=EVENTS).collect();
+        assert_eq!(ids(&answer.text()), expected, "{}", case.name);
+    }
+}
+
 /// Guards against treating a busy endpoint as gone because it sends nothing while it
 /// processes a prompt.
 #[test]
