Refused callers return one after the other, at the usual rate of requests

Change: each refusal books the next place behind the one before, at the mean gap between requests, within 0.3 of the time that the caller has left.

--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -9,6 +9,7 @@
 mod prompt;
 mod reading_speed;
 mod retry_window;
+mod return_times;
 
 pub use cached_parts::CachedParts;
 pub use choose::{Choice, ChoiceReason, Query, VersionFilter, choose};
@@ -18,3 +19,4 @@
 pub use prompt::{Prompt, PromptPart, Reading};
 pub use reading_speed::ReadingSpeed;
 pub use retry_window::RetryWindow;
+pub use return_times::ReturnTimes;
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -17,7 +17,7 @@
 /// Age up to which the configuration counts as current: reads prove it current about
 /// every second.
 const MAX_CURRENT_AGE: Duration = Duration::from_millis(2_500);
-/// `Retry-After` while the configuration is not known to be current.
+/// Earliest `Retry-After` while the configuration is not known to be current.
 const CONFIG_RETRY_AFTER: units::Millis = units::Millis(400);
 /// Time after the begin of a planned stop in which requests are still admitted; the
 /// platform takes the entry out of rotation after two probes a second apart.
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -58,6 +58,7 @@
     /// before.
     stop_began_ms: AtomicU64,
     overload: Mutex<overload::OverloadDetector>,
+    returns: Mutex<balance::ReturnTimes>,
 }
 
 impl Cx {
@@ -75,6 +76,7 @@
             services: Mutex::default(),
             stop_began_ms: AtomicU64::new(0),
             overload: Mutex::default(),
+            returns: Mutex::default(),
         })
     }
 
@@ -90,6 +92,25 @@
         self.settings.store(Arc::new(settings));
     }
 
+    /// Records the arrival of a request, whether it is admitted or not.
+    pub fn record_arrival(&self, now: runtime::Moment) {
+        self.lock_returns().record_arrival(now);
+    }
+
+    /// Returns when a refused caller should return, not before `earliest` and apart from
+    /// other refused callers.
+    pub fn book_return(&self, earliest: units::Millis, time_left: Duration) -> units::Millis {
+        let now = runtime::Moment::now();
+        let delay = self
+            .lock_returns()
+            .book(earliest.duration(), time_left, now);
+        delay.into()
+    }
+
+    fn lock_returns(&self) -> MutexGuard<'_, balance::ReturnTimes> {
+        self.returns.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Counts a request towards the retry budget of its service.
     pub fn count_request(&self, service: &ids::ServiceName, now: runtime::Moment) {
         self.with_service(service, |state| state.window.record_request(now));
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -58,10 +58,14 @@
         let metadata = platform::headers::decode_request(req.headers());
         let id = metadata.id.clone().unwrap_or_else(|| "-".into());
         let mut trace = trace::Trace::begin(Arc::clone(&id));
+        self.0.record_arrival(now);
         let snapshot = self.wait_for_snapshot().await;
         let admitted = match self.admit(&req, &snapshot, &metadata, now) {
             Ok(admitted) => admitted,
-            Err(refusal) => return refuse::refuse(&mut trace, &refusal),
+            Err(refusal) => {
+                let refusal = self.spread_return(refusal, &metadata);
+                return refuse::refuse(&mut trace, &refusal);
+            }
         };
         note_admission(&mut trace, &admitted);
         if let Some(session) = metadata.session {
@@ -129,6 +133,22 @@
         }
     }
 
+    /// Moves the time at which the caller of a refused request should return apart from
+    /// those of other refused callers.
+    fn spread_return(
+        &self,
+        refusal: errors::Refusal,
+        metadata: &gateway::RequestMetadata,
+    ) -> errors::Refusal {
+        let Some(earliest) = refusal.retry_after else {
+            return refusal;
+        };
+        let time_left = metadata
+            .deadline
+            .map_or(BODY_TIMEOUT, units::Millis::duration);
+        refusal.with_retry_after(self.0.book_return(earliest, time_left))
+    }
+
     /// Returns the current snapshot. While it cannot serve requests, as right after the
     /// start of the process, waits up to [`STARTUP_WAIT`] for one that can.
     async fn wait_for_snapshot(&self) -> Arc<direct::Snapshot> {
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -23,7 +23,7 @@
     max_refusals: 4,
     min_time_left: Duration::from_millis(20),
 };
-/// `Retry-After` when all endpoints are busy.
+/// Earliest `Retry-After` when all endpoints are busy.
 const BUSY_RETRY_AFTER: units::Millis = units::Millis(150);
 
 /// Complete answer of an endpoint.
@@ -182,6 +182,7 @@
     code: errors::ResultCode,
     reason: &'static str,
 ) -> http::Reply {
-    let refusal = errors::Refusal::new(code, reason).with_retry_after(BUSY_RETRY_AFTER);
+    let after = call.cx.book_return(BUSY_RETRY_AFTER, call.time_left());
+    let refusal = errors::Refusal::new(code, reason).with_retry_after(after);
     refuse::refuse(&mut call.trace, &refusal)
 }
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -14,6 +14,7 @@
 mod keys;
 mod operator;
 mod pool;
+mod returns;
 mod rollouts;
 pub mod site;
 mod smuggling;
