Bytes without end, or without progress, end with the attempt

What the new tests showed on the code before: - Interim responses (102) without end stopped the whole process: hyper reads them in one loop, so no timer fired and the test's caller timed out after 60 s. - A body without separator was buffered without limit before the first event. - A byte, comment or blank line now and then prolonged a stalled stream to the caller's deadline, though it could be resumed. - The status query and the orders of a sidecar bounded the head only.

Change: the client's connections interrupt their reader each 128 KB; heads are limited to 64 KB, an event to 1 MB also before the first one; only complete events prolong a stream, and comments are none; Client::fetch bounds the whole exchange. Cases: direct::endless (eight kinds of endless bytes, three of bytes that are no event), direct::pool.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,7 +1,7 @@
 //! Relay of a stream of events to the caller.
 
 use std::io;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
 use hyper::body::Bytes;
@@ -10,8 +10,6 @@
 use crate::gateway::{call, stream, trace};
 use crate::http;
 
-/// Maximum size of an event in bytes; more without a separator is not a stream of events.
-const MAX_EVENT_BYTES: usize = 1_024 * 1_024;
 /// Wait for the next event, as a multiple of the gap that the route permits.
 const EVENT_GAP_FACTOR: f64 = 2.0;
 
@@ -22,6 +20,9 @@
     call: call::Call,
     source: Option<stream::EventSource>,
     last_event: Option<u64>,
+    /// Time spent waiting for the next event while only comments were passed on. The time
+    /// that the caller takes to read does not count.
+    waited: Duration,
     status: StatusCode,
 }
 
@@ -39,6 +40,7 @@
             call,
             source: Some(source),
             last_event,
+            waited: Duration::ZERO,
             status,
         }
     }
@@ -46,17 +48,23 @@
     /// Returns the next complete events; `None` at the end. An error ends the caller's
     /// stream as incomplete.
     pub async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        let mut waiting_since = Instant::now();
         loop {
             let source = self.source.as_mut()?;
-            if let Some(bytes) = take_new_events(&mut source.splitter, &mut self.last_event) {
+            if let Some(taken) = take_new_events(&mut source.splitter, &mut self.last_event) {
+                self.waited = if taken.has_event {
+                    Duration::ZERO
+                } else {
+                    self.waited + waiting_since.elapsed()
+                };
                 self.call.trace.record_part();
-                return Some(Ok(bytes));
+                return Some(Ok(taken.bytes));
             }
-            let deadline = event_deadline(&self.call);
+            let deadline = event_deadline(&self.call, waiting_since, self.waited);
             match stream::read(&mut source.opened, deadline).await {
                 stream::Chunk::Data(bytes) => {
                     source.splitter.push(&bytes);
-                    if source.splitter.pending() > MAX_EVENT_BYTES {
+                    if source.splitter.pending() > stream::MAX_EVENT_BYTES {
                         return Some(Err(self.interrupt("event too large")));
                     }
                 }
@@ -73,11 +81,13 @@
                     if let Err(err) = self.resume(balance::Failure::Broken).await {
                         return Some(Err(err));
                     }
+                    waiting_since = Instant::now();
                 }
                 stream::Chunk::TimedOut => {
                     if let Err(err) = self.resume(balance::Failure::Silent).await {
                         return Some(Err(err));
                     }
+                    waiting_since = Instant::now();
                 }
             }
         }
@@ -101,6 +111,7 @@
         match stream::open(&mut self.call, self.last_event).await {
             Ok(source) => {
                 self.source = Some(source);
+                self.waited = Duration::ZERO;
                 Ok(())
             }
             Err(_) => Err(self.interrupt("no endpoint goes on")),
@@ -116,10 +127,21 @@
     }
 }
 
+/// Bytes that are passed on to the caller.
+struct TakenEvents {
+    bytes: Bytes,
+    /// Whether there is an event among them, not only comments.
+    has_event: bool,
+}
+
 /// Takes the complete events that have arrived, without those that the caller already
 /// has.
-fn take_new_events(splitter: &mut http::EventSplitter, last: &mut Option<u64>) -> Option<Bytes> {
+fn take_new_events(
+    splitter: &mut http::EventSplitter,
+    last: &mut Option<u64>,
+) -> Option<TakenEvents> {
     let mut taken = Vec::new();
+    let mut has_event = false;
     while let Some(event) = splitter.next_event() {
         if let (Some(id), Some(last)) = (event.id, *last)
             && id <= last
@@ -129,20 +151,26 @@
         if event.id.is_some() {
             *last = event.id;
         }
+        has_event |= !event.is_comment();
         taken.extend_from_slice(&event.bytes);
     }
-    (!taken.is_empty()).then(|| taken.into())
+    (!taken.is_empty()).then(|| TakenEvents {
+        bytes: taken.into(),
+        has_event,
+    })
 }
 
 /// Returns the time until which to wait for the next event: the request's deadline if the
-/// route sets no limit on gaps or a retry is not allowed.
-fn event_deadline(call: &call::Call) -> Instant {
+/// route sets no limit on gaps or a retry is not allowed. `waited` is the time spent
+/// before `waiting_since`.
+fn event_deadline(call: &call::Call, waiting_since: Instant, waited: Duration) -> Instant {
     let Some(gap) = call.rule.event_gap else {
         return call.deadline;
     };
     if !call.may_retry() {
         return call.deadline;
     }
+    let limit = gap.duration().mul_f64(EVENT_GAP_FACTOR);
     call.deadline
-        .min(Instant::now() + gap.duration().mul_f64(EVENT_GAP_FACTOR))
+        .min(waiting_since + limit.saturating_sub(waited))
 }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -284,12 +284,8 @@
 
 /// Requests the load of an engine.
 async fn read_status(client: &http::Client) -> Result<balance::ReportedLoad, http::HttpError> {
-    let deadline = Instant::now() + STATUS_TIMEOUT;
-    let answer = client
-        .send(platform::endpoint_status::request(), STATUS_TIMEOUT)
-        .await?;
-    let body = runtime::timeout_at(deadline, answer.bytes(MAX_STATUS_BODY)).await;
-    let body = body.ok_or(http::HttpError::TimedOut)??;
+    let req = platform::endpoint_status::request();
+    let (_, body) = client.fetch(req, MAX_STATUS_BODY, STATUS_TIMEOUT).await?;
     platform::endpoint_status::decode(&body).map_err(|err| http::HttpError::Malformed(err.into()))
 }
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -31,6 +31,9 @@
     min_time_left: Duration::from_millis(50),
 };
 
+/// Maximum size of an event in bytes; more without a separator is not a stream of events.
+pub const MAX_EVENT_BYTES: usize = 1_024 * 1_024;
+
 /// A stream of events that has begun to arrive.
 #[derive(Debug)]
 pub struct EventSource {
@@ -284,7 +287,10 @@
         let failure = match read(&mut source.opened, deadline).await {
             Chunk::Data(bytes) => {
                 source.splitter.push(&bytes);
-                continue;
+                if source.splitter.pending() <= MAX_EVENT_BYTES {
+                    continue;
+                }
+                balance::Failure::Broken
             }
             Chunk::End if source.splitter.pending() == 0 => {
                 source.opened.permit.record_first_byte();
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -16,11 +16,14 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::http;
+use crate::http::fair_reads;
 use crate::runtime;
 use crate::units;
 
 /// Default time limit for the TCP connect; one round trip takes a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum size of the head of an answer; a longer one counts as broken.
+const MAX_HEAD_BYTES: usize = 64 * 1_024;
 /// Maximum number of idle connections in the pool.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 /// Maximum idle time after which a connection is still used again, where the server
@@ -222,6 +225,23 @@
             .await
     }
 
+    /// Sends a request and returns status and body of the response. Unlike [`Self::send`],
+    /// `timeout` bounds the whole exchange. Fails if the body is larger than `limit`.
+    pub async fn fetch(
+        &self,
+        req: Request<Full<Bytes>>,
+        limit: units::Bytes,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), http::HttpError> {
+        let exchange = async {
+            let answer = self.send(req, timeout).await?;
+            Ok((answer.status, answer.bytes(limit).await?))
+        };
+        runtime::timeout_at(Instant::now() + timeout, exchange)
+            .await
+            .unwrap_or(Err(http::HttpError::TimedOut))
+    }
+
     async fn exchange(&self, mut req: Request<Full<Bytes>>) -> Result<Answer, http::HttpError> {
         while let Some(mut connection) = self.shared.take_idle() {
             match connection.sender.try_send_request(req).await {
@@ -251,7 +271,10 @@
             })
             .await?;
         tcp.set_nodelay(true)?;
-        let (sender, connection) = http1::handshake(FuturesIo::new(tcp))
+        let io = FuturesIo::new(fair_reads::FairReads::new(tcp));
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(io)
             .await
             .map_err(|err| http::HttpError::NotSent(err.to_string().into()))?;
         let driver = async {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod connections;
 mod error;
+mod fair_reads;
 mod reply;
 mod request_body;
 mod server;
--- a/src/http/sse.rs
+++ b/src/http/sse.rs
@@ -47,6 +47,14 @@
     pub id: Option<u64>,
 }
 
+impl Event {
+    /// Returns whether it has no field, only comments and blank lines.
+    #[must_use]
+    pub fn is_comment(&self) -> bool {
+        is_comment(&self.bytes)
+    }
+}
+
 /// Splits a byte stream into complete events and leaves their bytes unchanged.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -54,6 +62,8 @@
     /// Number of bytes at the start of the buffer that were searched and have no
     /// separator.
     searched_bytes: usize,
+    /// Number of bytes at the start of the buffer that are complete comments.
+    comment_bytes: usize,
 }
 
 impl EventSplitter {
@@ -68,23 +78,35 @@
         self.buf.len()
     }
 
-    /// Returns whether a complete event is buffered.
+    /// Returns whether a complete event is buffered; comments are none.
     pub fn has_event(&mut self) -> bool {
-        self.separator_end().is_some()
+        while let Some(end) = self.separator_end(self.comment_bytes) {
+            if !is_comment(&self.buf[self.comment_bytes..end]) {
+                return true;
+            }
+            self.comment_bytes = end;
+        }
+        false
     }
 
-    /// Takes the next complete event; `None` until more bytes arrive.
+    /// Takes the next complete event or comment; `None` until more bytes arrive.
     pub fn next_event(&mut self) -> Option<Event> {
-        let end = self.separator_end()?;
+        let end = if self.comment_bytes > 0 {
+            self.comment_bytes
+        } else {
+            self.separator_end(0)?
+        };
         let bytes: Bytes = self.buf.drain(..end).collect();
+        self.comment_bytes = 0;
         self.searched_bytes = 0;
         let id = event_id(&bytes);
         Some(Event { bytes, id })
     }
 
-    /// Returns the end of the first blank line in the buffer. Lines end in LF or CR LF.
-    fn separator_end(&mut self) -> Option<usize> {
-        let from = self.searched_bytes.saturating_sub(3);
+    /// Returns the end of the first blank line at `start` or after it. Lines end in LF or
+    /// CR LF.
+    fn separator_end(&mut self, start: usize) -> Option<usize> {
+        let from = self.searched_bytes.saturating_sub(3).max(start);
         for at in from..self.buf.len() {
             let rest = &self.buf[at..];
             if rest.starts_with(b"\n\n") {
@@ -99,6 +121,14 @@
     }
 }
 
+/// Returns whether a block has no field, only comments and blank lines. It keeps the
+/// connection open, but is no progress of the answer.
+fn is_comment(block: &[u8]) -> bool {
+    block
+        .split(|byte| *byte == b'\n')
+        .all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 fn event_id(event: &[u8]) -> Option<u64> {
     event.split(|byte| *byte == b'\n').find_map(|line| {
         let value = line.strip_prefix(b"id:")?;
--- a/src/sidecar/engine.rs
+++ b/src/sidecar/engine.rs
@@ -20,7 +20,7 @@
 use crate::sidecar::engine_stream;
 use crate::units;
 
-/// Time limit until the engine's status response begins.
+/// Time limit for the engine's status.
 const STATUS_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum size of a status response, and of the response to an order.
 const MAX_STATUS_SIZE: units::Bytes = units::Bytes(256 * 1_024);
@@ -84,11 +84,11 @@
             .uri("/status")
             .body(Full::default())
             .map_err(malformed)?;
-        self.http
-            .send(req, STATUS_TIMEOUT)
-            .await?
-            .json(MAX_STATUS_SIZE)
-            .await
+        let (_, body) = self
+            .http
+            .fetch(req, MAX_STATUS_SIZE, STATUS_TIMEOUT)
+            .await?;
+        serde_json::from_slice(&body).map_err(malformed)
     }
 
     /// Sends a model request and returns its answer as a stream once the response
@@ -148,9 +148,8 @@
             .header(CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(|err| failed(malformed(err)))?;
-        let response = self.http.send(req, ORDER_TIMEOUT).await.map_err(failed)?;
-        let status = response.status;
-        let _ = response.bytes(MAX_STATUS_SIZE).await;
+        let exchange = self.http.fetch(req, MAX_STATUS_SIZE, ORDER_TIMEOUT);
+        let (status, _) = exchange.await.map_err(failed)?;
         let code = match status.as_u16() {
             200..=299 => return Ok(()),
             409 => errors::ResultCode::StaleFence,
--- a/tests/integration/direct/endpoint.rs
+++ b/tests/integration/direct/endpoint.rs
@@ -43,6 +43,11 @@
     DoubtfulCut(u64, &'static str),
     /// Sends events up to this id, and then nothing more.
     Stall(u64),
+    /// Sends this text once and then the other one again and again, until the connection
+    /// is closed.
+    Endless(&'static str, &'static str),
+    /// Sends events up to this id, and then this text every 100 ms.
+    Trickle(u64, &'static str),
     /// Sends all events, with this confidence of the model in percent.
     Events(&'static str),
     /// Like `Events`, after a pause.
@@ -82,6 +87,8 @@
     received: Vec<Received>,
     /// Number of connections that the router closed before the answer was complete.
     abandoned_answers: usize,
+    /// Bytes sent by `Endless`.
+    endless_bytes: usize,
 }
 
 /// A running endpoint; clones share its state.
@@ -146,6 +153,11 @@
         self.state.lock().unwrap().abandoned_answers
     }
 
+    /// Returns the number of bytes that `Endless` has sent.
+    pub fn endless_bytes(&self) -> usize {
+        self.state.lock().unwrap().endless_bytes
+    }
+
     fn serve(&self, tcp: &TcpStream) {
         let mut reader = BufReader::new(tcp.try_clone().unwrap());
         while let Some(mut received) = read(&mut reader) {
@@ -231,6 +243,19 @@
                 self.wait_for_disconnect(tcp);
                 false
             }
+            Behaviour::Endless(first, rest) => {
+                send(&first.replace("{id}", &id));
+                self.send_endless(tcp, rest);
+                false
+            }
+            Behaviour::Trickle(last, text) => {
+                self.send_events(tcp, req, "90", *last);
+                while write_chunk(tcp, text).is_ok() {
+                    thread::sleep(Duration::from_millis(100));
+                }
+                self.state.lock().unwrap().abandoned_answers += 1;
+                false
+            }
             Behaviour::LateEvents(pause) => {
                 thread::sleep(*pause);
                 self.send_answer(tcp, req, &Behaviour::Events("90"))
@@ -243,6 +268,14 @@
         }
     }
 
+    fn send_endless(&self, mut tcp: &TcpStream, text: &str) {
+        let block = text.repeat(16 * 1_024 / text.len());
+        while tcp.write_all(block.as_bytes()).is_ok() {
+            self.state.lock().unwrap().endless_bytes += block.len();
+        }
+        self.state.lock().unwrap().abandoned_answers += 1;
+    }
+
     /// Answers a probe of a busy engine; one that is silent by default hangs.
     fn send_status(&self, mut tcp: &TcpStream) -> bool {
         if matches!(self.fallback, Behaviour::Silent) {
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -5,6 +5,7 @@
 mod canary;
 mod cascade;
 mod decode;
+mod endless;
 pub mod endpoint;
 mod endpoints;
 mod events;
--- a/tests/integration/direct/pool.rs
+++ b/tests/integration/direct/pool.rs
@@ -1,6 +1,6 @@
 //! Pooled connections to endpoints.
 
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::TcpListener;
 use std::time::Duration;
 
@@ -34,6 +34,53 @@
     assert!(head.starts_with(b"GET / HTTP/1.1"));
 }
 
+/// Guards against a status query or an order that waits for ever, since its time limit
+/// held for the head of the answer only.
+#[test]
+fn a_fetch_ends_with_its_time_limit() {
+    struct Case {
+        name: &'static str,
+        answer: &'static str,
+        result: Result<&'static str, HttpError>,
+    }
+    let cases = [
+        Case {
+            name: "complete",
+            answer: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood",
+            result: Ok("good"),
+        },
+        Case {
+            name: "stalls before the head",
+            answer: "",
+            result: Err(HttpError::TimedOut),
+        },
+        Case {
+            name: "stalls in the body",
+            answer: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngo",
+            result: Err(HttpError::TimedOut),
+        },
+        Case {
+            name: "larger than the limit",
+            answer: "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\ngood or bad?",
+            result: Err(HttpError::TooLarge),
+        },
+    ];
+    for case in cases {
+        let listener = TcpListener::bind(isolation::free_addr()).unwrap();
+        let client = Client::new(listener.local_addr().unwrap(), http::traffic());
+        let fetched = http::traffic().spawn(async move {
+            let req = Request::new(Full::default());
+            let fetch = client.fetch(req, Bytes(8), Duration::from_millis(500));
+            fetch.await.map(|(_, body)| body)
+        });
+        let (mut tcp, _) = listener.accept().unwrap();
+        tcp.write_all(case.answer.as_bytes()).unwrap();
+        let fetched = smol::block_on(fetched);
+        let expected = case.result.map(|text| text.as_bytes().into());
+        assert_eq!(fetched, expected, "{}", case.name);
+    }
+}
+
 /// Guards against more connections than the endpoint accepts, and against slots that are
 /// not released after failed exchanges.
 #[test]
