--- a/tests/integration/direct/pool.rs
+++ b/tests/integration/direct/pool.rs
@@ -74,6 +74,8 @@
             fetch.await.map(|(_, body)| body)
         });
         let (mut tcp, _) = listener.accept().unwrap();
+        // The client takes an answer before its request for an error of the connection.
+        assert!(tcp.read(&mut [0; 1_024]).unwrap() > 0);
         tcp.write_all(case.answer.as_bytes()).unwrap();
         let fetched = smol::block_on(fetched);
         let expected = case.result.map(|text| text.as_bytes().into());
