Allowed regions of routes and teams hold for each choice of an endpoint

Cause: nothing read the regions that a route or a team is limited to. An endpoint in the own region is preferred. Not done: the same constraint on profiles and teams of the own interface.

--- a/src/balance/choose.rs
+++ b/src/balance/choose.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::balance;
+use crate::catalog;
 use crate::direct;
 use crate::ids;
 use crate::route;
@@ -31,6 +32,8 @@
 const READING_WEIGHT: f64 = 2.0;
 /// Cost of a path to another failure domain, as a load relative to the slots.
 const CROSS_DOMAIN_PENALTY: f64 = 0.08;
+/// Cost of a path to another region: the way there takes several milliseconds.
+const CROSS_REGION_PENALTY: f64 = 0.5;
 /// Weight of an endpoint's failure rate in its score.
 const FAILURE_PENALTY_FACTOR: f64 = 4.0;
 
@@ -63,6 +66,10 @@
     /// Prompt of the request, parts of which an endpoint may have cached; `None` selects
     /// by load alone.
     pub reading: Option<balance::Reading<'a>>,
+    /// Regions in which the request may be executed.
+    pub regions: &'a catalog::AllowedRegions,
+    /// Region of this entry; endpoints in it are preferred. `None` if it is not known.
+    pub region: Option<&'a ids::RegionName>,
     /// Endpoints excluded because an earlier attempt used them.
     pub tried: &'a [ids::EndpointId],
     /// Failure domain of this entry; endpoints in it are preferred.
@@ -204,16 +211,17 @@
     fn rate(&mut self, query: &Query<'_>) {
         let record = &self.endpoint.record;
         let slots = f64::from(record.slots.max(1));
-        let domain_penalty = if record.domain == *query.domain {
+        let path_penalty = if record.domain == *query.domain {
             0.0
-        } else {
+        } else if self.endpoint.region.as_ref() == query.region {
             CROSS_DOMAIN_PENALTY
+        } else {
+            CROSS_REGION_PENALTY
         };
         let load = f64::from(self.figures.load) / slots;
         let failure_penalty = self.figures.failure_share * FAILURE_PENALTY_FACTOR;
         let time = self.wait() + self.reading.mul_f64(READING_WEIGHT);
-        self.score =
-            time.as_secs_f64().max(0.001) * (1.0 + load + domain_penalty + failure_penalty);
+        self.score = time.as_secs_f64().max(0.001) * (1.0 + load + path_penalty + failure_penalty);
     }
 }
 
@@ -284,6 +292,7 @@
 
 fn is_eligible(endpoint: &direct::EndpointView, query: &Query<'_>) -> bool {
     query.version.allows(&endpoint.record.version)
+        && query.regions.allows(endpoint.region.as_ref())
         && !query.tried.contains(&endpoint.record.id)
         && endpoint
             .live
--- a/src/catalog/deployment.rs
+++ b/src/catalog/deployment.rs
@@ -25,6 +25,8 @@
     pub team: ids::TeamName,
     /// Priority that replaces the route's, 0 being the most urgent; `None` keeps the route's.
     pub priority: Option<u8>,
+    /// Regions in which its requests may be executed.
+    pub regions: catalog::AllowedRegions,
 }
 
 /// One revision of the complete configuration.
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -1,5 +1,6 @@
 //! Operator configuration as a replicated state machine over the `config` stream.
 
+mod allowed_regions;
 mod api_key;
 mod change;
 mod change_outcome;
@@ -17,6 +18,7 @@
 mod upstream;
 mod version;
 
+pub use allowed_regions::AllowedRegions;
 pub use api_key::ApiKey;
 pub use change::Change;
 pub use change_outcome::{ChangeOutcome, RejectReason};
--- a/src/catalog/route_rule.rs
+++ b/src/catalog/route_rule.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::catalog;
 use crate::ids;
 use crate::units;
 
@@ -71,6 +72,8 @@
     /// Models of the cascade, smallest first; empty if requests name no model or
     /// name it themselves.
     pub models: Vec<ids::ModelName>,
+    /// Regions in which the requests may be executed.
+    pub regions: catalog::AllowedRegions,
 }
 
 impl RouteRule {
--- a/src/direct/snapshot.rs
+++ b/src/direct/snapshot.rs
@@ -20,6 +20,8 @@
     pub live: Arc<balance::Live>,
     /// Time until which the endpoint is cold.
     pub cold_until: runtime::Moment,
+    /// Region of its failure domain; `None` if the settings do not list the domain.
+    pub region: Option<ids::RegionName>,
     /// Whether it is a model engine, which reports its status on request.
     pub is_engine: bool,
 }
--- a/src/direct/system/snapshot.rs
+++ b/src/direct/system/snapshot.rs
@@ -48,6 +48,7 @@
                 record: row.record.clone(),
                 live: Arc::clone(&row.live),
                 cold_until: row.cold_until,
+                region: world.settings.regions.get(&row.record.domain).cloned(),
                 is_engine: upstream.is_engine,
             })
         })
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -38,6 +38,9 @@
     pub team: Option<ids::TeamName>,
     /// Priority of the request; 0 is the most urgent.
     pub priority: u8,
+    /// Regions in which the request may be executed: those of the route that are also the
+    /// team's.
+    pub regions: catalog::AllowedRegions,
 }
 
 /// Decides whether a request is admitted. The error is the refusal for the caller.
@@ -70,7 +73,7 @@
             config_refusal("no route takes this path, but the configuration may be old")
         });
     };
-    let (team, priority) = match &deployment.teams {
+    let (team, priority, regions) = match &deployment.teams {
         Some(teams) if !rule.anonymous => {
             check_config_age(cx, age)?;
             let access = metadata.key.as_ref().and_then(|key| teams.get(key));
@@ -82,9 +85,10 @@
                 });
             };
             let priority = access.priority.unwrap_or(rule.priority);
-            (Some(access.team.clone()), priority)
+            let regions = rule.regions.and(&access.regions);
+            (Some(access.team.clone()), priority, regions)
         }
-        _ => (None, rule.priority),
+        _ => (None, rule.priority, rule.regions.clone()),
     };
     Ok(Admitted {
         deployment: Arc::clone(deployment),
@@ -92,6 +96,7 @@
         rule: Arc::clone(rule),
         team,
         priority,
+        regions,
     })
 }
 
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -58,6 +58,8 @@
     pub team: Option<ids::TeamName>,
     /// Priority of the request; 0 is the most urgent.
     pub priority: u8,
+    /// Regions in which the request may be executed, by its route and team.
+    pub regions: catalog::AllowedRegions,
     /// Time at which the head of the request had arrived.
     pub arrived: Instant,
     /// Time at which the answer must be complete.
@@ -217,6 +219,8 @@
             let query = balance::Query {
                 version,
                 reading,
+                regions: &self.regions,
+                region: settings.regions.get(&settings.domain),
                 tried,
                 domain: &settings.domain,
                 cold_rate,
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -108,6 +108,7 @@
             service,
             team: admitted.team,
             priority: admitted.priority,
+            regions: admitted.regions,
             arrived,
             deadline,
             tried: Vec::new(),
@@ -214,6 +215,9 @@
         trace.note("team", team);
     }
     trace.note("priority", &admitted.priority);
+    if admitted.regions.is_limited() {
+        trace.note("regions", &admitted.regions);
+    }
 }
 
 async fn read_body(
--- a/src/platform/direct_settings.rs
+++ b/src/platform/direct_settings.rs
@@ -34,7 +34,7 @@
     node_name: ids::VmName,
     zone: ids::DomainName,
     /// Name of the region of each zone.
-    zones: BTreeMap<ids::DomainName, String>,
+    zones: BTreeMap<ids::DomainName, ids::RegionName>,
     listen_addrs: ListenAddrs,
     platform: Store,
     #[serde(default)]
@@ -116,7 +116,7 @@
     settings::Direct {
         vm: file.node_name,
         domain: file.zone,
-        domains: file.zones.into_keys().collect(),
+        regions: file.zones,
         callers_addr: file.listen_addrs.front,
         readiness_addr: file.listen_addrs.ready,
         metrics_addr: None,
--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -55,6 +55,9 @@
     stream_resume: bool,
     /// Maximum pause between events of a stream that counts as on time.
     gap_aim_ms: Option<f64>,
+    /// Regions of the servers that may run the requests; all where the list is empty.
+    #[serde(default)]
+    allowed_regions: Vec<ids::RegionName>,
 }
 
 #[derive(serde::Deserialize)]
@@ -102,6 +105,9 @@
     #[serde(default)]
     api_keys: Vec<String>,
     priority: Option<f64>,
+    /// Regions of the servers that may run the tenant's requests; all where it is empty.
+    #[serde(default)]
+    allowed_regions: Vec<ids::RegionName>,
 }
 
 #[derive(serde::Deserialize)]
@@ -204,6 +210,7 @@
         priority: priority_rank(route.priority),
         anonymous: route.allow_anonymous,
         models: route.sizes,
+        regions: catalog::AllowedRegions::from_list(route.allowed_regions),
     }
 }
 
@@ -228,6 +235,7 @@
         let access = Arc::new(catalog::TeamAccess {
             team: tenant.name,
             priority: tenant.priority.map(priority_rank),
+            regions: catalog::AllowedRegions::from_list(tenant.allowed_regions),
         });
         for key in &tenant.api_keys {
             teams_by_key.insert(catalog::ApiKey::new(key), Arc::clone(&access));
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -1,5 +1,6 @@
 //! Settings of a direct entry, which calls endpoints without sidecars.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use crate::ids;
@@ -14,8 +15,8 @@
     pub vm: ids::VmName,
     /// Failure domain of the VM.
     pub domain: ids::DomainName,
-    /// All failure domains of the deployment.
-    pub domains: Vec<ids::DomainName>,
+    /// Region of each failure domain of the deployment.
+    pub regions: BTreeMap<ids::DomainName, ids::RegionName>,
     /// Address for callers (TCP).
     pub callers_addr: SocketAddr,
     /// Address for readiness checks (TCP).
@@ -40,7 +41,7 @@
     /// that apply to all entries together.
     #[must_use]
     pub fn assumed_entries(&self) -> u32 {
-        let domains = u32::try_from(self.domains.len()).unwrap_or(u32::MAX);
+        let domains = u32::try_from(self.regions.len()).unwrap_or(u32::MAX);
         domains.max(1).saturating_mul(ASSUMED_ENTRIES_PER_DOMAIN)
     }
 }
--- a/tests/integration/direct/balance.rs
+++ b/tests/integration/direct/balance.rs
@@ -1,11 +1,12 @@
 //! Endpoint selection, cold starts and the limit on retries.
 
-use std::sync::Arc;
+use std::sync::{Arc, LazyLock};
 use std::time::Duration;
 
 use quetzalworks::balance::{
     Failure, Prompt, PromptPart, Query, Reading, ReportedLoad, RetryWindow, VersionFilter, choose,
 };
+use quetzalworks::catalog::AllowedRegions;
 use quetzalworks::direct::EndpointView;
 use quetzalworks::ids::{DomainName, Fingerprint};
 use quetzalworks::runtime::Moment;
@@ -13,6 +14,8 @@
 
 use crate::direct::world::{entry, record};
 
+pub static ANYWHERE: LazyLock<AllowedRegions> = LazyLock::new(AllowedRegions::default);
+
 pub const NOW: u64 = 1_000_000;
 
 pub fn endpoint(id: &str, domain: &str) -> Arc<EndpointView> {
@@ -22,6 +25,7 @@
         record: record(id, &value),
         live: Arc::default(),
         cold_until: Moment::default(),
+        region: None,
         is_engine: false,
     })
 }
@@ -51,6 +55,8 @@
     Query {
         version: VersionFilter::Any,
         reading: prompt.map(reading),
+        regions: &ANYWHERE,
+        region: None,
         tried: &[],
         domain,
         cold_rate: Some(Rate::clamped(2.0)),
--- a/tests/integration/direct/decode.rs
+++ b/tests/integration/direct/decode.rs
@@ -61,7 +61,7 @@
 #[test]
 fn settings_are_resolved() {
     let settings = direct_settings::parse(SETTINGS).unwrap();
-    assert_eq!(settings.domains.len(), 2);
+    assert_eq!(settings.regions.len(), 2);
     assert_eq!(settings.bounds.grace, Millis(8_000));
     assert_eq!(settings.bounds.revoke, Some(Millis(5_000)));
     let lax =
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -15,6 +15,7 @@
 mod keys;
 mod operator;
 mod pool;
+mod regions;
 mod returns;
 mod rollouts;
 pub mod site;
