Log what the choice of an endpoint and the cascade weighed

The line of a request had the endpoint's load, but not the forecast that now decides: tokens to read, expected time to the first byte, and for the cascade the confidence, when the larger model would begin, and the pressure.

--- a/src/balance/choose.rs
+++ b/src/balance/choose.rs
@@ -134,9 +134,14 @@
             "{reason}, {healthy} well of {eligible} open of {total}, load {load}"
         )?;
         match self.load_age {
-            Some(age) => write!(f, " reported {} ms ago", age.as_millis()),
-            None => write!(f, " own only"),
+            Some(age) => write!(f, " reported {} ms ago", age.as_millis())?,
+            None => write!(f, " own only")?,
         }
+        if self.unread.0 > 0 {
+            let expected = self.expected.as_millis();
+            write!(f, ", {} to read, expected in {expected} ms", self.unread)?;
+        }
+        Ok(())
     }
 }
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -188,7 +188,7 @@
 /// Returns the index of the larger model that must answer instead; `None` if the answer
 /// is kept.
 fn escalation(
-    call: &call::Call,
+    call: &mut call::Call,
     view: &direct::ServiceView,
     opened: &send::Opened,
 ) -> Option<usize> {
@@ -200,7 +200,14 @@
         pressure: call.cx.pressure(&call.service),
         priority: call.priority,
     };
-    match models.evaluate(call.model, opened.metadata.confidence, &forecast) {
+    let decision = models.evaluate(call.model, opened.metadata.confidence, &forecast);
+    if let Some(confidence) = opened.metadata.confidence {
+        call.trace.note("confidence", &confidence);
+        call.trace.note("larger_in_ms", &forecast.begin.as_millis());
+        call.trace
+            .note("pressure", &format_args!("{:.2}", forecast.pressure.get()));
+    }
+    match decision {
         cascade::Decision::Escalate(larger) => {
             call.take_optional_retry(&RETRY_LIMITS).then_some(larger)
         }
--- a/tests/integration/direct/balance.rs
+++ b/tests/integration/direct/balance.rs
@@ -341,7 +341,8 @@
             name: "shared prompt prefix",
             affinity: Some(7),
             prepare: |_, _| {},
-            logged: "affinity, 2 well of 2 open of 2, load 0 own only",
+            logged: "affinity, 2 well of 2 open of 2, load 0 own only, \
+                     500 tokens to read, expected in 65 ms",
         },
         Case {
             name: "every endpoint has failed",
