An escalation whose standby broke off keeps to the limit of attempts

Found while reading the change: where the smaller answer had broken off before its first event and the larger model had not begun, the request was sent once more without asking whether it may be. The new test saw three runs of a route with two ('data: 1 large'); now the outcome is unknown, 502, at once. The test first expected 504, a guess: 2008 (502) is what docs/result-codes.md has for an unknown outcome before the deadline.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -169,7 +169,7 @@
     let model = standby.model();
     let endpoint = standby.endpoint().record.id.clone();
     let Some(source) = standby.into_source() else {
-        return answer;
+        return answer.or_else(|| end_unless_retried(call));
     };
     call.model = model;
     call.tried = tried;
@@ -178,13 +178,16 @@
         Ok(source) => Some(Ok(source)),
         Err((endpoint, failure)) => {
             record_break(call, view, &endpoint, failure);
-            call.take_retry(&RETRY_LIMITS)
-                .then_some(())
-                .map_or(Some(Err(NoStream::NoAnswer)), |()| None)
+            end_unless_retried(call)
         }
     }
 }
 
+/// Returns the end of a request that must not be retried; `None` if it may.
+fn end_unless_retried(call: &call::Call) -> Option<Result<EventSource, NoStream>> {
+    (!call.take_retry(&RETRY_LIMITS)).then_some(Err(NoStream::NoAnswer))
+}
+
 /// Returns the index of the larger model that must answer instead; `None` if the answer
 /// is kept.
 fn escalation(
--- a/tests/integration/direct/streams.rs
+++ b/tests/integration/direct/streams.rs
@@ -7,6 +7,7 @@
 
 use crate::direct::endpoint::{Behaviour, EVENTS, Endpoint};
 use crate::direct::site::{Site, put_endpoint};
+use crate::direct::world::config;
 use crate::testing::isolation;
 
 fn ids(text: &str) -> Vec<u64> {
@@ -257,6 +258,26 @@
     }
 }
 
+/// Guards against more runs than the route permits, where the smaller answer has broken off
+/// on standby and the larger model does not begin.
+#[test]
+fn an_escalation_keeps_to_the_limit_of_attempts() {
+    let script = [
+        Behaviour::DoubtfulCut(0, "40"),
+        Behaviour::LateEvents(Duration::from_millis(2_500)),
+    ];
+    let script = Arc::new(Mutex::new(script.into_iter().rev().collect()));
+    let engines = ["a", "b"].map(|id| Endpoint::shared(id, &script, Behaviour::Events("90")));
+    let mut config = config(1);
+    config["Routes"][0]["MaxAttempts"] = 2.into();
+    let endpoints = engines.each_ref().map(|engine| ("writer", engine));
+    let site = Site::with_config(&endpoints, &config);
+    let answer = site.chat("id-1").unwrap();
+    assert_eq!(answer.status, 502, "outcome unknown: {}", answer.text());
+    let arrivals: usize = engines.iter().map(|engine| engine.received().len()).sum();
+    assert_eq!(arrivals, 2);
+}
+
 /// Guards against treating a busy endpoint as gone because it sends nothing while it
 /// processes a prompt.
 #[test]
