A version that fails a small part of its requests is not completed

What came after the last stage was not counted. Ruled out: lost or late reports (adopted within 0.1 s).

Change: entries share their results through the store while a rollout is in progress. Failures are compared by likelihood ratio with those of the other versions, by route and model, so that routes on which all versions fail dilute nothing. A request that fails at all its endpoints counts for no version; a retry without a session goes to the proven version. The failures of one endpoint are set apart. A doubtful version is held back and rolled back rather than completed, and the rollout completes later in its time, since it can't be undone. The log has the evidence, its baseline, verdict and age; a process that starts again uses the results that its predecessor shared.

--- a/src/direct/change.rs
+++ b/src/direct/change.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::catalog;
+use crate::direct;
 use crate::ids;
 use crate::poison;
 use crate::rollout;
@@ -97,6 +98,21 @@
     pub stage: rollout::Stage,
 }
 
+/// Results of a rollout at one entry, as shared with the others through the store.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct SharedEvidence {
+    /// Service whose version is rolled out.
+    pub service: ids::ServiceName,
+    /// VM of the entry.
+    pub vm: ids::VmName,
+    /// Process of the entry; another one on the same VM has started later or earlier.
+    pub process: ids::Incarnation,
+    /// Version that the order named.
+    pub target: ids::VersionName,
+    /// Results since the order, with those of earlier processes of the entry.
+    pub tallies: direct::Tallies,
+}
+
 /// A topic of the store that an entry follows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumIter)]
 #[strum(serialize_all = "snake_case")]
@@ -152,15 +168,20 @@
         /// Whether the store accepted it.
         written: bool,
     },
+    /// Results of rollouts at all entries, as far as they have shared them.
+    EvidenceRead(Vec<SharedEvidence>),
     /// The settings of the process were reloaded.
     Settings(Box<settings::Direct>),
 }
 
 /// Work that the control thread requests from the I/O tasks.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
     /// Write a rollout report, provided that the topic still ends at this offset.
     Report(RolloutReport, ids::Offset),
     /// Publish the crashes under a request to other entries.
     PublishCrashes(poison::CrashReport),
+    /// Read the results of a rollout that entries have shared, then share those of this
+    /// entry; `None` if they are shared already.
+    ExchangeEvidence(Option<Box<SharedEvidence>>),
 }
--- a/src/direct/evidence.rs
+++ b/src/direct/evidence.rs
@@ -1,9 +1,11 @@
-//! Results of the versions of a service, as evidence for its rollout.
+//! Results of the versions of a service at this entry, as evidence for its rollout.
 
-use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::Instant;
 
+use slotmap::SlotMap;
+
+use crate::direct;
 use crate::ids;
 use crate::rollout;
 
@@ -14,56 +16,86 @@
     pub route: ids::RouteName,
     /// Version that the endpoint runs.
     pub version: ids::VersionName,
+    /// Endpoint that was tried.
+    pub endpoint: ids::EndpointId,
     /// Model chosen by the router; `None` when the caller named it or the service
     /// has no models.
     pub model: Option<ids::ModelName>,
-    /// Whether the attempt was answered.
-    pub answered: bool,
-    /// Time to the first byte of the answer; `None` without an answer.
-    pub first_byte: Option<Duration>,
+    /// How the attempt ended.
+    pub outcome: rollout::AttemptOutcome,
 }
 
-type TallyKey = (ids::RouteName, Option<ids::ModelName>, ids::VersionName);
+slotmap::new_key_type! {
+    /// Key of an attempt that waits for its answer.
+    pub struct WaitingKey;
+}
 
-/// Results by route, model and version while a rollout of the service is in
-/// progress. Traffic threads add samples, the control thread compares versions.
+/// Results by route, model and version since the rollout of the service was ordered.
+/// Traffic threads add samples, the control thread compares versions.
 #[derive(Debug, Default)]
 pub struct Evidence {
-    tallies: Mutex<HashMap<TallyKey, rollout::Tally>>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    tallies: direct::Tallies,
+    /// Attempts without an answer yet, each with the time at which it began.
+    waiting: SlotMap<WaitingKey, (Sample, Instant)>,
 }
 
 impl Evidence {
-    fn lock(&self) -> MutexGuard<'_, HashMap<TallyKey, rollout::Tally>> {
-        self.tallies.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Adds the result of an attempt.
     pub fn add(&self, sample: Sample) {
-        let key = (sample.route, sample.model, sample.version);
-        self.lock()
-            .entry(key)
-            .or_default()
-            .add(sample.answered, sample.first_byte);
+        self.lock().tallies.add(sample);
     }
 
-    /// Compares `target` with the other versions, per route and model, so that a
-    /// different mix of requests does not count against it.
+    /// Begins to wait for the answer of an attempt; its outcome in `sample` is ignored.
     #[must_use]
-    pub fn compare(&self, target: &ids::VersionName) -> rollout::Comparison {
-        let tallies = self.lock();
-        let mut comparison = rollout::Comparison::default();
-        for ((route, model, version), tally) in tallies.iter() {
-            if version != target {
-                continue;
-            }
-            let mut others = rollout::Tally::default();
-            for ((other_route, other_model, other_version), tally) in tallies.iter() {
-                if other_route == route && other_model == model && other_version != target {
-                    others.merge(tally);
-                }
-            }
-            comparison.include(tally, &others);
+    pub fn begin_waiting(&self, sample: Sample) -> WaitingKey {
+        self.lock().waiting.insert((sample, Instant::now()))
+    }
+
+    /// Ends the wait with a result that is added by itself.
+    pub fn end_waiting(&self, key: WaitingKey) {
+        self.lock().waiting.remove(key);
+    }
+
+    /// Ends the wait without a result.
+    pub fn abandon_waiting(&self, key: WaitingKey) {
+        let mut state = self.lock();
+        if let Some((mut sample, since)) = state.waiting.remove(key) {
+            sample.outcome = rollout::AttemptOutcome::Abandoned(since.elapsed());
+            state.tallies.add(sample);
         }
-        comparison
+    }
+
+    /// Adds the results of another process.
+    pub fn merge(&self, tallies: &direct::Tallies) {
+        self.lock().tallies.merge(tallies);
+    }
+
+    /// Returns the results so far. Attempts that wait count with the time since they began.
+    #[must_use]
+    pub fn tallies(&self) -> direct::Tallies {
+        let state = self.lock();
+        let mut tallies = state.tallies.clone();
+        for (sample, since) in state.waiting.values() {
+            tallies.add(Sample {
+                outcome: rollout::AttemptOutcome::Abandoned(since.elapsed()),
+                ..sample.clone()
+            });
+        }
+        tallies
+    }
+
+    /// Compares `target` with the other versions by the results of this entry.
+    #[must_use]
+    pub fn compare(&self, target: &ids::VersionName) -> rollout::Comparison {
+        self.tallies().compare(target)
     }
 }
--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -70,10 +70,13 @@
     Expired(ids::Offset),
 }
 
+/// Keys with their values; `None` where the key was removed.
+pub type KeyedValues = Vec<(Arc<str>, Option<Bytes>)>;
+
 /// Keys and values as read, not decoded yet.
 struct RawBatch {
     whole: bool,
-    records: Vec<(Arc<str>, Option<Bytes>)>,
+    records: KeyedValues,
     end: ids::Offset,
 }
 
@@ -150,11 +153,24 @@
     store: &platform::StoreClient,
     source: direct::Source,
 ) -> Result<Read, platform::PlatformError> {
+    let (records, end) = newest_records(store, topic(source)).await?;
+    Ok(Read::Records(RawBatch {
+        whole: true,
+        records,
+        end,
+    }))
+}
+
+/// Returns the newest record of each key of a topic, and the end stated by the first page.
+pub async fn newest_records(
+    store: &platform::StoreClient,
+    topic: &str,
+) -> Result<(KeyedValues, ids::Offset), platform::PlatformError> {
     let mut records = Vec::new();
     let mut end = None;
     let mut after: Option<Arc<str>> = None;
     loop {
-        let page = match store.newest(topic(source), after.as_deref()).await {
+        let page = match store.newest(topic, after.as_deref()).await {
             Err(platform::PlatformError::Status(STATUS_NO_TOPIC)) => {
                 platform::NewestPage::default()
             }
@@ -171,11 +187,7 @@
             break;
         }
     }
-    Ok(Read::Records(RawBatch {
-        whole: true,
-        records,
-        end: end.unwrap_or_default(),
-    }))
+    Ok((records, end.unwrap_or_default()))
 }
 
 /// Reads the records from an offset on, waiting up to `wait` for new ones.
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -3,6 +3,7 @@
 
 mod change;
 mod evidence;
+mod exchange;
 mod feed;
 mod freshness;
 mod plane;
@@ -10,19 +11,22 @@
 mod snapshot;
 mod store_health;
 mod system;
+mod tallies;
 mod world;
 mod writer;
 
 pub use change::{
     Batch, Effect, EndpointChange, EndpointRecord, Event, OperatorChange, RolloutOrder,
-    RolloutReport, Source,
+    RolloutReport, SharedEvidence, Source,
 };
-pub use evidence::{Evidence, Sample};
+pub use evidence::{Evidence, Sample, WaitingKey};
+pub use exchange::exchange;
 pub use feed::follow;
 pub use freshness::Freshness;
 pub use plane::Plane;
 pub use poll_settings::PollSettings;
 pub use snapshot::{EndpointView, ServiceView, Snapshot, VersionSplit};
 pub use store_health::StoreHealth;
-pub use world::{EndpointKey, EndpointRow, RolloutRow, World, cold_duration};
+pub use tallies::Tallies;
+pub use world::{EndpointKey, EndpointRow, PeerResults, RolloutRow, World, cold_duration};
 pub use writer::write;
--- a/src/direct/snapshot.rs
+++ b/src/direct/snapshot.rs
@@ -47,7 +47,8 @@
     pub endpoints: Vec<Arc<EndpointView>>,
     /// Split of the requests over versions.
     pub split: VersionSplit,
-    /// Where traffic adds its results; `None` without a rollout in progress.
+    /// Where traffic adds its results; `None` without a rollout, or once it was rolled back.
+    /// Those after its completion tell only the log whether that was right.
     pub evidence: Option<Arc<direct::Evidence>>,
 }
 
--- a/src/direct/system/mod.rs
+++ b/src/direct/system/mod.rs
@@ -1,6 +1,7 @@
 //! Systems of a direct entry, one per file.
 
 mod endpoints;
+mod evidence;
 mod operator;
 mod process;
 mod reports;
@@ -18,11 +19,12 @@
 type System = fn(&mut direct::World, &mut TickCx);
 
 /// All systems, in the order in which they run.
-pub const ALL: [System; 6] = [
+pub const ALL: [System; 7] = [
     process::run,
     operator::run,
     endpoints::run,
     reports::run,
+    evidence::run,
     rollouts::run,
     suspects::run,
 ];
--- a/src/direct/system/snapshot.rs
+++ b/src/direct/system/snapshot.rs
@@ -6,6 +6,7 @@
 use crate::catalog;
 use crate::direct;
 use crate::ids;
+use crate::rollout;
 
 /// Builds the snapshot from the tables. Draining endpoints and those in failure
 /// domains out of service are left out.
@@ -59,7 +60,7 @@
         endpoints,
         split: version_split(world, rollout),
         evidence: rollout
-            .filter(|row| !row.canary.is_over())
+            .filter(|row| !matches!(row.canary, rollout::AnyCanary::RolledBack(_)))
             .map(|row| Arc::clone(&row.evidence)),
     }
 }
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -33,6 +33,17 @@
     pub retained_until: Option<runtime::Moment>,
 }
 
+/// Results of a rollout at the other entries together.
+#[derive(Clone, Debug, Default)]
+pub struct PeerResults {
+    /// Sum of their results.
+    pub tallies: direct::Tallies,
+    /// Number of entries in the sum.
+    pub entries: usize,
+    /// When they were last read; `None` before.
+    pub read_at: Option<runtime::Moment>,
+}
+
 /// Rollout of a service, as seen by this entry.
 #[derive(Debug)]
 pub struct RolloutRow {
@@ -42,6 +53,18 @@
     pub canary: rollout::AnyCanary,
     /// Results by version, added by traffic threads.
     pub evidence: Arc<direct::Evidence>,
+    /// Results of the other entries.
+    pub peers: PeerResults,
+    /// Results of this entry as last shared.
+    pub shared: direct::Tallies,
+    /// When an exchange of results was last requested, at first the time of the order.
+    pub exchange_requested_at: runtime::Moment,
+    /// Verdict of the last evaluation.
+    pub verdict: rollout::Verdict,
+    /// Attempts on the new version, and their failures, when the evidence was last logged.
+    pub logged: (u32, u32),
+    /// When the evidence was last logged.
+    pub logged_at: runtime::Moment,
     /// Stage recorded in the store for the order's version; `None` if there is none.
     pub recorded: Option<rollout::Stage>,
     /// When this entry learnt the recorded stage, or the order without one.
@@ -54,6 +77,8 @@
 /// Complete control state of a direct entry; owned by the control thread.
 #[derive(Debug)]
 pub struct World {
+    /// This process of the entry, distinct from the one before it.
+    pub process: ids::Incarnation,
     /// Settings of the process, as last loaded.
     pub settings: settings::Direct,
     /// Current configuration; `None` before it has been read.
@@ -83,6 +108,7 @@
     #[must_use]
     pub fn new(settings: settings::Direct) -> Self {
         Self {
+            process: ids::Incarnation(fastrand::u64(..)),
             settings,
             deployment: None,
             endpoints: table::Table::default(),
--- a/src/direct/writer.rs
+++ b/src/direct/writer.rs
@@ -1,7 +1,7 @@
 //! Task that writes rollout reports and crash reports to the store.
 
 use hyper::body::Bytes;
-use smol::channel::Receiver;
+use smol::channel::{Receiver, Sender};
 
 use crate::control;
 use crate::direct;
@@ -13,9 +13,11 @@
 type Control = control::Control<direct::Plane>;
 
 /// Executes the effects of the control thread in order, until their channel closes.
+/// Exchanges of evidence are passed on to `exchanges`, as a report must not wait for them.
 pub async fn write(
     store: platform::StoreClient,
     effects: Receiver<direct::Effect>,
+    exchanges: Sender<Option<Box<direct::SharedEvidence>>>,
     control: Control,
 ) {
     while let Ok(effect) = effects.recv().await {
@@ -32,6 +34,11 @@
                         "crash report was not written, other entries are not informed");
                 }
             }
+            direct::Effect::ExchangeEvidence(own) => {
+                if let Err(err) = exchanges.try_send(own) {
+                    log::debug!(target: "rollout", error:% = err; "the last exchange of rollout results is still under way");
+                }
+            }
         }
     }
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -11,7 +11,7 @@
 use crate::catalog;
 use crate::direct;
 use crate::gateway;
-use crate::gateway::trace;
+use crate::gateway::{outcomes, trace};
 use crate::http;
 use crate::ids;
 use crate::rollout;
@@ -73,6 +73,8 @@
     pub attempts: u16,
     /// Index of the model in use among the models of the route; 0 is the smallest.
     pub model: usize,
+    /// Outcomes of its attempts, as evidence for a rollout.
+    pub outcomes: outcomes::Outcomes,
     /// Record of the request for the log.
     pub trace: trace::Trace,
 }
@@ -271,8 +273,13 @@
     }
 
     /// Returns whether the request belongs to the canary's share. Entries do not
-    /// coordinate, so the hash of the session id alone keeps a session on one version.
+    /// coordinate, so the hash of the session id alone keeps a session on one version. A
+    /// retry without a session goes to the proven version, and so tells whether the new
+    /// version or the request was at fault.
     fn uses_target_version(&self, canary: &rollout::AnyCanary, now: runtime::Moment) -> bool {
+        if self.metadata.session.is_none() && !self.tried.is_empty() {
+            return false;
+        }
         let (seed, share) = match self.metadata.session {
             Some(session) => (session, canary.session_share(now)),
             None => (ids::Fingerprint::fnv1a(&self.id), canary.share(now)),
@@ -297,7 +304,7 @@
     /// Records an attempt without a complete answer. The endpoint may have restarted, and
     /// counts as cold.
     pub fn record_failed_attempt(
-        &self,
+        &mut self,
         view: &direct::ServiceView,
         endpoint: &direct::EndpointView,
         failure: balance::Failure,
@@ -305,29 +312,36 @@
         let now = runtime::Moment::now();
         let cold = view.upstream.cold_duration();
         endpoint.live.record_failure(failure, cold, now);
-        self.observe(view, endpoint, false, None);
+        self.observe(view, endpoint, rollout::AttemptOutcome::Failed);
         if failure == balance::Failure::Broken {
             self.check_for_crash(view, endpoint);
         }
     }
 
     /// Records the outcome of an attempt as evidence about the endpoint's version.
-    /// `first_byte` is the time to the first byte, if there was one.
     pub fn observe(
-        &self,
+        &mut self,
         view: &direct::ServiceView,
         endpoint: &direct::EndpointView,
-        answered: bool,
-        first_byte: Option<Duration>,
+        outcome: rollout::AttemptOutcome,
     ) {
         if let Some(evidence) = &view.evidence {
-            evidence.add(direct::Sample {
-                route: self.rule.name.clone(),
-                version: endpoint.record.version.clone(),
-                model: self.chosen_model().cloned(),
-                answered,
-                first_byte,
-            });
+            let sample = self.sample(endpoint, outcome);
+            self.outcomes.add(evidence, sample);
+        }
+    }
+
+    fn sample(
+        &self,
+        endpoint: &direct::EndpointView,
+        outcome: rollout::AttemptOutcome,
+    ) -> direct::Sample {
+        direct::Sample {
+            route: self.rule.name.clone(),
+            version: endpoint.record.version.clone(),
+            endpoint: endpoint.record.id.clone(),
+            model: self.chosen_model().cloned(),
+            outcome,
         }
     }
 }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -12,7 +12,7 @@
 use crate::direct;
 use crate::errors;
 use crate::gateway;
-use crate::gateway::{admit, call, plain, refuse, stream, trace};
+use crate::gateway::{admit, call, outcomes, plain, refuse, stream, trace};
 use crate::http;
 use crate::ids;
 use crate::platform;
@@ -115,6 +115,7 @@
             refusals: 0,
             attempts: 0,
             model: 0,
+            outcomes: outcomes::Outcomes::default(),
             trace,
             rule: admitted.rule,
         };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod cx;
 mod handler;
 mod metadata;
+mod outcomes;
 mod overload;
 mod plain;
 mod pools;
@@ -20,5 +21,6 @@
 
 pub use cx::{Cx, NotReady};
 pub use metadata::{AnswerMetadata, ForwardMetadata, RequestMetadata, RequestedModel};
+pub use outcomes::{Outcomes, Waiting};
 pub use overload::OverloadDetector;
 pub use role::Gateway;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -10,6 +10,7 @@
 use crate::gateway::{call, refuse, send, trace};
 use crate::http;
 use crate::platform;
+use crate::rollout;
 use crate::runtime;
 use crate::units;
 
@@ -114,7 +115,7 @@
 }
 
 fn record_answer(
-    call: &call::Call,
+    call: &mut call::Call,
     view: &direct::ServiceView,
     endpoint: &direct::EndpointView,
     status: StatusCode,
@@ -130,7 +131,12 @@
             .live
             .record_failure(balance::Failure::Answered, Duration::ZERO, now);
     }
-    call.observe(view, endpoint, answered, answered.then_some(first));
+    let outcome = if answered {
+        rollout::AttemptOutcome::Answered(Some(first))
+    } else {
+        rollout::AttemptOutcome::Failed
+    };
+    call.observe(view, endpoint, outcome);
 }
 
 fn deliver(call: &mut call::Call, last_answer: CompleteAnswer) -> http::Reply {
--- a/src/gateway/role.rs
+++ b/src/gateway/role.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use smol::channel;
 use smol::{Task, Timer};
 
 use crate::control;
@@ -87,8 +88,15 @@
             }
             None => None,
         };
+        let (exchange_tx, exchanges) = channel::bounded(1);
         let mut tasks = vec![
-            traffic.spawn(direct::write(store.clone(), effects, control.clone())),
+            traffic.spawn(direct::write(
+                store.clone(),
+                effects,
+                exchange_tx,
+                control.clone(),
+            )),
+            traffic.spawn(direct::exchange(store.clone(), exchanges, control.clone())),
             traffic.spawn(sweep(Arc::clone(&cx), Arc::clone(&callers))),
             traffic.spawn(watch_timers(Arc::clone(&cx))),
         ];
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -14,6 +14,7 @@
 use crate::gateway::{call, plain, relay, send, standby, trace};
 use crate::http;
 use crate::platform;
+use crate::rollout;
 use crate::runtime;
 use crate::units;
 
@@ -124,7 +125,8 @@
                 let objective = call.rule.objective.duration();
                 call.cx.record_first_event(&call.service, first, objective);
                 source.opened.record_success(call, first);
-                call.observe(&view, &source.opened.endpoint, true, Some(first));
+                let outcome = rollout::AttemptOutcome::Answered(Some(first));
+                call.observe(&view, &source.opened.endpoint, outcome);
                 return Ok(source);
             }
             Err((endpoint, failure)) => {
@@ -151,7 +153,8 @@
     call.trace
         .attempt(&opened.endpoint.record.id, "not_trusted", &note);
     opened.record_success(call, first);
-    call.observe(view, &opened.endpoint, true, Some(first));
+    let outcome = rollout::AttemptOutcome::Answered(Some(first));
+    call.observe(view, &opened.endpoint, outcome);
     let until = call.standby_until(confidence);
     let mut standby = standby::Standby::new(opened, call.model, call.deadline);
     call.model = larger;
@@ -234,7 +237,12 @@
         .endpoint
         .live
         .record_failure(balance::Failure::Answered, Duration::ZERO, now);
-    call.observe(view, &opened.endpoint, !status.is_server_error(), None);
+    let outcome = if status.is_server_error() {
+        rollout::AttemptOutcome::Failed
+    } else {
+        rollout::AttemptOutcome::Answered(None)
+    };
+    call.observe(view, &opened.endpoint, outcome);
     let headers = platform::headers::encode_answer(&opened.answer.headers);
     let body = opened.answer.bytes(MAX_FAILURE_BODY);
     let body = runtime::timeout_at(Instant::now() + FAILURE_BODY_TIMEOUT, body).await;
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -64,6 +64,7 @@
     store_calls: Counter<u64>,
     store_latency: Histogram<f64>,
     log_dropped: Counter<u64>,
+    rollout_verdicts: Counter<u64>,
 }
 
 impl Metrics {
@@ -126,6 +127,10 @@
                 "quetzalworks_log_dropped",
                 "Log lines that were not written.",
             ),
+            rollout_verdicts: count(
+                "quetzalworks_rollout_verdicts",
+                "Changes of the judgement of a version in rollout, by service and verdict.",
+            ),
             registry,
             _provider: provider,
             meter,
@@ -256,6 +261,13 @@
             .add(1, &[call, KeyValue::new("result", result)]);
     }
 
+    /// Counts a change of the judgement of a version that is rolled out.
+    pub fn record_rollout_verdict(&self, service: &ids::ServiceName, verdict: &'static str) {
+        let service = KeyValue::new("service", service.to_string());
+        self.rollout_verdicts
+            .add(1, &[service, KeyValue::new("verdict", verdict)]);
+    }
+
     /// Counts log lines that were dropped instead of written.
     pub fn record_log_dropped(&self, lines: u64) {
         self.log_dropped.add(lines, &[]);
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -9,6 +9,7 @@
 pub mod endpoint_record;
 pub mod endpoint_status;
 mod error;
+pub mod evidence_record;
 pub mod headers;
 mod log_client;
 pub mod operator;
--- a/src/rollout/canary.rs
+++ b/src/rollout/canary.rs
@@ -2,13 +2,14 @@
 //! then completion.
 
 use crate::ids;
+use crate::rollout;
 use crate::runtime;
 use crate::units;
 
 /// Fraction of the duration for which only the probing share goes to the new version. A
 /// version may turn bad at any time, and all of its earlier requests count too: the
 /// remaining time is so short that its requests stay within the permitted exposure.
-const PROBING_FRACTION: f64 = 0.76;
+const PROBING_FRACTION: f64 = 0.82;
 /// Fraction of the duration for which only requests without a session go to the new
 /// version: running sessions would change their version, and a change in the first half is
 /// a breach.
@@ -17,10 +18,11 @@
 const RAMP_FRACTION: f64 = 0.06;
 /// Fraction of the duration after which the rollout may complete and the old version is
 /// abandoned; most streams that began on it have ended by then, and the others are resumed.
-const COMPLETION_FRACTION: f64 = 0.87;
+/// It is late, as a completed rollout can't be undone, but leaves time to repeat the report.
+const COMPLETION_FRACTION: f64 = 0.94;
 /// Fraction of the permitted exposure that is used as the probing share. It must reveal a
 /// bad version in time, and leave most of the exposure for a version that turns bad late.
-const PROBING_EXPOSURE_FRACTION: f64 = 0.2;
+const PROBING_EXPOSURE_FRACTION: f64 = 0.4;
 /// Share of the traffic at the start of the ramp.
 const RAMP_START_SHARE: f64 = 0.25;
 
@@ -91,8 +93,8 @@
 pub struct Observation {
     /// Time of the tick.
     pub now: runtime::Moment,
-    /// Whether answers show that the new version is bad.
-    pub is_bad: bool,
+    /// Judgement of the new version by its answers at all entries.
+    pub verdict: rollout::Verdict,
     /// Whether the endpoints of the new version can serve the traffic of the old ones.
     pub enough_endpoints: bool,
     /// Whether the other entries know that all traffic goes to the new version, and have
@@ -238,15 +240,32 @@
     #[must_use]
     pub fn advance(self, obs: Observation) -> Self {
         match self {
-            Self::Probing(canary) if obs.is_bad => Self::RolledBack(canary.with_state(RolledBack)),
-            Self::Ramping(canary) if obs.is_bad => Self::RolledBack(canary.with_state(RolledBack)),
-            Self::Probing(canary)
-                if obs.enough_endpoints && canary.elapsed_fraction(obs.now) >= PROBING_FRACTION =>
-            {
-                Self::Ramping(canary.ramp(obs.now))
-            }
-            Self::Ramping(canary) if obs.objection_time_passed && canary.may_complete(obs.now) => {
-                Self::Completed(canary.with_state(Completed))
+            Self::Probing(canary) => match obs.verdict {
+                rollout::Verdict::Bad => Self::RolledBack(canary.with_state(RolledBack)),
+                rollout::Verdict::Doubtful if canary.elapsed_fraction(obs.now) >= 1.0 => {
+                    Self::RolledBack(canary.with_state(RolledBack))
+                }
+                rollout::Verdict::Sound
+                    if obs.enough_endpoints
+                        && canary.elapsed_fraction(obs.now) >= PROBING_FRACTION =>
+                {
+                    Self::Ramping(canary.ramp(obs.now))
+                }
+                _ => Self::Probing(canary),
+            },
+            Self::Ramping(canary) => {
+                let may_complete = obs.objection_time_passed && canary.may_complete(obs.now);
+                match obs.verdict {
+                    rollout::Verdict::Bad => Self::RolledBack(canary.with_state(RolledBack)),
+                    // A completed rollout can't be undone: the old version is gone.
+                    rollout::Verdict::Doubtful if may_complete => {
+                        Self::RolledBack(canary.with_state(RolledBack))
+                    }
+                    rollout::Verdict::Sound if may_complete => {
+                        Self::Completed(canary.with_state(Completed))
+                    }
+                    _ => Self::Ramping(canary),
+                }
             }
             other => other,
         }
