Slow attempts that never get a first byte count against their version

Cause: only attempts with a first byte were timed. Those that still waited, that a caller left, or that were given up for the answer of a smaller model counted nowhere, so that the slowest were missing; and the geometric mean hides a version that delays a part of its requests.

Change: an attempt that waits or was abandoned counts with its wait, and the share of attempts over four times the usual median is compared like failures.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -331,6 +331,19 @@
         }
     }
 
+    /// Begins to wait for the head of an answer; `None` without a rollout.
+    #[must_use]
+    pub fn begin_waiting(
+        &self,
+        view: &direct::ServiceView,
+        endpoint: &direct::EndpointView,
+    ) -> Option<outcomes::Waiting> {
+        let evidence = view.evidence.as_ref()?;
+        let waiting = rollout::AttemptOutcome::Abandoned(Duration::ZERO);
+        let sample = self.sample(endpoint, waiting);
+        Some(outcomes::Waiting::begin(evidence, sample))
+    }
+
     fn sample(
         &self,
         endpoint: &direct::EndpointView,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -132,7 +132,11 @@
     if let Some(reading) = call.reading(call.model) {
         endpoint.live.record_prompt(&reading, now);
     }
+    let waiting = call.begin_waiting(view, &endpoint);
     let result = exchange(call, view, choice, permit, resume_after, timeout).await;
+    if let Some(waiting) = waiting {
+        waiting.end();
+    }
     call.tried.push(endpoint.record.id.clone());
     match &result {
         Ok(_) => call.attempts += 1,
--- a/src/rollout/comparison.rs
+++ b/src/rollout/comparison.rs
@@ -22,6 +22,9 @@
 /// Evidence of failures from which a version is doubtful, about 1 in 30 by chance: at the
 /// end of a rollout the test is made once.
 const DOUBTFUL_FAILURE_EVIDENCE: rollout::Nats = rollout::Nats(1.8);
+/// Evidence of slow attempts from which a version is doubtful. It is higher than that of
+/// failures, as slow attempts come together.
+const DOUBTFUL_SLOWNESS_EVIDENCE: rollout::Nats = rollout::Nats(5.0);
 /// Evidence from which the failures of one endpoint are its own, not those of its version.
 const ENDPOINT_EVIDENCE: rollout::Nats = rollout::Nats(6.0);
 /// Evidence from which failures are more frequent at one endpoint; then the others must
@@ -285,9 +288,14 @@
     /// Judges the new version.
     #[must_use]
     pub fn verdict(&self) -> Verdict {
-        let is_bad = self.fails_too_often() || self.is_slower_on_a_route || self.slowdown.is_bad();
-        let is_doubtful =
-            self.failures() >= MIN_DOUBTFUL_FAILURES && self.failing() > DOUBTFUL_FAILURE_EVIDENCE;
+        let slowness = self.slowness();
+        let is_bad = self.fails_too_often()
+            || (self.slow() >= MIN_TIMED_ATTEMPTS && slowness > BAD_EVIDENCE)
+            || self.is_slower_on_a_route
+            || self.slowdown.is_bad();
+        let is_doubtful = (self.failures() >= MIN_DOUBTFUL_FAILURES
+            && self.failing() > DOUBTFUL_FAILURE_EVIDENCE)
+            || slowness > DOUBTFUL_SLOWNESS_EVIDENCE;
         if is_bad {
             Verdict::Bad
         } else if is_doubtful {
--- a/tests/integration/direct/mild_faults.rs
+++ b/tests/integration/direct/mild_faults.rs
@@ -234,6 +234,24 @@
             at_least: 10,
             stage: Stage::RolledBack,
         },
+        Case {
+            name: "half are eight times slower",
+            version: Version {
+                slowness: 8.0,
+                ..SOUND
+            },
+            at_least: 10,
+            stage: Stage::RolledBack,
+        },
+        Case {
+            name: "half have no answer before their callers leave",
+            version: Version {
+                slowness: 20.0,
+                ..SOUND
+            },
+            at_least: 10,
+            stage: Stage::RolledBack,
+        },
         Case {
             name: "sound",
             version: SOUND,
