Refuse prompt parts that crash endpoints, not only whole requests

Cause: a suspect was the fingerprint of a whole request, so that crashes under different requests never added up. Ruled out: unnoticed crashes, all have log lines within 0.1 s.

Change: each part but the last is a suspect too, shared between entries as suspected requests are. Parts with an answer in the last 10 s are not suspected, and none while the service answers nothing, since popular parts are in flight at every crash. A retry after a refusal is not taken for a suspect, and a refusal prolongs the suspicion.

all_entries_refuse_a_prompt_part_that_crashes_endpoints failed on the code before ("overloaded": the request was sent on).

--- a/src/direct/change.rs
+++ b/src/direct/change.rs
@@ -152,13 +152,17 @@
     CrashReports(Vec<poison::CrashReport>),
     /// An endpoint broke off a request and then accepted no connection.
     Crashed {
-        /// Fingerprint of the request's team and content.
+        /// What the fingerprint stands for.
+        subject: poison::Subject,
+        /// Fingerprint of the request's team and content, or of a part of its prompt.
         fingerprint: ids::Fingerprint,
         /// Endpoint that crashed under the request.
         endpoint: ids::EndpointId,
     },
     /// A request suspected of crashing endpoints was answered.
     SuspectCleared(ids::Fingerprint),
+    /// A request was refused because it, or a part of its prompt, has crashed endpoints.
+    SuspectRefused(ids::Fingerprint),
     /// A read of a topic failed, with the reason.
     ReadFailed(Source, Arc<str>),
     /// An attempt to write a rollout report has ended.
--- a/src/direct/system/suspects.rs
+++ b/src/direct/system/suspects.rs
@@ -13,6 +13,7 @@
             event,
             direct::Event::Crashed { .. }
                 | direct::Event::SuspectCleared(_)
+                | direct::Event::SuspectRefused(_)
                 | direct::Event::CrashReports(_)
         )
     };
@@ -38,15 +39,20 @@
 ) -> Option<poison::CrashReport> {
     match event {
         direct::Event::Crashed {
+            subject,
             fingerprint,
             endpoint,
         } => {
             suspects.crashed(*fingerprint, endpoint.clone(), cx.now);
-            log::warn!(target: "suspects", fingerprint:% = fingerprint, endpoint:% = endpoint,
-                refused = suspects.is_refused(*fingerprint);
+            log::warn!(target: "suspects", subject:% = subject, fingerprint:% = fingerprint,
+                endpoint:% = endpoint, refused = suspects.is_refused(*fingerprint);
                 "endpoint crashed under a request");
             None
         }
+        direct::Event::SuspectRefused(fingerprint) => {
+            suspects.refused(*fingerprint, cx.now);
+            None
+        }
         direct::Event::SuspectCleared(fingerprint) => suspects.answered(*fingerprint),
         direct::Event::CrashReports(reports) => {
             for report in reports {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -99,7 +99,7 @@
     pub fn may_retry(&self) -> bool {
         self.rule.kind.is_retryable()
             && self.attempts < self.rule.max_attempts
-            && !self.is_refused_as_suspect()
+            && self.refused_suspect().is_none()
     }
 
     /// Returns whether no other attempt may follow the one that begins now.
@@ -123,6 +123,9 @@
         failure: balance::Failure,
         limits: &RetryLimits,
     ) -> bool {
+        if self.refused_suspect().is_some() {
+            return false;
+        }
         if failure == balance::Failure::Unreachable {
             return self.has_time(limits);
         }
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -12,6 +12,7 @@
 use crate::direct;
 use crate::gateway::{overload, pools};
 use crate::ids;
+use crate::poison;
 use crate::runtime;
 use crate::settings;
 use crate::units;
@@ -37,12 +38,14 @@
     Strained,
 }
 
-/// Retry budget, load pressure and reading speed of one service at this entry.
+/// Retry budget, load pressure, reading speed and proven prompt parts of one service at
+/// this entry.
 #[derive(Debug)]
 struct ServiceState {
     window: balance::RetryWindow,
     pressure: balance::Pressure,
     reading_speed: balance::ReadingSpeed,
+    answered_parts: poison::AnsweredParts,
 }
 
 /// Context that all requests of a direct entry share.
@@ -164,6 +167,30 @@
         self.with_service(service, |state| state.reading_speed.get(model))
     }
 
+    /// Records a complete answer of the service to a prompt with these parts.
+    pub fn record_answered_parts(&self, service: &ids::ServiceName, parts: &[ids::Fingerprint]) {
+        let now = runtime::Moment::now();
+        self.with_service(service, |state| state.answered_parts.record(parts, now));
+    }
+
+    /// Returns the parts that may have crashed an endpoint of the service just now.
+    #[must_use]
+    pub fn suspected_parts(
+        &self,
+        service: &ids::ServiceName,
+        parts: &[ids::Fingerprint],
+    ) -> Vec<ids::Fingerprint> {
+        let now = runtime::Moment::now();
+        self.with_service(service, |state| state.answered_parts.suspects(parts, now))
+    }
+
+    /// Returns whether the service has answered a prompt with the part lately.
+    #[must_use]
+    pub fn is_proven_part(&self, service: &ids::ServiceName, part: ids::Fingerprint) -> bool {
+        let now = runtime::Moment::now();
+        self.with_service(service, |state| state.answered_parts.is_proven(part, now))
+    }
+
     fn with_service<T>(
         &self,
         service: &ids::ServiceName,
@@ -178,6 +205,7 @@
             window: balance::RetryWindow::new(bounds.retry_ratio, bounds.retry_window),
             pressure: balance::Pressure::default(),
             reading_speed: balance::ReadingSpeed::default(),
+            answered_parts: poison::AnsweredParts::default(),
         };
         update(services.entry(service.clone()).or_insert(state))
     }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -16,6 +16,7 @@
 use crate::http;
 use crate::ids;
 use crate::platform;
+use crate::poison;
 use crate::route;
 use crate::runtime;
 use crate::units;
@@ -119,10 +120,14 @@
             trace,
             rule: admitted.rule,
         };
-        if call.is_refused_as_suspect() {
+        if let Some((subject, fingerprint)) = call.refused_suspect() {
             let code = errors::ResultCode::CrashSuspect;
-            let refusal = errors::Refusal::new(code, "the request has crashed several endpoints");
-            call.note_fingerprint();
+            let reason = match subject {
+                poison::Subject::Request => "the request has crashed several endpoints",
+                poison::Subject::PromptPart => "a part of the prompt has crashed several endpoints",
+            };
+            let refusal = errors::Refusal::new(code, reason);
+            call.record_refused_suspect(subject, fingerprint);
             return refuse::refuse(
                 &mut call.trace,
                 &refusal.with_retry_after(SUSPECT_RETRY_AFTER),
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -1,8 +1,12 @@
-//! Detection of requests that crash endpoints.
+//! Detection of requests, and of parts of prompts, that crash endpoints.
 
+use std::sync::Arc;
+
+use crate::balance;
 use crate::direct;
 use crate::gateway::call;
 use crate::ids;
+use crate::poison;
 
 impl call::Call {
     /// Returns the fingerprint of team, method, target and body, which stays the same
@@ -18,19 +22,50 @@
         ids::Fingerprint::of_parts(&parts)
     }
 
-    /// Returns whether the request has crashed so many endpoints that it must not be
-    /// executed again.
+    /// Returns the fingerprints of the parts of the prompt that other requests may share.
+    fn part_fingerprints(&self) -> Vec<ids::Fingerprint> {
+        let parts = self.metadata.prompt.as_ref().map(|prompt| &prompt.parts);
+        let shared = parts.and_then(|parts| parts.split_last());
+        shared.map_or_else(Vec::new, |(_, shared)| {
+            let fingerprint = |part: &balance::PromptPart| {
+                let id = part.id.0.to_be_bytes();
+                ids::Fingerprint::of_parts(&[b"prompt part", self.service.as_str().as_bytes(), &id])
+            };
+            shared.iter().map(fingerprint).collect()
+        })
+    }
+
+    /// Returns what has crashed so many endpoints that the request must not be executed:
+    /// the request itself or a part of its prompt. A part that this entry has seen answered
+    /// lately is not to blame, whatever others report.
     #[must_use]
-    pub fn is_refused_as_suspect(&self) -> bool {
+    pub fn refused_suspect(&self) -> Option<(poison::Subject, ids::Fingerprint)> {
         let snapshot = self.cx.control.snapshot();
         let suspects = &snapshot.suspects;
-        !suspects.is_empty() && suspects.is_refused(self.fingerprint())
+        if suspects.is_empty() {
+            return None;
+        }
+        let fingerprint = self.fingerprint();
+        if suspects.is_refused(fingerprint) {
+            return Some((poison::Subject::Request, fingerprint));
+        }
+        let part = self.part_fingerprints().into_iter().find(|part| {
+            suspects.is_refused(*part) && !self.cx.is_proven_part(&self.service, *part)
+        })?;
+        Some((poison::Subject::PromptPart, part))
     }
 
-    /// Adds the fingerprint to the request's log line; crashes are logged by fingerprint.
-    pub(super) fn note_fingerprint(&mut self) {
-        let fingerprint = self.fingerprint();
+    /// Records the refusal of a suspect, in the request's log line and so that it stays
+    /// refused while it comes.
+    pub(super) fn record_refused_suspect(
+        &mut self,
+        subject: poison::Subject,
+        fingerprint: ids::Fingerprint,
+    ) {
+        self.trace.note("suspect", &subject);
         self.trace.note("fingerprint", &fingerprint);
+        let refused = direct::Event::SuspectRefused(fingerprint);
+        self.cx.control.send_or_drop(refused);
     }
 
     /// Probes an endpoint that broke off an attempt, and reports a crash if it accepts no
@@ -41,24 +76,36 @@
         endpoint: &direct::EndpointView,
     ) {
         let client = self.client(view, endpoint);
-        let crashed = direct::Event::Crashed {
-            fingerprint: self.fingerprint(),
-            endpoint: endpoint.record.id.clone(),
-        };
-        let control = self.cx.control.clone();
+        let endpoint = endpoint.record.id.clone();
+        let (fingerprint, parts) = (self.fingerprint(), self.part_fingerprints());
+        let (cx, service) = (Arc::clone(&self.cx), self.service.clone());
         self.cx.pools.spawn(async move {
-            if client.open_idle().await.is_err() {
-                control.send_or_drop(crashed);
+            if client.open_idle().await.is_ok() {
+                return;
+            }
+            let parts = cx.suspected_parts(&service, &parts).into_iter();
+            let suspects = parts.map(|part| (poison::Subject::PromptPart, part));
+            for (subject, fingerprint) in suspects.chain([(poison::Subject::Request, fingerprint)])
+            {
+                cx.control.send_or_drop(direct::Event::Crashed {
+                    subject,
+                    fingerprint,
+                    endpoint: endpoint.clone(),
+                });
             }
         });
     }
 
-    /// Clears the suspicion of a request that was answered: an endpoint that crashed
-    /// during it did so by coincidence.
+    /// Clears the suspicion of a request that was answered, and of the parts of its prompt:
+    /// an endpoint that crashed during it did so by coincidence.
     pub fn clear_suspicion(&self) {
+        let parts = self.part_fingerprints();
+        self.cx.record_answered_parts(&self.service, &parts);
         let snapshot = self.cx.control.snapshot();
-        if !snapshot.suspects.is_empty() {
-            let fingerprint = self.fingerprint();
+        if snapshot.suspects.is_empty() {
+            return;
+        }
+        for fingerprint in parts.into_iter().chain([self.fingerprint()]) {
             if snapshot.suspects.contains(fingerprint) {
                 let cleared = direct::Event::SuspectCleared(fingerprint);
                 self.cx.control.send_or_drop(cleared);
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -1,7 +1,9 @@
 //! Detection of requests that crash the endpoints executing them.
 
+mod answered_parts;
 mod quarantine;
 mod suspects;
 
+pub use answered_parts::AnsweredParts;
 pub use quarantine::{Quarantine, Suspicion};
-pub use suspects::{CrashReport, Suspects};
+pub use suspects::{CrashReport, Subject, Suspects};
--- a/src/poison/suspects.rs
+++ b/src/poison/suspects.rs
@@ -1,5 +1,5 @@
-//! Requests suspected of crashing endpoints, for entries without sidecars that
-//! could report what was in flight.
+//! Requests, and parts of prompts, suspected of crashing endpoints, for entries without
+//! sidecars that could report what was in flight.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -14,13 +14,23 @@
 /// entries. A single crash is mostly coincidence, and the platform charges for
 /// each report.
 const MIN_PUBLISHED_ENDPOINTS: usize = 2;
-/// Time after the last crash for which a request is kept: far longer than callers
-/// retry, and short enough for a request that did not cause the crashes.
+/// Time after the last crash, or the last refusal, for which a request is kept: far longer
+/// than callers retry, and short enough for a request that did not cause the crashes.
 const RETENTION: Duration = Duration::from_secs(30);
 /// Maximum number of requests kept, at about 200 bytes each. The one with the
 /// oldest crash is evicted first.
 const MAX_SUSPECTS: usize = 1_000;
 
+/// What a fingerprint stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Subject {
+    /// A request with all its content.
+    Request,
+    /// A part of a prompt, in any request.
+    PromptPart,
+}
+
 /// A request with the endpoints that crashed while executing it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashReport {
@@ -57,6 +67,13 @@
         row.last_crash = now;
     }
 
+    /// Records that the request came again and was refused, so that it stays refused.
+    pub fn refused(&mut self, fingerprint: ids::Fingerprint, now: runtime::Moment) {
+        if let Some(row) = self.rows.get_mut(&fingerprint) {
+            row.last_crash = now;
+        }
+    }
+
     /// Merges a published report; one without endpoints removes the request.
     pub fn reported(&mut self, report: &CrashReport, now: runtime::Moment) {
         if report.endpoints.is_empty() {
--- a/tests/integration/direct/suspects.rs
+++ b/tests/integration/direct/suspects.rs
@@ -8,10 +8,11 @@
 use hyper::Method;
 use quetzalworks::direct::{Effect, Event};
 use quetzalworks::ids::{EndpointId, Fingerprint};
-use quetzalworks::poison::CrashReport;
+use quetzalworks::poison::{AnsweredParts, CrashReport, Subject};
+use quetzalworks::runtime::Moment;
 
 use crate::direct::endpoint::{Behaviour, Endpoint};
-use crate::direct::site::{Site, put_endpoint};
+use crate::direct::site::{Site, put_endpoint, put_record};
 use crate::direct::world::TestWorld;
 use crate::testing::{isolation, wait};
 
@@ -22,6 +23,8 @@
     /// Another entry publishes crashes of these endpoints; none clears the request.
     Published(&'static [&'static str]),
     Answered,
+    /// The request comes again and is refused.
+    Refused,
     Advance(u64),
 }
 
@@ -33,7 +36,7 @@
 /// too, and against refusing one that was only in flight during some crashes.
 #[test]
 fn a_request_is_refused_after_three_crashes() {
-    use Step::{Advance, Answered, Crash, Published};
+    use Step::{Advance, Answered, Crash, Published, Refused};
     struct Case {
         name: &'static str,
         steps: &'static [Step],
@@ -90,6 +93,19 @@
             refused: false,
             published: 1,
         },
+        Case {
+            name: "refused again before it expires",
+            steps: &[
+                Crash("a"),
+                Crash("b"),
+                Crash("c"),
+                Advance(20_000),
+                Refused,
+                Advance(20_000),
+            ],
+            refused: true,
+            published: 2,
+        },
         Case {
             name: "all expired",
             steps: &[Crash("a"), Crash("b"), Crash("c"), Advance(31_000)],
@@ -102,6 +118,7 @@
         for step in case.steps {
             match step {
                 Crash(endpoint) => world.tick(vec![Event::Crashed {
+                    subject: Subject::Request,
                     fingerprint: REQUEST,
                     endpoint: id(endpoint),
                 }]),
@@ -110,6 +127,7 @@
                     endpoints: endpoints.iter().map(|endpoint| id(endpoint)).collect(),
                 }])]),
                 Answered => world.tick(vec![Event::SuspectCleared(REQUEST)]),
+                Refused => world.tick(vec![Event::SuspectRefused(REQUEST)]),
                 Advance(millis) => world.advance(*millis),
             }
         }
@@ -179,3 +197,113 @@
     let poison = received.iter().filter(|req| req.path() == "/chat/poison");
     assert_eq!(poison.count(), 0, "executed after the third crash");
 }
+
+/// Headers of a chat whose prompt has these parts.
+fn chat_headers(parts: &str) -> [(&str, &str); 4] {
+    [
+        ("key", "key-red"),
+        ("model", "*"),
+        ("token-count", "100,20"),
+        ("prefix-hash", parts),
+    ]
+}
+
+/// Guards against requests that crash one endpoint after the other by a part of their
+/// prompts, no two alike, and against refusing sound requests with the same other parts.
+#[test]
+fn all_entries_refuse_a_prompt_part_that_crashes_endpoints() {
+    let sound = Endpoint::spawn("sound", &[], Behaviour::Events("90"));
+    let site = Site::spawn(&[("writer", &sound)]);
+    let (_other, other) = site.spawn_entry();
+    let ask = |callers, path, id, parts| {
+        Site::call_at(callers, &Method::POST, path, id, &chat_headers(parts)).unwrap()
+    };
+    for callers in [site.callers, other] {
+        for id in ["s-1", "s-2", "s-3"] {
+            let answer = ask(callers, "/chat/sound", id, "0a:60,0c:20,01:20");
+            assert_eq!(answer.status, 200, "{}", answer.text());
+        }
+    }
+    put_record(&site.store, "writer", "sound", sound.addr, "draining", 2);
+    let crashers = ["a", "b", "c"].map(crasher);
+    for endpoint in &crashers {
+        put_endpoint(&site.store, "writer", endpoint, 1);
+    }
+    wait::until("the endpoints are known", || {
+        site.process.lines_with("endpoint appeared").len() >= 4
+            && !site.process.lines_with("endpoint is draining").is_empty()
+    });
+    let first = ask(site.callers, "/chat/1", "d-1", "0a:60,0d:20,02:20");
+    assert_eq!(first.status, 502, "{}", first.text());
+    let next = Endpoint::spawn("next", &[], Behaviour::Events("90"));
+    put_endpoint(&site.store, "writer", &next, 1);
+    for (entry, callers) in [("this", site.callers), ("the other", other)] {
+        wait::until("sound requests are served", || {
+            ask(callers, "/chat/sound", "s-4", "0a:60,0c:20,03:20").status == 200
+        });
+        wait::until("the crashes are known", || {
+            ask(callers, "/chat/2", "d-2", "0d:20,04:20").status == 503
+        });
+        let refused = ask(callers, "/chat/3", "d-3", "0a:60,0d:20,05:20");
+        assert_eq!(refused.json()["title"], "crash_suspect", "{entry}");
+        // The new endpoint is cold and takes few requests.
+        wait::until("sound requests with the first part are served", || {
+            ask(callers, "/chat/4", "s-5", "0a:60,06:20").status == 200
+        });
+    }
+}
+
+/// Guards against blaming popular parts of prompts, or any part while a service as a whole
+/// is down.
+#[test]
+fn only_parts_without_answers_are_suspected() {
+    struct Case {
+        name: &'static str,
+        /// Times of the answers in ms, with the part of each prompt.
+        answers: &'static [(u64, u64)],
+        suspected: bool,
+    }
+    const PART: u64 = 1;
+    const OTHER: u64 = 2;
+    const CRASH_MS: u64 = 60_000;
+    let cases = [
+        Case {
+            name: "others are answered, the part is not",
+            answers: &[(59_000, OTHER), (59_500, OTHER), (59_900, OTHER)],
+            suspected: true,
+        },
+        Case {
+            name: "the part was answered lately",
+            answers: &[(59_000, OTHER), (59_500, PART), (59_900, OTHER)],
+            suspected: false,
+        },
+        Case {
+            name: "the part was answered long ago",
+            answers: &[
+                (40_000, PART),
+                (59_000, OTHER),
+                (59_500, OTHER),
+                (59_900, OTHER),
+            ],
+            suspected: true,
+        },
+        Case {
+            name: "the service answers nothing",
+            answers: &[(50_000, OTHER), (51_000, OTHER), (52_000, OTHER)],
+            suspected: false,
+        },
+        Case {
+            name: "the process has just started",
+            answers: &[(59_900, OTHER)],
+            suspected: false,
+        },
+    ];
+    for case in cases {
+        let mut parts = AnsweredParts::default();
+        for (at, part) in case.answers {
+            parts.record(&[Fingerprint(*part)], Moment::from_millis(*at));
+        }
+        let suspects = parts.suspects(&[Fingerprint(PART)], Moment::from_millis(CRASH_MS));
+        assert_eq!(!suspects.is_empty(), case.suspected, "{}", case.name);
+    }
+}
