Test of odd records among those of the endpoints

Operators of similar systems saw processes end, or stop following the list, at one record that was deeply nested, had a number too large or a port out of range.

--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -14,6 +14,7 @@
 mod idle;
 mod keys;
 mod mild_faults;
+mod odd_records;
 mod operator;
 mod outcomes;
 mod pool;
