A refusal counts only as the answer to its own request

A faulty endpoint that wrote an earlier refusal once more on a kept connection made the entry send a request again that was running (the request on the at-most-once route got the answer of a second endpoint), or tell its caller that it had not run.

Cause: the mark 'not executed' was read before the id of the answer. Change: an answer with another id, or none, is broken, refusal or not. An endpoint that has refused a request is not chosen for it again with a larger model, where a repeated refusal would bear the right id.

The new cases of attempt_outcomes_are_reported_truthfully failed on the code before: status 200 in place of 502. The relayed role takes only a request that was not sent for not run, so it can't happen there.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -66,6 +66,9 @@
     pub deadline: Instant,
     /// Endpoints that were tried with the model in use; not chosen again.
     pub tried: Vec<ids::EndpointId>,
+    /// Endpoints that refused the request as not run. They are not chosen again with another
+    /// model either: a repeated refusal could not be told from the answer to it.
+    pub refused_by: Vec<ids::EndpointId>,
     /// Number of attempts that endpoints refused as not run, without unreachable
     /// endpoints.
     pub refusals: usize,
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -113,6 +113,7 @@
             arrived,
             deadline,
             tried: Vec::new(),
+            refused_by: Vec::new(),
             refusals: 0,
             attempts: 0,
             model: 0,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -157,6 +157,7 @@
 ) {
     match error {
         AttemptError::NotRun(failure, _) => {
+            call.refused_by.push(endpoint.record.id.clone());
             let cold = view.upstream.cold_duration();
             endpoint
                 .live
@@ -201,6 +202,12 @@
     if let Some(load) = metadata.load {
         endpoint.live.record_load(load, now);
     }
+    let broken = |reason: &str| AttemptError::Unknown(balance::Failure::Broken, reason.into());
+    // Also a refusal must be the answer to this request: a faulty endpoint may repeat an
+    // earlier one on a kept connection while it runs this request.
+    if metadata.id.as_deref() != Some(&*call.id) {
+        return Err(broken("answer to another request"));
+    }
     if metadata.not_run || answer.status == StatusCode::MISDIRECTED_REQUEST {
         let status = answer.status;
         let failure = if status == StatusCode::MISDIRECTED_REQUEST {
@@ -214,10 +221,6 @@
         let reason = format!("status {status}").into();
         return Err(AttemptError::NotRun(failure, reason));
     }
-    let broken = |reason: &str| AttemptError::Unknown(balance::Failure::Broken, reason.into());
-    if metadata.id.as_deref() != Some(&*call.id) {
-        return Err(broken("answer to another request"));
-    }
     if !metadata.signed || metadata.encoded {
         return Err(broken("answer is not the endpoint's own"));
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -158,7 +158,7 @@
     let until = call.standby_until(confidence);
     let mut standby = standby::Standby::new(opened, call.model, call.deadline);
     call.model = larger;
-    let tried = std::mem::take(&mut call.tried);
+    let tried = std::mem::replace(&mut call.tried, call.refused_by.clone());
     let attempts = standby.buffer_during(Box::pin(open(call, None)));
     let answer = runtime::timeout_at(until, attempts).await;
     if let Some(Ok(answer)) = answer {
--- a/tests/integration/direct/calls.rs
+++ b/tests/integration/direct/calls.rs
@@ -39,7 +39,7 @@
         body,
         arrivals,
     };
-    vec![
+    let mut cases = vec![
         case("answered", ONCE, success.clone(), 200, Some("good"), 1),
         case("not executed: retried", ONCE, NotRun, 200, Some("good"), 2),
         case("closed: outcome unknown", ONCE, Close, 502, None, 1),
@@ -122,6 +122,26 @@
             second: NotRun,
             ..case("not executed by both", ONCE, NotRun, 503, None, 2)
         },
+    ];
+    cases.extend(stale_refusals());
+    cases
+}
+
+/// Cases in which an endpoint repeats the refusal of an earlier request.
+fn stale_refusals() -> [Case; 3] {
+    let case = |name, path, refusal, status, body, arrivals| Case {
+        name,
+        path,
+        first: Behaviour::StaleNotRun(refusal),
+        second: Behaviour::Answer(200, "good"),
+        status,
+        body,
+        arrivals,
+    };
+    [
+        case("not executed: outcome unknown", ONCE, 503, 502, None, 1),
+        case("misdirected: outcome unknown", ONCE, 421, 502, None, 1),
+        case("not executed: retried", RETRY, 503, 200, Some("good"), 2),
     ]
 }
 
--- a/tests/integration/direct/endpoint.rs
+++ b/tests/integration/direct/endpoint.rs
@@ -32,6 +32,8 @@
     Truncated,
     /// Answers with the id of another request.
     Crossed,
+    /// Runs the request, but sends the refusal of an earlier one again, with this status.
+    StaleNotRun(u16),
     /// Answers without a signature.
     Unsigned,
     /// Sends two answers to one request.
@@ -223,6 +225,12 @@
                 false
             }
             Behaviour::Crossed => send(&complete_answer(200, "another", &seal, "of another")),
+            Behaviour::StaleNotRun(status) => send(&complete_answer(
+                *status,
+                "another",
+                "Not-Executed: 1\r\n",
+                "",
+            )),
             Behaviour::Unsigned => send(&complete_answer(200, &id, "", "unsigned")),
             Behaviour::Twice => {
                 let answer = complete_answer(200, &id, &seal, "once");
