Endpoints that leave or want a pause say so in their answers

Change: one life cycle of an endpoint (open, paused, leaving) with its answers and its record as inputs, read by the choice of an endpoint. An incarnation that leaves never opens again; a pause is prolonged, never shortened, and bounded at 30 s; after it the endpoint gets its slots back over 2 s. With all endpoints in a pause callers are refused at once, with the earliest end as their time to come back, spread. The line of a choice counts paused and leaving endpoints; a counter has each reason.

With the mechanism off, an_endpoint_that_leaves_gets_no_further_request and a_pause_holds_for_its_time fail; with it the 88 tests of the direct role pass. A sum of two numbers from a load header no longer overflows.

--- a/src/balance/choose.rs
+++ b/src/balance/choose.rs
@@ -104,6 +104,10 @@
     pub total: usize,
     /// Endpoints with an allowed version that have not been tried and admit a request now.
     pub eligible: usize,
+    /// Endpoints left out because they have asked for a pause, or have just returned.
+    pub paused: usize,
+    /// Endpoints left out because they leave.
+    pub leaving: usize,
     /// Eligible endpoints that are neither suspended after failures nor silent.
     pub healthy: usize,
     /// Requests running or queued at the endpoint.
@@ -126,13 +130,22 @@
             total,
             eligible,
             healthy,
+            paused,
+            leaving,
             load,
             ..
         } = self;
         write!(
             f,
-            "{reason}, {healthy} well of {eligible} open of {total}, load {load}"
+            "{reason}, {healthy} well of {eligible} open of {total}, "
         )?;
+        if *paused > 0 {
+            write!(f, "{paused} paused, ")?;
+        }
+        if *leaving > 0 {
+            write!(f, "{leaving} leaving, ")?;
+        }
+        write!(f, "load {load}")?;
         match self.load_age {
             Some(age) => write!(f, " reported {} ms ago", age.as_millis())?,
             None => write!(f, " own only")?,
@@ -174,7 +187,20 @@
     } else {
         default_reason
     };
+    let closed: Vec<_> = endpoints
+        .iter()
+        .filter_map(|endpoint| {
+            let slots = endpoint.record.slots;
+            endpoint.live.check_available(slots, query.now).err()
+        })
+        .collect();
+    let leaving = closed
+        .iter()
+        .filter(|closed| **closed == balance::Closed::Leaving)
+        .count();
     Some(Choice {
+        paused: closed.len() - leaving,
+        leaving,
         reason,
         total: endpoints.len(),
         eligible: eligible.len(),
@@ -297,6 +323,10 @@
 
 fn is_eligible(endpoint: &direct::EndpointView, query: &Query<'_>) -> bool {
     query.version.allows(&endpoint.record.version)
+        && endpoint
+            .live
+            .check_available(endpoint.record.slots, query.now)
+            .is_ok()
         && query.regions.allows(endpoint.region.as_ref())
         && !query.tried.contains(&endpoint.record.id)
         && endpoint
--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -107,6 +107,7 @@
 
 #[derive(Debug, Default)]
 struct State {
+    availability: balance::AnyAvailability,
     in_flight: u32,
     /// Expected reading time of the requests counted in `waiting`, in sum.
     pending_reading: Duration,
@@ -160,8 +161,9 @@
     fn load(&self, now: runtime::Moment) -> u32 {
         match self.current_report(now) {
             Some((load, _, own_requests)) => {
-                let other_requests = (load.running + load.waiting).saturating_sub(own_requests);
-                other_requests + self.in_flight
+                let reported = load.running.saturating_add(load.waiting);
+                let other_requests = reported.saturating_sub(own_requests);
+                other_requests.saturating_add(self.in_flight)
             }
             None => self.in_flight,
         }
@@ -218,6 +220,31 @@
         }
     }
 
+    /// Records that the endpoint leaves, by an answer or its record. Returns whether that is
+    /// new.
+    pub fn leave(&self) -> bool {
+        let mut state = self.lock();
+        let before = state.availability;
+        state.availability = before.leave();
+        before != state.availability
+    }
+
+    /// Records that the endpoint wants no requests for a time. Returns whether that is new.
+    pub fn pause(&self, pause: Duration, now: runtime::Moment) -> bool {
+        let until = now.saturating_add(pause.min(balance::MAX_PAUSE));
+        let mut state = self.lock();
+        let before = state.availability;
+        state.availability = before.pause(until);
+        before != state.availability
+    }
+
+    /// Checks whether the endpoint, with this number of slots, takes a request by what it
+    /// has said of itself. The error is the reason against it.
+    pub fn check_available(&self, slots: u32, now: runtime::Moment) -> Result<(), balance::Closed> {
+        let state = self.lock();
+        state.availability.check(now, state.in_flight, slots)
+    }
+
     /// Records the load report received with an answer.
     pub fn record_load(&self, load: ReportedLoad, now: runtime::Moment) {
         let mut state = self.lock();
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -1,6 +1,7 @@
 //! Load balancing: endpoint selection by load, failures and cold start, and the
 //! limit on retries. Independent of any message encoding.
 
+mod availability;
 mod cached_parts;
 mod choose;
 mod cold_gate;
@@ -11,6 +12,7 @@
 mod retry_window;
 mod return_times;
 
+pub use availability::{AnyAvailability, Availability, Closed, MAX_PAUSE, Wish};
 pub use cached_parts::CachedParts;
 pub use choose::{Choice, ChoiceReason, Query, VersionFilter, choose};
 pub use cold_gate::ColdGate;
--- a/src/direct/system/endpoints.rs
+++ b/src/direct/system/endpoints.rs
@@ -142,6 +142,9 @@
             cold_until,
             retained_until: None,
         };
+        if record.draining {
+            row.live.leave();
+        }
         world.endpoints.upsert(record.id.clone(), row);
         cx.changed = true;
         return;
@@ -158,6 +161,7 @@
     }
     if record.draining && !row.record.draining {
         log::info!(target: "endpoint", endpoint:% = record.id; "endpoint is draining");
+        row.live.leave();
     }
     let unchanged = direct::EndpointRecord {
         sequence: record.sequence,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -295,6 +295,27 @@
         position < share.get()
     }
 
+    /// Returns the time until the first endpoint of the service ends its pause; `None` unless
+    /// all of them have asked for one or leave.
+    #[must_use]
+    pub fn earliest_return(&self) -> Option<Duration> {
+        let view = self.view()?;
+        let now = runtime::Moment::now();
+        let mut earliest = None;
+        for endpoint in &view.endpoints {
+            let slots = endpoint.record.slots;
+            match endpoint.live.check_available(slots, now).err()? {
+                balance::Closed::Paused(until) => {
+                    let left = until.saturating_since(now);
+                    earliest = Some(earliest.map_or(left, |other: Duration| other.min(left)));
+                }
+                balance::Closed::Returning => earliest = Some(Duration::ZERO),
+                balance::Closed::Leaving => {}
+            }
+        }
+        earliest
+    }
+
     /// Returns the pooled client of an endpoint.
     #[must_use]
     pub fn client(
--- a/src/gateway/metadata.rs
+++ b/src/gateway/metadata.rs
@@ -47,6 +47,8 @@
     pub signed: bool,
     /// Whether the endpoint states that it has not executed the request.
     pub not_run: bool,
+    /// Whether the endpoint leaves or wants a pause; `None` if it states neither.
+    pub wish: Option<balance::Wish>,
     /// Load that the endpoint reports; `None` if it reports none.
     pub load: Option<balance::ReportedLoad>,
     /// Confidence of the model in its answer, from 0 to 1; `None` if not stated.
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -161,10 +161,12 @@
     if call.attempts > 0 {
         return end_outcome_unknown(call);
     }
-    refuse(
+    let earliest = call.earliest_return().unwrap_or_default();
+    refuse_until(
         call,
         errors::ResultCode::Overloaded,
         "no endpoint takes the request now",
+        earliest,
     )
 }
 
@@ -188,7 +190,19 @@
     code: errors::ResultCode,
     reason: &'static str,
 ) -> http::Reply {
-    let after = call.cx.book_return(BUSY_RETRY_AFTER, call.time_left());
+    refuse_until(call, code, reason, Duration::ZERO)
+}
+
+/// Refuses a request that was not executed, and tells its caller to return not before
+/// `earliest` from now.
+fn refuse_until(
+    call: &mut call::Call,
+    code: errors::ResultCode,
+    reason: &'static str,
+    earliest: Duration,
+) -> http::Reply {
+    let earliest = earliest.max(BUSY_RETRY_AFTER.duration());
+    let after = call.cx.book_return(earliest.into(), call.time_left());
     let refusal = errors::Refusal::new(code, reason).with_retry_after(after);
     refuse::refuse(&mut call.trace, &refusal)
 }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -15,6 +15,7 @@
 use crate::gateway;
 use crate::gateway::call;
 use crate::http;
+use crate::observe;
 use crate::platform;
 use crate::runtime;
 use crate::units;
@@ -196,7 +197,7 @@
             ),
             err => AttemptError::Unknown(balance::Failure::Broken, err.to_string().into()),
         })?;
-    let metadata = platform::headers::decode_answer(&answer.headers);
+    let metadata = platform::headers::decode_answer(answer.status, &answer.headers);
     let now = runtime::Moment::now();
     endpoint.live.record_activity(now);
     if let Some(load) = metadata.load {
@@ -208,6 +209,9 @@
     if metadata.id.as_deref() != Some(&*call.id) {
         return Err(broken("answer to another request"));
     }
+    if let Some(wish) = metadata.wish {
+        record_wish(&endpoint, wish, now);
+    }
     if metadata.not_run || answer.status == StatusCode::MISDIRECTED_REQUEST {
         let status = answer.status;
         let failure = if status == StatusCode::MISDIRECTED_REQUEST {
@@ -236,6 +240,23 @@
     })
 }
 
+/// Records that the endpoint leaves or wants a pause, by one of its answers.
+fn record_wish(endpoint: &direct::EndpointView, wish: balance::Wish, now: runtime::Moment) {
+    let id = &endpoint.record.id;
+    match wish {
+        balance::Wish::Leave if endpoint.live.leave() => {
+            log::info!(target: "endpoint", endpoint:% = id, source = "answer"; "endpoint is leaving");
+            observe::metrics().record_endpoint_closed("leaving");
+        }
+        balance::Wish::Pause(pause) if endpoint.live.pause(pause, now) => {
+            log::info!(target: "endpoint", endpoint:% = id, pause_ms = pause.as_millis();
+                "endpoint is paused");
+            observe::metrics().record_endpoint_closed("paused");
+        }
+        balance::Wish::Leave | balance::Wish::Pause(_) => {}
+    }
+}
+
 /// Returns an error once the endpoint is unresponsive to all requests of this entry.
 /// Never returns on the last attempt, since no other endpoint may take over.
 async fn until_unresponsive<T>(
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -65,6 +65,7 @@
     store_latency: Histogram<f64>,
     log_dropped: Counter<u64>,
     rollout_verdicts: Counter<u64>,
+    endpoints_closed: Counter<u64>,
 }
 
 impl Metrics {
@@ -127,6 +128,10 @@
                 "quetzalworks_log_dropped",
                 "Log lines that were not written.",
             ),
+            endpoints_closed: count(
+                "quetzalworks_endpoints_closed",
+                "Endpoints that said in an answer that they leave or want a pause, by reason.",
+            ),
             rollout_verdicts: count(
                 "quetzalworks_rollout_verdicts",
                 "Changes of the judgement of a version in rollout, by service and verdict.",
@@ -261,6 +266,12 @@
             .add(1, &[call, KeyValue::new("result", result)]);
     }
 
+    /// Counts an endpoint that has said in an answer that it wants no requests.
+    pub fn record_endpoint_closed(&self, reason: &'static str) {
+        self.endpoints_closed
+            .add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a change of the judgement of a version that is rolled out.
     pub fn record_rollout_verdict(&self, service: &ids::ServiceName, verdict: &'static str) {
         let service = KeyValue::new("service", service.to_string());
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,9 +1,10 @@
 //! Decodes and encodes the HTTP headers of requests and answers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use hyper::HeaderMap;
 use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::{HeaderMap, StatusCode};
 
 use crate::balance;
 use crate::catalog;
@@ -39,6 +40,8 @@
 const NOT_RUN: HeaderName = HeaderName::from_static("not-executed");
 /// Running requests, waiting requests and slots of the endpoint, comma-separated.
 const LOAD: HeaderName = HeaderName::from_static("server-load");
+/// Present on all answers of an endpoint that leaves.
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// The model's confidence in its answer, 0 to 100.
 const CONFIDENCE: HeaderName = HeaderName::from_static("confidence");
 
@@ -144,19 +147,41 @@
     headers
 }
 
-/// Extracts the answer metadata from an endpoint's headers; malformed values count as absent.
+/// Extracts the answer metadata from the status and headers of an endpoint; malformed
+/// values count as absent.
 #[must_use]
-pub fn decode_answer(headers: &HeaderMap) -> gateway::AnswerMetadata {
+pub fn decode_answer(status: StatusCode, headers: &HeaderMap) -> gateway::AnswerMetadata {
     gateway::AnswerMetadata {
         id: text(headers, &ATTEMPT_ID).map(Arc::from),
         signed: headers.contains_key(SIGNATURE),
         not_run: headers.contains_key(NOT_RUN),
+        wish: wish(status, headers),
         load: load(headers),
         confidence: number(headers, &CONFIDENCE).map(|percent| percent / 100.0),
         encoded: headers.contains_key(header::CONTENT_ENCODING),
     }
 }
 
+fn wish(status: StatusCode, headers: &HeaderMap) -> Option<balance::Wish> {
+    if text(headers, &LEAVING) == Some("1") {
+        return Some(balance::Wish::Leave);
+    }
+    let is_refusal = status == StatusCode::SERVICE_UNAVAILABLE;
+    let pause = is_refusal.then(|| pause(headers)).flatten();
+    pause.map(balance::Wish::Pause)
+}
+
+/// Decodes the pause that a refusal asks for, in seconds, which may have fractions.
+fn pause(headers: &HeaderMap) -> Option<Duration> {
+    let stated = headers.get(header::RETRY_AFTER)?;
+    let seconds = number(headers, &header::RETRY_AFTER);
+    let pause = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    if pause.is_none_or(|pause| pause > balance::MAX_PAUSE) {
+        log::warn!(target: "endpoint", stated:? = stated; "endpoint asks for an absurd pause");
+    }
+    pause
+}
+
 fn load(headers: &HeaderMap) -> Option<balance::ReportedLoad> {
     let mut parts = text(headers, &LOAD)?
         .split(',')
--- /dev/null
+++ b/tests/integration/direct/availability.rs
@@ -0,0 +1,192 @@
+//! Endpoints that say in their answers that they leave or want a pause.
+
+use std::time::{Duration, Instant};
+
+use hyper::Method;
+use quetzalworks::balance::{AnyAvailability, Closed};
+use quetzalworks::runtime::Moment;
+
+use crate::direct::endpoint::{Behaviour, Endpoint};
+use crate::direct::site::{Site, put_endpoint};
+use crate::testing::wait;
+
+const SLOTS: u32 = 8;
+
+enum Step {
+    Leave,
+    /// Asks for a pause until this time in ms.
+    Pause(u64),
+}
+
+/// Guards against requests to an endpoint that wants none, and against all waiting
+/// requests at once when its pause ends.
+#[test]
+fn what_an_endpoint_says_decides_whether_it_gets_requests() {
+    use Step::{Leave, Pause};
+    struct Case {
+        name: &'static str,
+        steps: &'static [Step],
+        at_ms: u64,
+        in_flight: u32,
+        closed: Option<Closed>,
+    }
+    let paused = |ms| Some(Closed::Paused(Moment::from_millis(ms)));
+    let case = |name, steps, at_ms, in_flight, closed| Case {
+        name,
+        steps,
+        at_ms,
+        in_flight,
+        closed,
+    };
+    let cases = [
+        case("open", &[], 0, 100, None),
+        case("leaving", &[Leave], 99_000, 0, Some(Closed::Leaving)),
+        case("in a pause", &[Pause(2_000)], 1_999, 0, paused(2_000)),
+        case("first after it", &[Pause(2_000)], 2_000, 0, None),
+        case(
+            "second after it",
+            &[Pause(2_000)],
+            2_000,
+            1,
+            Some(Closed::Returning),
+        ),
+        case("half of its slots", &[Pause(2_000)], 3_000, 3, None),
+        case(
+            "over half of them",
+            &[Pause(2_000)],
+            3_000,
+            4,
+            Some(Closed::Returning),
+        ),
+        case("back", &[Pause(2_000)], 4_000, 100, None),
+        case(
+            "longer",
+            &[Pause(2_000), Pause(5_000)],
+            4_000,
+            0,
+            paused(5_000),
+        ),
+        case(
+            "not shorter",
+            &[Pause(5_000), Pause(2_000)],
+            4_000,
+            0,
+            paused(5_000),
+        ),
+        case(
+            "leaves in a pause",
+            &[Pause(2_000), Leave],
+            9_000,
+            0,
+            Some(Closed::Leaving),
+        ),
+        case(
+            "no pause ends leaving",
+            &[Leave, Pause(1)],
+            9_000,
+            0,
+            Some(Closed::Leaving),
+        ),
+    ];
+    for case in cases {
+        let mut availability = AnyAvailability::default();
+        for step in case.steps {
+            availability = match step {
+                Leave => availability.leave(),
+                Pause(until) => availability.pause(Moment::from_millis(*until)),
+            };
+        }
+        let checked = availability.check(Moment::from_millis(case.at_ms), case.in_flight, SLOTS);
+        assert_eq!(checked.err(), case.closed, "{}", case.name);
+    }
+}
+
+fn look(site: &Site, id: &str) -> u16 {
+    let answer = site.call(&Method::GET, "/look/a", id);
+    answer.map_or(0, |answer| answer.status)
+}
+
+/// Guards against a request to an endpoint that has said it leaves, while its record says
+/// otherwise and connections to it are open.
+#[test]
+fn an_endpoint_that_leaves_gets_no_further_request() {
+    let leaving = Endpoint::spawn("a", &[], Behaviour::Leaves("bye"));
+    let site = Site::spawn(&[("desk", &leaving)]);
+    assert_eq!(look(&site, "id-0"), 200);
+    let other = Endpoint::spawn("b", &[], Behaviour::Answer(200, "good"));
+    put_endpoint(&site.store, "desk", &other, 1);
+    // A later record of the same incarnation does not bring it back.
+    put_endpoint(&site.store, "desk", &leaving, 2);
+    wait::until("the other endpoint answers", || look(&site, "id-1") == 200);
+    for i in 0..20 {
+        assert_eq!(look(&site, &format!("id-2-{i}")), 200);
+    }
+    assert_eq!(leaving.received().len(), 1);
+    wait::until("the log tells why", || {
+        !site.process.lines_with("endpoint is leaving").is_empty()
+    });
+}
+
+/// Guards against requests within the pause that an endpoint has asked for, against a
+/// refusal without the time of its end, and against an endpoint that is forgotten after it.
+#[test]
+fn a_pause_holds_for_its_time() {
+    struct Case {
+        name: &'static str,
+        pause: &'static str,
+        held: Duration,
+        /// Whether another endpoint serves the requests meanwhile.
+        has_other: bool,
+    }
+    let cases = [
+        Case {
+            name: "one of two endpoints",
+            pause: "1.5",
+            held: Duration::from_millis(1_400),
+            has_other: true,
+        },
+        Case {
+            name: "all endpoints",
+            pause: "1.5",
+            held: Duration::from_millis(1_400),
+            has_other: false,
+        },
+        Case {
+            name: "no number",
+            pause: "later",
+            held: Duration::ZERO,
+            has_other: true,
+        },
+        Case {
+            name: "negative",
+            pause: "-7",
+            held: Duration::ZERO,
+            has_other: true,
+        },
+    ];
+    for case in cases {
+        let script = [Behaviour::Pause(case.pause)];
+        let paused = Endpoint::spawn("a", &script, Behaviour::Answer(200, "good"));
+        let site = Site::spawn(&[("desk", &paused)]);
+        let refused = site.call(&Method::GET, "/look/a", "id-0").unwrap();
+        let since = Instant::now();
+        assert_eq!(refused.status, 503, "{}", case.name);
+        if case.has_other {
+            let other = Endpoint::spawn("b", &[], Behaviour::Answer(200, "good"));
+            put_endpoint(&site.store, "desk", &other, 1);
+            wait::until("the other endpoint answers", || look(&site, "id-1") == 200);
+        }
+        let mut i = 0;
+        while since.elapsed() < case.held {
+            let answer = site
+                .call(&Method::GET, "/look/a", &format!("id-2-{i}"))
+                .unwrap();
+            assert_eq!(answer.status == 200, case.has_other, "{}", case.name);
+            assert_eq!(paused.received().len(), 1, "{}", case.name);
+            i += 1;
+        }
+        if !case.has_other {
+            wait::until("the endpoint is used again", || look(&site, "id-3") == 200);
+        }
+    }
+}
--- a/tests/integration/direct/endpoint.rs
+++ b/tests/integration/direct/endpoint.rs
@@ -32,6 +32,11 @@
     Truncated,
     /// Answers with the id of another request.
     Crossed,
+    /// Answers, and says that it leaves.
+    Leaves(&'static str),
+    /// Refuses with the mark that the request was not executed, and asks for a pause of so
+    /// many seconds.
+    Pause(&'static str),
     /// Runs the request, but sends the refusal of an earlier one again, with this status.
     StaleNotRun(u16),
     /// Answers without a signature.
@@ -176,7 +181,7 @@
                 behaviour = draw.behaviour(&received, state.received.len());
             }
             received.endpoint = self.id;
-            received.executed = !matches!(behaviour, Behaviour::NotRun);
+            received.executed = !matches!(behaviour, Behaviour::NotRun | Behaviour::Pause(_));
             state.received.push(received.clone());
             drop(state);
             if !self.send_answer(tcp, &received, &behaviour) {
@@ -225,6 +230,14 @@
                 false
             }
             Behaviour::Crossed => send(&complete_answer(200, "another", &seal, "of another")),
+            Behaviour::Leaves(body) => {
+                let rest = format!("{seal}Server-Leaving: 1\r\n");
+                send(&complete_answer(200, &id, &rest, body))
+            }
+            Behaviour::Pause(seconds) => {
+                let rest = format!("Not-Executed: 1\r\nRetry-After: {seconds}\r\n");
+                send(&complete_answer(503, &id, &rest, ""))
+            }
             Behaviour::StaleNotRun(status) => send(&complete_answer(
                 *status,
                 "another",
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -1,5 +1,6 @@
 //! The direct role: an entry that calls endpoints without sidecars.
 
+mod availability;
 mod balance;
 mod calls;
 mod canary;
