Evaluate completed rollouts rarely, count closed endpoints only where there are any

From reading the change: a completed rollout was evaluated at every tick for a log line, and each choice read each endpoint's record once more. The incarnation of a process is derived in one place.

--- a/src/balance/choose.rs
+++ b/src/balance/choose.rs
@@ -187,19 +187,14 @@
     } else {
         default_reason
     };
-    let closed: Vec<_> = endpoints
-        .iter()
-        .filter_map(|endpoint| {
-            let slots = endpoint.record.slots;
-            endpoint.live.check_available(slots, query.now).err()
-        })
-        .collect();
-    let leaving = closed
-        .iter()
-        .filter(|closed| **closed == balance::Closed::Leaving)
-        .count();
+    let is_complete = eligible.len() == endpoints.len();
+    let (paused, leaving) = if is_complete {
+        (0, 0)
+    } else {
+        count_closed(endpoints, query.now)
+    };
     Some(Choice {
-        paused: closed.len() - leaving,
+        paused,
         leaving,
         reason,
         total: endpoints.len(),
@@ -214,6 +209,18 @@
     })
 }
 
+/// Counts the endpoints that pause and those that leave.
+fn count_closed(endpoints: &[Arc<direct::EndpointView>], now: runtime::Moment) -> (usize, usize) {
+    let closed = endpoints.iter().filter_map(|endpoint| {
+        let slots = endpoint.record.slots;
+        endpoint.live.check_available(slots, now).err()
+    });
+    closed.fold((0, 0), |(paused, leaving), closed| match closed {
+        balance::Closed::Leaving => (paused, leaving + 1),
+        balance::Closed::Paused(_) | balance::Closed::Returning => (paused + 1, leaving),
+    })
+}
+
 /// An endpoint that may be chosen, with the figures behind its score.
 struct Candidate<'a> {
     endpoint: &'a Arc<direct::EndpointView>,
--- a/src/daemon/process.rs
+++ b/src/daemon/process.rs
@@ -91,7 +91,7 @@
         vm: settings.vm.clone(),
         domain: settings.domain.clone(),
         region: settings.region.clone(),
-        incarnation: incarnation(),
+        incarnation: ids::Incarnation::at_start(runtime::since_epoch()),
         role: match settings.role {
             settings::Role::Entry(_) => fleet::NodeRole::Entry,
             settings::Role::Sidecar(_) => fleet::NodeRole::Sidecar,
@@ -99,13 +99,6 @@
     }
 }
 
-/// Returns the incarnation of this process: microseconds since the Unix epoch,
-/// which increases over restarts of a VM without any stored state.
-fn incarnation() -> ids::Incarnation {
-    let age = runtime::since_epoch();
-    ids::Incarnation(u64::try_from(age.as_micros()).unwrap_or(u64::MAX))
-}
-
 impl From<io::Error> for daemon::StartError {
     fn from(err: io::Error) -> Self {
         Self::Io(err.to_string().into())
--- a/src/direct/system/operator.rs
+++ b/src/direct/system/operator.rs
@@ -101,6 +101,7 @@
             shared: direct::Tallies::default(),
             exchange_requested_at: cx.now,
             verdict: rollout::Verdict::default(),
+            evaluated_at: cx.now,
             logged: (0, 0),
             logged_at: cx.now,
             recorded: None,
--- a/src/direct/system/rollouts.rs
+++ b/src/direct/system/rollouts.rs
@@ -22,18 +22,26 @@
 /// the same.
 const EVIDENCE_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between two evaluations of a completed rollout, which only the log needs.
+const COMPLETED_EVALUATION_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Advances rollouts by their evidence until their end is recorded, and requests a
 /// report of each new stage.
 pub fn run(world: &mut direct::World, cx: &mut TickCx) {
     let mut rollouts = std::mem::take(&mut world.rollouts);
     for (service, row) in &mut rollouts {
-        if row.recorded == Some(rollout::Stage::RolledBack) {
-            continue;
-        }
-        let comparison = evaluate(cx, service, row);
-        if !row.recorded.is_some_and(rollout::Stage::is_over) {
-            advance(world, cx, service, row, &comparison);
-            request_report(world, cx, service, row);
+        match row.recorded {
+            Some(rollout::Stage::RolledBack) => {}
+            Some(rollout::Stage::Completed) => {
+                if cx.now.saturating_since(row.evaluated_at) >= COMPLETED_EVALUATION_INTERVAL {
+                    evaluate(cx, service, row);
+                }
+            }
+            _ => {
+                let comparison = evaluate(cx, service, row);
+                advance(world, cx, service, row, &comparison);
+                request_report(world, cx, service, row);
+            }
         }
     }
     world.rollouts = rollouts;
@@ -49,6 +57,7 @@
     tallies.merge(&row.peers.tallies);
     let comparison = tallies.compare(&row.order.target);
     let verdict = comparison.verdict();
+    row.evaluated_at = cx.now;
     let counts = (comparison.attempts(), comparison.failures());
     let has_changed = verdict != row.verdict;
     let is_due = cx.now.saturating_since(row.logged_at) >= EVIDENCE_LOG_INTERVAL;
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -55,12 +55,14 @@
     pub evidence: Arc<direct::Evidence>,
     /// Results of the other entries.
     pub peers: PeerResults,
-    /// Results of this entry as last shared.
+    /// Results of this entry as last handed over to be shared.
     pub shared: direct::Tallies,
     /// When an exchange of results was last requested, at first the time of the order.
     pub exchange_requested_at: runtime::Moment,
     /// Verdict of the last evaluation.
     pub verdict: rollout::Verdict,
+    /// When the results were last evaluated.
+    pub evaluated_at: runtime::Moment,
     /// Attempts on the new version, and their failures, when the evidence was last logged.
     pub logged: (u32, u32),
     /// When the evidence was last logged.
@@ -77,7 +79,7 @@
 /// Complete control state of a direct entry; owned by the control thread.
 #[derive(Debug)]
 pub struct World {
-    /// This process of the entry, distinct from the one before it.
+    /// This process of the entry; one that starts later has a greater number.
     pub process: ids::Incarnation,
     /// Settings of the process, as last loaded.
     pub settings: settings::Direct,
@@ -108,7 +110,7 @@
     #[must_use]
     pub fn new(settings: settings::Direct) -> Self {
         Self {
-            process: ids::Incarnation(fastrand::u64(..)),
+            process: ids::Incarnation::at_start(runtime::since_epoch()),
             settings,
             deployment: None,
             endpoints: table::Table::default(),
--- a/src/ids/number.rs
+++ b/src/ids/number.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::num::ParseIntError;
 use std::str::FromStr;
+use std::time::Duration;
 
 /// Error returned when a text is not a number in the range of its type.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -62,6 +63,16 @@
     /// Identifies one incarnation of a process; a restarted process has a greater number.
     Incarnation(u64)
 }
+
+impl Incarnation {
+    /// Returns the incarnation of a process that starts at this age of the Unix epoch, which
+    /// increases over restarts of a VM without any stored state.
+    #[must_use]
+    pub fn at_start(since_epoch: Duration) -> Self {
+        Self(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
+    }
+}
+
 number! {
     /// Revision of a configuration object; 0 means that the object does not exist.
     Revision(u64)
