Divide limits over all entries by leases of the store instead of an assumed number of entries

Cause: each entry took its part of a limit by an assumed number of entries, two for each failure domain. 26 to 32 entries in 6 domains together sent 2.2 to 2.7 times the permitted rate. Besides, the token bucket of each entry held one request for as long as the entry was idle, so that a burst spent the tokens of all entries within the same second, whatever their number: 26 tokens beside the rate of 14.

Change: entries join a group at the store and divide its partitions as leases; an entry sends a cold endpoint the part of the rate that its leases are of all. Leases are exclusive, so the sum holds without knowing the other entries. They expire 3 s after the start of the call that confirmed them; without valid ones an entry uses half of its last share, so that entries turned away by the store do not exceed the tolerance while the others hold all leases. A newcomer sends nothing to cold endpoints before its first assignment. Permits are issued at even intervals, at other times in each entry, and lapse after 250 ms. Where all endpoints of a service are cold, a request takes the next permit in advance and waits for it, up to a quarter of its latency objective; beyond that it is refused at once with the time of that permit. The limit on connections to an endpoint is divided by the same share.

The entry with sidecars is not affected: the gate of the sidecar limits the load of its own endpoint.

--- a/src/balance/choose.rs
+++ b/src/balance/choose.rs
@@ -74,9 +74,10 @@
     pub tried: &'a [ids::EndpointId],
     /// Failure domain of this entry; endpoints in it are preferred.
     pub domain: &'a ids::DomainName,
-    /// Requests per second that this entry may send to a cold endpoint; `None`
-    /// means no limit.
-    pub cold_rate: Option<units::Rate>,
+    /// Limit on the requests of this entry to a cold endpoint; `None` means no limit.
+    pub cold_limit: Option<balance::ColdLimit>,
+    /// Maximum time for which the request may wait for a cold endpoint.
+    pub max_delay: Duration,
     /// Time of the selection.
     pub now: runtime::Moment,
 }
@@ -91,6 +92,8 @@
     Score,
     /// No eligible endpoint is healthy; it has the lowest score among all of them.
     LastResort,
+    /// All endpoints that may be used are cold; it is the first that takes another request.
+    NextPermit,
 }
 
 /// The selected endpoint, with the figures behind the selection for the request log.
@@ -121,6 +124,9 @@
     pub reading: Duration,
     /// Prompt tokens that the endpoint has to read; zero without a prompt.
     pub unread: units::Tokens,
+    /// Time to wait before the request is sent, as the endpoint is cold; counted in
+    /// `expected`.
+    pub delay: Duration,
 }
 
 impl fmt::Display for Choice {
@@ -150,6 +156,9 @@
             Some(age) => write!(f, " reported {} ms ago", age.as_millis())?,
             None => write!(f, " own only")?,
         }
+        if !self.delay.is_zero() {
+            write!(f, ", sent in {} ms", self.delay.as_millis())?;
+        }
         if self.unread.0 > 0 {
             let expected = self.expected.as_millis();
             write!(f, ", {} to read, expected in {expected} ms", self.unread)?;
@@ -163,14 +172,17 @@
 pub fn choose(endpoints: &[Arc<direct::EndpointView>], query: &Query<'_>) -> Option<Choice> {
     let eligible: Vec<_> = endpoints
         .iter()
-        .filter(|endpoint| is_eligible(endpoint, query))
+        .filter(|endpoint| {
+            is_allowed(endpoint, query) && cold_delay(endpoint, query) == Some(Duration::ZERO)
+        })
         .collect();
+    if eligible.is_empty() {
+        return choose_delayed(endpoints, query);
+    }
     let healthy: Vec<_> = eligible
         .iter()
         .copied()
-        .filter(|endpoint| {
-            !endpoint.live.is_suspended(query.now) && !endpoint.live.is_silent(query.now)
-        })
+        .filter(|endpoint| is_healthy(endpoint, query))
         .collect();
     // An unhealthy endpoint is better than refusing the request.
     let (candidates, default_reason) = if healthy.is_empty() {
@@ -205,10 +217,44 @@
         expected: best.wait() + best.reading,
         reading: best.reading,
         unread: best.unread,
+        delay: Duration::ZERO,
         endpoint: Arc::clone(best.endpoint),
     })
 }
 
+/// Selects the cold endpoint that may be sent the request first, within the maximum delay.
+fn choose_delayed(endpoints: &[Arc<direct::EndpointView>], query: &Query<'_>) -> Option<Choice> {
+    let candidates = endpoints
+        .iter()
+        .filter(|endpoint| is_allowed(endpoint, query) && is_healthy(endpoint, query));
+    let (delay, endpoint) = candidates
+        .filter_map(|endpoint| Some((cold_delay(endpoint, query)?, endpoint)))
+        .min_by_key(|(delay, _)| *delay)
+        .filter(|(delay, _)| *delay <= query.max_delay)?;
+    let weighed = weigh(&[endpoint], query);
+    let best = weighed.first()?;
+    let (paused, leaving) = count_closed(endpoints, query.now);
+    Some(Choice {
+        paused,
+        leaving,
+        reason: ChoiceReason::NextPermit,
+        total: endpoints.len(),
+        eligible: 0,
+        healthy: 0,
+        load: best.figures.load,
+        load_age: endpoint.live.load_age(query.now),
+        expected: delay + best.wait() + best.reading,
+        reading: best.reading,
+        unread: best.unread,
+        delay,
+        endpoint: Arc::clone(endpoint),
+    })
+}
+
+fn is_healthy(endpoint: &direct::EndpointView, query: &Query<'_>) -> bool {
+    !endpoint.live.is_suspended(query.now) && !endpoint.live.is_silent(query.now)
+}
+
 /// Counts the endpoints that pause and those that leave.
 fn count_closed(endpoints: &[Arc<direct::EndpointView>], now: runtime::Moment) -> (usize, usize) {
     let closed = endpoints.iter().filter_map(|endpoint| {
@@ -328,15 +374,14 @@
     }
 }
 
-fn is_eligible(endpoint: &direct::EndpointView, query: &Query<'_>) -> bool {
-    query.version.allows(&endpoint.record.version)
-        && endpoint
-            .live
-            .check_available(endpoint.record.slots, query.now)
-            .is_ok()
+fn is_allowed(endpoint: &direct::EndpointView, query: &Query<'_>) -> bool {
+    let direct::EndpointView { record, live, .. } = endpoint;
+    query.version.allows(&record.version)
+        && live.check_available(record.slots, query.now).is_ok()
         && query.regions.allows(endpoint.region.as_ref())
-        && !query.tried.contains(&endpoint.record.id)
-        && endpoint
-            .live
-            .admits(endpoint.cold_until, query.cold_rate, query.now)
+        && !query.tried.contains(&record.id)
+}
+
+fn cold_delay(endpoint: &direct::EndpointView, query: &Query<'_>) -> Option<Duration> {
+    endpoint.cold_delay(query.cold_limit.as_ref(), query.now)
 }
--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::balance;
+use crate::ids;
 use crate::runtime;
 use crate::units;
 
@@ -345,18 +346,26 @@
         self.lock().suspended_until > now
     }
 
-    /// Whether a request may be sent now. While the endpoint is cold, by its
-    /// record or after a failure, requests are limited to `rate`; `None` means no limit.
+    /// Returns how long a request to the endpoint with this id has to wait; `None` if none
+    /// is allowed. While the endpoint is cold, by its record or after a failure, requests are
+    /// limited; without a limit it takes any number.
     #[must_use]
-    pub fn admits(
+    pub fn cold_delay(
         &self,
+        endpoint: &ids::EndpointId,
         cold_until: runtime::Moment,
-        rate: Option<units::Rate>,
+        limit: Option<&balance::ColdLimit>,
         now: runtime::Moment,
-    ) -> bool {
-        let Some(rate) = rate else { return true };
+    ) -> Option<Duration> {
+        let Some(limit) = limit else {
+            return Some(Duration::ZERO);
+        };
         let mut state = self.lock();
-        cold_until.max(state.cold_until) <= now || state.gate.is_open(rate, now)
+        if cold_until.max(state.cold_until) <= now {
+            state.gate.lift();
+            return Some(Duration::ZERO);
+        }
+        state.gate.delay(limit, endpoint, now)
     }
 
     /// Age of the report used by [`Self::load`]; `None` when there is no current one.
--- a/src/direct/change.rs
+++ b/src/direct/change.rs
@@ -139,6 +139,15 @@
     pub read_started: runtime::Moment,
 }
 
+/// Leases that the store has assigned to this entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Assignment {
+    /// Number of leases held.
+    pub leases: u32,
+    /// Start of the call; the leases are held at least as of this time.
+    pub call_started: runtime::Moment,
+}
+
 /// Input of the control thread.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -174,6 +183,8 @@
     },
     /// Results of rollouts at all entries, as far as they have shared them.
     EvidenceRead(Vec<SharedEvidence>),
+    /// The store has assigned leases to this entry.
+    Assigned(Assignment),
     /// The settings of the process were reloaded.
     Settings(Box<settings::Direct>),
 }
--- a/src/direct/freshness.rs
+++ b/src/direct/freshness.rs
@@ -1,19 +1,19 @@
-//! Age of the configuration.
+//! Age of what was read from the store.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use crate::runtime;
 
-/// Start of the last read that confirmed the configuration, in milliseconds; 0
-/// before the first. Traffic refuses keyed requests once it is too long ago.
+/// Start of the last call that confirmed the configuration or the share of this entry, in
+/// milliseconds; 0 before the first.
 #[derive(Debug, Default)]
 pub struct Freshness(AtomicU64);
 
 impl Freshness {
-    /// Records a confirmation by a read that began then; an older one has no effect.
-    pub fn confirm(&self, read_started: runtime::Moment) {
-        self.0.fetch_max(read_started.as_millis(), Ordering::AcqRel);
+    /// Records a confirmation by a call that began then; an older one has no effect.
+    pub fn confirm(&self, call_started: runtime::Moment) {
+        self.0.fetch_max(call_started.as_millis(), Ordering::AcqRel);
     }
 
     /// Time since the last confirmation; `None` before the first one.
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -6,6 +6,7 @@
 mod exchange;
 mod feed;
 mod freshness;
+mod join;
 mod plane;
 mod poll_settings;
 mod snapshot;
@@ -16,13 +17,14 @@
 mod writer;
 
 pub use change::{
-    Batch, Effect, EndpointChange, EndpointRecord, Event, OperatorChange, RolloutOrder,
+    Assignment, Batch, Effect, EndpointChange, EndpointRecord, Event, OperatorChange, RolloutOrder,
     RolloutReport, SharedEvidence, Source,
 };
 pub use evidence::{Evidence, Sample, WaitingKey};
 pub use exchange::exchange;
 pub use feed::follow;
 pub use freshness::Freshness;
+pub use join::join;
 pub use plane::Plane;
 pub use poll_settings::PollSettings;
 pub use snapshot::{EndpointView, ServiceView, Snapshot, VersionSplit};
--- a/src/direct/snapshot.rs
+++ b/src/direct/snapshot.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::balance;
 use crate::catalog;
@@ -10,6 +11,7 @@
 use crate::poison;
 use crate::rollout;
 use crate::runtime;
+use crate::units;
 
 /// An endpoint that is in service.
 #[derive(Clone, Debug)]
@@ -26,6 +28,20 @@
     pub is_engine: bool,
 }
 
+impl EndpointView {
+    /// Returns how long a request has to wait because the endpoint is cold; `None` if none is
+    /// allowed.
+    #[must_use]
+    pub fn cold_delay(
+        &self,
+        limit: Option<&balance::ColdLimit>,
+        now: runtime::Moment,
+    ) -> Option<Duration> {
+        self.live
+            .cold_delay(&self.record.id, self.cold_until, limit, now)
+    }
+}
+
 /// How the requests of a service are split over its versions.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub enum VersionSplit {
@@ -63,9 +79,19 @@
     pub suspects: Arc<poison::Suspects>,
     /// When the configuration was last confirmed; updated between snapshots too.
     pub freshness: Arc<direct::Freshness>,
+    /// Share of this entry in limits that apply to all entries together.
+    pub share: balance::AnyFleetShare,
+    /// When the leases of the share were last confirmed; updated between snapshots too.
+    pub share_freshness: Arc<direct::Freshness>,
 }
 
 impl Snapshot {
+    /// Returns the share of this entry in the rate of requests to a cold endpoint.
+    #[must_use]
+    pub fn cold_rate_share(&self, now: runtime::Moment) -> units::Share {
+        self.share.of_cold_rate(self.share_freshness.age(now))
+    }
+
     /// Whether the configuration and at least one usable endpoint are known.
     #[must_use]
     pub fn can_serve(&self) -> bool {
--- a/src/direct/system/mod.rs
+++ b/src/direct/system/mod.rs
@@ -6,6 +6,7 @@
 mod process;
 mod reports;
 mod rollouts;
+mod share;
 mod snapshot;
 mod suspects;
 mod tick;
@@ -19,8 +20,9 @@
 type System = fn(&mut direct::World, &mut TickCx);
 
 /// All systems, in the order in which they run.
-pub const ALL: [System; 7] = [
+pub const ALL: [System; 8] = [
     process::run,
+    share::run,
     operator::run,
     endpoints::run,
     reports::run,
--- a/src/direct/system/snapshot.rs
+++ b/src/direct/system/snapshot.rs
@@ -27,6 +27,8 @@
         services,
         suspects: Arc::clone(&world.suspects),
         freshness: Arc::clone(&world.freshness),
+        share: world.share,
+        share_freshness: Arc::clone(&world.share_freshness),
     }
 }
 
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -101,6 +101,10 @@
     pub health: HashMap<direct::Source, direct::StoreHealth>,
     /// When the configuration was last confirmed; shared with traffic.
     pub freshness: Arc<direct::Freshness>,
+    /// Share of this entry in limits that apply to all entries together.
+    pub share: balance::AnyFleetShare,
+    /// When the leases of the share were last confirmed; shared with traffic.
+    pub share_freshness: Arc<direct::Freshness>,
     /// Whether a complete listing of the endpoints has been read.
     pub endpoints_listed: bool,
 }
@@ -121,6 +125,8 @@
             domains_out_of_service: HashSet::new(),
             health: HashMap::new(),
             freshness: Arc::default(),
+            share: balance::AnyFleetShare::default(),
+            share_freshness: Arc::default(),
             endpoints_listed: false,
         }
     }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -19,6 +19,10 @@
 use crate::runtime;
 use crate::units;
 
+/// Maximum time for which a request waits for a cold endpoint, as a fraction of the latency
+/// objective of its route.
+const COLD_WAIT_FRACTION: f64 = 0.25;
+
 /// Limits on the attempts of a request, for one kind of answer.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryLimits {
@@ -217,11 +221,8 @@
         let now = runtime::Moment::now();
         let filters = self.version_filters(view, now);
         let settings = self.cx.settings();
-        let entries = f64::from(settings.assumed_entries());
-        let cold_rate = view
-            .upstream
-            .cold_start
-            .map(|cold| units::Rate::clamped(cold.rate.get() / entries));
+        let cold_limit = self.cold_limit(view, now);
+        let max_delay = self.rule.objective.duration().mul_f64(COLD_WAIT_FRACTION);
         let reading = self.reading(model);
         filters.into_iter().flatten().find_map(|version| {
             let query = balance::Query {
@@ -231,13 +232,29 @@
                 region: settings.regions.get(&settings.domain),
                 tried,
                 domain: &settings.domain,
-                cold_rate,
+                cold_limit,
+                max_delay,
                 now,
             };
             balance::choose(&view.endpoints, &query)
         })
     }
 
+    /// Returns the limit on the requests of this entry to a cold endpoint of the service;
+    /// `None` if there is none.
+    fn cold_limit(
+        &self,
+        view: &direct::ServiceView,
+        now: runtime::Moment,
+    ) -> Option<balance::ColdLimit> {
+        let cold = view.upstream.cold_start?;
+        let share = self.cx.control.snapshot().cold_rate_share(now);
+        Some(balance::ColdLimit {
+            rate: units::Rate::clamped(cold.rate.get() * share.get()),
+            entry: ids::Fingerprint::fnv1a(self.cx.settings().vm.as_str()),
+        })
+    }
+
     /// Returns the prompt as read by the model with this index; `None` for a request
     /// without one.
     #[must_use]
@@ -295,23 +312,27 @@
         position < share.get()
     }
 
-    /// Returns the time until the first endpoint of the service ends its pause; `None` unless
-    /// all of them have asked for one or leave.
+    /// Returns the time until the first endpoint of the service takes requests again; `None`
+    /// unless all of them pause, are cold or leave.
     #[must_use]
     pub fn earliest_return(&self) -> Option<Duration> {
         let view = self.view()?;
         let now = runtime::Moment::now();
-        let mut earliest = None;
+        let cold_limit = self.cold_limit(&view, now);
+        let mut earliest: Option<Duration> = None;
         for endpoint in &view.endpoints {
             let slots = endpoint.record.slots;
-            match endpoint.live.check_available(slots, now).err()? {
-                balance::Closed::Paused(until) => {
-                    let left = until.saturating_since(now);
-                    earliest = Some(earliest.map_or(left, |other: Duration| other.min(left)));
-                }
-                balance::Closed::Returning => earliest = Some(Duration::ZERO),
-                balance::Closed::Leaving => {}
-            }
+            let left = match endpoint.live.check_available(slots, now) {
+                Err(balance::Closed::Paused(until)) => until.saturating_since(now),
+                Err(balance::Closed::Returning) => Duration::ZERO,
+                Err(balance::Closed::Leaving) => continue,
+                Ok(()) => match endpoint.cold_delay(cold_limit.as_ref(), now) {
+                    Some(Duration::ZERO) => return None,
+                    Some(delay) => delay,
+                    None => continue,
+                },
+            };
+            earliest = Some(earliest.map_or(left, |other| other.min(left)));
         }
         earliest
     }
@@ -323,9 +344,9 @@
         view: &direct::ServiceView,
         endpoint: &direct::EndpointView,
     ) -> http::Client {
-        let entries = self.cx.settings().assumed_entries();
+        let share = self.cx.control.snapshot().share.of_connections();
         let limit = view.upstream.max_connections;
-        self.cx.pools.client(&endpoint.record, limit, entries)
+        self.cx.pools.client(&endpoint.record, limit, share)
     }
 
     /// Records an attempt without a complete answer. The endpoint may have restarted, and
--- a/src/gateway/pools.rs
+++ b/src/gateway/pools.rs
@@ -9,6 +9,7 @@
 use crate::http;
 use crate::ids;
 use crate::runtime;
+use crate::units;
 
 /// Time limit for a new connection. A round trip takes a few milliseconds, and an
 /// unresponsive endpoint must leave time for an attempt at another.
@@ -37,23 +38,26 @@
         self.clients.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the client of an endpoint. Its connection limit is this entry's share of
-    /// `max_connections`, which `entries` entries use together.
+    /// Returns the client of an endpoint. Its connection limit is this entry's `share` of
+    /// `max_connections`, which all entries use together.
     #[must_use]
     pub fn client(
         &self,
         record: &direct::EndpointRecord,
         max_connections: u32,
-        entries: u32,
+        share: units::Share,
     ) -> http::Client {
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let part = (f64::from(max_connections) * share.get()) as usize;
+        let max_connections = part.max(MIN_CONNECTIONS);
         let key = (record.id.clone(), record.addr);
         if let Some(client) = self.lock().get(&key) {
+            client.set_max_connections(max_connections);
             return client.clone();
         }
-        let share = usize::try_from(max_connections / entries.max(1)).unwrap_or(usize::MAX);
         let limits = http::ClientLimits {
             connect_timeout: CONNECT_TIMEOUT,
-            max_connections: share.max(MIN_CONNECTIONS),
+            max_connections,
         };
         let client = http::Client::with_limits(record.addr, self.traffic.clone(), limits);
         self.lock().insert(key, client.clone());
--- a/src/gateway/role.rs
+++ b/src/gateway/role.rs
@@ -97,6 +97,11 @@
                 control.clone(),
             )),
             traffic.spawn(direct::exchange(store.clone(), exchanges, control.clone())),
+            traffic.spawn(direct::join(
+                store.clone(),
+                settings.vm.clone(),
+                control.clone(),
+            )),
             traffic.spawn(sweep(Arc::clone(&cx), Arc::clone(&callers))),
             traffic.spawn(watch_timers(Arc::clone(&cx))),
         ];
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -133,6 +133,9 @@
     if let Some(reading) = call.reading(call.model) {
         endpoint.live.record_prompt(&reading, now);
     }
+    if !choice.delay.is_zero() {
+        Timer::after(choice.delay).await;
+    }
     let waiting = call.begin_waiting(view, &endpoint);
     let result = exchange(call, view, choice, permit, resume_after, timeout).await;
     if let Some(waiting) = waiting {
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -63,7 +63,8 @@
 struct Shared {
     addr: SocketAddr,
     traffic: runtime::Traffic,
-    limits: ClientLimits,
+    connect_timeout: Duration,
+    max_connections: AtomicUsize,
     open_connections: AtomicUsize,
     idle: Mutex<Vec<Idle>>,
 }
@@ -171,7 +172,8 @@
             shared: Arc::new(Shared {
                 addr,
                 traffic,
-                limits,
+                connect_timeout: limits.connect_timeout,
+                max_connections: AtomicUsize::new(limits.max_connections),
                 open_connections: AtomicUsize::new(0),
                 idle: Mutex::default(),
             }),
@@ -184,6 +186,14 @@
         self.shared.addr
     }
 
+    /// Changes the maximum number of open connections. Surplus ones stay open until they are
+    /// closed for another reason.
+    pub fn set_max_connections(&self, max_connections: usize) {
+        self.shared
+            .max_connections
+            .store(max_connections, Ordering::Release);
+    }
+
     /// Closes idle connections whose maximum idle time has passed.
     pub fn expire_idle(&self) {
         self.shared.expire();
@@ -260,13 +270,13 @@
     }
 
     async fn connect(&self) -> Result<Connection, http::HttpError> {
-        let limits = self.shared.limits;
-        if self.shared.open_connections.load(Ordering::Acquire) >= limits.max_connections {
+        let max_connections = self.shared.max_connections.load(Ordering::Acquire);
+        if self.shared.open_connections.load(Ordering::Acquire) >= max_connections {
             return Err(http::HttpError::NotSent("connection limit".into()));
         }
         let tcp = TcpStream::connect(self.shared.addr)
             .or(async {
-                Timer::after(limits.connect_timeout).await;
+                Timer::after(self.shared.connect_timeout).await;
                 Err(std::io::ErrorKind::TimedOut.into())
             })
             .await?;
--- a/src/ids/mod.rs
+++ b/src/ids/mod.rs
@@ -13,5 +13,7 @@
     DomainName, EndpointId, InvalidName, ModelName, ProfileName, RegionName, RouteName,
     ServiceName, TeamName, VersionName, VmName,
 };
-pub use number::{Fence, Generation, Incarnation, InvalidNumber, Offset, Revision};
+pub use number::{
+    DivisionGeneration, Fence, Generation, Incarnation, InvalidNumber, Offset, Revision,
+};
 pub use request_id::{CallId, ChangeId, InvalidId, RequestId};
--- a/src/ids/number.rs
+++ b/src/ids/number.rs
@@ -77,6 +77,10 @@
     /// Revision of a configuration object; 0 means that the object does not exist.
     Revision(u64)
 }
+number! {
+    /// Generation of the division of leases among entries; 0 before the first division.
+    DivisionGeneration(u64)
+}
 number! {
     /// Generation of a claim on a non-idempotent call; each further claim has the next one.
     Generation(u32)
--- a/src/platform/direct_settings.rs
+++ b/src/platform/direct_settings.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 
 use crate::ids;
+use crate::platform::group;
 use crate::settings;
 use crate::units;
 
@@ -24,6 +25,8 @@
 const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
 /// Maximum share of requests to a bad version where the file has none.
 const DEFAULT_EXPOSURE_SHARE: f64 = 0.1;
+/// Partitions of a topic of the store where the file has none.
+const DEFAULT_PARTITIONS: u32 = 12;
 /// Limit on open file descriptors where the file has none.
 const DEFAULT_MAX_DESCRIPTORS: u32 = 1_024;
 
@@ -55,6 +58,9 @@
 #[serde(rename_all = "PascalCase")]
 struct Store {
     address: SocketAddr,
+    /// Number of partitions of each topic.
+    #[serde(rename = "parts")]
+    partitions: Option<u32>,
 }
 
 #[derive(Debug, Default, serde::Deserialize)]
@@ -111,6 +117,8 @@
 }
 
 fn resolve(file: SettingsFile) -> settings::Direct {
+    let partitions = file.platform.partitions.unwrap_or(DEFAULT_PARTITIONS);
+    let leases = partitions.max(1).saturating_mul(group::TOPIC_COUNT);
     let params = file.contract_params;
     let revoke = units::Millis::from_millis_rounded(params.revoke_ms.unwrap_or(DEFAULT_REVOKE_MS));
     settings::Direct {
@@ -121,6 +129,7 @@
         readiness_addr: file.listen_addrs.ready,
         metrics_addr: None,
         store_addr: file.platform.address,
+        leases,
         max_descriptors: file.limits.max_fds.unwrap_or(DEFAULT_MAX_DESCRIPTORS),
         bounds: settings::Bounds {
             drain: units::Millis::from_millis_rounded(params.drain_ms.unwrap_or(DEFAULT_DRAIN_MS)),
--- /dev/null
+++ b/src/platform/group.rs
@@ -0,0 +1,67 @@
+//! Calls by which entries divide numbered leases among themselves, as members of a group.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Bytes;
+
+use crate::ids;
+use crate::units;
+
+/// Group of the entries.
+const GROUP: &str = "entries";
+/// Prefix of the topics whose partitions are the leases. They hold no records.
+const TOPIC_PREFIX: &str = "share-";
+/// Number of these topics.
+pub const TOPIC_COUNT: u32 = 8;
+
+/// A request to join the group, or to stay in it.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Join {
+    #[serde(rename = "group")]
+    group: Arc<str>,
+    /// Name of the member.
+    pub member: ids::VmName,
+    /// Topics whose partitions are divided.
+    pub topics: Vec<Arc<str>>,
+    /// Time after which the member counts as gone unless it joins again.
+    pub ttl_ms: units::Millis,
+    /// Generation of the last answer.
+    pub generation: ids::DivisionGeneration,
+}
+
+impl Join {
+    /// Creates a request that keeps the membership for `ttl`.
+    #[must_use]
+    pub fn new(member: ids::VmName, ttl: Duration, generation: ids::DivisionGeneration) -> Self {
+        Self {
+            group: GROUP.into(),
+            member,
+            topics: (0..TOPIC_COUNT)
+                .map(|i| format!("{TOPIC_PREFIX}{i}").into())
+                .collect(),
+            ttl_ms: ttl.into(),
+            generation,
+        }
+    }
+
+    /// Encodes the body of the request.
+    pub fn encode(&self) -> serde_json::Result<Bytes> {
+        serde_json::to_vec(self).map(Bytes::from)
+    }
+}
+
+/// A partition that a member holds, with its committed offset.
+pub type HeldPartition = (Arc<str>, u32, i64);
+
+/// Answer to a member.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Membership {
+    /// Generation of the division, which increases with each change.
+    pub generation: ids::DivisionGeneration,
+    /// Partitions that the member holds.
+    #[serde(rename = "parts")]
+    pub held: Vec<HeldPartition>,
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,6 +10,7 @@
 pub mod endpoint_status;
 mod error;
 pub mod evidence_record;
+pub mod group;
 pub mod headers;
 mod log_client;
 pub mod operator;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -235,6 +235,22 @@
         }
     }
 
+    /// Joins a group of members, among which partitions are divided, or stays in it.
+    pub async fn join(
+        &self,
+        join: &platform::group::Join,
+    ) -> Result<platform::group::Membership, platform::PlatformError> {
+        let body = join.encode().map_err(|err| {
+            platform::PlatformError::Refused(http::HttpError::Malformed(err.to_string().into()))
+        })?;
+        let uri = store_call::JOIN.into();
+        let (status, body) = self.call(Method::POST, uri, body, CALL_TIMEOUT).await?;
+        if status != StatusCode::OK {
+            return Err(platform::PlatformError::Status(status.as_u16()));
+        }
+        parse(&body)
+    }
+
     /// Sends a request and reads its response. The timeout covers the body too,
     /// since the store may stall after it has sent the response head.
     async fn call(
@@ -246,10 +262,10 @@
     ) -> Result<(StatusCode, Bytes), platform::PlatformError> {
         let began = Instant::now();
         let deadline = began + timeout;
-        let kind = if method == Method::POST {
-            "append"
-        } else {
-            "read"
+        let kind = match (&method, uri.as_str()) {
+            (_, store_call::JOIN) => "join",
+            (&Method::POST, _) => "append",
+            _ => "read",
         };
         let req = Request::builder()
             .method(method)
--- a/src/platform/store_call.rs
+++ b/src/platform/store_call.rs
@@ -19,6 +19,8 @@
 pub(super) const READ: &str = "/log-read";
 /// Path of requests for the newest record of each key.
 pub(super) const NEWEST: &str = "/log-newest";
+/// Path of requests to join a group.
+pub(super) const JOIN: &str = "/log-join";
 
 /// A decoded request to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,6 +50,8 @@
         /// Lists only the keys after this one; `None` lists from the first key.
         after: Option<Arc<str>>,
     },
+    /// Joins a group or stays in it.
+    Join(platform::group::Join),
 }
 
 /// HTTP status and body of a response of the store.
@@ -57,6 +61,9 @@
     /// Decodes a request; `None` where it is not a valid request to the store.
     #[must_use]
     pub fn decode(method: &Method, uri: &Uri, body: &Bytes) -> Option<Self> {
+        if (method, uri.path()) == (&Method::POST, JOIN) {
+            return serde_json::from_slice(body).ok().map(Self::Join);
+        }
         let topic: Arc<str> = parameter(uri, "Topic")?.into();
         match (method, uri.path()) {
             (&Method::POST, APPEND) => Some(Self::Append {
@@ -135,6 +142,12 @@
     json_answer(StatusCode::OK, &body)
 }
 
+/// Encodes the response to a member of a group.
+#[must_use]
+pub fn join_answer(membership: &platform::group::Membership) -> StoreAnswer {
+    json_answer(StatusCode::OK, &json!(membership))
+}
+
 fn json_answer(status: StatusCode, body: &serde_json::Value) -> StoreAnswer {
     (status, body.to_string().into())
 }
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -25,27 +25,15 @@
     pub metrics_addr: Option<SocketAddr>,
     /// Address of the platform's metadata store (TCP).
     pub store_addr: SocketAddr,
+    /// Number of leases into which the store divides limits that apply to all entries
+    /// together; at least 1.
+    pub leases: u32,
     /// Maximum number of file descriptors that the process may have open.
     pub max_descriptors: u32,
     /// Limits from the platform's settings.
     pub bounds: Bounds,
 }
 
-/// Assumed number of entries in each failure domain, among which the capacity of
-/// endpoints is divided. Entries do not know of each other; where there are fewer
-/// of them, a part of the capacity stays unused.
-const ASSUMED_ENTRIES_PER_DOMAIN: u32 = 2;
-
-impl Direct {
-    /// Returns the assumed number of entries, by which each entry divides limits
-    /// that apply to all entries together.
-    #[must_use]
-    pub fn assumed_entries(&self) -> u32 {
-        let domains = u32::try_from(self.regions.len()).unwrap_or(u32::MAX);
-        domains.max(1).saturating_mul(ASSUMED_ENTRIES_PER_DOMAIN)
-    }
-}
-
 /// Limits from the platform's settings, set by the operators of a deployment.
 /// The names of the type and its fields appear in the log of the process, as those
 /// of [`Direct`] do.
--- a/src/standin/log.rs
+++ b/src/standin/log.rs
@@ -15,11 +15,11 @@
 use crate::http;
 use crate::ids;
 use crate::platform;
-use crate::platform::store_call;
+use crate::platform::{group, store_call};
 use crate::runtime;
 use crate::settings;
-use crate::standin::serve;
 use crate::standin::topics;
+use crate::standin::{groups, serve};
 use crate::units;
 
 /// Maximum of records in one listing of the newest record per key.
@@ -37,6 +37,7 @@
 #[derive(Debug, Default)]
 struct Log {
     state: Mutex<topics::Topics>,
+    group: Mutex<groups::Group>,
     changed: Event,
 }
 
@@ -45,6 +46,10 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn lock_group(&self) -> MutexGuard<'_, groups::Group> {
+        self.group.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn control(&self, command: topics::LogCommand) {
         self.lock().control(command);
         self.changed.notify(usize::MAX);
@@ -128,6 +133,15 @@
         store_reply(store_call::newest_answer(&newest))
     }
 
+    /// Joins a member to a group.
+    async fn handle_join(&self, join: &group::Join) -> http::Reply {
+        if let Some(reply) = self.outage().await {
+            return reply;
+        }
+        let membership = self.lock_group().join(join, Instant::now());
+        store_reply(store_call::join_answer(&membership))
+    }
+
     /// Decodes and executes one call, then waits for the configured answer delay.
     async fn call(&self, req: Request<Incoming>) -> http::Reply {
         let (head, body) = req.into_parts();
@@ -144,6 +158,7 @@
             Some(platform::StoreCall::Newest { topic, after }) => {
                 self.handle_newest(&topic, after.as_deref()).await
             }
+            Some(platform::StoreCall::Join(join)) => self.handle_join(&join).await,
             None => return http::not_found(),
         };
         let delay = self.lock().answer_delay.duration();
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -9,6 +9,7 @@
 mod engine_orders;
 mod engine_profile;
 mod faults;
+mod groups;
 mod inventory;
 mod log;
 mod main;
--- a/tests/integration/direct/balance.rs
+++ b/tests/integration/direct/balance.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use quetzalworks::balance::{
-    Failure, Prompt, PromptPart, Query, Reading, ReportedLoad, RetryWindow, VersionFilter, choose,
+    ColdLimit, Failure, Prompt, PromptPart, Query, Reading, ReportedLoad, RetryWindow,
+    VersionFilter, choose,
 };
 use quetzalworks::catalog::AllowedRegions;
 use quetzalworks::direct::EndpointView;
@@ -59,7 +60,11 @@
         region: None,
         tried: &[],
         domain,
-        cold_rate: Some(Rate::clamped(2.0)),
+        cold_limit: Some(ColdLimit {
+            rate: Rate::clamped(2.0),
+            entry: Fingerprint(0),
+        }),
+        max_delay: Duration::ZERO,
         now: Moment::from_millis(at),
     }
 }
@@ -385,7 +390,7 @@
             sent += 1;
         }
     }
-    // 2 per second for 5 s, and the burst of one at the start.
+    // 2 per second for 5 s.
     assert!((10..=11).contains(&sent), "{sent}");
 }
 
--- a/tests/integration/direct/endpoint.rs
+++ b/tests/integration/direct/endpoint.rs
@@ -4,7 +4,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::soak::backend::RandomBehaviour;
 use crate::testing::isolation;
@@ -67,6 +67,8 @@
 /// A request as it arrived.
 #[derive(Clone, Debug)]
 pub struct Received {
+    /// When its head and body had arrived.
+    pub at: Instant,
     /// Id of the endpoint that received it.
     pub endpoint: &'static str,
     pub head: String,
@@ -352,6 +354,7 @@
         head.push_str(&line);
     }
     let mut received = Received {
+        at: Instant::now(),
         endpoint: "",
         head,
         body: Vec::new(),
@@ -362,5 +365,6 @@
         .and_then(|length| length.parse().ok());
     received.body = vec![0; length.unwrap_or(0)];
     reader.read_exact(&mut received.body).ok()?;
+    received.at = Instant::now();
     Some(received)
 }
--- a/tests/integration/direct/failures.rs
+++ b/tests/integration/direct/failures.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use quetzalworks::balance::{Failure, Live, Permit, SilenceAction};
+use quetzalworks::balance::{ColdLimit, Failure, Live, Permit, SilenceAction};
+use quetzalworks::ids::Fingerprint;
 use quetzalworks::runtime::Moment;
 use quetzalworks::units::Rate;
 
@@ -39,12 +40,25 @@
         live.record_failure(case.failure, Duration::from_secs(3), now);
         let name = case.failure;
         assert_eq!(live.is_suspended(now), case.suspended, "{name}");
-        let admits = || live.admits(Moment::default(), Some(Rate::clamped(2.0)), now);
-        // The first request to a cold endpoint uses up its rate limit.
-        assert!(admits(), "{name}");
-        drop(live.begin(Duration::ZERO, now));
-        let admits = admits();
-        assert_eq!(!admits, case.cold, "{name}");
+        let limit = ColdLimit {
+            rate: Rate::clamped(2.0),
+            entry: Fingerprint(0),
+        };
+        // A cold endpoint gets one request within the period of its limit, or the end of two
+        // periods; a warm one any number.
+        let sent = (0..500).step_by(10).filter(|millis| {
+            let at = Moment::from_millis(NOW + millis);
+            let id = &endpoint.record.id;
+            let delay = live.cold_delay(id, Moment::default(), Some(&limit), at);
+            let admits = delay == Some(Duration::ZERO);
+            if admits {
+                drop(live.begin(Duration::ZERO, at));
+            }
+            admits
+        });
+        let expected = if case.cold { 1..=2 } else { 50..=50 };
+        let sent = sent.count();
+        assert!(expected.contains(&sent), "{name}: {sent}");
     }
 }
 
--- a/tests/integration/direct/site.rs
+++ b/tests/integration/direct/site.rs
@@ -52,7 +52,7 @@
     /// Starts another entry on the same store. Returns its process and its address for
     /// callers.
     pub fn spawn_entry(&self) -> (Process, SocketAddr) {
-        let entry = Entry::spawn(NAME, self.store.addr());
+        let entry = Entry::spawn("edge-north-2", self.store.addr());
         wait::until("the other process is ready", || is_ready(entry.readiness));
         (entry.process, entry.callers)
     }
@@ -101,13 +101,18 @@
 
     /// Sends a chat request, which is answered with a stream of events.
     pub fn chat(&self, id: &str) -> Result<http::Answer, HttpError> {
+        Self::chat_at(self.callers, id)
+    }
+
+    /// Sends a chat request to the entry at `callers`.
+    pub fn chat_at(callers: SocketAddr, id: &str) -> Result<http::Answer, HttpError> {
         let headers = [
             ("key", "key-red"),
             ("model", "*"),
             ("token-count", "100,20"),
             ("prefix-hash", "0a:60,0b:40"),
         ];
-        self.call_with(&Method::POST, "/chat/x?y=z", id, &headers)
+        Self::call_at(callers, &Method::POST, "/chat/x?y=z", id, &headers)
     }
 }
 
