A resumed stream goes on with its next event or breaks off

Seen by a test: a stream broke off after its third event, and the next endpoint answered with an error under status 200. The caller got the text of the error in the middle of the stream. Where that answer had no body, the stream ended as if it were complete after three of six events.

Cause: the relay passed on every block of a continuation, with or without the id of an event, and took each regular end of it for the end of the stream. Answers with another status were refused already.

Change: once events with ids were passed on, a block without one is no event of the stream; the endpoint counts as broken and another one is asked, or the stream breaks off. A continuation of another media type is not read. One that states no type must begin with a new event before its end counts.

Measured: a_broken_stream_goes_on_with_its_next_event_or_not_at_all, ten cases, failed before in 'an error with the status of success'; passes.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -23,9 +23,23 @@
     /// Time spent waiting for the next event while only comments were passed on. The time
     /// that the caller takes to read does not count.
     waited: Duration,
+    continuation: Continuation,
     status: StatusCode,
 }
 
+/// What is known of the answer that continues the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Continuation {
+    /// It has begun with an event of the stream, or nothing was passed on before it.
+    Begun,
+    /// It declares to be a stream of events; the caller may have had the last event already.
+    Declared,
+    /// Its type is not stated.
+    Undeclared,
+    /// It holds something that is no event of the stream.
+    Foreign,
+}
+
 impl Relay {
     /// Creates a relay for `source`. The caller already has the events up to
     /// `last_event`.
@@ -41,6 +55,7 @@
             source: Some(source),
             last_event,
             waited: Duration::ZERO,
+            continuation: Continuation::Begun,
             status,
         }
     }
@@ -50,8 +65,22 @@
     pub async fn next(&mut self) -> Option<io::Result<Bytes>> {
         let mut waiting_since = Instant::now();
         loop {
+            if self.continuation == Continuation::Foreign {
+                if let Err(err) = self.resume(balance::Failure::Broken).await {
+                    return Some(Err(err));
+                }
+                waiting_since = Instant::now();
+            }
             let source = self.source.as_mut()?;
-            if let Some(taken) = take_new_events(&mut source.splitter, &mut self.last_event) {
+            let taken = take_new_events(
+                &mut source.splitter,
+                &mut self.last_event,
+                &mut self.continuation,
+            );
+            if self.continuation == Continuation::Foreign && taken.is_none() {
+                continue;
+            }
+            if let Some(taken) = taken {
                 self.waited = if taken.has_event {
                     Duration::ZERO
                 } else {
@@ -68,7 +97,10 @@
                         return Some(Err(self.interrupt("event too large")));
                     }
                 }
-                stream::Chunk::End if source.splitter.pending() == 0 => {
+                stream::Chunk::End
+                    if source.splitter.pending() == 0
+                        && self.continuation != Continuation::Undeclared =>
+                {
                     let id = source.opened.endpoint.record.id.clone();
                     self.call.trace.attempt(&id, "answered", &"complete");
                     self.call.clear_suspicion();
@@ -110,6 +142,11 @@
         }
         match stream::open(&mut self.call, self.last_event).await {
             Ok(source) => {
+                self.continuation = match source.opened.declares_events() {
+                    Some(true) => Continuation::Declared,
+                    Some(false) => Continuation::Foreign,
+                    None => Continuation::Undeclared,
+                };
                 self.source = Some(source);
                 self.waited = Duration::ZERO;
                 Ok(())
@@ -135,10 +172,12 @@
 }
 
 /// Takes the complete events that have arrived, without those that the caller already
-/// has.
+/// has. Stops at one without an id in a stream whose events have ids: an error that the
+/// endpoint sends in place of the next event.
 fn take_new_events(
     splitter: &mut http::EventSplitter,
     last: &mut Option<u64>,
+    continuation: &mut Continuation,
 ) -> Option<TakenEvents> {
     let mut taken = Vec::new();
     let mut has_event = false;
@@ -150,6 +189,10 @@
         }
         if event.id.is_some() {
             *last = event.id;
+            *continuation = Continuation::Begun;
+        } else if last.is_some() && !event.is_comment() {
+            *continuation = Continuation::Foreign;
+            break;
         }
         has_event |= !event.is_comment();
         taken.extend_from_slice(&event.bytes);
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use http_body_util::Full;
+use hyper::header::CONTENT_TYPE;
 use hyper::{Request, StatusCode};
 use smol::Timer;
 use smol::future::FutureExt;
@@ -20,6 +21,9 @@
 use crate::runtime;
 use crate::units;
 
+/// Media type of a stream of events.
+const EVENT_STREAM_TYPE: &[u8] = b"text/event-stream";
+
 /// Maximum body of a refusal that is read to keep its connection in use.
 const MAX_REFUSAL_BODY: units::Bytes = units::Bytes(16 * 1_024);
 /// Time limit for reading the body of a refusal.
@@ -56,6 +60,14 @@
 }
 
 impl Opened {
+    /// Returns whether the response declares to be a stream of events; `None` if it states
+    /// no type.
+    #[must_use]
+    pub fn declares_events(&self) -> Option<bool> {
+        let stated = self.answer.headers.get(CONTENT_TYPE)?;
+        Some(stated.as_bytes().starts_with(EVENT_STREAM_TYPE))
+    }
+
     /// Records that the answer has begun `first` after the request was sent.
     pub fn record_success(&self, call: &call::Call, first: Duration) {
         self.endpoint.live.record_success(first, self.reading);
--- a/tests/integration/direct/endpoint.rs
+++ b/tests/integration/direct/endpoint.rs
@@ -57,6 +57,8 @@
     Trickle(u64, &'static str),
     /// Sends all events, with this confidence of the model in percent.
     Events(&'static str),
+    /// Sends this text, with the id of the request for `{id}`, and closes the connection.
+    Raw(&'static str),
     /// Like `Events`, after a pause.
     LateEvents(Duration),
 }
@@ -271,6 +273,10 @@
                 self.send_endless(tcp, rest);
                 false
             }
+            Behaviour::Raw(text) => {
+                send(&text.replace("{id}", &id));
+                false
+            }
             Behaviour::Trickle(last, text) => {
                 self.send_events(tcp, req, "90", *last);
                 while write_chunk(tcp, text).is_ok() {
--- a/tests/integration/direct/streams.rs
+++ b/tests/integration/direct/streams.rs
@@ -8,7 +8,7 @@
 use crate::direct::endpoint::{Behaviour, EVENTS, Endpoint};
 use crate::direct::site::{Site, put_endpoint};
 use crate::direct::world::config;
-use crate::testing::isolation;
+use crate::testing::{isolation, raw};
 
 fn ids(text: &str) -> Vec<u64> {
     let lines = text.lines().filter_map(|line| line.strip_prefix("id: "));
@@ -313,3 +313,66 @@
         drop(tcp);
     });
 }
+
+/// Guards against the text of an error, or its whole head, in the middle of a stream whose
+/// endpoint broke off, and against a stream that then ends as if it were complete.
+#[test]
+fn a_broken_stream_goes_on_with_its_next_event_or_not_at_all() {
+    use Behaviour::{Answer, Raw};
+    struct Case {
+        name: &'static str,
+        /// Answer of the next endpoint.
+        next: Behaviour,
+    }
+    let case = |name, next| Case { name, next };
+    let cases = [
+        case("a failure", Answer(500, "event: error\n\n")),
+        case("a failure that promises too much", Answer(503, "error\n\n")),
+        case("a refusal", Answer(404, "error\n\n")),
+        case("a redirection", Answer(302, "error\n\n")),
+        case(
+            "an error with the status of success",
+            Answer(200, "error\n\n"),
+        ),
+        case("success without a body", Answer(200, "")),
+        case("no content", Answer(204, "")),
+        case(
+            "an error as an event without an id",
+            Raw("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: a\r\n\
+                 Content-Type: text/event-stream\r\n\r\nevent: error\ndata: error\n\n"),
+        ),
+        case(
+            "the head of an error as a part of the stream",
+            Raw("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: a\r\n\
+                 Content-Type: text/event-stream\r\n\r\n\
+                 HTTP/1.1 500 error\r\nServer-Seal: a\r\n\r\nerror\n\n"),
+        ),
+        case(
+            "the events from the start, of which one is an error",
+            Raw("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: a\r\n\
+                 Content-Type: text/event-stream\r\n\r\n\
+                 id: 4\ndata: 4 small\n\nerror\n\n"),
+        ),
+    ];
+    for case in cases {
+        let script = vec![case.next, Behaviour::Cut(3)];
+        let script = Arc::new(Mutex::new(script));
+        let engines =
+            ["a", "b", "c"].map(|id| Endpoint::shared(id, &script, Behaviour::Events("90")));
+        let site = Site::spawn(&engines.each_ref().map(|engine| ("writer", engine)));
+        let req = b"POST /chat/x HTTP/1.1\r\nHost: example.test\r\nAttempt-Id: id-1\r\n\
+                    Deadline-Ms: 4000\r\nKey: key-red\r\nModel: *\r\nToken-Count: 100,20\r\n\
+                    Prefix-Hash: 0a:60,0b:40\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+        let received = raw::read_to_close(raw::open(site.callers, req));
+        let (head, body) = received.split_once("\r\n\r\n").unwrap();
+        assert!(head.starts_with("HTTP/1.1 200"), "{}: {head}", case.name);
+        assert!(!body.contains("error"), "{}: {body}", case.name);
+        assert!(!body.contains("HTTP/1.1"), "{}: {body}", case.name);
+        let received = ids(&body.replace('\r', ""));
+        let expected: Vec<_> = (1..=EVENTS).take(received.len()).collect();
+        assert_eq!(received, expected, "{}", case.name);
+        let is_complete = body.ends_with("0\r\n\r\n");
+        let has_all = received.len() as u64 == EVENTS;
+        assert_eq!(is_complete, has_all, "{}: {body}", case.name);
+    }
+}
