A planned stop answers every request, and passes none on late

Seen by a test: of three requests around the end of a planned stop all three ended with a closed connection and no answer: one in progress at the end of the grace period, one whose body came late, one that came late itself. The second had been passed on 4.5 s after the signal, when the stop refuses requests since 3 s.

Causes: the process ended with the connections of requests that were still waiting. The check for the stop was made on the head of a request, before its body was read. A connection accepted late was shut down before its request was read.

Change: 250 ms before the end of a stop the server answers each request without an answer that its outcome is unknown. The check is repeated after the body. Connections accepted late serve one request, which is refused as not run. The server does this for both kinds of entry.

Measured: a_planned_stop_answers_every_request failed before in all three cases, passes now; planned_stops_interrupt_nothing and the tests of idle connections pass.

--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -124,6 +124,14 @@
 }
 
 impl http::Handler for CallerApi {
+    fn unfinished(&self) -> http::Reply {
+        log::warn!("route: a request was ended by the end of a planned stop.");
+        chat::error_response(&errors::Refusal::new(
+            errors::ResultCode::OutcomeUnknown,
+            "the process stops, whether the request has run is not known",
+        ))
+    }
+
     async fn handle(&self, req: Request<Incoming>) -> http::Reply {
         let arrived = Instant::now();
         let id = ids::RequestId::generate();
--- a/src/entry/role.rs
+++ b/src/entry/role.rs
@@ -133,6 +133,7 @@
     pub async fn stop(&self, deadline: Instant) {
         self.cx.control.send(control::Event::Stop).await;
         self.server.close_idle();
+        self.server.drain(deadline).await;
         while self.is_busy() && Instant::now() < deadline {
             Timer::after(DRAIN_POLL).await;
         }
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -52,15 +52,7 @@
     metadata: &gateway::RequestMetadata,
     now: runtime::Moment,
 ) -> Result<Admitted, errors::Refusal> {
-    if cx
-        .stopping_for(now)
-        .is_some_and(|since| since > STOP_ADMIT_PERIOD)
-    {
-        return Err(
-            errors::Refusal::new(errors::ResultCode::Draining, "the process is stopping")
-                .with_retry_after(STOP_RETRY_AFTER),
-        );
-    }
+    check_stopping(cx, now)?;
     let Some(deployment) = &snapshot.deployment else {
         return Err(config_refusal("the configuration is not known yet"));
     };
@@ -100,6 +92,19 @@
     })
 }
 
+/// Refuses requests once a planned stop has gone on for so long that they may not end before
+/// the process does.
+pub fn check_stopping(cx: &gateway::Cx, now: runtime::Moment) -> Result<(), errors::Refusal> {
+    let is_late = |since| since > STOP_ADMIT_PERIOD;
+    if !cx.stopping_for(now).is_some_and(is_late) {
+        return Ok(());
+    }
+    Err(
+        errors::Refusal::new(errors::ResultCode::Draining, "the process is stopping")
+            .with_retry_after(STOP_RETRY_AFTER),
+    )
+}
+
 /// Refuses keys once the configuration is so old that a key may have been withdrawn for
 /// longer than the limit allows.
 fn check_config_age(cx: &gateway::Cx, age: Option<Duration>) -> Result<(), errors::Refusal> {
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -39,6 +39,14 @@
 pub struct CallerHandler(pub Arc<gateway::Cx>);
 
 impl http::Handler for CallerHandler {
+    fn unfinished(&self) -> http::Reply {
+        log::warn!(target: "process", "a request was ended by the end of the planned stop");
+        refuse::reply(&errors::Refusal::new(
+            errors::ResultCode::OutcomeUnknown,
+            "the process stops, whether the request has run is not known",
+        ))
+    }
+
     async fn handle(&self, req: Request<Incoming>) -> http::Reply {
         // Boxed, so that an idle connection does not hold memory for the future.
         let mut reply = Box::pin(self.answer(req)).await;
@@ -94,6 +102,10 @@
             Ok(body) => body,
             Err(refusal) => return refuse::refuse(&mut trace, &refusal),
         };
+        // The body may have taken long.
+        if let Err(refusal) = admit::check_stopping(&self.0, runtime::Moment::now()) {
+            return refuse::refuse(&mut trace, &refusal);
+        }
         let target = head
             .uri
             .path_and_query()
--- a/src/gateway/role.rs
+++ b/src/gateway/role.rs
@@ -22,8 +22,6 @@
 /// Interval at which idle connections are closed and the idle time of callers is updated
 /// from the configuration.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
-/// Interval at which a planned stop checks for requests in progress.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time from the begin of a planned stop to the close of idle connections. Until then
 /// callers may still use them, and are notified by the `Connection: close` of the answer.
 const CLOSE_IDLE_AFTER: Duration = Duration::from_secs(3);
@@ -148,9 +146,7 @@
         self.callers.close_idle();
         let grace = self.cx.settings().bounds.grace.duration();
         let deadline = began + grace.saturating_sub(STOP_MARGIN);
-        while self.callers.active() > 0 && Instant::now() < deadline {
-            Timer::after(DRAIN_POLL_INTERVAL).await;
-        }
+        self.callers.drain(deadline).await;
         log::info!(target: "process", open_connections = self.callers.active(),
             after_ms:% = began.elapsed().as_millis(); "planned stop complete");
     }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -6,9 +6,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::{HttpService, service_fn};
 use hyper::{Request, StatusCode};
@@ -26,6 +27,10 @@
 
 /// Pause after a failed `accept`, for example for lack of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+/// Interval at which a planned stop checks for requests in progress.
+const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time before the end of a planned stop for the delivery of the last answers.
+const END_MARGIN: Duration = Duration::from_millis(250);
 /// Minimum buffer size that `hyper` accepts for a connection.
 const MIN_BUFFER: usize = 8_192;
 /// Bytes beyond the limit on heads that are still read, so that the handler can refuse a
@@ -38,6 +43,16 @@
     /// Returns the reply to one request. Called concurrently for requests of different
     /// connections.
     fn handle(&self, req: Request<Incoming>) -> impl Future<Output = http::Reply> + Send;
+
+    /// Returns the reply to a request whose handling is ended by [`Server::drain`]. It must not
+    /// promise that the request was not executed.
+    fn unfinished(&self) -> http::Reply {
+        http::full(
+            StatusCode::BAD_GATEWAY,
+            "text/plain",
+            "the process stops; the outcome is unknown\n",
+        )
+    }
 }
 
 /// A running server. Dropping it stops accepting and closes open connections after their
@@ -46,6 +61,7 @@
 pub struct Server {
     addr: SocketAddr,
     closing: Sender<Infallible>,
+    ending: Sender<Infallible>,
     active: Arc<AtomicUsize>,
     idle_ms: Arc<AtomicU64>,
     _accept: Task<()>,
@@ -74,6 +90,7 @@
         let listener = TcpListener::bind(addr).await?;
         let addr = listener.local_addr()?;
         let (closing, closed) = channel::bounded(1);
+        let (ending, ended) = channel::bounded(1);
         let active = Arc::new(AtomicUsize::new(0));
         let idle_ms = Arc::new(AtomicU64::new(limits.send_timeout_ms.0));
         let acceptor = Acceptor {
@@ -82,6 +99,7 @@
             traffic: traffic.clone(),
             handler,
             closed,
+            ended,
             active: Arc::clone(&active),
             idle_ms: Arc::clone(&idle_ms),
             connections,
@@ -89,6 +107,7 @@
         Ok(Self {
             addr,
             closing,
+            ending,
             active,
             idle_ms,
             _accept: traffic.spawn(acceptor.run()),
@@ -115,6 +134,24 @@
         self.active.load(Ordering::Acquire)
     }
 
+    /// Waits until [`Server::active`] is zero, at most until `deadline`. Shortly before it,
+    /// requests without an answer are ended with [`Handler::unfinished`].
+    pub async fn drain(&self, deadline: Instant) {
+        let end_at = deadline.checked_sub(END_MARGIN).unwrap_or(deadline);
+        while self.active() > 0 && Instant::now() < deadline {
+            if Instant::now() >= end_at {
+                self.end();
+            }
+            Timer::after(DRAIN_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Ends the handling of requests that have no answer yet with [`Handler::unfinished`]. An
+    /// answer that has begun goes on.
+    fn end(&self) {
+        self.ending.close();
+    }
+
     /// Closes idle connections, and each other one after its current answer. Connections
     /// accepted later serve one request each, which the handler may refuse, and do not
     /// count as active.
@@ -129,6 +166,7 @@
     traffic: runtime::Traffic,
     handler: Arc<H>,
     closed: Receiver<Infallible>,
+    ended: Receiver<Infallible>,
     active: Arc<AtomicUsize>,
     idle_ms: Arc<AtomicU64>,
     connections: http::Connections,
@@ -162,6 +200,8 @@
         let idle = units::Millis(self.idle_ms.load(Ordering::Acquire));
         let handler = Arc::clone(&self.handler);
         let closed = self.closed.clone();
+        let closing = closed.clone();
+        let ended = self.ended.clone();
         let severed = self.connections.severed();
         async move {
             if let Err(err) = tcp.set_nodelay(true) {
@@ -170,11 +210,20 @@
             let io = stall::StallLimited::new(tcp, limits.send_timeout_ms.duration());
             let service = service_fn(move |req| {
                 let handler = Arc::clone(&handler);
+                let (closing, ended) = (closing.clone(), ended.clone());
                 async move {
-                    let reply = handler.handle(req).await;
+                    let unfinished = async {
+                        until_closed(&ended).await;
+                        handler.unfinished()
+                    };
+                    let mut reply = handler.handle(req).or(unfinished).await;
                     if http::is_abandoned(&reply) {
                         return Err(io::Error::from(io::ErrorKind::ConnectionAborted));
                     }
+                    if closing.is_closed() {
+                        let close = HeaderValue::from_static("close");
+                        reply.headers_mut().insert(CONNECTION, close);
+                    }
                     Ok(reply)
                 }
             });
@@ -196,6 +245,11 @@
     }
 }
 
+/// Waits until the channel is closed; no value is ever sent.
+async fn until_closed(rx: &Receiver<Infallible>) {
+    while rx.recv().await.is_ok() {}
+}
+
 /// Serves a connection. Once `closed` ends, the connection is closed after its current
 /// answer.
 async fn serve_until_closed<S>(
@@ -206,11 +260,15 @@
     S: HttpService<Incoming, ResBody = http::Body>,
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
+    // Closed at once, a connection accepted late would get no answer to a request that is on
+    // its way, and its caller could not tell whether that was executed.
+    if closed.is_closed() {
+        return connection.await;
+    }
     let mut connection = std::pin::pin!(connection);
     let served = async { Some(connection.as_mut().await) };
     let closing = async {
-        // No value is ever sent; `recv` returns when the channel is closed.
-        let _ = closed.recv().await;
+        until_closed(&closed).await;
         None
     };
     if let Some(result) = served.or(closing).await {
--- a/tests/integration/direct/stop.rs
+++ b/tests/integration/direct/stop.rs
@@ -1,5 +1,6 @@
 //! Start, planned stop and overload of an entry.
 
+use std::io::Write;
 use std::thread;
 use std::time::Duration;
 
@@ -9,7 +10,8 @@
 
 use crate::direct::endpoint::{Behaviour, Endpoint};
 use crate::direct::site::Site;
-use crate::testing::wait;
+use crate::direct::world::config;
+use crate::testing::{raw, wait};
 
 /// Guards against a planned stop that interrupts a request, and against an entry that
 /// stays ready during the stop.
@@ -35,6 +37,75 @@
     assert!(site.process.wait_exit().success());
 }
 
+/// Guards against requests that are passed on late in a planned stop and cut off at its
+/// end, and against a connection that closes without an answer.
+#[test]
+fn a_planned_stop_answers_every_request() {
+    struct Case {
+        name: &'static str,
+        /// Time from the signal to the head of the request, and from there to its body.
+        head_after_ms: u64,
+        body_after_ms: u64,
+        status: &'static str,
+        is_passed_on: bool,
+    }
+    let cases = [
+        Case {
+            name: "in progress until the end of the grace period",
+            head_after_ms: 0,
+            body_after_ms: 0,
+            status: "HTTP/1.1 502",
+            is_passed_on: true,
+        },
+        Case {
+            name: "the body comes late in the grace period",
+            head_after_ms: 1_000,
+            body_after_ms: 3_500,
+            status: "HTTP/1.1 503",
+            is_passed_on: false,
+        },
+        Case {
+            name: "comes late in the grace period",
+            head_after_ms: 4_500,
+            body_after_ms: 0,
+            status: "HTTP/1.1 503",
+            is_passed_on: false,
+        },
+    ];
+    let mut config = config(1);
+    for route in config["Routes"].as_array_mut().unwrap() {
+        route["TimeoutMs"] = 20_000.into();
+    }
+    let desk = Endpoint::spawn("desk-1", &[], Behaviour::Silent);
+    let mut site = Site::with_config(&[("desk", &desk)], &config);
+    site.process.terminate();
+    let callers = site.callers;
+    thread::scope(|scope| {
+        for (i, case) in cases.iter().enumerate() {
+            let desk = &desk;
+            scope.spawn(move || {
+                thread::sleep(Duration::from_millis(case.head_after_ms));
+                let head = format!(
+                    "POST /hold/a HTTP/1.1\r\nHost: example.test\r\nAttempt-Id: id-{i}\r\n\
+                     Deadline-Ms: 20000\r\nKey: key-red\r\nConnection: close\r\n\
+                     Content-Length: 4\r\n\r\n"
+                );
+                let mut tcp = raw::open(callers, head.as_bytes());
+                thread::sleep(Duration::from_millis(case.body_after_ms));
+                let _ = tcp.write_all(b"body");
+                let answer = raw::read_to_close(tcp);
+                assert!(answer.starts_with(case.status), "{}: {answer}", case.name);
+                let id = format!("id-{i}");
+                let mut received = desk.received().into_iter();
+                let is_passed_on =
+                    received.any(|received| received.header("attempt-id") == Some(&id));
+                assert_eq!(is_passed_on, case.is_passed_on, "{}", case.name);
+            });
+        }
+    });
+    assert!(site.process.wait_exit().success());
+}
+
 /// Guards against refusals right after the start of a process, before it has read its
 /// configuration.
 #[test]
