Bodies of all requests and answers together keep to the memory of the process

Cause: each body has a limit of its own, 8 MiB for an answer and the configured one for a request, but nothing bounded their sum. MemoryMb was not read. Besides, a request body was collected in parts and then copied, 9 MB for 4 MiB.

Change: a budget for the bodies of requests (45% of the memory) and one for answers (20%, a quarter of that for each endpoint, so that a faulty one does not take the memory of the others). A buffer reserves before it grows and releases when the last user of the body drops it. A request that does not fit is refused at once as not run, with a time to return; an answer that does not fit ends its attempt. Events of a stream that are not complete count too. A body of stated length is read into one buffer.

--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -48,7 +48,7 @@
 ) -> Result<model_request::ModelRequest, errors::Refusal> {
     let permit = cx.admit(&team)?;
     let (head, body) = req.into_parts();
-    let body = http::read_request_body(body, cx.cfg.limits).await?;
+    let body = http::read_request_body(body, cx.cfg.limits, Some(&cx.request_bodies)).await?;
     let chat = model_request::ChatRequest::parse(&body)?;
     let snapshot = cx.control.snapshot();
     let profile = snapshot.profiles.get(&chat.profile).ok_or_else(|| {
--- a/src/entry/cx.rs
+++ b/src/entry/cx.rs
@@ -7,6 +7,7 @@
 use crate::entry;
 use crate::errors;
 use crate::fleet;
+use crate::http;
 use crate::route;
 use crate::runtime;
 use crate::session;
@@ -39,6 +40,8 @@
     pub ratings: Arc<entry::Ratings>,
     /// Budget that limits the load which retries add.
     pub retry_budget: Mutex<route::RetryBudget>,
+    /// Memory for the bodies of requests.
+    pub request_bodies: Arc<http::BufferBudget>,
     /// Number of running requests of each team.
     pub team_load: route::TeamLoad,
 }
--- a/src/entry/role.rs
+++ b/src/entry/role.rs
@@ -79,6 +79,7 @@
             calls: Arc::clone(&calls),
             ratings: Arc::clone(&ratings),
             retry_budget: Mutex::default(),
+            request_bodies: http::BufferBudget::new(cfg.limits.buffered_bytes),
             team_load: route::TeamLoad::default(),
         });
         let usage = Arc::new(usage::UsageWriter::new(Arc::clone(&cx), log.clone()));
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -103,7 +103,7 @@
     let priority = input::header(&head.headers, "x-quetzalworks-priority")
         .map(|text| input::parse_header(text, "x-quetzalworks-priority"))
         .transpose()?;
-    let body = http::read_request_body(body, cx.cfg.limits).await?;
+    let body = http::read_request_body(body, cx.cfg.limits, Some(&cx.request_bodies)).await?;
     Ok(entry::ServiceRequest {
         id,
         team: team.name,
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -11,6 +11,7 @@
 use crate::control;
 use crate::direct;
 use crate::gateway::{overload, pools};
+use crate::http;
 use crate::ids;
 use crate::poison;
 use crate::runtime;
@@ -21,6 +22,12 @@
 /// old for the entry to be ready: requests with keys will soon be refused.
 const MAX_READY_AGE_FRACTION: f64 = 0.6;
 
+/// Fraction of the memory of the process for the bodies of requests, which are kept until
+/// their answers are complete.
+const REQUESTS_MEMORY: f64 = 0.45;
+/// Fraction for the answers of endpoints.
+const ANSWERS_MEMORY: f64 = 0.2;
+
 /// Reason why the entry is not ready; the readiness response carries its snake-case name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
@@ -54,6 +61,8 @@
     settings: ArcSwap<settings::Direct>,
     /// Handle to the control thread, which publishes snapshots.
     pub control: control::Control<direct::Plane>,
+    /// Memory for the bodies of requests.
+    pub request_bodies: Arc<http::BufferBudget>,
     /// Pools of connections to endpoints.
     pub pools: pools::Pools,
     services: Mutex<HashMap<ids::ServiceName, ServiceState>>,
@@ -73,10 +82,11 @@
         traffic: runtime::Traffic,
     ) -> Arc<Self> {
         Arc::new(Self {
-            settings: ArcSwap::from_pointee(settings),
             control,
-            pools: pools::Pools::new(traffic),
+            pools: pools::Pools::new(traffic, settings.memory_part(ANSWERS_MEMORY)),
+            request_bodies: http::BufferBudget::new(settings.memory_part(REQUESTS_MEMORY)),
             services: Mutex::default(),
+            settings: ArcSwap::from_pointee(settings),
             stop_began_ms: AtomicU64::new(0),
             overload: Mutex::default(),
             returns: Mutex::default(),
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -24,6 +24,9 @@
 /// Time limit for a request's body, where the deadline of the request is not earlier.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Earliest `Retry-After` for a request whose body does not fit into memory now.
+const BODY_RETRY_AFTER: units::Millis = units::Millis(300);
+
 /// `Retry-After` for a request that has crashed endpoints: about as long as its crashes
 /// are remembered.
 const SUSPECT_RETRY_AFTER: units::Millis = units::Millis(30_000);
@@ -98,9 +101,15 @@
             .map_or(timeout, |deadline| deadline.min(timeout));
         let deadline = arrived + time_limit.duration();
         let (head, body) = req.into_parts();
-        let body = match read_body(body, &admitted.deployment.limits, deadline).await {
+        let body = match self
+            .read_body(body, &admitted.deployment.limits, deadline)
+            .await
+        {
             Ok(body) => body,
-            Err(refusal) => return refuse::refuse(&mut trace, &refusal),
+            Err(refusal) => {
+                let refusal = self.spread_return(refusal, &metadata);
+                return refuse::refuse(&mut trace, &refusal);
+            }
         };
         // The body may have taken long.
         if let Err(refusal) = admit::check_stopping(&self.0, runtime::Moment::now()) {
@@ -153,6 +162,36 @@
         }
     }
 
+    async fn read_body(
+        &self,
+        body: Incoming,
+        limits: &catalog::CallerLimits,
+        deadline: Instant,
+    ) -> Result<hyper::body::Bytes, errors::Refusal> {
+        if body.is_end_stream() {
+            return Ok(hyper::body::Bytes::new());
+        }
+        let body_deadline = deadline.min(Instant::now() + BODY_TIMEOUT);
+        let read = http::read_body(body, limits.body, Some(&self.0.request_bodies));
+        let (code, reason) = match runtime::timeout_at(body_deadline, read).await {
+            Some(Ok(body)) => return Ok(body),
+            Some(Err(http::HttpError::TooLarge)) => {
+                (errors::ResultCode::BodyTooLarge, "the body is too large")
+            }
+            Some(Err(http::HttpError::OverBudget)) => {
+                let code = errors::ResultCode::Overloaded;
+                let refusal = errors::Refusal::new(code, "there is no memory for the body now");
+                return Err(refusal.with_retry_after(BODY_RETRY_AFTER));
+            }
+            Some(Err(_)) => (errors::ResultCode::MalformedRequest, "the body broke off"),
+            None => (
+                errors::ResultCode::SlowRequest,
+                "the body was not sent in time",
+            ),
+        };
+        Err(errors::Refusal::new(code, reason).with_retry_after(units::Millis(0)))
+    }
+
     /// Moves the time at which the caller of a refused request should return apart from
     /// those of other refused callers.
     fn spread_return(
@@ -238,27 +277,3 @@
         trace.note("regions", &admitted.regions);
     }
 }
-
-async fn read_body(
-    body: Incoming,
-    limits: &catalog::CallerLimits,
-    deadline: Instant,
-) -> Result<hyper::body::Bytes, errors::Refusal> {
-    if body.is_end_stream() {
-        return Ok(hyper::body::Bytes::new());
-    }
-    let body_deadline = deadline.min(Instant::now() + BODY_TIMEOUT);
-    let (code, reason) =
-        match runtime::timeout_at(body_deadline, http::read_body(body, limits.body)).await {
-            Some(Ok(body)) => return Ok(body),
-            Some(Err(http::HttpError::TooLarge)) => {
-                (errors::ResultCode::BodyTooLarge, "the body is too large")
-            }
-            Some(Err(_)) => (errors::ResultCode::MalformedRequest, "the body broke off"),
-            None => (
-                errors::ResultCode::SlowRequest,
-                "the body was not sent in time",
-            ),
-        };
-    Err(errors::Refusal::new(code, reason).with_retry_after(units::Millis(0)))
-}
--- a/src/gateway/pools.rs
+++ b/src/gateway/pools.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use crate::direct;
@@ -17,19 +17,27 @@
 /// Minimum connection limit per endpoint, however many entries share its capacity.
 const MIN_CONNECTIONS: usize = 4;
 
+/// Divisor of the memory for all answers that yields the part of one endpoint, so that a
+/// faulty one does not take that of the others.
+const ENDPOINT_PART: usize = 4;
+
 /// One pool of connections for each endpoint and address.
 #[derive(Debug)]
 pub struct Pools {
     traffic: runtime::Traffic,
+    /// Memory for the answers of all endpoints.
+    answers: Arc<http::BufferBudget>,
     clients: Mutex<HashMap<(ids::EndpointId, SocketAddr), http::Client>>,
 }
 
 impl Pools {
-    /// Creates an empty set of pools.
+    /// Creates an empty set of pools, with `answers` as the memory for the answers of all
+    /// endpoints.
     #[must_use]
-    pub fn new(traffic: runtime::Traffic) -> Self {
+    pub fn new(traffic: runtime::Traffic, answers: units::Bytes) -> Self {
         Self {
             traffic,
+            answers: http::BufferBudget::new(answers),
             clients: Mutex::default(),
         }
     }
@@ -58,6 +66,7 @@
         let limits = http::ClientLimits {
             connect_timeout: CONNECT_TIMEOUT,
             max_connections,
+            budget: Some(self.answers.part(ENDPOINT_PART)),
         };
         let client = http::Client::with_limits(record.addr, self.traffic.clone(), limits);
         self.lock().insert(key, client.clone());
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -92,8 +92,7 @@
             let deadline = event_deadline(&self.call, waiting_since, self.waited);
             match stream::read(&mut source.opened, deadline).await {
                 stream::Chunk::Data(bytes) => {
-                    source.splitter.push(&bytes);
-                    if source.splitter.pending() > stream::MAX_EVENT_BYTES {
+                    if source.push(&bytes).is_err() {
                         return Some(Err(self.interrupt("event too large")));
                     }
                 }
--- a/src/gateway/standby.rs
+++ b/src/gateway/standby.rs
@@ -5,7 +5,6 @@
 
 use crate::direct;
 use crate::gateway::{send, stream};
-use crate::http;
 
 /// Maximum size in bytes of the events that are buffered. An answer that exceeds it is
 /// read on only when it is used.
@@ -29,10 +28,7 @@
     pub fn new(mut opened: send::Opened, model: usize, deadline: Instant) -> Self {
         opened.permit.record_first_byte();
         Self {
-            source: stream::EventSource {
-                opened,
-                splitter: http::EventSplitter::default(),
-            },
+            source: stream::EventSource::new(opened),
             model,
             deadline,
             is_broken: false,
@@ -64,7 +60,12 @@
     async fn buffer(&mut self) {
         while self.source.splitter.pending() < MAX_BUFFER_BYTES {
             match stream::read(&mut self.source.opened, self.deadline).await {
-                stream::Chunk::Data(bytes) => self.source.splitter.push(&bytes),
+                stream::Chunk::Data(bytes) => {
+                    if self.source.push(&bytes).is_err() {
+                        self.is_broken = true;
+                        return;
+                    }
+                }
                 stream::Chunk::End => return,
                 stream::Chunk::Broken | stream::Chunk::TimedOut => {
                     self.is_broken = true;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -42,6 +42,35 @@
     pub opened: send::Opened,
     /// Buffer of bytes that have arrived and were not passed on yet.
     pub splitter: http::EventSplitter,
+    reservation: Option<http::Reservation>,
+}
+
+impl EventSource {
+    /// Creates a source from an answer of which nothing was read yet.
+    #[must_use]
+    pub fn new(opened: send::Opened) -> Self {
+        Self {
+            reservation: opened.answer.reserve(),
+            opened,
+            splitter: http::EventSplitter::default(),
+        }
+    }
+
+    /// Adds bytes that have arrived. Fails if too many of them are no complete event, or the
+    /// answers of the endpoint do not fit into their memory.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), http::HttpError> {
+        self.splitter.push(bytes);
+        let pending = self.splitter.pending();
+        if pending > MAX_EVENT_BYTES {
+            return Err(http::HttpError::TooLarge);
+        }
+        let reservation = self.reservation.as_mut();
+        if reservation.is_none_or(|reservation| reservation.resize(pending)) {
+            Ok(())
+        } else {
+            Err(http::HttpError::OverBudget)
+        }
+    }
 }
 
 /// Why no stream has begun.
@@ -283,11 +312,7 @@
     opened: send::Opened,
     deadline: Instant,
 ) -> Result<EventSource, (Arc<direct::EndpointView>, balance::Failure)> {
-    let source = EventSource {
-        opened,
-        splitter: http::EventSplitter::default(),
-    };
-    first_event_of(call, source, deadline).await
+    first_event_of(call, EventSource::new(opened), deadline).await
 }
 
 /// Like [`first_event`], for a stream of which a part may have been read.
@@ -303,13 +328,10 @@
             return Ok(source);
         }
         let failure = match read(&mut source.opened, deadline).await {
-            Chunk::Data(bytes) => {
-                source.splitter.push(&bytes);
-                if source.splitter.pending() <= MAX_EVENT_BYTES {
-                    continue;
-                }
-                balance::Failure::Broken
-            }
+            Chunk::Data(bytes) => match source.push(&bytes) {
+                Ok(()) => continue,
+                Err(_) => balance::Failure::Broken,
+            },
             Chunk::End if source.splitter.pending() == 0 => {
                 source.opened.permit.record_first_byte();
                 return Ok(source);
--- /dev/null
+++ b/src/http/body_buffer.rs
@@ -0,0 +1,72 @@
+//! Buffer for a body that is read completely.
+
+use std::sync::Arc;
+
+use hyper::body::Bytes;
+
+use crate::http;
+use crate::http::buffer_budget;
+use crate::units;
+
+/// A body in the course of being read, within a limit on its size and a budget for all.
+#[derive(Debug)]
+pub struct BodyBuffer {
+    buf: Vec<u8>,
+    limit: usize,
+    reservation: Option<buffer_budget::Reservation>,
+}
+
+impl BodyBuffer {
+    /// Creates a buffer for at most `limit` bytes, and reserves `expected` bytes, the stated
+    /// length of the body. Without a budget only the limit holds.
+    pub fn new(
+        limit: units::Bytes,
+        expected: usize,
+        budget: Option<&Arc<buffer_budget::BufferBudget>>,
+    ) -> Result<Self, http::HttpError> {
+        let mut buffer = Self {
+            buf: Vec::new(),
+            limit: limit.as_usize(),
+            reservation: budget.map(buffer_budget::BufferBudget::begin),
+        };
+        buffer.grow_to(expected)?;
+        Ok(buffer)
+    }
+
+    /// Adds bytes of the body. Fails if it is over its limit, or all bodies are over their
+    /// budget.
+    pub fn push(&mut self, chunk: &[u8]) -> Result<(), http::HttpError> {
+        self.grow_to(self.buf.len() + chunk.len())?;
+        self.buf.extend_from_slice(chunk);
+        Ok(())
+    }
+
+    fn grow_to(&mut self, len: usize) -> Result<(), http::HttpError> {
+        if len > self.limit {
+            return Err(http::HttpError::TooLarge);
+        }
+        if len <= self.buf.capacity() {
+            return Ok(());
+        }
+        let capacity = len.max(self.buf.capacity() * 2).min(self.limit);
+        if let Some(reservation) = &mut self.reservation
+            && !reservation.resize(capacity)
+        {
+            return Err(http::HttpError::OverBudget);
+        }
+        self.buf.reserve_exact(capacity - self.buf.len());
+        Ok(())
+    }
+
+    /// Returns the complete body, which keeps the reservation until it is dropped.
+    #[must_use]
+    pub fn into_bytes(self) -> Bytes {
+        Bytes::from_owner(self)
+    }
+}
+
+impl AsRef<[u8]> for BodyBuffer {
+    fn as_ref(&self) -> &[u8] {
+        &self.buf
+    }
+}
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -36,12 +36,14 @@
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// Limits on the connections of a client.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct ClientLimits {
     /// Time limit for the TCP connect of a new connection.
     pub connect_timeout: Duration,
     /// Maximum number of open connections, including idle ones. Unlimited by default.
     pub max_connections: usize,
+    /// Memory for complete answers. Unlimited by default.
+    pub budget: Option<Arc<http::BufferBudget>>,
 }
 
 impl Default for ClientLimits {
@@ -49,6 +51,7 @@
         Self {
             connect_timeout: CONNECT_TIMEOUT,
             max_connections: usize::MAX,
+            budget: None,
         }
     }
 }
@@ -65,6 +68,7 @@
     traffic: runtime::Traffic,
     connect_timeout: Duration,
     max_connections: AtomicUsize,
+    budget: Option<Arc<http::BufferBudget>>,
     open_connections: AtomicUsize,
     idle: Mutex<Vec<Idle>>,
 }
@@ -174,6 +178,7 @@
                 traffic,
                 connect_timeout: limits.connect_timeout,
                 max_connections: AtomicUsize::new(limits.max_connections),
+                budget: limits.budget,
                 open_connections: AtomicUsize::new(0),
                 idle: Mutex::default(),
             }),
@@ -324,6 +329,7 @@
     pub headers: HeaderMap,
     body: Incoming,
     connection: Option<Connection>,
+    budget: Option<Arc<http::BufferBudget>>,
     /// Whether the body has failed, after which `hyper` reports its regular end.
     is_broken: bool,
 }
@@ -338,6 +344,7 @@
             status: head.status,
             headers: head.headers,
             body,
+            budget: connection.slot.0.budget.clone(),
             connection: Some(connection),
             is_broken: false,
         }
@@ -359,16 +366,21 @@
         Ok(None)
     }
 
-    /// Returns the complete body. Fails if it is larger than `limit`.
+    /// Returns the complete body. Fails if it is larger than `limit`, or the answers of the
+    /// server do not fit into their budget.
     pub async fn bytes(mut self, limit: units::Bytes) -> Result<Bytes, http::HttpError> {
-        let mut body = Vec::new();
+        let mut buffer = http::BodyBuffer::new(limit, 0, self.budget.as_ref())?;
         while let Some(chunk) = self.chunk().await? {
-            if body.len() + chunk.len() > limit.as_usize() {
-                return Err(http::HttpError::TooLarge);
-            }
-            body.extend_from_slice(&chunk);
+            buffer.push(&chunk)?;
         }
-        Ok(body.into())
+        Ok(buffer.into_bytes())
+    }
+
+    /// Begins a reservation for a part of the answer that is buffered; `None` without a
+    /// budget.
+    #[must_use]
+    pub fn reserve(&self) -> Option<http::Reservation> {
+        self.budget.as_ref().map(http::BufferBudget::begin)
     }
 
     /// Returns the complete body decoded from JSON. Fails if it is larger than `limit`.
--- a/src/http/error.rs
+++ b/src/http/error.rs
@@ -16,6 +16,8 @@
     TimedOut,
     /// The body is larger than the limit that the reader has set.
     TooLarge,
+    /// The body does not fit into the memory for all bodies.
+    OverBudget,
     /// The body does not decode as the expected type.
     Malformed(Arc<str>),
 }
@@ -35,6 +37,7 @@
             Self::Broken(reason) => write!(f, "connection broke: {reason}"),
             Self::TimedOut => f.write_str("timed out"),
             Self::TooLarge => f.write_str("body too large"),
+            Self::OverBudget => f.write_str("no memory for the body"),
             Self::Malformed(reason) => write!(f, "malformed body: {reason}"),
         }
     }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,6 +1,8 @@
 //! HTTP/1.1 on `smol`: a server with limits on its callers, and a client that pools
 //! connections.
 
+mod body_buffer;
+mod buffer_budget;
 mod client;
 mod connections;
 mod error;
@@ -11,6 +13,8 @@
 mod sse;
 mod stall;
 
+pub use body_buffer::BodyBuffer;
+pub use buffer_budget::{BufferBudget, Reservation};
 pub use client::{Answer, Client, ClientLimits};
 use connections::is_abandoned;
 pub use connections::{Connections, abort_connection};
--- a/src/http/reply.rs
+++ b/src/http/reply.rs
@@ -2,9 +2,11 @@
 
 use std::convert::Infallible;
 use std::io;
+use std::pin::pin;
+use std::sync::Arc;
 
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body as HttpBody, Bytes, Frame};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{HeaderMap, Response, StatusCode};
@@ -86,15 +88,25 @@
     generated(status, headers, chunks.map(Ok))
 }
 
-/// Reads a complete body. Fails if it is larger than `limit`.
-pub async fn read_body<B>(body: B, limit: units::Bytes) -> Result<Bytes, http::HttpError>
+/// Reads a complete body. Fails if it is larger than `limit`, or does not fit into the
+/// budget, if there is one.
+pub async fn read_body<B>(
+    body: B,
+    limit: units::Bytes,
+    budget: Option<&Arc<http::BufferBudget>>,
+) -> Result<Bytes, http::HttpError>
 where
     B: HttpBody<Data = Bytes>,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    B::Error: std::fmt::Display,
 {
-    match Limited::new(body, limit.as_usize()).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(err) if err.is::<http_body_util::LengthLimitError>() => Err(http::HttpError::TooLarge),
-        Err(err) => Err(http::HttpError::Broken(err.to_string().into())),
+    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    let mut buffer = http::BodyBuffer::new(limit, stated, budget)?;
+    let mut body = pin!(body);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|err| http::HttpError::Broken(err.to_string().into()))?;
+        if let Some(data) = frame.data_ref() {
+            buffer.push(data)?;
+        }
     }
+    Ok(buffer.into_bytes())
 }
--- a/src/platform/direct_settings.rs
+++ b/src/platform/direct_settings.rs
@@ -27,6 +27,10 @@
 const DEFAULT_EXPOSURE_SHARE: f64 = 0.1;
 /// Partitions of a topic of the store where the file has none.
 const DEFAULT_PARTITIONS: u32 = 12;
+/// Memory of the process where the file states none.
+const DEFAULT_MEMORY_MB: u64 = 256;
+/// Bytes in a megabyte of the file.
+const BYTES_PER_MB: u64 = 1_000_000;
 /// Limit on open file descriptors where the file has none.
 const DEFAULT_MAX_DESCRIPTORS: u32 = 1_024;
 
@@ -67,6 +71,7 @@
 #[serde(rename_all = "PascalCase")]
 struct Limits {
     max_fds: Option<u32>,
+    memory_mb: Option<u64>,
 }
 
 #[derive(Debug, Default, serde::Deserialize)]
@@ -131,6 +136,12 @@
         store_addr: file.platform.address,
         leases,
         max_descriptors: file.limits.max_fds.unwrap_or(DEFAULT_MAX_DESCRIPTORS),
+        memory: units::Bytes(
+            file.limits
+                .memory_mb
+                .unwrap_or(DEFAULT_MEMORY_MB)
+                .saturating_mul(BYTES_PER_MB),
+        ),
         bounds: settings::Bounds {
             drain: units::Millis::from_millis_rounded(params.drain_ms.unwrap_or(DEFAULT_DRAIN_MS)),
             grace: units::Millis::from_seconds(params.grace_s.unwrap_or(DEFAULT_GRACE_S)),
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -30,10 +30,25 @@
     pub leases: u32,
     /// Maximum number of file descriptors that the process may have open.
     pub max_descriptors: u32,
+    /// Memory that the process may use.
+    pub memory: units::Bytes,
     /// Limits from the platform's settings.
     pub bounds: Bounds,
 }
 
+impl Direct {
+    /// Returns a fraction of the memory that the process may use.
+    #[must_use]
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss
+    )]
+    pub fn memory_part(&self, fraction: f64) -> units::Bytes {
+        units::Bytes((self.memory.0 as f64 * fraction) as u64)
+    }
+}
+
 /// Limits from the platform's settings, set by the operators of a deployment.
 /// The names of the type and its fields appear in the log of the process, as those
 /// of [`Direct`] do.
--- a/src/settings/fields.rs
+++ b/src/settings/fields.rs
@@ -105,6 +105,8 @@
     pub head_bytes: units::Bytes,
     /// Maximum size of the body of a request; by default 1 MiB.
     pub body_bytes: units::Bytes,
+    /// Memory for the bodies of all requests together; by default 128 MiB.
+    pub buffered_bytes: units::Bytes,
     /// Maximum time for a caller to send its request, and maximum time for which
     /// it may read nothing of its answer; by default 10 s.
     pub send_timeout_ms: units::Millis,
@@ -117,6 +119,7 @@
         Self {
             head_bytes: units::Bytes(16 * 1_024),
             body_bytes: units::Bytes(1_024 * 1_024),
+            buffered_bytes: units::Bytes(128 * 1_024 * 1_024),
             send_timeout_ms: units::Millis(10_000),
             max_connections: 4_096,
         }
--- a/src/standin/log.rs
+++ b/src/standin/log.rs
@@ -145,7 +145,7 @@
     /// Decodes and executes one call, then waits for the configured answer delay.
     async fn call(&self, req: Request<Incoming>) -> http::Reply {
         let (head, body) = req.into_parts();
-        let Ok(body) = http::read_body(body, MAX_BODY).await else {
+        let Ok(body) = http::read_body(body, MAX_BODY, None).await else {
             return serve::status(StatusCode::PAYLOAD_TOO_LARGE);
         };
         let reply = match platform::StoreCall::decode(&head.method, &head.uri, &body) {
--- a/src/standin/serve.rs
+++ b/src/standin/serve.rs
@@ -16,7 +16,9 @@
 
 /// Reads the JSON body of a request; `None` if it is missing, malformed or too large.
 pub async fn read_json<T: serde::de::DeserializeOwned>(req: Request<Incoming>) -> Option<T> {
-    let body = http::read_body(req.into_body(), MAX_BODY).await.ok()?;
+    let body = http::read_body(req.into_body(), MAX_BODY, None)
+        .await
+        .ok()?;
     serde_json::from_slice(&body).ok()
 }
 
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -76,7 +76,7 @@
         }
         let is_lookup = req.method() == Method::GET;
         let path = req.uri().path().to_owned();
-        let Ok(body) = http::read_body(req.into_body(), MAX_CALL_BODY).await else {
+        let Ok(body) = http::read_body(req.into_body(), MAX_CALL_BODY, None).await else {
             return serve::status(StatusCode::BAD_REQUEST);
         };
         if !delay.is_zero() {
--- a/tests/integration/admin_log.rs
+++ b/tests/integration/admin_log.rs
@@ -43,7 +43,7 @@
 impl FaultyLog {
     async fn append(&self, req: Request<Incoming>) -> StatusCode {
         let (head, body) = req.into_parts();
-        let body = http::read_body(body, MAX_BODY).await.unwrap();
+        let body = http::read_body(body, MAX_BODY, None).await.unwrap();
         let call = StoreCall::decode(&head.method, &head.uri, &body);
         let Some(StoreCall::Append { records, .. }) = call else {
             panic!("not an append: {call:?}");
--- a/tests/integration/append.rs
+++ b/tests/integration/append.rs
@@ -55,7 +55,7 @@
 impl http::Handler for LosingLog {
     async fn handle(&self, req: Request<Incoming>) -> http::Reply {
         let (head, body) = req.into_parts();
-        let body = http::read_body(body, quetzalworks::units::Bytes(1 << 20)).await;
+        let body = http::read_body(body, quetzalworks::units::Bytes(1 << 20), None).await;
         let call = StoreCall::decode(&head.method, &head.uri, &body.unwrap_or_default());
         let (status, body) = match call.unwrap() {
             StoreCall::Append { records, .. } => self.append(records).await,
--- a/tests/integration/direct/endless.rs
+++ b/tests/integration/direct/endless.rs
@@ -1,18 +1,24 @@
 //! Endpoints that send bytes without end, or bytes that are no progress.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use hyper::Method;
 
 use crate::direct::endpoint::{Behaviour, EVENTS, Endpoint};
 use crate::direct::site::Site;
+use crate::direct::world::config;
 use crate::testing::wait;
 
 /// Maximum number of bytes that an endpoint can send before its connection is closed: the
 /// limit on an answer of 8 MB, and what the sockets buffer.
 const MAX_SENT: usize = 16 * 1_024 * 1_024;
 
+/// Requests at once; with the settings of the test, an entry accepts 64 connections.
+const REQUESTS: usize = 50;
+
 const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: a\r\n\
                            Confidence: 90\r\nContent-Type: text/event-stream\r\n\r\n";
 
@@ -152,3 +158,94 @@
         assert!(sent.elapsed() < Duration::from_secs(3), "{}", case.name);
     }
 }
+
+/// Guards against running out of memory while many requests at once get endless answers, or
+/// come with the largest body, and against other requests that end with them.
+#[test]
+fn bodies_of_many_requests_keep_to_the_memory_of_the_process() {
+    const ENDLESS_BODY: &str =
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: a\r\nContent-Length: 8000000\r\n\r\n";
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        body: usize,
+        endpoint: Behaviour,
+    }
+    let cases = [
+        Case {
+            name: "answers that never end",
+            path: "/hold/x",
+            body: 10,
+            endpoint: Behaviour::EndlessSlow(ENDLESS_BODY, 7_900_000),
+        },
+        Case {
+            name: "streams without the end of an event",
+            path: "/chat/x",
+            body: 10,
+            endpoint: Behaviour::EndlessSlow(STREAM_HEAD, 1_000_000),
+        },
+        Case {
+            name: "requests of the permitted size",
+            path: "/hold/x",
+            body: 4 * 1_024 * 1_024,
+            endpoint: Behaviour::Slow(Duration::from_millis(1_500), "good"),
+        },
+    ];
+    for case in cases {
+        let faulty = Endpoint::spawn("faulty", &[], case.endpoint);
+        let sound = Endpoint::spawn("sound", &[], Behaviour::Answer(200, "good"));
+        let service = if case.path == "/chat/x" {
+            "writer"
+        } else {
+            "desk"
+        };
+        let mut config = config(1);
+        config["Limits"]["MaxBodyBytes"] = (4 * 1_024 * 1_024).into();
+        let services = config["Services"].as_array_mut().unwrap();
+        services.push(serde_json::json!({ "Name": "other", "MaxConnections": 64 }));
+        config["Routes"][2]["Service"] = "other".into();
+        config["Services"][1]["MaxConnections"] = 2_000.into();
+        config["Services"][0]["MaxConnections"] = 2_000.into();
+        let site = Site::with_config(&[(service, &faulty), ("other", &sound)], &config);
+        let is_over = AtomicBool::new(false);
+        let body = vec![b'x'; case.body];
+        let (peak, others) = thread::scope(|scope| {
+            let callers: Vec<_> = (0..REQUESTS)
+                .map(|i| {
+                    let (site, body, path) = (&site, &body, case.path);
+                    scope.spawn(move || {
+                        let id = format!("id-{i}");
+                        // Failures and refusals are expected.
+                        let _ = site.call_with_body(&Method::POST, path, &id, body);
+                    })
+                })
+                .collect();
+            let peak = scope.spawn(|| {
+                let mut peak = 0;
+                while !is_over.load(Ordering::Acquire) {
+                    peak = peak.max(site.process.resident_bytes());
+                    thread::sleep(Duration::from_millis(10));
+                }
+                peak
+            });
+            let mut others = Vec::new();
+            for i in 0..20 {
+                let answer = site.call(&Method::GET, "/look/x", &format!("other-{i}"));
+                others.push(answer.map(|answer| answer.status));
+                thread::sleep(Duration::from_millis(50));
+            }
+            for caller in callers {
+                caller.join().unwrap();
+            }
+            is_over.store(true, Ordering::Release);
+            (peak.join().unwrap(), others)
+        });
+        // The default of the settings.
+        assert!(peak < 256_000_000, "{}: {peak} bytes", case.name);
+        assert!(
+            others.iter().all(|status| *status == Ok(200)),
+            "{}: {others:?}",
+            case.name
+        );
+    }
+}
--- a/tests/integration/direct/endpoint.rs
+++ b/tests/integration/direct/endpoint.rs
@@ -53,6 +53,8 @@
     /// Sends this text once and then the other one again and again, until the connection
     /// is closed.
     Endless(&'static str, &'static str),
+    /// Sends this text and then so many bytes, and nothing more.
+    EndlessSlow(&'static str, usize),
     /// Sends events up to this id, and then this text every 100 ms.
     Trickle(u64, &'static str),
     /// Sends all events, with this confidence of the model in percent.
@@ -273,6 +275,12 @@
                 self.send_endless(tcp, rest);
                 false
             }
+            Behaviour::EndlessSlow(first, bytes) => {
+                send(&first.replace("{id}", &id));
+                let _ = tcp.write_all(&vec![b'a'; *bytes]);
+                self.wait_for_disconnect(tcp);
+                false
+            }
             Behaviour::Raw(text) => {
                 send(&text.replace("{id}", &id));
                 false
--- a/tests/integration/direct/site.rs
+++ b/tests/integration/direct/site.rs
@@ -82,6 +82,26 @@
         Self::call_at(self.callers, method, path, id, headers)
     }
 
+    /// Sends a request with this body.
+    pub fn call_with_body(
+        &self,
+        method: &Method,
+        path: &str,
+        id: &str,
+        body: &[u8],
+    ) -> Result<http::Answer, HttpError> {
+        let headers = [
+            ("host", "example.test"),
+            ("attempt-id", id),
+            ("deadline-ms", "4000"),
+            ("key", "key-red"),
+            ("model", "*"),
+            ("token-count", "100,20"),
+            ("prefix-hash", "0a:60,0b:40"),
+        ];
+        http::send(self.callers, method, path, &headers, body)
+    }
+
     /// Sends a request to the entry at `callers`.
     pub fn call_at(
         callers: SocketAddr,
--- a/tests/integration/sidecar/fixture.rs
+++ b/tests/integration/sidecar/fixture.rs
@@ -50,7 +50,7 @@
             let status = json!({ "boot": boot, "versions": ["small-1"], "running": 0 });
             return server::json(StatusCode::OK, &status);
         }
-        let body = server::read_body(req.into_body(), MAX_BODY).await;
+        let body = server::read_body(req.into_body(), MAX_BODY, None).await;
         let body = serde_json::from_slice(&body.unwrap()).unwrap_or(Value::Null);
         self.bodies.lock().unwrap().push(body);
         let n = self.calls.fetch_add(1, Ordering::SeqCst) + 1;
@@ -83,7 +83,7 @@
 impl Handler for LossyLog {
     async fn handle(&self, req: Request<Incoming>) -> Reply {
         let (head, body) = req.into_parts();
-        let body = server::read_body(body, MAX_BODY).await.unwrap();
+        let body = server::read_body(body, MAX_BODY, None).await.unwrap();
         let call = StoreCall::decode(&head.method, &head.uri, &body);
         let is_append = matches!(call, Some(StoreCall::Append { topic, .. }) if &*topic == "usage");
         let req = Request::from_parts(head, Full::new(body));
--- a/tests/integration/testing/process.rs
+++ b/tests/integration/testing/process.rs
@@ -52,6 +52,18 @@
         signal("KILL", self.child.id());
     }
 
+    /// Returns the resident memory of the process; 0 once it has ended.
+    pub fn resident_bytes(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let kilobytes = status.ok().and_then(|status| {
+            let line = status
+                .lines()
+                .find_map(|line| line.strip_prefix("VmRSS:"))?;
+            line.trim().trim_end_matches(" kB").parse::<u64>().ok()
+        });
+        kilobytes.unwrap_or_default() * 1_024
+    }
+
     /// Suspends the process (SIGSTOP).
     pub fn suspend(&self) {
         signal("STOP", self.child.id());
