--- a/tests/integration/soak/mod.rs
+++ b/tests/integration/soak/mod.rs
@@ -18,7 +18,7 @@
 
 use crate::testing::http;
 
-/// Maximum of concurrent soaks; each has up to six processes.
+/// Maximum of concurrent soaks; each has up to 20 processes.
 const MAX_PARALLEL_SOAKS: usize = 4;
 
 /// A seed that failed in the past, kept as a regression test.
--- a/tests/integration/soak/plan.rs
+++ b/tests/integration/soak/plan.rs
@@ -15,6 +15,10 @@
 /// Seeds divisible by this have planned work only, and endpoints without faults.
 const PLANNED_ONLY_DIVISOR: u64 = 3;
 
+/// Seeds divisible by this have many entries, among which limits are divided.
+const MANY_ENTRIES_DIVISOR: u64 = 4;
+const MANY_ENTRIES: usize = 20;
+
 /// Kind of a fault, or of planned work by an operator.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
 pub enum FaultKind {
@@ -156,8 +160,13 @@
         }));
     }
     faults.sort_by_key(|fault| fault.at);
+    let entries = rng.usize(2..=6);
     Plan {
-        entries: rng.usize(2..=6),
+        entries: if seed.is_multiple_of(MANY_ENTRIES_DIVISOR) {
+            MANY_ENTRIES
+        } else {
+            entries
+        },
         has_unplanned_faults,
         faults,
     }
