Entries share the first crash under a request that may run only once

Change: the event of a crash says whether a visit may be executed once or several times; in the first case the first crash is published. On expiry a record is cleared only by an entry that has seen a crash itself, as each report is a call. Result: three cases added to the table of crashes; without the change the request of the first is not refused and the last publishes a report.

--- a/src/direct/change.rs
+++ b/src/direct/change.rs
@@ -167,6 +167,8 @@
         fingerprint: ids::Fingerprint,
         /// Endpoint that crashed under the request.
         endpoint: ids::EndpointId,
+        /// How often a visit of the request may be executed.
+        executions: poison::Executions,
     },
     /// A request suspected of crashing endpoints was answered.
     SuspectCleared(ids::Fingerprint),
--- a/src/direct/system/suspects.rs
+++ b/src/direct/system/suspects.rs
@@ -42,8 +42,9 @@
             subject,
             fingerprint,
             endpoint,
+            executions,
         } => {
-            suspects.crashed(*fingerprint, endpoint.clone(), cx.now);
+            suspects.crashed(*fingerprint, endpoint.clone(), *executions, cx.now);
             log::warn!(target: "suspects", subject:% = subject, fingerprint:% = fingerprint,
                 endpoint:% = endpoint, refused = suspects.is_refused(*fingerprint);
                 "endpoint crashed under a request");
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -78,19 +78,27 @@
         let client = self.client(view, endpoint);
         let endpoint = endpoint.record.id.clone();
         let (fingerprint, parts) = (self.fingerprint(), self.part_fingerprints());
+        let executions = if self.rule.kind.is_retryable() {
+            poison::Executions::Several
+        } else {
+            poison::Executions::Once
+        };
         let (cx, service) = (Arc::clone(&self.cx), self.service.clone());
         self.cx.pools.spawn(async move {
             if client.open_idle().await.is_ok() {
                 return;
             }
             let parts = cx.suspected_parts(&service, &parts).into_iter();
-            let suspects = parts.map(|part| (poison::Subject::PromptPart, part));
-            for (subject, fingerprint) in suspects.chain([(poison::Subject::Request, fingerprint)])
-            {
+            // A part comes with many requests, so that one entry sees several crashes.
+            let several = poison::Executions::Several;
+            let suspects = parts.map(|part| (poison::Subject::PromptPart, part, several));
+            let request = (poison::Subject::Request, fingerprint, executions);
+            for (subject, fingerprint, executions) in suspects.chain([request]) {
                 cx.control.send_or_drop(direct::Event::Crashed {
                     subject,
                     fingerprint,
                     endpoint: endpoint.clone(),
+                    executions,
                 });
             }
         });
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -6,4 +6,4 @@
 
 pub use answered_parts::AnsweredParts;
 pub use quarantine::{Quarantine, Suspicion};
-pub use suspects::{CrashReport, Subject, Suspects};
+pub use suspects::{CrashReport, Executions, Subject, Suspects};
--- a/src/poison/suspects.rs
+++ b/src/poison/suspects.rs
@@ -14,6 +14,9 @@
 /// entries. A single crash is mostly coincidence, and the platform charges for
 /// each report.
 const MIN_PUBLISHED_ENDPOINTS: usize = 2;
+/// The same for a request that may be executed only once: each of its visits crashes one
+/// endpoint at most, and the next one mostly comes to another entry.
+const MIN_PUBLISHED_ENDPOINTS_ONCE: usize = 1;
 /// Time after the last crash, or the last refusal, for which a request is kept: far longer
 /// than callers retry, and short enough for a request that did not cause the crashes.
 const RETENTION: Duration = Duration::from_secs(30);
@@ -31,6 +34,25 @@
     PromptPart,
 }
 
+/// How often one visit of a caller's request may be executed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Executions {
+    /// Once: after a crash, the outcome is unknown.
+    Once,
+    /// Several times, at one endpoint after the other.
+    Several,
+}
+
+impl Executions {
+    const fn min_published(self) -> usize {
+        match self {
+            Self::Once => MIN_PUBLISHED_ENDPOINTS_ONCE,
+            Self::Several => MIN_PUBLISHED_ENDPOINTS,
+        }
+    }
+}
+
 /// A request with the endpoints that crashed while executing it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashReport {
@@ -46,6 +68,9 @@
     last_crash: runtime::Moment,
     /// Endpoints already published to other entries.
     published: BTreeSet<ids::EndpointId>,
+    /// Least number of endpoints to publish; `None` where only other entries have seen a
+    /// crash.
+    min_published: Option<usize>,
 }
 
 /// All suspected requests; a pure function of the events applied.
@@ -60,11 +85,13 @@
         &mut self,
         fingerprint: ids::Fingerprint,
         endpoint: ids::EndpointId,
+        executions: Executions,
         now: runtime::Moment,
     ) {
         let row = self.row(fingerprint, now);
         row.endpoints.insert(endpoint);
         row.last_crash = now;
+        row.min_published = Some(executions.min_published());
     }
 
     /// Records that the request came again and was refused, so that it stays refused.
@@ -97,6 +124,7 @@
             endpoints: BTreeSet::new(),
             last_crash: now,
             published: BTreeSet::new(),
+            min_published: None,
         })
     }
 
@@ -117,7 +145,8 @@
     /// Returns reports of what is not published yet and marks it as published.
     pub fn take_unpublished(&mut self) -> Vec<CrashReport> {
         let unpublished = self.rows.iter_mut().filter(|(_, row)| {
-            row.endpoints.len() >= MIN_PUBLISHED_ENDPOINTS
+            row.min_published
+                .is_some_and(|least| row.endpoints.len() >= least)
                 && row.endpoints.len() > row.published.len()
         });
         let reports = unpublished.map(|(fingerprint, row)| {
@@ -141,16 +170,19 @@
     }
 
     /// Removes requests that exceeded their retention. Returns the reports that
-    /// clear the published ones for other entries.
+    /// clear the published ones; those that only other entries have seen crash are left to
+    /// them, as each report is a call.
     pub fn expire(&mut self, now: runtime::Moment) -> Vec<CrashReport> {
         let expired = self
             .rows
             .iter()
             .filter(|(_, row)| Self::is_expired(row, now));
-        let expired: Vec<_> = expired.map(|(fingerprint, _)| *fingerprint).collect();
+        let expired: Vec<_> = expired
+            .map(|(fingerprint, row)| (*fingerprint, row.min_published.is_some()))
+            .collect();
         expired
             .into_iter()
-            .filter_map(|fingerprint| self.remove_row(fingerprint))
+            .filter_map(|(fingerprint, is_own)| self.remove_row(fingerprint).filter(|_| is_own))
             .collect()
     }
 
--- a/tests/integration/direct/suspects.rs
+++ b/tests/integration/direct/suspects.rs
@@ -8,7 +8,7 @@
 use hyper::Method;
 use quetzalworks::direct::{Effect, Event};
 use quetzalworks::ids::{EndpointId, Fingerprint};
-use quetzalworks::poison::{AnsweredParts, CrashReport, Subject};
+use quetzalworks::poison::{AnsweredParts, CrashReport, Executions, Subject};
 use quetzalworks::runtime::Moment;
 
 use crate::direct::endpoint::{Behaviour, Endpoint};
@@ -20,6 +20,8 @@
 
 enum Step {
     Crash(&'static str),
+    /// The same, for a request that may be executed only once.
+    CrashOnce(&'static str),
     /// Another entry publishes crashes of these endpoints; none clears the request.
     Published(&'static [&'static str]),
     Answered,
@@ -32,11 +34,20 @@
     text.parse().unwrap()
 }
 
+fn crashed(endpoint: &str, executions: Executions) -> Event {
+    Event::Crashed {
+        subject: Subject::Request,
+        fingerprint: REQUEST,
+        endpoint: id(endpoint),
+        executions,
+    }
+}
+
 /// Guards against a request that keeps crashing endpoints, through other entries
 /// too, and against refusing one that was only in flight during some crashes.
 #[test]
 fn a_request_is_refused_after_three_crashes() {
-    use Step::{Advance, Answered, Crash, Published, Refused};
+    use Step::{Advance, Answered, Crash, CrashOnce, Published, Refused};
     struct Case {
         name: &'static str,
         steps: &'static [Step],
@@ -106,6 +117,24 @@
             refused: true,
             published: 2,
         },
+        Case {
+            name: "executed once at each visit, each at another entry",
+            steps: &[CrashOnce("a"), Published(&["a", "b"]), Published(&["c"])],
+            refused: true,
+            published: 1,
+        },
+        Case {
+            name: "executed once, cleared by the entry that has seen the crash",
+            steps: &[CrashOnce("a"), Advance(31_000)],
+            refused: false,
+            published: 2,
+        },
+        Case {
+            name: "known from other entries alone, expired",
+            steps: &[Published(&["a", "b", "c"]), Advance(31_000)],
+            refused: false,
+            published: 0,
+        },
         Case {
             name: "all expired",
             steps: &[Crash("a"), Crash("b"), Crash("c"), Advance(31_000)],
@@ -117,11 +146,8 @@
         let mut world = TestWorld::new();
         for step in case.steps {
             match step {
-                Crash(endpoint) => world.tick(vec![Event::Crashed {
-                    subject: Subject::Request,
-                    fingerprint: REQUEST,
-                    endpoint: id(endpoint),
-                }]),
+                Crash(endpoint) => world.tick(vec![crashed(endpoint, Executions::Several)]),
+                CrashOnce(endpoint) => world.tick(vec![crashed(endpoint, Executions::Once)]),
                 Published(endpoints) => world.tick(vec![Event::CrashReports(vec![CrashReport {
                     fingerprint: REQUEST,
                     endpoints: endpoints.iter().map(|endpoint| id(endpoint)).collect(),
