A version that was rolled back stays out of use under the next order

Cause: an order that replaced a rolled-back one forgot it, and each version other than the new target was allowed, until the endpoints of that one had drained (PINNED). A report names them for entries that start.

--- a/src/direct/change.rs
+++ b/src/direct/change.rs
@@ -1,5 +1,6 @@
 //! Events that the control thread receives and effects that it requests.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -96,6 +97,8 @@
     pub target: ids::VersionName,
     /// Stage reached by the reporting entry.
     pub stage: rollout::Stage,
+    /// Versions that earlier orders have brought in and that were rolled back.
+    pub withdrawn: BTreeSet<ids::VersionName>,
 }
 
 /// Results of a rollout at one entry, as shared with the others through the store.
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -13,6 +13,7 @@
 mod store_health;
 mod system;
 mod tallies;
+mod withdrawn;
 mod world;
 mod writer;
 
@@ -30,5 +31,6 @@
 pub use snapshot::{EndpointView, ServiceView, Snapshot, VersionSplit};
 pub use store_health::StoreHealth;
 pub use tallies::Tallies;
+pub use withdrawn::WithdrawnVersions;
 pub use world::{EndpointKey, EndpointRow, PeerResults, RolloutRow, World, cold_duration};
 pub use writer::write;
--- a/src/direct/system/operator.rs
+++ b/src/direct/system/operator.rs
@@ -70,8 +70,9 @@
     plan: Option<&direct::RolloutOrder>,
 ) {
     let Some(order) = plan else {
-        if world.rollouts.remove(service).is_some() {
+        if let Some(row) = world.rollouts.remove(service) {
             log::info!(target: "rollout", service:% = service; "rollout order withdrawn");
+            withdraw_version(world, service, &row.canary);
             cx.changed = true;
         }
         return;
@@ -91,7 +92,7 @@
         world.settings.bounds.exposure,
         cx.now,
     );
-    world.rollouts.insert(
+    let replaced = world.rollouts.insert(
         service.clone(),
         direct::RolloutRow {
             order: order.clone(),
@@ -109,9 +110,28 @@
             report_requested_at: None,
         },
     );
+    if let Some(replaced) = replaced {
+        withdraw_version(world, service, &replaced.canary);
+    }
+    world.withdrawn.restore(service, &order.target);
     cx.changed = true;
 }
 
+/// Keeps the version of an order that is over out of use if it was rolled back: its
+/// endpoints stay in service for some seconds.
+fn withdraw_version(
+    world: &mut direct::World,
+    service: &ids::ServiceName,
+    canary: &rollout::AnyCanary,
+) {
+    if matches!(canary, rollout::AnyCanary::RolledBack(_))
+        && world.withdrawn.withdraw(service, canary.target())
+    {
+        log::info!(target: "rollout", service:% = service, version:% = canary.target();
+            "version stays out of use, it was rolled back");
+    }
+}
+
 fn apply_domain(world: &mut direct::World, cx: &mut TickCx, domain: &ids::DomainName, out: bool) {
     if out {
         if world.domains_out_of_service.insert(domain.clone()) {
--- a/src/direct/system/reports.rs
+++ b/src/direct/system/reports.rs
@@ -2,6 +2,7 @@
 
 use crate::direct;
 use crate::direct::system::TickCx;
+use crate::rollout;
 
 /// Applies the reports of this tick and adopts the stages in them.
 pub fn run(world: &mut direct::World, cx: &mut TickCx) {
@@ -30,12 +31,31 @@
         world.reports.clear();
     }
     for report in &batch.items {
+        withdraw_versions(world, cx, report);
         world.reports.insert(report.service.clone(), report.clone());
     }
     cx.changed |= world.reports_end.is_none();
     world.reports_end = Some(batch.end);
 }
 
+/// Keeps the versions out of use that other entries know to have been rolled back, before
+/// this process started or read the order.
+fn withdraw_versions(world: &mut direct::World, cx: &mut TickCx, report: &direct::RolloutReport) {
+    let service = &report.service;
+    let is_rolled_back = report.stage == rollout::Stage::RolledBack;
+    let rolled_back = is_rolled_back.then_some(&report.target);
+    for version in report.withdrawn.iter().chain(rolled_back) {
+        let order = world.rollouts.get(service).map(|row| &row.order);
+        if order.is_none_or(|order| order.target != *version)
+            && world.withdrawn.withdraw(service, version)
+        {
+            log::info!(target: "rollout", service:% = service, version:% = version;
+                "version stays out of use, it was rolled back by an earlier order");
+            cx.changed = true;
+        }
+    }
+}
+
 /// Adopts the recorded stages, which take precedence over this entry's own view.
 fn adopt_recorded_stages(world: &mut direct::World, cx: &mut TickCx) {
     for (service, row) in &mut world.rollouts {
--- a/src/direct/system/rollouts.rs
+++ b/src/direct/system/rollouts.rs
@@ -116,10 +116,12 @@
 ) -> bool {
     let (mut target_count, mut other_count) = (0_u32, 0_u32);
     for (_, row) in world.endpoints.iter() {
-        if row.record.service != *service || row.record.draining {
+        let record = &row.record;
+        let is_withdrawn = world.withdrawn.contains(service, &record.version);
+        if record.service != *service || record.draining || is_withdrawn {
             continue;
         }
-        if row.record.version == *target {
+        if record.version == *target {
             target_count += 1;
         } else {
             other_count += 1;
@@ -147,6 +149,7 @@
         service: service.clone(),
         target: row.order.target.clone(),
         stage,
+        withdrawn: world.withdrawn.of(service),
     };
     cx.effects.push(direct::Effect::Report(report, end));
 }
--- a/src/direct/system/snapshot.rs
+++ b/src/direct/system/snapshot.rs
@@ -8,8 +8,8 @@
 use crate::ids;
 use crate::rollout;
 
-/// Builds the snapshot from the tables. Draining endpoints and those in failure
-/// domains out of service are left out.
+/// Builds the snapshot from the tables. Draining endpoints, those in failure domains out
+/// of service and those of versions that were rolled back are left out.
 #[must_use]
 pub fn build(world: &direct::World) -> direct::Snapshot {
     let services = world
@@ -45,6 +45,7 @@
             row.record.service == *name
                 && !row.record.draining
                 && !world.domains_out_of_service.contains(&row.record.domain)
+                && !world.withdrawn.contains(name, &row.record.version)
         })
         .map(|(_, row)| {
             Arc::new(direct::EndpointView {
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -89,6 +89,8 @@
     pub endpoints: table::Table<EndpointKey, ids::EndpointId, EndpointRow>,
     /// Ordered rollouts, by service.
     pub rollouts: HashMap<ids::ServiceName, RolloutRow>,
+    /// Versions that were rolled back by earlier orders.
+    pub withdrawn: direct::WithdrawnVersions,
     /// Newest rollout reports in the store, by service.
     pub reports: HashMap<ids::ServiceName, direct::RolloutReport>,
     /// Read position in the reports' topic; `None` before the first read.
@@ -119,6 +121,7 @@
             deployment: None,
             endpoints: table::Table::default(),
             rollouts: HashMap::new(),
+            withdrawn: direct::WithdrawnVersions::default(),
             reports: HashMap::new(),
             reports_end: None,
             suspects: Arc::default(),
--- a/src/platform/rollout_status.rs
+++ b/src/platform/rollout_status.rs
@@ -1,5 +1,6 @@
 //! Records by which the system reports the state of rollouts to the operator.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use hyper::body::Bytes;
@@ -21,6 +22,9 @@
     target: ids::VersionName,
     /// Stage of a running rollout; read only by the system's own processes.
     phase: Option<Arc<str>>,
+    /// Versions that were rolled back before; read only by the system's own processes.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    withdrawn: BTreeSet<ids::VersionName>,
 }
 
 #[derive(Clone, Copy, serde::Serialize, serde::Deserialize)]
@@ -48,6 +52,7 @@
             State::Completed => rollout::Stage::Completed,
             State::RolledBack => rollout::Stage::RolledBack,
         },
+        withdrawn: status.withdrawn,
     })
 }
 
@@ -63,6 +68,7 @@
         state,
         target: report.target.clone(),
         phase: Some(report.stage.to_string().into()),
+        withdrawn: report.withdrawn.clone(),
     })?;
     let key = format!("{KEY_PREFIX}{}", report.service);
     Ok(record::with_key(&key, &value))
--- a/tests/integration/direct/rollouts.rs
+++ b/tests/integration/direct/rollouts.rs
@@ -1,5 +1,6 @@
 //! Rollouts in the control state: evidence, reports and their write conditions.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use quetzalworks::direct::{Effect, RolloutReport, Sample, VersionSplit};
@@ -29,9 +30,98 @@
         service: "writer".parse().unwrap(),
         target: "v2".parse().unwrap(),
         stage,
+        withdrawn: BTreeSet::new(),
     }
 }
 
+/// Report of the order that follows the rollback.
+fn next_report(stage: Stage) -> RolloutReport {
+    RolloutReport {
+        target: "v3".parse().unwrap(),
+        withdrawn: ["v2".parse().unwrap()].into(),
+        ..report(stage)
+    }
+}
+
+fn order(world: &mut TestWorld, target: Option<&str>) {
+    let order =
+        target.map(|target| json!({ "Service": "writer", "Target": target, "DurationS": 20 }));
+    let change = operator_change("rollout/writer", order.as_ref());
+    world.operator(false, vec![change]);
+}
+
+/// Guards against the use of a version that was rolled back once the next order has
+/// replaced its own, by entries that have seen the rollback and by those that start later.
+#[test]
+fn a_version_that_was_rolled_back_stays_out_of_use() {
+    struct Case {
+        name: &'static str,
+        act: fn(&mut TestWorld),
+        usable: &'static [&'static str],
+        /// Withdrawn versions in the last report that is requested.
+        reported: &'static [&'static str],
+    }
+    let rolled_back = |world: &mut TestWorld| {
+        world.reports(false, vec![report(Stage::RolledBack)], 1);
+    };
+    let cases = [
+        Case {
+            name: "the next version is ordered",
+            act: |world| order(world, Some("v3")),
+            usable: &["a", "b", "e"],
+            reported: &["v2"],
+        },
+        Case {
+            name: "the order is withdrawn",
+            act: |world| order(world, None),
+            usable: &["a", "b", "e"],
+            reported: &[],
+        },
+        Case {
+            name: "the same version is ordered again after the next one",
+            act: |world| {
+                order(world, Some("v3"));
+                world.reports(false, vec![next_report(Stage::Probing)], 2);
+                order(world, Some("v2"));
+            },
+            usable: &["a", "b", "c", "d", "e"],
+            reported: &[],
+        },
+    ];
+    let endpoints = [
+        ("a", "v1"),
+        ("b", "v1"),
+        ("c", "v2"),
+        ("d", "v2"),
+        ("e", "v3"),
+    ];
+    for case in cases {
+        let mut world = started();
+        world.writers(&endpoints);
+        rolled_back(&mut world);
+        world.effects.clear();
+        (case.act)(&mut world);
+        world.advance(1_000);
+        assert_eq!(world.usable("writer"), case.usable, "{}", case.name);
+        let mut reports = world.effects.iter().filter_map(|effect| match effect {
+            Effect::Report(report, _) => Some(report),
+            _ => None,
+        });
+        let withdrawn = reports.next_back().map(|report| report.withdrawn.clone());
+        let expected: BTreeSet<_> = case.reported.iter().map(|v| v.parse().unwrap()).collect();
+        assert_eq!(withdrawn.unwrap_or_default(), expected, "{}", case.name);
+    }
+    let mut late = TestWorld::before_reports();
+    late.writers(&endpoints);
+    order(&mut late, Some("v3"));
+    late.reports(true, vec![next_report(Stage::Probing)], 2);
+    assert_eq!(
+        late.usable("writer"),
+        ["a", "b", "e"],
+        "an entry that starts"
+    );
+}
+
 /// Attempts of one version on a route, `failures` of which fail.
 struct Runs {
     route: &'static str,
--- a/tests/integration/direct/suspects.rs
+++ b/tests/integration/direct/suspects.rs
@@ -30,6 +30,14 @@
     Advance(u64),
 }
 
+struct Case {
+    name: &'static str,
+    steps: &'static [Step],
+    refused: bool,
+    /// Number of reports published to other entries.
+    published: usize,
+}
+
 fn id(text: &str) -> EndpointId {
     text.parse().unwrap()
 }
@@ -47,14 +55,7 @@
 /// too, and against refusing one that was only in flight during some crashes.
 #[test]
 fn a_request_is_refused_after_three_crashes() {
-    use Step::{Advance, Answered, Crash, CrashOnce, Published, Refused};
-    struct Case {
-        name: &'static str,
-        steps: &'static [Step],
-        refused: bool,
-        /// Number of reports published to other entries.
-        published: usize,
-    }
+    use Step::{Advance, Answered, Crash, Published, Refused};
     let cases = [
         Case {
             name: "one crash",
@@ -117,6 +118,24 @@
             refused: true,
             published: 2,
         },
+        Case {
+            name: "all expired",
+            steps: &[Crash("a"), Crash("b"), Crash("c"), Advance(31_000)],
+            refused: false,
+            published: 3,
+        },
+    ];
+    for case in &cases {
+        check(case);
+    }
+}
+
+/// Guards against a request that crashes one endpoint at each visit and comes to another
+/// entry each time, and against as many clearing reports as there are entries.
+#[test]
+fn crashes_of_a_request_that_runs_once_add_up_over_entries() {
+    use Step::{Advance, CrashOnce, Published};
+    let cases = [
         Case {
             name: "executed once at each visit, each at another entry",
             steps: &[CrashOnce("a"), Published(&["a", "b"]), Published(&["c"])],
@@ -135,34 +154,33 @@
             refused: false,
             published: 0,
         },
-        Case {
-            name: "all expired",
-            steps: &[Crash("a"), Crash("b"), Crash("c"), Advance(31_000)],
-            refused: false,
-            published: 3,
-        },
     ];
-    for case in cases {
-        let mut world = TestWorld::new();
-        for step in case.steps {
-            match step {
-                Crash(endpoint) => world.tick(vec![crashed(endpoint, Executions::Several)]),
-                CrashOnce(endpoint) => world.tick(vec![crashed(endpoint, Executions::Once)]),
-                Published(endpoints) => world.tick(vec![Event::CrashReports(vec![CrashReport {
-                    fingerprint: REQUEST,
-                    endpoints: endpoints.iter().map(|endpoint| id(endpoint)).collect(),
-                }])]),
-                Answered => world.tick(vec![Event::SuspectCleared(REQUEST)]),
-                Refused => world.tick(vec![Event::SuspectRefused(REQUEST)]),
-                Advance(millis) => world.advance(*millis),
-            }
+    for case in &cases {
+        check(case);
+    }
+}
+
+fn check(case: &Case) {
+    use Step::{Advance, Answered, Crash, CrashOnce, Published, Refused};
+    let mut world = TestWorld::new();
+    for step in case.steps {
+        match step {
+            Crash(endpoint) => world.tick(vec![crashed(endpoint, Executions::Several)]),
+            CrashOnce(endpoint) => world.tick(vec![crashed(endpoint, Executions::Once)]),
+            Published(endpoints) => world.tick(vec![Event::CrashReports(vec![CrashReport {
+                fingerprint: REQUEST,
+                endpoints: endpoints.iter().map(|endpoint| id(endpoint)).collect(),
+            }])]),
+            Answered => world.tick(vec![Event::SuspectCleared(REQUEST)]),
+            Refused => world.tick(vec![Event::SuspectRefused(REQUEST)]),
+            Advance(millis) => world.advance(*millis),
         }
-        let refused = world.snapshot.suspects.is_refused(REQUEST);
-        assert_eq!(refused, case.refused, "{}", case.name);
-        let published = world.effects.iter();
-        let published = published.filter(|effect| matches!(effect, Effect::PublishCrashes(_)));
-        assert_eq!(published.count(), case.published, "{}", case.name);
     }
+    let refused = world.snapshot.suspects.is_refused(REQUEST);
+    assert_eq!(refused, case.refused, "{}", case.name);
+    let published = world.effects.iter();
+    let published = published.filter(|effect| matches!(effect, Effect::PublishCrashes(_)));
+    assert_eq!(published.count(), case.published, "{}", case.name);
 }
 
 /// An endpoint that accepts one connection and crashes on its first request.
