--- a/tests/integration/direct/suspects.rs
+++ b/tests/integration/direct/suspects.rs
@@ -8,7 +8,7 @@
 use hyper::Method;
 use quetzalworks::direct::{Effect, Event};
 use quetzalworks::ids::{EndpointId, Fingerprint};
-use quetzalworks::poison::{AnsweredParts, CrashReport, Subject};
+use quetzalworks::poison::{AnsweredParts, CrashReport, Executions, Subject};
 use quetzalworks::runtime::Moment;
 
 use crate::direct::endpoint::{Behaviour, Endpoint};
@@ -20,6 +20,8 @@
 
 enum Step {
     Crash(&'static str),
+    /// The same, for a request that may be executed only once.
+    CrashOnce(&'static str),
     /// Another entry publishes crashes of these endpoints; none clears the request.
     Published(&'static [&'static str]),
     Answered,
@@ -28,22 +30,32 @@
     Advance(u64),
 }
 
+struct Case {
+    name: &'static str,
+    steps: &'static [Step],
+    refused: bool,
+    /// Number of reports published to other entries.
+    published: usize,
+}
+
 fn id(text: &str) -> EndpointId {
     text.parse().unwrap()
 }
 
+fn crashed(endpoint: &str, executions: Executions) -> Event {
+    Event::Crashed {
+        subject: Subject::Request,
+        fingerprint: REQUEST,
+        endpoint: id(endpoint),
+        executions,
+    }
+}
+
 /// Guards against a request that keeps crashing endpoints, through other entries
 /// too, and against refusing one that was only in flight during some crashes.
 #[test]
 fn a_request_is_refused_after_three_crashes() {
     use Step::{Advance, Answered, Crash, Published, Refused};
-    struct Case {
-        name: &'static str,
-        steps: &'static [Step],
-        refused: bool,
-        /// Number of reports published to other entries.
-        published: usize,
-    }
     let cases = [
         Case {
             name: "one crash",
@@ -113,30 +125,62 @@
             published: 3,
         },
     ];
-    for case in cases {
-        let mut world = TestWorld::new();
-        for step in case.steps {
-            match step {
-                Crash(endpoint) => world.tick(vec![Event::Crashed {
-                    subject: Subject::Request,
-                    fingerprint: REQUEST,
-                    endpoint: id(endpoint),
-                }]),
-                Published(endpoints) => world.tick(vec![Event::CrashReports(vec![CrashReport {
-                    fingerprint: REQUEST,
-                    endpoints: endpoints.iter().map(|endpoint| id(endpoint)).collect(),
-                }])]),
-                Answered => world.tick(vec![Event::SuspectCleared(REQUEST)]),
-                Refused => world.tick(vec![Event::SuspectRefused(REQUEST)]),
-                Advance(millis) => world.advance(*millis),
-            }
+    for case in &cases {
+        check(case);
+    }
+}
+
+/// Guards against a request that crashes one endpoint at each visit and comes to another
+/// entry each time, and against as many clearing reports as there are entries.
+#[test]
+fn crashes_of_a_request_that_runs_once_add_up_over_entries() {
+    use Step::{Advance, CrashOnce, Published};
+    let cases = [
+        Case {
+            name: "executed once at each visit, each at another entry",
+            steps: &[CrashOnce("a"), Published(&["a", "b"]), Published(&["c"])],
+            refused: true,
+            published: 1,
+        },
+        Case {
+            name: "executed once, cleared by the entry that has seen the crash",
+            steps: &[CrashOnce("a"), Advance(31_000)],
+            refused: false,
+            published: 2,
+        },
+        Case {
+            name: "known from other entries alone, expired",
+            steps: &[Published(&["a", "b", "c"]), Advance(31_000)],
+            refused: false,
+            published: 0,
+        },
+    ];
+    for case in &cases {
+        check(case);
+    }
+}
+
+fn check(case: &Case) {
+    use Step::{Advance, Answered, Crash, CrashOnce, Published, Refused};
+    let mut world = TestWorld::new();
+    for step in case.steps {
+        match step {
+            Crash(endpoint) => world.tick(vec![crashed(endpoint, Executions::Several)]),
+            CrashOnce(endpoint) => world.tick(vec![crashed(endpoint, Executions::Once)]),
+            Published(endpoints) => world.tick(vec![Event::CrashReports(vec![CrashReport {
+                fingerprint: REQUEST,
+                endpoints: endpoints.iter().map(|endpoint| id(endpoint)).collect(),
+            }])]),
+            Answered => world.tick(vec![Event::SuspectCleared(REQUEST)]),
+            Refused => world.tick(vec![Event::SuspectRefused(REQUEST)]),
+            Advance(millis) => world.advance(*millis),
         }
-        let refused = world.snapshot.suspects.is_refused(REQUEST);
-        assert_eq!(refused, case.refused, "{}", case.name);
-        let published = world.effects.iter();
-        let published = published.filter(|effect| matches!(effect, Effect::PublishCrashes(_)));
-        assert_eq!(published.count(), case.published, "{}", case.name);
     }
+    let refused = world.snapshot.suspects.is_refused(REQUEST);
+    assert_eq!(refused, case.refused, "{}", case.name);
+    let published = world.effects.iter();
+    let published = published.filter(|effect| matches!(effect, Effect::PublishCrashes(_)));
+    assert_eq!(published.count(), case.published, "{}", case.name);
 }
 
 /// An endpoint that accepts one connection and crashes on its first request.
