Few entries read the store, the others follow them

Each entry read the three topics of the store for itself, so that calls grew with the number of entries.

Members of the group that divides the leases now carry domain and address. On sites of more than 8 entries, few entries of each failure domain, chosen by rendezvous, read for the others, which poll them. A reader passes on what the store said, with the age of its read; endpoint reports that only count up are left out. A follower that hears nothing in time reads for itself and logs why. Calls to the store are counted by topic.

Tests seen failing with single parts taken out: age ignored, all reports passed on, following at once after a failure, readers of other domains, no limit on age, a gap in the records.

--- a/src/direct/change.rs
+++ b/src/direct/change.rs
@@ -6,6 +6,7 @@
 use crate::catalog;
 use crate::direct;
 use crate::ids;
+use crate::peers;
 use crate::poison;
 use crate::rollout;
 use crate::runtime;
@@ -114,7 +115,19 @@
 }
 
 /// A topic of the store that an entry follows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumIter)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+    strum::Display,
+    strum::EnumIter,
+    strum::IntoStaticStr,
+)]
 #[strum(serialize_all = "snake_case")]
 pub enum Source {
     /// Configuration, rollout orders and drained failure domains.
@@ -185,6 +198,8 @@
     EvidenceRead(Vec<SharedEvidence>),
     /// The store has assigned leases to this entry.
     Assigned(Assignment),
+    /// The members of the group of entries were listed.
+    MembersListed(Vec<peers::Member>),
     /// The settings of the process were reloaded.
     Settings(Box<settings::Direct>),
 }
--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -9,6 +9,7 @@
 use crate::control;
 use crate::direct;
 use crate::ids;
+use crate::peers;
 use crate::platform;
 use crate::runtime;
 
@@ -21,27 +22,57 @@
 
 /// Follows one topic until the process exits. Starts with a listing of the
 /// newest records and repeats it when the position is no longer retained.
+/// With `shared`, it may follow another entry instead of the store, or read for others.
 pub async fn follow(
     store: platform::StoreClient,
     source: direct::Source,
     poll: direct::PollSettings,
+    shared: Option<direct::SharedReads>,
     control: Control,
 ) {
     let mut position = None;
+    let mut shared = shared.map(|shared| direct::FollowTask::new(shared, source));
     loop {
+        let duty = Arc::clone(&control.snapshot().duty);
+        if let Some(task) = &mut shared {
+            task.plan(&duty);
+            if let Some(from) = position
+                && task.is_following()
+            {
+                match task.poll(from).await {
+                    Ok((page, read_started)) => {
+                        let batch = RawBatch::relayed(from, page);
+                        position = Some(batch.end);
+                        send(&control, source, batch, read_started).await;
+                    }
+                    Err(peers::FollowEnd::StoreLost) => {
+                        let reason = "the entry that is followed has lost the store".into();
+                        control
+                            .send(direct::Event::ReadFailed(source, reason))
+                            .await;
+                    }
+                    Err(_) => {}
+                }
+                continue;
+            }
+        }
+        let wait = shared
+            .as_ref()
+            .and_then(|task| task.reader_wait(&duty))
+            .unwrap_or(poll.wait);
         let read_started = runtime::Moment::now();
         let read = match position {
             None => list_newest(&store, source).await,
-            Some(from) => read_from(&store, source, from, poll.wait).await,
+            Some(from) => read_from(&store, source, from, wait).await,
         };
         match read {
             Ok(Read::Records(batch)) => {
+                if let Some(task) = &mut shared {
+                    task.record_read(&duty, position, &batch, read_started);
+                }
                 position = Some(batch.end);
                 let has_records = !batch.records.is_empty();
-                if let Some(crashes) = batch.crashes(source) {
-                    control.send(crashes).await;
-                }
-                control.send(batch.decode(source, read_started)).await;
+                send(&control, source, batch, read_started).await;
                 if has_records && !poll.pause.is_zero() {
                     Timer::after(poll.pause).await;
                 }
@@ -52,6 +83,9 @@
                 position = None;
             }
             Err(err) => {
+                if let Some(task) = &shared {
+                    task.record_failure();
+                }
                 // At debug level only: the control thread logs when the store is lost and regained.
                 log::debug!(target: "store", source:% = source, error:% = err; "read failed");
                 control
@@ -63,6 +97,18 @@
     }
 }
 
+async fn send(
+    control: &Control,
+    source: direct::Source,
+    batch: RawBatch,
+    read_started: runtime::Moment,
+) {
+    if let Some(crashes) = batch.crashes(source) {
+        control.send(crashes).await;
+    }
+    control.send(batch.decode(source, read_started)).await;
+}
+
 /// Outcome of one successful read.
 enum Read {
     Records(RawBatch),
@@ -74,13 +120,32 @@
 pub type KeyedValues = Vec<(Arc<str>, Option<Bytes>)>;
 
 /// Keys and values as read, not decoded yet.
-struct RawBatch {
-    whole: bool,
-    records: KeyedValues,
-    end: ids::Offset,
+pub(super) struct RawBatch {
+    /// Whether this is a listing.
+    pub(super) whole: bool,
+    pub(super) records: KeyedValues,
+    /// Offsets of the records; none in a listing.
+    pub(super) offsets: Vec<ids::Offset>,
+    pub(super) end: ids::Offset,
 }
 
 impl RawBatch {
+    /// Takes over what an entry has passed on for the records from `from` on. Older ones are
+    /// ignored, and the position never moves back.
+    fn relayed(from: ids::Offset, page: peers::RelayedPage) -> Self {
+        let news = page.records.into_iter();
+        let records = news.filter(|record| record.offset >= from);
+        let (offsets, records) = records
+            .map(|record| (record.offset, (record.key, record.value.map(Bytes::from))))
+            .unzip();
+        Self {
+            whole: false,
+            records,
+            offsets,
+            end: page.end.max(from),
+        }
+    }
+
     fn decode(self, source: direct::Source, started: runtime::Moment) -> direct::Event {
         match source {
             direct::Source::Operator => {
@@ -124,7 +189,7 @@
 }
 
 /// Decodes an endpoint record; `None` when the key is no endpoint id.
-fn decode_record(key: &str, value: Option<&Bytes>) -> Option<direct::EndpointChange> {
+pub(super) fn decode_record(key: &str, value: Option<&Bytes>) -> Option<direct::EndpointChange> {
     let id = key.parse::<ids::EndpointId>().ok()?;
     let Some(value) = value else {
         return Some(direct::EndpointChange::Removed(id));
@@ -157,6 +222,7 @@
     Ok(Read::Records(RawBatch {
         whole: true,
         records,
+        offsets: Vec::new(),
         end,
     }))
 }
@@ -203,6 +269,7 @@
             return Ok(Read::Records(RawBatch {
                 whole: false,
                 records: Vec::new(),
+                offsets: Vec::new(),
                 end: from,
             }));
         }
@@ -213,17 +280,18 @@
         Ok(platform::ReadOutcome::Records(page)) => page,
     };
     let end = ids::Offset(from.0.saturating_add(page.records.len() as u64));
-    let records = page
-        .records
-        .iter()
-        .filter_map(|content| {
+    let offsets = (from.0..).map(ids::Offset);
+    let (offsets, records) = offsets
+        .zip(&page.records)
+        .filter_map(|(offset, content)| {
             let (key, value) = platform::split_key(content)?;
-            Some((Arc::from(key), value))
+            Some((offset, (Arc::from(key), value)))
         })
-        .collect();
+        .unzip();
     Ok(Read::Records(RawBatch {
         whole: false,
         records,
+        offsets,
         end,
     }))
 }
--- /dev/null
+++ b/src/direct/follow_task.rs
@@ -0,0 +1,216 @@
+//! Part of a task that follows a topic which deals with the other entries.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::direct;
+use crate::direct::feed;
+use crate::http;
+use crate::ids;
+use crate::observe;
+use crate::peers;
+use crate::runtime;
+
+/// What the tasks of an entry need to share reads with other entries.
+#[derive(Clone, Debug)]
+pub struct SharedReads {
+    /// Records that this entry passes on.
+    pub relays: Arc<peers::Relays>,
+    /// Time limits for the topic.
+    pub limits: peers::FollowLimits,
+    /// Runs the connections to the followed entry.
+    pub traffic: runtime::Traffic,
+}
+
+/// Course of one topic, with the connection to the followed entry.
+#[derive(Debug)]
+pub struct FollowTask {
+    shared: SharedReads,
+    source: direct::Source,
+    course: peers::AnyCourse,
+    client: Option<http::Client>,
+    /// Number of the last confirmation received from the followed entry.
+    seen: u64,
+    /// Time of the last confirmation by the store, read or passed on.
+    confirmed: runtime::Moment,
+    is_reader: bool,
+}
+
+impl FollowTask {
+    pub(super) fn new(shared: SharedReads, source: direct::Source) -> Self {
+        Self {
+            shared,
+            source,
+            course: peers::AnyCourse::default(),
+            client: None,
+            seen: 0,
+            confirmed: runtime::Moment::default(),
+            is_reader: false,
+        }
+    }
+
+    /// Adopts the duty of this entry.
+    pub(super) fn plan(&mut self, duty: &peers::Duty) {
+        let is_reader = *duty == peers::Duty::Read;
+        if self.is_reader && !is_reader {
+            self.shared
+                .relays
+                .update(self.source, peers::RelayLog::stop);
+        }
+        self.is_reader = is_reader;
+        let now = runtime::Moment::now();
+        let was_following = self.is_following();
+        let planned = std::mem::take(&mut self.course).plan(duty, now);
+        self.course = planned;
+        match &self.course {
+            peers::AnyCourse::Following(course) if !was_following => {
+                let following = &course.state;
+                log::info!(target: "peers", source:% = self.source, reader:% = following.reader,
+                    age_ms:% = self.age(now).as_millis(); "follows an entry that reads the store");
+                let traffic = self.shared.traffic.clone();
+                self.client = Some(http::Client::new(following.addr, traffic));
+                self.seen = 0;
+            }
+            peers::AnyCourse::Reading(_) if was_following => {
+                self.log_end(peers::FollowEnd::Replaced, now);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) const fn is_following(&self) -> bool {
+        matches!(self.course, peers::AnyCourse::Following(_))
+    }
+
+    fn age(&self, now: runtime::Moment) -> Duration {
+        now.saturating_since(self.confirmed)
+    }
+
+    /// Returns how long a read for others waits for records; `None` if this entry reads for
+    /// itself.
+    pub(super) fn reader_wait(&self, duty: &peers::Duty) -> Option<Duration> {
+        (*duty == peers::Duty::Read).then_some(self.shared.limits.reader_wait)
+    }
+
+    /// Polls the followed entry for the records from `from` on, and returns them with a time
+    /// not later than the begin of the read. On failure, this entry reads for itself.
+    pub(super) async fn poll(
+        &mut self,
+        from: ids::Offset,
+    ) -> Result<(peers::RelayedPage, runtime::Moment), peers::FollowEnd> {
+        let asked = runtime::Moment::now();
+        let result = self.ask(from, asked).await;
+        let now = runtime::Moment::now();
+        let result = result.map(|page| {
+            let read_started = page.read_started(asked);
+            (page, read_started)
+        });
+        match &result {
+            Ok((page, read_started)) => {
+                self.seen = page.number;
+                self.confirmed = self.confirmed.max(*read_started);
+                let topic = self.source.into();
+                observe::metrics()
+                    .record_relay_received(topic, now.saturating_since(*read_started));
+                let course = std::mem::take(&mut self.course);
+                self.course = if self.age(now) < self.shared.limits.age {
+                    course.record_success()
+                } else {
+                    self.log_end(peers::FollowEnd::Stale, now);
+                    course.end_following(peers::FollowEnd::Stale, now)
+                };
+            }
+            Err(reason) => {
+                self.log_end(*reason, now);
+                let course = std::mem::take(&mut self.course);
+                self.course = course.end_following(*reason, now);
+            }
+        }
+        result
+    }
+
+    async fn ask(
+        &self,
+        from: ids::Offset,
+        asked: runtime::Moment,
+    ) -> Result<peers::RelayedPage, peers::FollowEnd> {
+        let client = self.client.as_ref().ok_or(peers::FollowEnd::Unreachable)?;
+        let is_first = self.seen == 0;
+        let limits = &self.shared.limits;
+        let deadline = limits.deadline(asked, self.confirmed, is_first);
+        let limit = deadline.saturating_since(asked);
+        if limit.is_zero() {
+            return Err(peers::FollowEnd::Stale);
+        }
+        let poll = peers::Poll {
+            source: self.source,
+            from,
+            seen: self.seen,
+        };
+        match peers::poll(client, &poll, limit).await? {
+            peers::PollAnswer::Page(page) => Ok(page),
+            peers::PollAnswer::NotReading => Err(peers::FollowEnd::NotReading),
+            peers::PollAnswer::StoreLost => Err(peers::FollowEnd::StoreLost),
+            peers::PollAnswer::NotRetained => Err(peers::FollowEnd::NotRetained),
+        }
+    }
+
+    fn log_end(&self, reason: peers::FollowEnd, now: runtime::Moment) {
+        observe::metrics().record_follow_end(self.source.into(), reason.into());
+        log::info!(target: "peers", source:% = self.source, reason:% = reason,
+            age_ms:% = self.age(now).as_millis(); "reads the store for itself");
+    }
+
+    /// Records a read of the store by this entry, which continued `from` or was a listing.
+    pub(super) fn record_read(
+        &mut self,
+        duty: &peers::Duty,
+        from: Option<ids::Offset>,
+        batch: &feed::RawBatch,
+        read_started: runtime::Moment,
+    ) {
+        self.confirmed = self.confirmed.max(read_started);
+        self.course = std::mem::take(&mut self.course).record_success();
+        if *duty != peers::Duty::Read {
+            return;
+        }
+        self.shared.relays.update(self.source, |log| match from {
+            Some(from) => {
+                let records = self.relayed(batch);
+                log.append(records, from, batch.end, read_started);
+            }
+            None => log.restart(batch.end, read_started),
+        });
+    }
+
+    /// Returns the records of a batch, with what they tell of an endpoint.
+    fn relayed(
+        &self,
+        batch: &feed::RawBatch,
+    ) -> Vec<(peers::RelayRecord, Option<direct::EndpointChange>)> {
+        let records = batch.offsets.iter().zip(&batch.records);
+        records
+            .map(|(offset, (key, value))| {
+                let change = match self.source {
+                    direct::Source::Endpoints => feed::decode_record(key, value.as_ref()),
+                    _ => None,
+                };
+                let record = peers::RelayRecord {
+                    offset: *offset,
+                    key: Arc::clone(key),
+                    value: value.as_ref().map(|value| value.to_vec()),
+                };
+                (record, change)
+            })
+            .collect()
+    }
+
+    /// Records a failed read of the store by this entry.
+    pub(super) fn record_failure(&self) {
+        if self.is_reader {
+            self.shared
+                .relays
+                .update(self.source, peers::RelayLog::fail);
+        }
+    }
+}
--- a/src/direct/join.rs
+++ b/src/direct/join.rs
@@ -9,6 +9,7 @@
 use crate::control;
 use crate::direct;
 use crate::ids;
+use crate::peers;
 use crate::platform;
 use crate::platform::group;
 use crate::runtime;
@@ -19,32 +20,41 @@
 /// are assigned to others only once it calls again.
 const ACKNOWLEDGE_DELAY: Duration = Duration::from_millis(200);
 
-/// Joins the group as `vm` and stays in it until the process exits.
+/// Joins the group as `member` and stays in it until the process exits. The store divides
+/// `leases`. Lists the other members when the group may be large enough for shared reads.
 pub async fn join(
     store: platform::StoreClient,
-    vm: ids::VmName,
+    member: peers::Member,
+    leases: u32,
     control: control::Control<direct::Plane>,
 ) {
     let mut generation = ids::DivisionGeneration::default();
     let mut confirmed_at = runtime::Moment::now();
     let mut is_expired = false;
+    let mut listing = peers::ListingPlan::default();
     loop {
         let call_started = runtime::Moment::now();
-        let req = group::Join::new(vm.clone(), balance::LEASE_DURATION, generation);
+        let req = group::Join::new(member.clone(), balance::LEASE_DURATION, generation);
         let delay = match store.join(&req).await {
             Ok(membership) => {
-                let leases = u32::try_from(membership.held.len()).unwrap_or(u32::MAX);
+                let held = u32::try_from(membership.held.len()).unwrap_or(u32::MAX);
                 let assignment = direct::Assignment {
-                    leases,
+                    leases: held,
                     call_started,
                 };
                 control.send(direct::Event::Assigned(assignment)).await;
                 confirmed_at = call_started;
                 if std::mem::take(&mut is_expired) {
-                    log::info!(target: "share", leases = leases; "leases confirmed again");
+                    log::info!(target: "share", leases = held; "leases confirmed again");
                 }
                 let has_changed = membership.generation != generation;
                 generation = membership.generation;
+                if member.place.is_some()
+                    && listing.record(generation, held, leases, call_started)
+                    && list_members(&store, &control).await
+                {
+                    listing.record_listing(call_started);
+                }
                 if has_changed {
                     ACKNOWLEDGE_DELAY
                 } else {
@@ -64,3 +74,20 @@
         Timer::after(delay).await;
     }
 }
+
+/// Lists the members of the group; returns whether the store answered.
+async fn list_members(
+    store: &platform::StoreClient,
+    control: &control::Control<direct::Plane>,
+) -> bool {
+    match store.members().await {
+        Ok(members) => {
+            control.send(direct::Event::MembersListed(members)).await;
+            true
+        }
+        Err(err) => {
+            log::info!(target: "peers", error:% = err; "entries could not be listed");
+            false
+        }
+    }
+}
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -5,6 +5,7 @@
 mod evidence;
 mod exchange;
 mod feed;
+mod follow_task;
 mod freshness;
 mod join;
 mod plane;
@@ -23,6 +24,7 @@
 pub use evidence::{Evidence, Sample, WaitingKey};
 pub use exchange::exchange;
 pub use feed::follow;
+pub use follow_task::{FollowTask, SharedReads};
 pub use freshness::Freshness;
 pub use join::join;
 pub use plane::Plane;
--- a/src/direct/snapshot.rs
+++ b/src/direct/snapshot.rs
@@ -8,6 +8,7 @@
 use crate::catalog;
 use crate::direct;
 use crate::ids;
+use crate::peers;
 use crate::poison;
 use crate::rollout;
 use crate::runtime;
@@ -83,6 +84,8 @@
     pub share: balance::AnyFleetShare,
     /// When the leases of the share were last confirmed; updated between snapshots too.
     pub share_freshness: Arc<direct::Freshness>,
+    /// What this entry does about reads that all entries need.
+    pub duty: Arc<peers::Duty>,
 }
 
 impl Snapshot {
--- a/src/direct/system/mod.rs
+++ b/src/direct/system/mod.rs
@@ -2,6 +2,7 @@
 
 mod endpoints;
 mod evidence;
+mod members;
 mod operator;
 mod process;
 mod reports;
@@ -20,9 +21,10 @@
 type System = fn(&mut direct::World, &mut TickCx);
 
 /// All systems, in the order in which they run.
-pub const ALL: [System; 8] = [
+pub const ALL: [System; 9] = [
     process::run,
     share::run,
+    members::run,
     operator::run,
     endpoints::run,
     reports::run,
--- a/src/direct/system/snapshot.rs
+++ b/src/direct/system/snapshot.rs
@@ -29,6 +29,7 @@
         freshness: Arc::clone(&world.freshness),
         share: world.share,
         share_freshness: Arc::clone(&world.share_freshness),
+        duty: Arc::clone(&world.duty),
     }
 }
 
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -8,6 +8,7 @@
 use crate::catalog;
 use crate::direct;
 use crate::ids;
+use crate::peers;
 use crate::poison;
 use crate::rollout;
 use crate::runtime;
@@ -107,6 +108,10 @@
     pub share_freshness: Arc<direct::Freshness>,
     /// Whether a complete listing of the endpoints has been read.
     pub endpoints_listed: bool,
+    /// Entries that read for each other.
+    pub members: peers::Members,
+    /// What this entry does about reads that all entries need.
+    pub duty: Arc<peers::Duty>,
 }
 
 impl World {
@@ -128,6 +133,8 @@
             share: balance::AnyFleetShare::default(),
             share_freshness: Arc::default(),
             endpoints_listed: false,
+            members: peers::Members::default(),
+            duty: Arc::default(),
         }
     }
 
--- a/src/gateway/role.rs
+++ b/src/gateway/role.rs
@@ -14,6 +14,7 @@
 use crate::gateway::{handler, overload, readiness};
 use crate::http;
 use crate::observe;
+use crate::peers;
 use crate::platform;
 use crate::runtime;
 use crate::settings;
@@ -35,6 +36,9 @@
 /// Maximum head that is read; the limit of the configuration is checked afterwards.
 const MAX_HEAD_SIZE: units::Bytes = units::Bytes(32 * 1_024);
 
+/// Maximum number of connections of other entries.
+const MAX_PEER_CONNECTIONS: usize = 512;
+
 /// A running direct entry. Dropping it stops its tasks.
 #[derive(Debug)]
 pub struct Gateway {
@@ -43,6 +47,7 @@
     callers: Arc<http::Server>,
     _readiness: http::Server,
     _metrics: Option<http::Server>,
+    _peers: Option<http::Server>,
     _tasks: Vec<Task<()>>,
 }
 
@@ -86,6 +91,12 @@
             }
             None => None,
         };
+        let relays = Arc::new(peers::Relays::default());
+        let peers = match settings.peer_addr {
+            Some(addr) => bind_peers(addr, Arc::clone(&relays), traffic).await,
+            None => None,
+        };
+        let peer_addr = peers.as_ref().map(http::Server::addr);
         let (exchange_tx, exchanges) = channel::bounded(1);
         let mut tasks = vec![
             traffic.spawn(direct::write(
@@ -97,7 +108,8 @@
             traffic.spawn(direct::exchange(store.clone(), exchanges, control.clone())),
             traffic.spawn(direct::join(
                 store.clone(),
-                settings.vm.clone(),
+                settings.member(peer_addr),
+                settings.leases,
                 control.clone(),
             )),
             traffic.spawn(sweep(Arc::clone(&cx), Arc::clone(&callers))),
@@ -109,7 +121,12 @@
             direct::Source::Reports,
         ] {
             let poll = direct::PollSettings::new(source, &settings.bounds);
-            let follow = direct::follow(store.clone(), source, poll, control.clone());
+            let shared = peer_addr.map(|_| direct::SharedReads {
+                relays: Arc::clone(&relays),
+                limits: peers::FollowLimits::new(source, &settings.bounds),
+                traffic: traffic.clone(),
+            });
+            let follow = direct::follow(store.clone(), source, poll, shared, control.clone());
             tasks.push(traffic.spawn(follow));
         }
         Ok(Self {
@@ -118,6 +135,7 @@
             callers,
             _readiness: readiness,
             _metrics: metrics,
+            _peers: peers,
             _tasks: tasks,
         })
     }
@@ -152,6 +170,27 @@
     }
 }
 
+/// Serves what this entry reads for others. Where the address is taken, the entry neither
+/// reads for others nor follows them.
+async fn bind_peers(
+    addr: SocketAddr,
+    relays: Arc<peers::Relays>,
+    traffic: &runtime::Traffic,
+) -> Option<http::Server> {
+    let limits = settings::Limits {
+        max_connections: MAX_PEER_CONNECTIONS,
+        ..settings::Limits::default()
+    };
+    let handler = Arc::new(peers::PeerHandler(relays));
+    http::Server::bind(addr, limits, traffic, handler)
+        .await
+        .inspect_err(|err| {
+            log::warn!(target: "peers", addr:% = addr, error:% = err;
+                "address for other entries cannot be bound, reads are not shared");
+        })
+        .ok()
+}
+
 /// Measures the scheduling delay of the traffic thread by the lateness of a timer.
 async fn watch_timers(cx: Arc<gateway::Cx>) {
     loop {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod lease;
 pub mod ledger;
 pub mod observe;
+pub mod peers;
 pub mod platform;
 pub mod platform_clients;
 pub mod poison;
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -63,6 +63,9 @@
     direct_attempts: Counter<u64>,
     store_calls: Counter<u64>,
     store_latency: Histogram<f64>,
+    relays_sent: Counter<u64>,
+    relay_age: Histogram<f64>,
+    follow_ends: Counter<u64>,
     log_dropped: Counter<u64>,
     rollout_verdicts: Counter<u64>,
     endpoints_closed: Counter<u64>,
@@ -124,6 +127,18 @@
                 "Calls of the store by kind and result.",
             ),
             store_latency: latency("quetzalworks_store_latency", "Time of a call of the store."),
+            relays_sent: count(
+                "quetzalworks_relays_sent",
+                "Answers to entries that follow this one, by topic.",
+            ),
+            relay_age: latency(
+                "quetzalworks_relay_age",
+                "Age of the read of the store in an answer of the followed entry, by topic.",
+            ),
+            follow_ends: count(
+                "quetzalworks_follow_ends",
+                "Times at which this entry stopped following another one, by topic and reason.",
+            ),
             log_dropped: count(
                 "quetzalworks_log_dropped",
                 "Log lines that were not written.",
@@ -266,6 +281,26 @@
             .add(1, &[call, KeyValue::new("result", result)]);
     }
 
+    /// Counts an answer to an entry that follows this one.
+    pub fn record_relay_sent(&self, topic: &'static str) {
+        self.relays_sent.add(1, &[KeyValue::new("topic", topic)]);
+    }
+
+    /// Records the age of the read in an answer of the followed entry.
+    pub fn record_relay_received(&self, topic: &'static str, age: Duration) {
+        let topic = KeyValue::new("topic", topic);
+        self.relay_age.record(age.as_secs_f64(), &[topic]);
+    }
+
+    /// Counts an end of following another entry.
+    pub fn record_follow_end(&self, topic: &'static str, reason: &'static str) {
+        let labels = [
+            KeyValue::new("topic", topic),
+            KeyValue::new("reason", reason),
+        ];
+        self.follow_ends.add(1, &labels);
+    }
+
     /// Counts an endpoint that has said in an answer that it wants no requests.
     pub fn record_endpoint_closed(&self, reason: &'static str) {
         self.endpoints_closed
--- /dev/null
+++ b/src/peers/mod.rs
@@ -0,0 +1,26 @@
+//! Entries that read the store for others, and those that follow them: who reads, what a
+//! reader passes on with which age, and when a follower reads for itself.
+
+mod course;
+mod duty;
+mod handler;
+mod limits;
+mod listing;
+mod member;
+mod message;
+mod poll;
+mod relay_log;
+mod relays;
+mod table;
+
+pub use course::{AnyCourse, Course, FollowEnd, Following, Reading};
+pub use duty::Duty;
+pub use handler::PeerHandler;
+pub use limits::FollowLimits;
+pub use listing::ListingPlan;
+pub use member::{InvalidMember, Member};
+pub use message::{Poll, PollAnswer, RelayRecord, RelayedPage};
+pub use poll::{PollError, poll};
+pub use relay_log::RelayLog;
+pub use relays::Relays;
+pub use table::{Members, PeerKey, PeerRow};
--- a/src/platform/direct_settings.rs
+++ b/src/platform/direct_settings.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::ffi::OsString;
 use std::fs;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 
 use crate::ids;
@@ -44,6 +44,11 @@
     zones: BTreeMap<ids::DomainName, ids::RegionName>,
     listen_addrs: ListenAddrs,
     platform: Store,
+    /// Address of the VM.
+    ip: Option<IpAddr>,
+    /// First and last port that is free on every VM for the entries among themselves.
+    #[serde(default)]
+    internal_ports: Vec<u16>,
     #[serde(default)]
     limits: Limits,
     /// Limits of the deployment.
@@ -133,6 +138,10 @@
         callers_addr: file.listen_addrs.front,
         readiness_addr: file.listen_addrs.ready,
         metrics_addr: None,
+        peer_addr: file
+            .ip
+            .zip(file.internal_ports.first())
+            .map(|(ip, port)| SocketAddr::new(ip, *port)),
         store_addr: file.platform.address,
         leases,
         max_descriptors: file.limits.max_fds.unwrap_or(DEFAULT_MAX_DESCRIPTORS),
--- a/src/platform/group.rs
+++ b/src/platform/group.rs
@@ -6,10 +6,11 @@
 use hyper::body::Bytes;
 
 use crate::ids;
+use crate::peers;
 use crate::units;
 
 /// Group of the entries.
-const GROUP: &str = "entries";
+pub(super) const GROUP: &str = "entries";
 /// Prefix of the topics whose partitions are the leases. They hold no records.
 const TOPIC_PREFIX: &str = "share-";
 /// Number of these topics.
@@ -22,7 +23,7 @@
     #[serde(rename = "group")]
     group: Arc<str>,
     /// Name of the member.
-    pub member: ids::VmName,
+    pub member: peers::Member,
     /// Topics whose partitions are divided.
     pub topics: Vec<Arc<str>>,
     /// Time after which the member counts as gone unless it joins again.
@@ -34,7 +35,7 @@
 impl Join {
     /// Creates a request that keeps the membership for `ttl`.
     #[must_use]
-    pub fn new(member: ids::VmName, ttl: Duration, generation: ids::DivisionGeneration) -> Self {
+    pub fn new(member: peers::Member, ttl: Duration, generation: ids::DivisionGeneration) -> Self {
         Self {
             group: GROUP.into(),
             member,
@@ -65,3 +66,26 @@
     #[serde(rename = "parts")]
     pub held: Vec<HeldPartition>,
 }
+
+/// A partition with the member that holds it: topic, partition, member and offset.
+pub type OwnedPartition = (Arc<str>, u32, peers::Member, i64);
+
+/// Decodes the answer with the members of the group, without repetitions; rows of other
+/// programs are left out. `None` where it has no rows.
+#[must_use]
+pub fn decode_owners(body: &[u8]) -> Option<Vec<peers::Member>> {
+    let value: serde_json::Value = serde_json::from_slice(body).ok()?;
+    let rows = match &value {
+        serde_json::Value::Object(fields) => {
+            fields.values().find_map(serde_json::Value::as_array)?
+        }
+        other => other.as_array()?,
+    };
+    let mut members: Vec<peers::Member> = rows
+        .iter()
+        .filter_map(|row| row.get(2)?.as_str()?.parse().ok())
+        .collect();
+    members.sort();
+    members.dedup();
+    Some(members)
+}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -14,6 +14,7 @@
 use crate::http;
 use crate::ids;
 use crate::observe;
+use crate::peers;
 use crate::platform;
 use crate::platform::{record, store_call};
 use crate::runtime;
@@ -251,6 +252,18 @@
         parse(&body)
     }
 
+    /// Lists the members that hold partitions in the group of the entries.
+    pub async fn members(&self) -> Result<Vec<peers::Member>, platform::PlatformError> {
+        let uri = format!("{}?group={}", store_call::OWNERS, platform::group::GROUP);
+        let (status, body) = self
+            .call(Method::GET, uri, Bytes::new(), CALL_TIMEOUT)
+            .await?;
+        if status != StatusCode::OK {
+            return Err(platform::PlatformError::Status(status.as_u16()));
+        }
+        platform::group::decode_owners(&body).ok_or_else(|| malformed(&"answer without rows"))
+    }
+
     /// Sends a request and reads its response. The timeout covers the body too,
     /// since the store may stall after it has sent the response head.
     async fn call(
@@ -262,11 +275,7 @@
     ) -> Result<(StatusCode, Bytes), platform::PlatformError> {
         let began = Instant::now();
         let deadline = began + timeout;
-        let kind = match (&method, uri.as_str()) {
-            (_, store_call::JOIN) => "join",
-            (&Method::POST, _) => "append",
-            _ => "read",
-        };
+        let kind = store_call::kind(&uri);
         let req = Request::builder()
             .method(method)
             .uri(uri)
--- a/src/platform/store_call.rs
+++ b/src/platform/store_call.rs
@@ -22,6 +22,34 @@
 /// Path of requests to join a group.
 pub(super) const JOIN: &str = "/log-join";
 
+/// Path of requests for the members of a group.
+pub(super) const OWNERS: &str = "/log-owners";
+
+/// Returns the kind of a call by its path and topic, as counted in the metrics.
+#[must_use]
+pub fn kind(uri: &str) -> &'static str {
+    let (path, query) = uri.split_once('?').unwrap_or((uri, ""));
+    let topic = query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("Topic="))
+        .unwrap_or_default();
+    match (path, topic) {
+        (JOIN, _) => "join",
+        (OWNERS, _) => "members",
+        (READ, platform::operator::TOPIC) => "read_operator",
+        (READ, platform::endpoint_record::TOPIC) => "read_endpoints",
+        (READ, platform::rollout_status::TOPIC) => "read_reports",
+        (NEWEST, platform::operator::TOPIC) => "list_operator",
+        (NEWEST, platform::endpoint_record::TOPIC) => "list_endpoints",
+        (NEWEST, platform::rollout_status::TOPIC) => "list_reports",
+        (NEWEST, platform::evidence_record::TOPIC) => "list_evidence",
+        (APPEND, platform::evidence_record::TOPIC) => "append_evidence",
+        (APPEND, platform::rollout_status::TOPIC) => "append_reports",
+        (APPEND, _) => "append",
+        _ => "read",
+    }
+}
+
 /// A decoded request to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreCall {
@@ -52,6 +80,8 @@
     },
     /// Joins a group or stays in it.
     Join(platform::group::Join),
+    /// Lists the members of a group.
+    Owners,
 }
 
 /// HTTP status and body of a response of the store.
@@ -64,6 +94,9 @@
         if (method, uri.path()) == (&Method::POST, JOIN) {
             return serde_json::from_slice(body).ok().map(Self::Join);
         }
+        if (method, uri.path()) == (&Method::GET, OWNERS) {
+            return Some(Self::Owners);
+        }
         let topic: Arc<str> = parameter(uri, "Topic")?.into();
         match (method, uri.path()) {
             (&Method::POST, APPEND) => Some(Self::Append {
@@ -148,6 +181,12 @@
     json_answer(StatusCode::OK, &json!(membership))
 }
 
+/// Encodes the response with the members of a group.
+#[must_use]
+pub fn owners_answer(owned: &[platform::group::OwnedPartition]) -> StoreAnswer {
+    json_answer(StatusCode::OK, &json!({ "parts": owned }))
+}
+
 fn json_answer(status: StatusCode, body: &serde_json::Value) -> StoreAnswer {
     (status, body.to_string().into())
 }
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use crate::ids;
+use crate::peers;
 use crate::units;
 
 /// Settings of a direct entry, checked and with all defaults resolved.
@@ -23,6 +24,8 @@
     pub readiness_addr: SocketAddr,
     /// Address for metrics (TCP); `None` where metrics are not served.
     pub metrics_addr: Option<SocketAddr>,
+    /// Address for other entries (TCP); `None` where entries do not read for each other.
+    pub peer_addr: Option<SocketAddr>,
     /// Address of the platform's metadata store (TCP).
     pub store_addr: SocketAddr,
     /// Number of leases into which the store divides limits that apply to all entries
@@ -37,6 +40,15 @@
 }
 
 impl Direct {
+    /// Returns how this entry, which other entries reach at `addr`, appears to them.
+    #[must_use]
+    pub fn member(&self, addr: Option<SocketAddr>) -> peers::Member {
+        peers::Member {
+            vm: self.vm.clone(),
+            place: addr.map(|addr| (self.domain.clone(), addr)),
+        }
+    }
+
     /// Returns a fraction of the memory that the process may use.
     #[must_use]
     #[allow(
--- a/src/standin/groups.rs
+++ b/src/standin/groups.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use crate::ids;
+use crate::peers;
 use crate::platform::group;
 
 /// Number of partitions of each topic.
@@ -23,8 +24,8 @@
 #[derive(Debug, Default)]
 pub struct Group {
     generation: ids::DivisionGeneration,
-    members: BTreeMap<ids::VmName, Member>,
-    owners: HashMap<PartitionKey, ids::VmName>,
+    members: BTreeMap<peers::Member, Member>,
+    owners: HashMap<PartitionKey, peers::Member>,
 }
 
 impl Group {
@@ -61,7 +62,15 @@
         }
     }
 
-    fn is_free(&self, key: &PartitionKey, member: &ids::VmName) -> bool {
+    /// Lists the partitions with the members that hold them.
+    pub(super) fn owned(&self) -> Vec<group::OwnedPartition> {
+        let owners = self.owners.iter();
+        owners
+            .map(|((topic, part), member)| (Arc::clone(topic), *part, member.clone(), 0))
+            .collect()
+    }
+
+    fn is_free(&self, key: &PartitionKey, member: &peers::Member) -> bool {
         let Some(owner) = self.owners.get(key) else {
             return true;
         };
--- a/src/standin/log.rs
+++ b/src/standin/log.rs
@@ -39,6 +39,8 @@
     state: Mutex<topics::Topics>,
     group: Mutex<groups::Group>,
     changed: Event,
+    /// Calls by kind.
+    calls: Mutex<HashMap<&'static str, u64>>,
 }
 
 impl Log {
@@ -142,9 +144,24 @@
         store_reply(store_call::join_answer(&membership))
     }
 
+    /// Lists the members of the group.
+    async fn handle_owners(&self) -> http::Reply {
+        if let Some(reply) = self.outage().await {
+            return reply;
+        }
+        let owned = self.lock_group().owned();
+        store_reply(store_call::owners_answer(&owned))
+    }
+
+    fn count(&self, kind: &'static str) {
+        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        *calls.entry(kind).or_default() += 1;
+    }
+
     /// Decodes and executes one call, then waits for the configured answer delay.
     async fn call(&self, req: Request<Incoming>) -> http::Reply {
         let (head, body) = req.into_parts();
+        self.count(store_call::kind(&head.uri.to_string()));
         let Ok(body) = http::read_body(body, MAX_BODY, None).await else {
             return serve::status(StatusCode::PAYLOAD_TOO_LARGE);
         };
@@ -159,6 +176,7 @@
                 self.handle_newest(&topic, after.as_deref()).await
             }
             Some(platform::StoreCall::Join(join)) => self.handle_join(&join).await,
+            Some(platform::StoreCall::Owners) => self.handle_owners().await,
             None => return http::not_found(),
         };
         let delay = self.lock().answer_delay.duration();
@@ -232,6 +250,14 @@
         }
     }
 
+    /// Returns the number of calls of this kind so far, as in the metrics of the callers.
+    #[must_use]
+    pub fn calls(&self, kind: &str) -> u64 {
+        let calls = self.log.calls.lock();
+        let calls = calls.unwrap_or_else(PoisonError::into_inner);
+        calls.get(kind).copied().unwrap_or_default()
+    }
+
     /// Returns the newest record of each key of a topic.
     #[must_use]
     pub fn newest(&self, topic: &str) -> Vec<platform::KeyedRecord> {
--- a/tests/integration/append.rs
+++ b/tests/integration/append.rs
@@ -61,7 +61,7 @@
             StoreCall::Append { records, .. } => self.append(records).await,
             StoreCall::Read { from, .. } => read_answer(&self.page(from)),
             StoreCall::Newest { .. } => unreachable!("the stream has no keys"),
-            StoreCall::Join(_) => unreachable!("the stream has no members"),
+            StoreCall::Join(_) | StoreCall::Owners => unreachable!("the stream has no members"),
         };
         http::full(status, "application/octet-stream", body)
     }
--- a/tests/integration/direct/site.rs
+++ b/tests/integration/direct/site.rs
@@ -183,6 +183,29 @@
             .replace("127.0.0.1:1", &callers.to_string())
             .replace("127.0.0.1:2", &readiness.to_string())
             .replace("127.0.0.1:3", &store.to_string());
+        Self::with_settings(&settings, callers, readiness)
+    }
+
+    /// Starts a process that shares reads with others. The drain limit is long enough that a
+    /// busy machine does not make it read for itself.
+    pub fn spawn_peer(name: &str, peers: SocketAddr, store: SocketAddr) -> Self {
+        let (callers, readiness) = (isolation::free_addr(), isolation::free_addr());
+        let shared = format!(
+            "Ip = \"{}\"\nInternalPorts = [{}, {}]\n",
+            peers.ip(),
+            peers.port(),
+            peers.port()
+        );
+        let settings = SETTINGS
+            .replace(NAME, name)
+            .replace("127.0.0.1:1", &callers.to_string())
+            .replace("127.0.0.1:2", &readiness.to_string())
+            .replace("127.0.0.1:3", &store.to_string())
+            .replace("DrainMs = 2000", "DrainMs = 8000");
+        Self::with_settings(&(shared + &settings), callers, readiness)
+    }
+
+    fn with_settings(settings: &str, callers: SocketAddr, readiness: SocketAddr) -> Self {
         let path = isolation::create_test_dir().join("settings.toml");
         fs::write(&path, settings).unwrap();
         Self {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -24,6 +24,7 @@
 mod lease;
 mod ledger;
 mod membership;
+mod peers;
 mod proofs;
 mod rollouts;
 mod route;
