Readers exchange the results of rollouts for their followers

During a rollout each entry listed and appended results for itself, up to twice a second.

Followers hand their results to the entry that they follow, which lists and appends once for all that ask together, and get back those of the same round too. One that gets no answer within 400 ms exchanges its results itself, and a follower whose results are not listed shares them again.

Tests seen failing with single parts taken out: not shared again, the earlier process replaced, one request a round.

--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -22,7 +22,7 @@
     RolloutReport, SharedEvidence, Source,
 };
 pub use evidence::{Evidence, Sample, WaitingKey};
-pub use exchange::exchange;
+pub use exchange::{SharedExchange, exchange, newest_evidence};
 pub use feed::follow;
 pub use follow_task::{FollowTask, SharedReads};
 pub use freshness::Freshness;
--- a/src/direct/system/evidence.rs
+++ b/src/direct/system/evidence.rs
@@ -5,6 +5,7 @@
 use crate::direct;
 use crate::direct::system::TickCx;
 use crate::ids;
+use crate::peers;
 use crate::rollout;
 
 /// Time between exchanges while a small share of the traffic is observed.
@@ -64,8 +65,10 @@
 }
 
 fn apply(world: &mut direct::World, cx: &TickCx, records: &[direct::SharedEvidence]) {
+    let is_follower = matches!(*world.duty, peers::Duty::Follow { .. });
     for (service, row) in &mut world.rollouts {
         let is_first = row.peers.read_at.is_none();
+        let mut listed = direct::Tallies::default();
         let mut peers = direct::PeerResults {
             read_at: Some(cx.now),
             ..direct::PeerResults::default()
@@ -81,8 +84,14 @@
                 log::info!(target: "rollout", service:% = service, process:% = record.process;
                     "results of an earlier process of this entry are used");
                 row.evidence.merge(&record.tallies);
+            } else if record.process == world.process {
+                listed = record.tallies.clone();
             }
         }
         row.peers = peers;
+        if is_follower {
+            // The entry that shares them may have ended before it did, or be late.
+            row.shared = listed;
+        }
     }
 }
--- a/src/gateway/role.rs
+++ b/src/gateway/role.rs
@@ -11,7 +11,7 @@
 use crate::control;
 use crate::direct;
 use crate::gateway;
-use crate::gateway::{handler, overload, readiness};
+use crate::gateway::{handler, overload, peering, readiness};
 use crate::http;
 use crate::observe;
 use crate::peers;
@@ -36,9 +36,6 @@
 /// Maximum head that is read; the limit of the configuration is checked afterwards.
 const MAX_HEAD_SIZE: units::Bytes = units::Bytes(32 * 1_024);
 
-/// Maximum number of connections of other entries.
-const MAX_PEER_CONNECTIONS: usize = 512;
-
 /// A running direct entry. Dropping it stops its tasks.
 #[derive(Debug)]
 pub struct Gateway {
@@ -47,7 +44,7 @@
     callers: Arc<http::Server>,
     _readiness: http::Server,
     _metrics: Option<http::Server>,
-    _peers: Option<http::Server>,
+    _peering: Option<peering::Peering>,
     _tasks: Vec<Task<()>>,
 }
 
@@ -91,13 +88,16 @@
             }
             None => None,
         };
-        let relays = Arc::new(peers::Relays::default());
-        let peers = match settings.peer_addr {
-            Some(addr) => bind_peers(addr, Arc::clone(&relays), traffic).await,
-            None => None,
+        let peering = peering::Peering::bind(&settings, &store, traffic).await;
+        let alone = peers::Member {
+            vm: settings.vm.clone(),
+            place: None,
         };
-        let peer_addr = peers.as_ref().map(http::Server::addr);
+        let member = peering
+            .as_ref()
+            .map_or(alone, |peering| peering.member(&settings));
         let (exchange_tx, exchanges) = channel::bounded(1);
+        let shared_exchange = peering.as_ref().map(|peering| peering.exchange(&settings));
         let mut tasks = vec![
             traffic.spawn(direct::write(
                 store.clone(),
@@ -105,10 +105,15 @@
                 exchange_tx,
                 control.clone(),
             )),
-            traffic.spawn(direct::exchange(store.clone(), exchanges, control.clone())),
+            traffic.spawn(direct::exchange(
+                store.clone(),
+                exchanges,
+                shared_exchange,
+                control.clone(),
+            )),
             traffic.spawn(direct::join(
                 store.clone(),
-                settings.member(peer_addr),
+                member,
                 settings.leases,
                 control.clone(),
             )),
@@ -121,11 +126,9 @@
             direct::Source::Reports,
         ] {
             let poll = direct::PollSettings::new(source, &settings.bounds);
-            let shared = peer_addr.map(|_| direct::SharedReads {
-                relays: Arc::clone(&relays),
-                limits: peers::FollowLimits::new(source, &settings.bounds),
-                traffic: traffic.clone(),
-            });
+            let shared = peering
+                .as_ref()
+                .map(|peering| peering.reads(source, &settings.bounds));
             let follow = direct::follow(store.clone(), source, poll, shared, control.clone());
             tasks.push(traffic.spawn(follow));
         }
@@ -135,7 +138,7 @@
             callers,
             _readiness: readiness,
             _metrics: metrics,
-            _peers: peers,
+            _peering: peering,
             _tasks: tasks,
         })
     }
@@ -170,27 +173,6 @@
     }
 }
 
-/// Serves what this entry reads for others. Where the address is taken, the entry neither
-/// reads for others nor follows them.
-async fn bind_peers(
-    addr: SocketAddr,
-    relays: Arc<peers::Relays>,
-    traffic: &runtime::Traffic,
-) -> Option<http::Server> {
-    let limits = settings::Limits {
-        max_connections: MAX_PEER_CONNECTIONS,
-        ..settings::Limits::default()
-    };
-    let handler = Arc::new(peers::PeerHandler(relays));
-    http::Server::bind(addr, limits, traffic, handler)
-        .await
-        .inspect_err(|err| {
-            log::warn!(target: "peers", addr:% = addr, error:% = err;
-                "address for other entries cannot be bound, reads are not shared");
-        })
-        .ok()
-}
-
 /// Measures the scheduling delay of the traffic thread by the lateness of a timer.
 async fn watch_timers(cx: Arc<gateway::Cx>) {
     loop {
--- a/src/peers/course.rs
+++ b/src/peers/course.rs
@@ -13,6 +13,8 @@
 /// Time for which a follower reads for itself after its reader has failed it, doubled with
 /// each failure in a row.
 const BACKOFF: Duration = Duration::from_secs(2);
+/// The same after the reader did not read for others: it may just have become one.
+const NOT_READING_BACKOFF: Duration = Duration::from_millis(300);
 /// Maximum of that time.
 const MAX_BACKOFF: Duration = Duration::from_secs(16);
 
@@ -95,8 +97,13 @@
         let (failures, pause) = if reason == FollowEnd::Replaced {
             (0, Duration::ZERO)
         } else {
+            let first = if reason == FollowEnd::NotReading {
+                NOT_READING_BACKOFF
+            } else {
+                BACKOFF
+            };
             let doublings = self.state.failures.min(8);
-            let pause = BACKOFF.saturating_mul(1 << doublings).min(MAX_BACKOFF);
+            let pause = first.saturating_mul(1 << doublings).min(MAX_BACKOFF);
             (self.state.failures.saturating_add(1), pause)
         };
         Course {
--- a/src/peers/handler.rs
+++ b/src/peers/handler.rs
@@ -1,4 +1,4 @@
-//! Handler of the polls of followers.
+//! Handler of the requests of followers.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -14,49 +14,76 @@
 
 /// Path of polls; the number changes with their encoding.
 pub(super) const POLL_PATH: &str = "/peers/1/poll";
-/// Maximum size of a poll.
-const MAX_POLL: units::Bytes = units::Bytes(256);
+/// Path of exchanges of the results of rollouts.
+pub(super) const EVIDENCE_PATH: &str = "/peers/1/evidence";
+/// Maximum size of a request.
+const MAX_REQUEST: units::Bytes = units::Bytes(256 * 1_024);
 /// Maximum time for which a poll is held; followers give up earlier.
 const MAX_HOLD: Duration = Duration::from_secs(10);
 /// Maximum time in which the body of a poll must arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(1);
 const CONTENT_TYPE: &str = "application/octet-stream";
 
-/// Answers polls from the records of this entry.
+/// Answers the entries that follow this one.
 #[derive(Debug)]
-pub struct PeerHandler(pub Arc<peers::Relays>);
+pub struct PeerHandler {
+    /// Records that this entry passes on.
+    pub relays: Arc<peers::Relays>,
+    /// Rounds in which this entry exchanges the results of rollouts.
+    pub rounds: peers::EvidenceRounds,
+}
 
 impl http::Handler for PeerHandler {
     async fn handle(&self, req: Request<Incoming>) -> http::Reply {
         let arrived = runtime::Moment::now();
-        if (req.method(), req.uri().path()) != (&Method::POST, POLL_PATH) {
+        if req.method() != Method::POST {
             return http::not_found();
         }
-        let body = http::read_body(req.into_body(), MAX_POLL, None);
-        let body = runtime::timeout_at(Instant::now() + BODY_TIMEOUT, body).await;
-        let poll = body.and_then(|body| postcard::from_bytes(&body.ok()?).ok());
-        let Some(poll) = poll else {
-            return http::full(StatusCode::BAD_REQUEST, CONTENT_TYPE, "");
-        };
-        let answer = self.answer(&poll, arrived).await;
-        let Ok(body) = postcard::to_stdvec(&answer) else {
-            return http::full(StatusCode::INTERNAL_SERVER_ERROR, CONTENT_TYPE, "");
-        };
-        observe::metrics().record_relay_sent(poll.source.into());
-        http::full(StatusCode::OK, CONTENT_TYPE, body)
+        match req.uri().path() {
+            POLL_PATH => match decode_body(req).await {
+                Some(poll) => reply(&self.answer(&poll, arrived).await),
+                None => status(StatusCode::BAD_REQUEST),
+            },
+            EVIDENCE_PATH => match decode_body(req).await {
+                Some(req) => match self.rounds.exchange(req).await {
+                    Some(results) => reply(&results),
+                    None => status(StatusCode::SERVICE_UNAVAILABLE),
+                },
+                None => status(StatusCode::BAD_REQUEST),
+            },
+            _ => http::not_found(),
+        }
     }
 }
 
+async fn decode_body<T: serde::de::DeserializeOwned>(req: Request<Incoming>) -> Option<T> {
+    let body = http::read_body(req.into_body(), MAX_REQUEST, None);
+    let body = runtime::timeout_at(Instant::now() + BODY_TIMEOUT, body).await?;
+    postcard::from_bytes(&body.ok()?).ok()
+}
+
+fn reply(answer: &impl serde::Serialize) -> http::Reply {
+    match postcard::to_stdvec(answer) {
+        Ok(body) => http::full(StatusCode::OK, CONTENT_TYPE, body),
+        Err(_) => status(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
+fn status(status: StatusCode) -> http::Reply {
+    http::full(status, CONTENT_TYPE, "")
+}
+
 impl PeerHandler {
     async fn answer(&self, poll: &peers::Poll, arrived: runtime::Moment) -> peers::PollAnswer {
         let deadline = Instant::now() + MAX_HOLD;
         loop {
-            let changed = self.0.listen();
+            let changed = self.relays.listen();
             let now = runtime::Moment::now();
             let answer = self
-                .0
+                .relays
                 .read(poll.source, |log| log.answer(poll, arrived, now));
             if let Some(answer) = answer {
+                observe::metrics().record_relay_sent(poll.source.into());
                 return answer;
             }
             if runtime::timeout_at(deadline, changed).await.is_none() {
--- a/src/peers/limits.rs
+++ b/src/peers/limits.rs
@@ -9,7 +9,7 @@
 /// Maximum wait of a read of the operator's topic by a reader.
 const OPERATOR_WAIT: Duration = Duration::from_millis(750);
 /// Maximum wait of a read of the reports' topic by a reader.
-const REPORT_WAIT: Duration = Duration::from_secs(1);
+const REPORT_WAIT: Duration = Duration::from_secs(2);
 /// Maximum wait of a read of the endpoints' topic by a reader, as a fraction of the drain
 /// limit. With the pause between reads it stays below [`ENDPOINT_AGE`].
 const ENDPOINT_WAIT: f64 = 0.2;
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -3,6 +3,7 @@
 
 mod course;
 mod duty;
+mod evidence;
 mod handler;
 mod limits;
 mod listing;
@@ -15,12 +16,13 @@
 
 pub use course::{AnyCourse, Course, FollowEnd, Following, Reading};
 pub use duty::Duty;
+pub use evidence::{EvidenceRequest, EvidenceRounds, Waiting, overlay, run_rounds};
 pub use handler::PeerHandler;
 pub use limits::FollowLimits;
 pub use listing::ListingPlan;
 pub use member::{InvalidMember, Member};
 pub use message::{Poll, PollAnswer, RelayRecord, RelayedPage};
-pub use poll::{PollError, poll};
+pub use poll::{PollError, exchange_evidence, poll};
 pub use relay_log::RelayLog;
 pub use relays::Relays;
 pub use table::{Members, PeerKey, PeerRow};
--- a/src/peers/poll.rs
+++ b/src/peers/poll.rs
@@ -1,4 +1,4 @@
-//! Poll of a reader by a follower.
+//! Requests of a follower to its reader.
 
 use std::time::Duration;
 
@@ -6,6 +6,7 @@
 use hyper::body::Bytes;
 use hyper::{Method, Request, StatusCode};
 
+use crate::direct;
 use crate::http;
 use crate::peers;
 use crate::peers::handler;
@@ -39,10 +40,30 @@
     poll: &peers::Poll,
     limit: Duration,
 ) -> Result<peers::PollAnswer, PollError> {
-    let body = postcard::to_stdvec(poll).map_err(|_| PollError::Broken)?;
+    call(client, handler::POLL_PATH, poll, limit).await
+}
+
+/// Exchanges the results of rollouts through the reader that `client` connects to, and
+/// returns those of all entries. Fails if the complete answer does not arrive within `limit`,
+/// or the reader could not exchange them.
+pub async fn exchange_evidence(
+    client: &http::Client,
+    req: &peers::EvidenceRequest,
+    limit: Duration,
+) -> Result<Vec<direct::SharedEvidence>, PollError> {
+    call(client, handler::EVIDENCE_PATH, req, limit).await
+}
+
+async fn call<T: serde::de::DeserializeOwned>(
+    client: &http::Client,
+    path: &'static str,
+    req: &impl serde::Serialize,
+    limit: Duration,
+) -> Result<T, PollError> {
+    let body = postcard::to_stdvec(req).map_err(|_| PollError::Broken)?;
     let req = Request::builder()
         .method(Method::POST)
-        .uri(handler::POLL_PATH)
+        .uri(path)
         .body(Full::new(Bytes::from(body)))
         .map_err(|_| PollError::Broken)?;
     match client.fetch(req, MAX_ANSWER, limit).await {
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 
 use crate::ids;
-use crate::peers;
 use crate::units;
 
 /// Settings of a direct entry, checked and with all defaults resolved.
@@ -40,15 +39,6 @@
 }
 
 impl Direct {
-    /// Returns how this entry, which other entries reach at `addr`, appears to them.
-    #[must_use]
-    pub fn member(&self, addr: Option<SocketAddr>) -> peers::Member {
-        peers::Member {
-            vm: self.vm.clone(),
-            place: addr.map(|addr| (self.domain.clone(), addr)),
-        }
-    }
-
     /// Returns a fraction of the memory that the process may use.
     #[must_use]
     #[allow(
--- a/tests/integration/peers/mod.rs
+++ b/tests/integration/peers/mod.rs
@@ -2,5 +2,6 @@
 
 mod course;
 mod election;
+mod evidence;
 mod relay;
 mod site;
