--- a/src/gateway/role.rs
+++ b/src/gateway/role.rs
@@ -11,9 +11,10 @@
 use crate::control;
 use crate::direct;
 use crate::gateway;
-use crate::gateway::{handler, overload, readiness};
+use crate::gateway::{handler, overload, peering, readiness};
 use crate::http;
 use crate::observe;
+use crate::peers;
 use crate::platform;
 use crate::runtime;
 use crate::settings;
@@ -43,6 +44,7 @@
     callers: Arc<http::Server>,
     _readiness: http::Server,
     _metrics: Option<http::Server>,
+    _peering: Option<peering::Peering>,
     _tasks: Vec<Task<()>>,
 }
 
@@ -86,7 +88,16 @@
             }
             None => None,
         };
+        let peering = peering::Peering::bind(&settings, &store, traffic).await;
+        let alone = peers::Member {
+            vm: settings.vm.clone(),
+            place: None,
+        };
+        let member = peering
+            .as_ref()
+            .map_or(alone, |peering| peering.member(&settings));
         let (exchange_tx, exchanges) = channel::bounded(1);
+        let shared_exchange = peering.as_ref().map(|peering| peering.exchange(&settings));
         let mut tasks = vec![
             traffic.spawn(direct::write(
                 store.clone(),
@@ -94,10 +105,16 @@
                 exchange_tx,
                 control.clone(),
             )),
-            traffic.spawn(direct::exchange(store.clone(), exchanges, control.clone())),
+            traffic.spawn(direct::exchange(
+                store.clone(),
+                exchanges,
+                shared_exchange,
+                control.clone(),
+            )),
             traffic.spawn(direct::join(
                 store.clone(),
-                settings.vm.clone(),
+                member,
+                settings.leases,
                 control.clone(),
             )),
             traffic.spawn(sweep(Arc::clone(&cx), Arc::clone(&callers))),
@@ -109,7 +126,10 @@
             direct::Source::Reports,
         ] {
             let poll = direct::PollSettings::new(source, &settings.bounds);
-            let follow = direct::follow(store.clone(), source, poll, control.clone());
+            let shared = peering
+                .as_ref()
+                .map(|peering| peering.reads(source, &settings.bounds));
+            let follow = direct::follow(store.clone(), source, poll, shared, control.clone());
             tasks.push(traffic.spawn(follow));
         }
         Ok(Self {
@@ -118,6 +138,7 @@
             callers,
             _readiness: readiness,
             _metrics: metrics,
+            _peering: peering,
             _tasks: tasks,
         })
     }
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -23,6 +23,8 @@
     pub readiness_addr: SocketAddr,
     /// Address for metrics (TCP); `None` where metrics are not served.
     pub metrics_addr: Option<SocketAddr>,
+    /// Address for other entries (TCP); `None` where entries do not read for each other.
+    pub peer_addr: Option<SocketAddr>,
     /// Address of the platform's metadata store (TCP).
     pub store_addr: SocketAddr,
     /// Number of leases into which the store divides limits that apply to all entries
