An endpoint that starts or recovers finds its pace from its answers

Cause: permits for cold endpoints, a ramp of two seconds after a pause and fixed suspensions stood beside each other, and none read how the endpoint answers. A new endpoint that isn't cold by the configuration had no limit at all: it looks idle to every entry. One answer while it was slow then kept it idle for as long as the others were faster.

Change: one life cycle for an endpoint that is not at its full load (src/balance/pace): full, closed, probing, rising, leaving. It has a limit on this entry's unanswered requests. The limit rises by one with each answer in the usual time, holds on late ones, halves on refusals and failures, and ends at this entry's share of the slots. The permits of cold endpoints stay a cap above it. A failed endpoint is tried by one request of each entry; failures that were sent before do not lengthen the suspension. A slow endpoint that rises is tried again after four times its wait.

The table of cases of a pause (availability.rs) held the ramp by time: half of the slots after a second, all after two, without any answer. It now asks for as many answers, and that neither time alone nor answers from before the pause open the endpoint. The checks of suspensions (failures.rs) ask the same through the one call.

--- a/src/balance/choose.rs
+++ b/src/balance/choose.rs
@@ -76,6 +76,8 @@
     pub domain: &'a ids::DomainName,
     /// Limit on the requests of this entry to a cold endpoint; `None` means no limit.
     pub cold_limit: Option<balance::ColdLimit>,
+    /// Share of this entry in what an endpoint can carry that is not at its full load.
+    pub share: units::Share,
     /// Maximum time for which the request may wait for a cold endpoint.
     pub max_delay: Duration,
     /// Time of the selection.
@@ -203,7 +205,7 @@
     let (paused, leaving) = if is_complete {
         (0, 0)
     } else {
-        count_closed(endpoints, query.now)
+        count_closed(endpoints, query)
     };
     Some(Choice {
         paused,
@@ -233,7 +235,7 @@
         .filter(|(delay, _)| *delay <= query.max_delay)?;
     let weighed = weigh(&[endpoint], query);
     let best = weighed.first()?;
-    let (paused, leaving) = count_closed(endpoints, query.now);
+    let (paused, leaving) = count_closed(endpoints, query);
     Some(Choice {
         paused,
         leaving,
@@ -252,18 +254,20 @@
 }
 
 fn is_healthy(endpoint: &direct::EndpointView, query: &Query<'_>) -> bool {
-    !endpoint.live.is_suspended(query.now) && !endpoint.live.is_silent(query.now)
+    admission(endpoint, query) == balance::Admission::Open
+}
+
+fn admission(endpoint: &direct::EndpointView, query: &Query<'_>) -> balance::Admission {
+    endpoint.admission(query.share, query.now)
 }
 
 /// Counts the endpoints that pause and those that leave.
-fn count_closed(endpoints: &[Arc<direct::EndpointView>], now: runtime::Moment) -> (usize, usize) {
-    let closed = endpoints.iter().filter_map(|endpoint| {
-        let slots = endpoint.record.slots;
-        endpoint.live.check_available(slots, now).err()
-    });
-    closed.fold((0, 0), |(paused, leaving), closed| match closed {
-        balance::Closed::Leaving => (paused, leaving + 1),
-        balance::Closed::Paused(_) | balance::Closed::Returning => (paused + 1, leaving),
+fn count_closed(endpoints: &[Arc<direct::EndpointView>], query: &Query<'_>) -> (usize, usize) {
+    let admissions = endpoints.iter().map(|endpoint| admission(endpoint, query));
+    admissions.fold((0, 0), |(paused, leaving), admission| match admission {
+        balance::Admission::Closed(balance::Hold::Leaving) => (paused, leaving + 1),
+        balance::Admission::Closed(_) => (paused + 1, leaving),
+        balance::Admission::Open | balance::Admission::LastResort(_) => (paused, leaving),
     })
 }
 
@@ -375,11 +379,11 @@
 }
 
 fn is_allowed(endpoint: &direct::EndpointView, query: &Query<'_>) -> bool {
-    let direct::EndpointView { record, live, .. } = endpoint;
+    let record = &endpoint.record;
     query.version.allows(&record.version)
-        && live.check_available(record.slots, query.now).is_ok()
         && query.regions.allows(endpoint.region.as_ref())
         && !query.tried.contains(&record.id)
+        && !matches!(admission(endpoint, query), balance::Admission::Closed(_))
 }
 
 fn cold_delay(endpoint: &direct::EndpointView, query: &Query<'_>) -> Option<Duration> {
--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -10,10 +10,8 @@
 
 /// Weight of a new sample in the moving averages.
 const MEAN_WEIGHT: f64 = 0.15;
-/// First suspension of a failing endpoint; doubles with each further one.
-const INITIAL_SUSPENSION: Duration = Duration::from_millis(500);
-/// Maximum suspension, so that a recovered endpoint is soon in use again.
-const MAX_SUSPENSION: Duration = Duration::from_secs(4);
+/// Weight of a new sample while the endpoint changes, as it starts or recovers.
+const RISING_WEIGHT: f64 = 0.5;
 /// Fraction of failed attempts above which an endpoint is suspended.
 const MAX_FAILURE_SHARE: f64 = 0.45;
 /// Age at which a load report is ignored.
@@ -108,7 +106,7 @@
 
 #[derive(Debug, Default)]
 struct State {
-    availability: balance::AnyAvailability,
+    pacer: balance::Pacer,
     in_flight: u32,
     /// Expected reading time of the requests counted in `waiting`, in sum.
     pending_reading: Duration,
@@ -128,13 +126,8 @@
     /// Prompt parts that the endpoint has probably cached.
     cached: balance::CachedParts,
     failure_share: f64,
-    suspensions: u32,
-    suspended_until: runtime::Moment,
     last_seen: runtime::Moment,
     reachability: Reachability,
-    /// Until when the endpoint counts as cold, as it may have restarted after a failure.
-    cold_until: runtime::Moment,
-    gate: balance::ColdGate,
 }
 
 impl State {
@@ -159,6 +152,21 @@
         typical.max(waited.unwrap_or_default())
     }
 
+    /// Usual wait before an engine reads a prompt; `None` before the first answer.
+    fn usual_wait(&self) -> Option<Duration> {
+        let millis = self.mean_wait_ms?;
+        Some(Duration::from_secs_f64(millis / 1_000.0))
+    }
+
+    /// What the pace of the endpoint depends on.
+    fn observed(&self, now: runtime::Moment) -> balance::Observed {
+        balance::Observed {
+            waiting: self.waiting,
+            is_silent: self.is_silent(now),
+            usual: self.usual_wait(),
+        }
+    }
+
     fn load(&self, now: runtime::Moment) -> u32 {
         match self.current_report(now) {
             Some((load, _, own_requests)) => {
@@ -200,6 +208,8 @@
     #[must_use]
     pub fn begin(self: &Arc<Self>, reading: Duration, now: runtime::Moment) -> Permit {
         let mut state = self.lock();
+        let observed = state.observed(now);
+        state.pacer.send(&observed, now);
         if state.in_flight == 0 {
             state.last_seen = now;
             state.reachability = Reachability::Unchecked;
@@ -213,7 +223,6 @@
         state.pending_reading += reading;
         state.waiting += 1;
         state.waiting_since_sum_ms += now.as_millis();
-        state.gate.take();
         drop(state);
         Permit {
             live: Arc::clone(self),
@@ -224,26 +233,45 @@
     /// Records that the endpoint leaves, by an answer or its record. Returns whether that is
     /// new.
     pub fn leave(&self) -> bool {
-        let mut state = self.lock();
-        let before = state.availability;
-        state.availability = before.leave();
-        before != state.availability
+        self.lock().pacer.leave()
     }
 
     /// Records that the endpoint wants no requests for a time. Returns whether that is new.
     pub fn pause(&self, pause: Duration, now: runtime::Moment) -> bool {
-        let until = now.saturating_add(pause.min(balance::MAX_PAUSE));
+        self.lock().pacer.pause(pause, now)
+    }
+
+    /// Records that the endpoint has started or returned. `usual` is the wait expected of it
+    /// where it has not answered yet; `None` if it is not known.
+    pub fn start(&self, bounds: balance::Bounds, usual: Option<Duration>) {
         let mut state = self.lock();
-        let before = state.availability;
-        state.availability = before.pause(until);
-        before != state.availability
+        let observed = balance::Observed {
+            waiting: state.waiting,
+            is_silent: false,
+            usual: state.usual_wait().or(usual),
+        };
+        state.pacer.start(bounds, &observed);
     }
 
-    /// Checks whether the endpoint, with this number of slots, takes a request by what it
-    /// has said of itself. The error is the reason against it.
-    pub fn check_available(&self, slots: u32, now: runtime::Moment) -> Result<(), balance::Closed> {
-        let state = self.lock();
-        state.availability.check(now, state.in_flight, slots)
+    /// Checks whether the endpoint takes another request of this entry.
+    #[must_use]
+    pub fn admission(&self, bounds: balance::Bounds, now: runtime::Moment) -> balance::Admission {
+        let mut state = self.lock();
+        let observed = state.observed(now);
+        state.pacer.admission(bounds, &observed, now)
+    }
+
+    /// Takes the last change of the pace for the log; `None` if there is none since the last
+    /// call.
+    #[must_use]
+    pub fn take_pace_change(&self) -> Option<balance::Change> {
+        self.lock().pacer.take_change()
+    }
+
+    /// Usual wait before it reads a prompt; `None` before the first answer.
+    #[must_use]
+    pub fn usual_wait(&self) -> Option<Duration> {
+        self.lock().usual_wait()
     }
 
     /// Records the load report received with an answer.
@@ -309,41 +337,44 @@
     /// needed `reading` to read the prompt.
     pub fn record_success(&self, first: Duration, reading: Duration) {
         let mut state = self.lock();
-        add_sample(&mut state.mean_first_byte_ms, first);
-        add_sample(&mut state.mean_wait_ms, first.saturating_sub(reading));
+        let wait = first.saturating_sub(reading);
+        let answer = balance::Answer {
+            wait,
+            load: state.load_report.map(|(load, ..)| load),
+        };
+        let observed = balance::Observed {
+            waiting: state.waiting,
+            is_silent: false,
+            usual: state.usual_wait(),
+        };
+        state.pacer.answer(&answer, &observed);
+        let weight = if state.pacer.is_rising() {
+            RISING_WEIGHT
+        } else {
+            MEAN_WEIGHT
+        };
+        add_sample(&mut state.mean_first_byte_ms, first, weight);
+        add_sample(&mut state.mean_wait_ms, wait, weight);
         state.failure_share *= 1.0 - MEAN_WEIGHT;
-        if state.failure_share < MAX_FAILURE_SHARE / 2.0 {
-            state.suspensions = 0;
-        }
     }
 
-    /// Records a failed attempt and may suspend the endpoint. `cold` is how long
-    /// the endpoint is cold if the failure was a restart.
+    /// Records a failed attempt. `cold` is how long the endpoint is cold if the failure was a
+    /// restart.
     pub fn record_failure(&self, failure: Failure, cold: Duration, now: runtime::Moment) {
         let mut state = self.lock();
-        if failure == Failure::Refused {
-            return;
+        if failure != Failure::Refused {
+            state.failure_share =
+                MEAN_WEIGHT.mul_add(1.0 - state.failure_share, state.failure_share);
         }
-        state.failure_share = MEAN_WEIGHT.mul_add(1.0 - state.failure_share, state.failure_share);
-        let is_unavailable = matches!(
+        if matches!(
             failure,
-            Failure::Unreachable | Failure::Silent | Failure::Misdirected
-        );
-        if !matches!(failure, Failure::Answered | Failure::Misdirected) {
-            state.cold_until = now.saturating_add(cold);
+            Failure::Unreachable | Failure::Broken | Failure::Silent
+        ) {
             state.cached.clear();
         }
-        if is_unavailable || state.failure_share > MAX_FAILURE_SHARE {
-            let doubled = INITIAL_SUSPENSION * 2_u32.saturating_pow(state.suspensions.min(4));
-            state.suspended_until = now.saturating_add(doubled.min(MAX_SUSPENSION));
-            state.suspensions += 1;
-        }
-    }
-
-    /// Whether the endpoint is avoided at `now` because of recent failures.
-    #[must_use]
-    pub fn is_suspended(&self, now: runtime::Moment) -> bool {
-        self.lock().suspended_until > now
+        let is_failing = state.failure_share > MAX_FAILURE_SHARE;
+        let observed = state.observed(now);
+        state.pacer.fail(failure, is_failing, cold, &observed, now);
     }
 
     /// Returns how long a request to the endpoint with this id has to wait; `None` if none
@@ -357,15 +388,11 @@
         limit: Option<&balance::ColdLimit>,
         now: runtime::Moment,
     ) -> Option<Duration> {
-        let Some(limit) = limit else {
-            return Some(Duration::ZERO);
-        };
         let mut state = self.lock();
-        if cold_until.max(state.cold_until) <= now {
-            state.gate.lift();
-            return Some(Duration::ZERO);
-        }
-        state.gate.delay(limit, endpoint, now)
+        let observed = state.observed(now);
+        state
+            .pacer
+            .cold_delay(endpoint, cold_until, limit, &observed, now)
     }
 
     /// Age of the report used by [`Self::load`]; `None` when there is no current one.
@@ -382,7 +409,9 @@
         let state = self.lock();
         Figures {
             load: state.load(now),
-            wait: state.expected_wait(now),
+            wait: state
+                .pacer
+                .wait(state.expected_wait(now), &state.observed(now), now),
             pending_reading: state.pending_reading,
             unread: reading.map(|reading| reading.unread(&state.cached, now)),
             failure_share: state.failure_share,
@@ -398,11 +427,11 @@
 }
 
 /// Adds a sample to a moving average in milliseconds.
-fn add_sample(mean_ms: &mut Option<f64>, sample: Duration) {
+fn add_sample(mean_ms: &mut Option<f64>, sample: Duration, weight: f64) {
     let millis = sample.as_secs_f64() * 1_000.0;
     *mean_ms = Some(match *mean_ms {
         None => millis,
-        Some(mean) => MEAN_WEIGHT.mul_add(millis - mean, mean),
+        Some(mean) => weight.mul_add(millis - mean, mean),
     });
 }
 
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -1,24 +1,25 @@
 //! Load balancing: endpoint selection by load, failures and cold start, and the
 //! limit on retries. Independent of any message encoding.
 
-mod availability;
 mod cached_parts;
 mod choose;
-mod cold_gate;
 mod fleet_share;
 mod live;
+mod pace;
 mod pressure;
 mod prompt;
 mod reading_speed;
 mod retry_window;
 mod return_times;
 
-pub use availability::{AnyAvailability, Availability, Closed, MAX_PAUSE, Wish};
 pub use cached_parts::CachedParts;
 pub use choose::{Choice, ChoiceReason, Query, VersionFilter, choose};
-pub use cold_gate::{ColdGate, ColdLimit};
 pub use fleet_share::{AnyFleetShare, Assigned, FleetShare, LEASE_DURATION, Unassigned};
 pub use live::{Failure, Figures, Live, Permit, ReportedLoad, SilenceAction};
+pub use pace::{
+    Admission, Answer, AnyPace, Bounds, Cause, Change, ColdLimit, Hold, Limit, MAX_PAUSE, Observed,
+    Pacer, Stage, Trouble, Wish, usual_wait,
+};
 pub use pressure::Pressure;
 pub use prompt::{Prompt, PromptPart, Reading};
 pub use reading_speed::ReadingSpeed;
--- a/src/balance/cold_gate.rs
+++ b/src/balance/pace/permits.rs
@@ -38,9 +38,9 @@
     }
 }
 
-/// Issues permits for the requests to one endpoint, at even intervals while it is cold.
+/// Issues permits for requests to one endpoint, at even intervals while it is cold.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct ColdGate {
+pub struct Permits {
     /// `None` while the endpoint is warm.
     schedule: Option<Schedule>,
 }
@@ -78,7 +78,7 @@
     }
 }
 
-impl ColdGate {
+impl Permits {
     /// Returns how long a request to the cold endpoint has to wait for a permit; `None` if
     /// no request is allowed.
     pub fn delay(
--- a/src/direct/snapshot.rs
+++ b/src/direct/snapshot.rs
@@ -29,6 +29,14 @@
 }
 
 impl EndpointView {
+    /// Checks whether the endpoint takes another request of this entry, which has this share
+    /// of what the endpoint can carry.
+    #[must_use]
+    pub fn admission(&self, share: units::Share, now: runtime::Moment) -> balance::Admission {
+        let slots = self.record.slots;
+        self.live.admission(balance::Bounds { slots, share }, now)
+    }
+
     /// Returns how long a request has to wait because the endpoint is cold; `None` if none is
     /// allowed.
     #[must_use]
--- a/src/direct/system/endpoints.rs
+++ b/src/direct/system/endpoints.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::balance;
 use crate::direct;
 use crate::direct::system::TickCx;
 use crate::ids;
@@ -129,6 +130,8 @@
     let cold_span = world.cold_duration(&record.service);
     let mut cold_until = cx.now.saturating_add(record.cold_left.duration());
     let known_at_start = !world.endpoints_listed;
+    let share = world.share;
+    let usual = world.usual_wait(&record.service);
     let Some(row) = world.endpoints.by_name_mut(&record.id) else {
         if !known_at_start {
             cold_until = cold_until.max(cx.now.saturating_add(cold_span));
@@ -142,6 +145,9 @@
             cold_until,
             retained_until: None,
         };
+        if !known_at_start {
+            row.start_pace(share, usual);
+        }
         if record.draining {
             row.live.leave();
         }
@@ -156,7 +162,9 @@
     if restarted {
         log::info!(target: "endpoint", endpoint:% = record.id, started:% = record.started;
             "endpoint has started again");
+        let usual = balance::usual_wait(row.live.usual_wait(), usual.into_iter());
         row.live = Arc::default();
+        row.start_pace(share, usual);
         cold_until = cold_until.max(cx.now.saturating_add(cold_span));
     }
     if record.draining && !row.record.draining {
--- a/src/direct/system/operator.rs
+++ b/src/direct/system/operator.rs
@@ -126,11 +126,13 @@
 }
 
 /// Marks the endpoints of a domain as cold, as they may have become cold while it
-/// was out of service.
+/// was out of service. All of them look idle.
 fn mark_cold(world: &mut direct::World, cx: &TickCx, domain: &ids::DomainName) {
     let deployment = world.deployment.clone();
+    let share = world.share;
     for (_, row) in world.endpoints.iter_mut() {
         if row.record.domain == *domain {
+            row.start_pace(share, None);
             let span = direct::cold_duration(deployment.as_deref(), &row.record.service);
             row.cold_until = row.cold_until.max(cx.now.saturating_add(span));
         }
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -151,6 +151,15 @@
         }
     }
 
+    /// Wait that is expected of an endpoint of the service that has not answered yet; `None`
+    /// before any of its endpoints has.
+    #[must_use]
+    pub fn usual_wait(&self, service: &ids::ServiceName) -> Option<Duration> {
+        let rows = self.endpoints.iter().map(|(_, row)| row);
+        let others = rows.filter(|row| row.record.service == *service);
+        balance::usual_wait(None, others.filter_map(|row| row.live.usual_wait()))
+    }
+
     /// How long an endpoint of a service is cold after its start; see [`cold_duration`].
     #[must_use]
     pub fn cold_duration(&self, service: &ids::ServiceName) -> Duration {
@@ -158,6 +167,19 @@
     }
 }
 
+impl EndpointRow {
+    /// Lets the endpoint find its pace, as it has started or returned. `share` is that of
+    /// this entry in the limits over all entries, `usual` the wait expected of an endpoint
+    /// of the service; `None` if it is not known.
+    pub fn start_pace(&self, share: balance::AnyFleetShare, usual: Option<Duration>) {
+        let bounds = balance::Bounds {
+            slots: self.record.slots,
+            share: share.of_connections(),
+        };
+        self.live.start(bounds, usual);
+    }
+}
+
 /// How long an endpoint of a service is cold after its start; zero when the
 /// configuration or the service is unknown.
 #[must_use]
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -11,7 +11,7 @@
 use crate::catalog;
 use crate::direct;
 use crate::gateway;
-use crate::gateway::{outcomes, trace};
+use crate::gateway::{outcomes, pace, trace};
 use crate::http;
 use crate::ids;
 use crate::rollout;
@@ -233,6 +233,7 @@
                 tried,
                 domain: &settings.domain,
                 cold_limit,
+                share: self.cx.control.snapshot().share.of_connections(),
                 max_delay,
                 now,
             };
@@ -319,19 +320,23 @@
         let view = self.view()?;
         let now = runtime::Moment::now();
         let cold_limit = self.cold_limit(&view, now);
+        let share = self.cx.control.snapshot().share.of_connections();
         let mut earliest: Option<Duration> = None;
         for endpoint in &view.endpoints {
-            let slots = endpoint.record.slots;
-            let left = match endpoint.live.check_available(slots, now) {
-                Err(balance::Closed::Paused(until)) => until.saturating_since(now),
-                Err(balance::Closed::Returning) => Duration::ZERO,
-                Err(balance::Closed::Leaving) => continue,
-                Ok(()) => match endpoint.cold_delay(cold_limit.as_ref(), now) {
-                    Some(Duration::ZERO) => return None,
-                    Some(delay) => delay,
-                    None => continue,
-                },
+            let held = match endpoint.admission(share, now) {
+                balance::Admission::Closed(
+                    balance::Hold::Paused(until) | balance::Hold::Rising(until),
+                ) => until.saturating_since(now),
+                balance::Admission::Closed(_) => continue,
+                balance::Admission::Open | balance::Admission::LastResort(_) => Duration::ZERO,
+            };
+            let left = match endpoint.cold_delay(cold_limit.as_ref(), now) {
+                Some(delay) => delay.max(held),
+                None => continue,
             };
+            if left.is_zero() {
+                return None;
+            }
             earliest = Some(earliest.map_or(left, |other| other.min(left)));
         }
         earliest
@@ -360,6 +365,7 @@
         let now = runtime::Moment::now();
         let cold = view.upstream.cold_duration();
         endpoint.live.record_failure(failure, cold, now);
+        pace::report(endpoint);
         self.observe(view, endpoint, rollout::AttemptOutcome::Failed);
         if failure == balance::Failure::Broken {
             self.check_for_crash(view, endpoint);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod metadata;
 mod outcomes;
 mod overload;
+mod pace;
 mod plain;
 mod pools;
 mod readiness;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -7,7 +7,7 @@
 use crate::balance;
 use crate::direct;
 use crate::errors;
-use crate::gateway::{call, refuse, send, trace};
+use crate::gateway::{call, pace, refuse, send, trace};
 use crate::http;
 use crate::platform;
 use crate::rollout;
@@ -131,6 +131,7 @@
             .live
             .record_failure(balance::Failure::Answered, Duration::ZERO, now);
     }
+    pace::report(endpoint);
     let outcome = if answered {
         rollout::AttemptOutcome::Answered(Some(first))
     } else {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -14,7 +14,7 @@
 use crate::cascade;
 use crate::direct;
 use crate::gateway;
-use crate::gateway::call;
+use crate::gateway::{call, pace};
 use crate::http;
 use crate::observe;
 use crate::platform;
@@ -71,6 +71,7 @@
     /// Records that the answer has begun `first` after the request was sent.
     pub fn record_success(&self, call: &call::Call, first: Duration) {
         self.endpoint.live.record_success(first, self.reading);
+        pace::report(&self.endpoint);
         call.cx
             .record_reading(&call.service, call.model, self.unread, first);
     }
@@ -142,6 +143,7 @@
     let endpoint = Arc::clone(&choice.endpoint);
     let now = runtime::Moment::now();
     let permit = endpoint.live.begin(choice.reading, now);
+    pace::report(&endpoint);
     if let Some(reading) = call.reading(call.model) {
         endpoint.live.record_prompt(&reading, now);
     }
@@ -178,6 +180,7 @@
             endpoint
                 .live
                 .record_failure(*failure, cold, runtime::Moment::now());
+            pace::report(endpoint);
         }
         AttemptError::Unknown(failure, _) => {
             call.attempts += 1;
@@ -270,6 +273,7 @@
         }
         balance::Wish::Leave | balance::Wish::Pause(_) => {}
     }
+    pace::report(endpoint);
 }
 
 /// Returns an error once the endpoint is unresponsive to all requests of this entry.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -11,7 +11,7 @@
 use crate::cascade;
 use crate::direct;
 use crate::errors;
-use crate::gateway::{call, plain, relay, send, standby, trace};
+use crate::gateway::{call, pace, plain, relay, send, standby, trace};
 use crate::http;
 use crate::platform;
 use crate::rollout;
@@ -266,6 +266,7 @@
         .endpoint
         .live
         .record_failure(balance::Failure::Answered, Duration::ZERO, now);
+    pace::report(&opened.endpoint);
     let outcome = if status.is_server_error() {
         rollout::AttemptOutcome::Failed
     } else {
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -66,6 +66,7 @@
     log_dropped: Counter<u64>,
     rollout_verdicts: Counter<u64>,
     endpoints_closed: Counter<u64>,
+    endpoint_paces: Counter<u64>,
 }
 
 impl Metrics {
@@ -132,6 +133,10 @@
                 "quetzalworks_endpoints_closed",
                 "Endpoints that said in an answer that they leave or want a pause, by reason.",
             ),
+            endpoint_paces: count(
+                "quetzalworks_endpoint_paces",
+                "Changes of the pace of an endpoint, by the stage that it reached and the cause.",
+            ),
             rollout_verdicts: count(
                 "quetzalworks_rollout_verdicts",
                 "Changes of the judgement of a version in rollout, by service and verdict.",
@@ -272,6 +277,12 @@
             .add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a change of the pace of an endpoint.
+    pub fn record_endpoint_pace(&self, stage: &'static str, cause: &'static str) {
+        let labels = [KeyValue::new("stage", stage), KeyValue::new("cause", cause)];
+        self.endpoint_paces.add(1, &labels);
+    }
+
     /// Counts a change of the judgement of a version that is rolled out.
     pub fn record_rollout_verdict(&self, service: &ids::ServiceName, verdict: &'static str) {
         let service = KeyValue::new("service", service.to_string());
--- a/tests/integration/direct/availability.rs
+++ b/tests/integration/direct/availability.rs
@@ -1,64 +1,88 @@
 //! Endpoints that say in their answers that they leave or want a pause.
 
+use std::sync::LazyLock;
 use std::time::{Duration, Instant};
 
 use hyper::Method;
-use quetzalworks::balance::{AnyAvailability, Closed};
+use quetzalworks::balance::{Admission, Answer, AnyPace, Bounds, Hold, Observed};
 use quetzalworks::runtime::Moment;
+use quetzalworks::units::Share;
 
 use crate::direct::endpoint::{Behaviour, Endpoint};
 use crate::direct::site::{Site, put_endpoint};
 use crate::testing::wait;
 
-const SLOTS: u32 = 8;
+static BOUNDS: LazyLock<Bounds> = LazyLock::new(|| Bounds {
+    slots: 8,
+    share: Share::clamped(1.0),
+});
 
 enum Step {
     Leave,
     /// Asks for a pause until this time in ms.
     Pause(u64),
+    /// So many answers begin in the usual time, at this time in ms.
+    Answers(u32, u64),
 }
 
 /// Guards against requests to an endpoint that wants none, and against all waiting
 /// requests at once when its pause ends.
 #[test]
 fn what_an_endpoint_says_decides_whether_it_gets_requests() {
-    use Step::{Leave, Pause};
+    use Step::{Answers, Leave, Pause};
     struct Case {
         name: &'static str,
         steps: &'static [Step],
         at_ms: u64,
-        in_flight: u32,
-        closed: Option<Closed>,
+        waiting: u32,
+        admission: Admission,
     }
-    let paused = |ms| Some(Closed::Paused(Moment::from_millis(ms)));
-    let case = |name, steps, at_ms, in_flight, closed| Case {
+    let paused = |ms| Admission::Closed(Hold::Paused(Moment::from_millis(ms)));
+    let rising = |ms| Admission::Closed(Hold::Rising(Moment::from_millis(ms)));
+    let left = Admission::Closed(Hold::Leaving);
+    let open = Admission::Open;
+    let case = |name, steps, at_ms, waiting, admission| Case {
         name,
         steps,
         at_ms,
-        in_flight,
-        closed,
+        waiting,
+        admission,
     };
     let cases = [
-        case("open", &[], 0, 100, None),
-        case("leaving", &[Leave], 99_000, 0, Some(Closed::Leaving)),
+        case("open", &[], 0, 100, open),
+        case("leaving", &[Leave], 99_000, 0, left),
         case("in a pause", &[Pause(2_000)], 1_999, 0, paused(2_000)),
-        case("first after it", &[Pause(2_000)], 2_000, 0, None),
+        case("first after it", &[Pause(2_000)], 2_000, 0, open),
+        case("second after it", &[Pause(2_000)], 2_000, 1, rising(2_100)),
         case(
-            "second after it",
+            "second much later, without an answer",
             &[Pause(2_000)],
-            2_000,
+            60_000,
             1,
-            Some(Closed::Returning),
+            rising(60_100),
+        ),
+        case(
+            "half of its slots after as many answers",
+            &[Pause(2_000), Answers(3, 2_100)],
+            2_200,
+            3,
+            open,
         ),
-        case("half of its slots", &[Pause(2_000)], 3_000, 3, None),
         case(
             "over half of them",
-            &[Pause(2_000)],
-            3_000,
+            &[Pause(2_000), Answers(3, 2_100)],
+            2_200,
             4,
-            Some(Closed::Returning),
+            rising(2_225),
+        ),
+        case("back", &[Pause(2_000), Answers(7, 2_100)], 2_200, 100, open),
+        case(
+            "answers from before the pause",
+            &[Pause(2_000), Answers(7, 1_000)],
+            2_000,
+            1,
+            rising(2_100),
         ),
-        case("back", &[Pause(2_000)], 4_000, 100, None),
         case(
             "longer",
             &[Pause(2_000), Pause(5_000)],
@@ -73,34 +97,50 @@
             0,
             paused(5_000),
         ),
+        case("leaves in a pause", &[Pause(2_000), Leave], 9_000, 0, left),
         case(
-            "leaves in a pause",
-            &[Pause(2_000), Leave],
+            "leaves on its way back",
+            &[Pause(2_000), Answers(1, 2_100), Leave],
             9_000,
             0,
-            Some(Closed::Leaving),
-        ),
-        case(
-            "no pause ends leaving",
-            &[Leave, Pause(1)],
-            9_000,
-            0,
-            Some(Closed::Leaving),
+            left,
         ),
+        case("no pause ends leaving", &[Leave, Pause(1)], 9_000, 0, left),
     ];
     for case in cases {
-        let mut availability = AnyAvailability::default();
-        for step in case.steps {
-            availability = match step {
-                Leave => availability.leave(),
-                Pause(until) => availability.pause(Moment::from_millis(*until)),
-            };
-        }
-        let checked = availability.check(Moment::from_millis(case.at_ms), case.in_flight, SLOTS);
-        assert_eq!(checked.err(), case.closed, "{}", case.name);
+        let now = Moment::from_millis(case.at_ms);
+        let admission = pace_after(case.steps, now).admission(&observed(case.waiting), now);
+        assert_eq!(admission, case.admission, "{}", case.name);
     }
 }
 
+const fn observed(waiting: u32) -> Observed {
+    Observed {
+        waiting,
+        is_silent: false,
+        usual: Some(Duration::from_millis(100)),
+    }
+}
+
+fn pace_after(steps: &[Step], now: Moment) -> AnyPace {
+    let answer = Answer {
+        wait: Duration::from_millis(100),
+        load: None,
+    };
+    let pace = steps
+        .iter()
+        .fold(AnyPace::default(), |pace, step| match step {
+            Step::Leave => pace.leave(),
+            Step::Pause(until) => pace.pause(Moment::from_millis(*until)),
+            Step::Answers(count, at) => (0..*count).fold(pace, |pace, _| {
+                let pace = pace.advance(&BOUNDS, &observed(0), Moment::from_millis(*at));
+                pace.answer(&answer, &BOUNDS, &observed(0)).0
+            }),
+        });
+    // The endpoint is asked as soon as it may be again, with nothing in hand.
+    pace.advance(&BOUNDS, &observed(0), now)
+}
+
 fn look(site: &Site, id: &str) -> u16 {
     let answer = site.call(&Method::GET, "/look/a", id);
     answer.map_or(0, |answer| answer.status)
--- a/tests/integration/direct/balance.rs
+++ b/tests/integration/direct/balance.rs
@@ -11,7 +11,7 @@
 use quetzalworks::direct::EndpointView;
 use quetzalworks::ids::{DomainName, Fingerprint};
 use quetzalworks::runtime::Moment;
-use quetzalworks::units::{Millis, Rate, Tokens};
+use quetzalworks::units::{Millis, Rate, Share, Tokens};
 
 use crate::direct::world::{entry, record};
 
@@ -64,6 +64,7 @@
             rate: Rate::clamped(2.0),
             entry: Fingerprint(0),
         }),
+        share: Share::clamped(1.0),
         max_delay: Duration::ZERO,
         now: Moment::from_millis(at),
     }
--- a/tests/integration/direct/failures.rs
+++ b/tests/integration/direct/failures.rs
@@ -2,13 +2,17 @@
 
 use std::time::Duration;
 
-use quetzalworks::balance::{ColdLimit, Failure, Live, Permit, SilenceAction};
+use quetzalworks::balance::{Admission, Bounds, ColdLimit, Failure, Live, Permit, SilenceAction};
 use quetzalworks::ids::Fingerprint;
 use quetzalworks::runtime::Moment;
 use quetzalworks::units::Rate;
 
 use crate::direct::balance::{NOW, chosen, endpoint, query};
 
+fn is_suspended(live: &Live, now: Moment) -> bool {
+    live.admission(Bounds::default(), now) != Admission::Open
+}
+
 /// Guards against requests to an endpoint whose address belongs to another process, and
 /// against a full endpoint that is suspended or treated as cold.
 #[test]
@@ -39,7 +43,7 @@
         let now = Moment::from_millis(NOW);
         live.record_failure(case.failure, Duration::from_secs(3), now);
         let name = case.failure;
-        assert_eq!(live.is_suspended(now), case.suspended, "{name}");
+        assert_eq!(is_suspended(live, now), case.suspended, "{name}");
         let limit = ColdLimit {
             rate: Rate::clamped(2.0),
             entry: Fingerprint(0),
@@ -68,12 +72,9 @@
             .live
             .record_failure(Failure::Silent, Duration::ZERO, now);
     }
-    assert!(endpoint.live.is_suspended(now));
-    assert!(
-        !endpoint
-            .live
-            .is_suspended(now.saturating_add(Duration::from_secs(5)))
-    );
+    assert!(is_suspended(&endpoint.live, now));
+    let later = now.saturating_add(Duration::from_secs(5));
+    assert!(!is_suspended(&endpoint.live, later));
 }
 
 /// Guards against a busy endpoint that counts as unresponsive, and against waiting for an
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -20,6 +20,7 @@
 mod odd_records;
 mod operator;
 mod outcomes;
+mod pace;
 mod pool;
 mod regions;
 mod returns;
