--- a/src/balance/choose.rs
+++ b/src/balance/choose.rs
@@ -228,7 +228,7 @@
 fn choose_delayed(endpoints: &[Arc<direct::EndpointView>], query: &Query<'_>) -> Option<Choice> {
     let candidates = endpoints
         .iter()
-        .filter(|endpoint| is_allowed(endpoint, query) && is_healthy(endpoint, query));
+        .filter(|endpoint| is_allowed(endpoint, query) && may_wait_for(endpoint, query));
     let (delay, endpoint) = candidates
         .filter_map(|endpoint| Some((cold_delay(endpoint, query)?, endpoint)))
         .min_by_key(|(delay, _)| *delay)
@@ -257,6 +257,16 @@
     admission(endpoint, query) == balance::Admission::Open
 }
 
+/// Whether a request may wait for a cold endpoint. Its permits go before the limit of this
+/// entry, as the request would be refused otherwise.
+fn may_wait_for(endpoint: &direct::EndpointView, query: &Query<'_>) -> bool {
+    use balance::{Admission, Hold};
+    matches!(
+        admission(endpoint, query),
+        Admission::Open | Admission::LastResort(Hold::Rising(_))
+    )
+}
+
 fn admission(endpoint: &direct::EndpointView, query: &Query<'_>) -> balance::Admission {
     endpoint.admission(query.share, query.now)
 }
--- a/tests/integration/direct/availability.rs
+++ b/tests/integration/direct/availability.rs
@@ -165,6 +165,10 @@
     wait::until("the log tells why", || {
         !site.process.lines_with("endpoint is leaving").is_empty()
     });
+    wait::until("the log tells the pace", || {
+        let lines = site.process.lines_with("endpoint pace changed");
+        lines.iter().any(|line| line.contains(r#""to":"leaving""#))
+    });
 }
 
 /// Guards against requests within the pause that an endpoint has asked for, against a
