An endpoint is used again after a pause by an entry without a share

Cause: an entry that holds no lease has a limit of zero, and the time between two of its requests to a returned endpoint was the usual wait divided by it.

Change: at most four seconds between two.

Result: the case 'no share, later' of pace::a_small_share_is_one_request_at_times failed on the code before, and passes.

--- a/src/balance/pace/life_cycle.rs
+++ b/src/balance/pace/life_cycle.rs
@@ -22,6 +22,9 @@
 /// Multiple of its last waits for which a slow endpoint may be left idle, before another
 /// request finds out whether it still is slow.
 const IDLE_FACTOR: u32 = 4;
+/// Longest time between two requests of an entry, however small its share is: a newcomer
+/// may have none.
+const MAX_INTERVAL: Duration = Duration::from_secs(4);
 /// Fraction to which trouble lowers the limit.
 const DECREASE: f64 = 0.5;
 /// Time granted to the request that tries a failed endpoint, until another one may.
@@ -240,7 +243,7 @@
         let Rising { limit, sent, .. } = self.state;
         let floor = limit.get().max(f64::EPSILON);
         let interval = Duration::try_from_secs_f64(self.expected().as_secs_f64() / floor)
-            .unwrap_or(Duration::MAX);
+            .map_or(MAX_INTERVAL, |interval| interval.min(MAX_INTERVAL));
         if !limit.admits(waiting) {
             return Some(now.saturating_add(interval.min(self.expected())));
         }
--- a/tests/integration/direct/pace.rs
+++ b/tests/integration/direct/pace.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use quetzalworks::balance::{Bounds, Failure, Permit, Query, ReportedLoad, choose};
+use quetzalworks::balance::{Admission, Bounds, Failure, Permit, Query, ReportedLoad, choose};
 use quetzalworks::direct::EndpointView;
 use quetzalworks::ids::DomainName;
 use quetzalworks::runtime::Moment;
@@ -407,3 +407,60 @@
         }
     }
 }
+
+/// Guards against an endpoint that an entry with a small or no share never uses again after
+/// a pause, and against requests of many such entries at once.
+#[test]
+fn a_small_share_is_one_request_at_times() {
+    struct Case {
+        name: &'static str,
+        share: f64,
+        /// Whether the first request was refused, rather than not answered yet.
+        refused: bool,
+        since_ms: u64,
+        open: bool,
+    }
+    let case = |name, share, refused, since_ms, open| Case {
+        name,
+        share,
+        refused,
+        since_ms,
+        open,
+    };
+    let cases = [
+        case("all of the endpoint", 1.0, true, 0, true),
+        case("a tenth, at once", 0.1, true, 0, false),
+        case("a tenth, after nine tenths", 0.1, true, 900, false),
+        case("a tenth, after its interval", 0.1, true, 1_000, true),
+        case("a tenth, not answered", 0.1, false, 1_000, false),
+        case("no share, at once", 0.0, true, 0, false),
+        case("no share, later", 0.0, true, 4_000, true),
+    ];
+    for case in cases {
+        let view = endpoint("e", "north");
+        let bounds = Bounds {
+            slots: 4,
+            share: Share::clamped(case.share),
+        };
+        let pause = Duration::from_secs(1);
+        view.live
+            .record_success(Duration::from_millis(100), Duration::ZERO);
+        view.live.pause(pause, Moment::from_millis(NOW));
+        let sent = Moment::from_millis(NOW).saturating_add(pause);
+        let first = view.live.admission(bounds, sent);
+        assert_eq!(first, Admission::Open, "{}: first", case.name);
+        let permit = view.live.begin(Duration::ZERO, sent);
+        let permit = if case.refused {
+            drop(permit);
+            view.live
+                .record_failure(Failure::Refused, Duration::ZERO, sent);
+            None
+        } else {
+            Some(permit)
+        };
+        let at = sent.saturating_add(Duration::from_millis(case.since_ms));
+        let is_open = view.live.admission(bounds, at) == Admission::Open;
+        assert_eq!(is_open, case.open, "{}", case.name);
+        drop(permit);
+    }
+}
