Decide for each request of a service whether it goes, waits or is refused

Cause: a request goes to an endpoint at once or is refused, so under a burst the same requests are turned away by one full endpoint after the other. Change: src/room/ decides by the endpoints that are open or expected: send, wait in a line (priority with aging, fair among teams by work) or refuse; ReturnTimes moves there.

--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -11,7 +11,6 @@
 mod prompt;
 mod reading_speed;
 mod retry_window;
-mod return_times;
 
 pub use availability::{AnyAvailability, Availability, Closed, MAX_PAUSE, Wish};
 pub use cached_parts::CachedParts;
@@ -23,4 +22,3 @@
 pub use prompt::{Prompt, PromptPart, Reading};
 pub use reading_speed::ReadingSpeed;
 pub use retry_window::RetryWindow;
-pub use return_times::ReturnTimes;
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use event_listener::{Event, EventListener};
 
 use crate::balance;
 use crate::control;
@@ -14,6 +15,7 @@
 use crate::http;
 use crate::ids;
 use crate::poison;
+use crate::room;
 use crate::runtime;
 use crate::settings;
 use crate::units;
@@ -45,14 +47,15 @@
     Strained,
 }
 
-/// Retry budget, load pressure, reading speed and proven prompt parts of one service at
-/// this entry.
+/// Retry budget, load pressure, reading speed, proven prompt parts and room of one service
+/// at this entry.
 #[derive(Debug)]
 struct ServiceState {
     window: balance::RetryWindow,
     pressure: balance::Pressure,
     reading_speed: balance::ReadingSpeed,
     answered_parts: poison::AnsweredParts,
+    room: room::ServiceRoom,
 }
 
 /// Context that all requests of a direct entry share.
@@ -70,7 +73,9 @@
     /// before.
     stop_began_ms: AtomicU64,
     overload: Mutex<overload::OverloadDetector>,
-    returns: Mutex<balance::ReturnTimes>,
+    returns: Mutex<room::ReturnTimes>,
+    /// Notified when a place may be left at an endpoint or in the line for one.
+    room_changed: Event,
 }
 
 impl Cx {
@@ -90,6 +95,7 @@
             stop_began_ms: AtomicU64::new(0),
             overload: Mutex::default(),
             returns: Mutex::default(),
+            room_changed: Event::new(),
         })
     }
 
@@ -120,7 +126,7 @@
         delay.into()
     }
 
-    fn lock_returns(&self) -> MutexGuard<'_, balance::ReturnTimes> {
+    fn lock_returns(&self) -> MutexGuard<'_, room::ReturnTimes> {
         self.returns.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -201,6 +207,26 @@
         self.with_service(service, |state| state.answered_parts.is_proven(part, now))
     }
 
+    /// Reads or updates what is known of the room of a service.
+    pub fn with_room<T>(
+        &self,
+        service: &ids::ServiceName,
+        update: impl FnOnce(&mut room::ServiceRoom) -> T,
+    ) -> T {
+        self.with_service(service, |state| update(&mut state.room))
+    }
+
+    /// Tells requests that wait for a place that one may be left.
+    pub fn notify_room(&self) {
+        self.room_changed.notify(usize::MAX);
+    }
+
+    /// Returns a listener for the next change of the room of any service.
+    #[must_use]
+    pub fn next_room_change(&self) -> EventListener {
+        self.room_changed.listen()
+    }
+
     fn with_service<T>(
         &self,
         service: &ids::ServiceName,
@@ -216,6 +242,7 @@
             pressure: balance::Pressure::default(),
             reading_speed: balance::ReadingSpeed::default(),
             answered_parts: poison::AnsweredParts::default(),
+            room: room::ServiceRoom::default(),
         };
         update(services.entry(service.clone()).or_insert(state))
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod poison;
 pub mod replica;
 pub mod rollout;
+pub mod room;
 pub mod route;
 pub mod runtime;
 pub mod session;
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -24,6 +24,7 @@
 mod regions;
 mod returns;
 mod rollouts;
+mod room;
 pub mod site;
 mod smuggling;
 mod stop;
--- a/tests/integration/direct/returns.rs
+++ b/tests/integration/direct/returns.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use quetzalworks::balance::ReturnTimes;
+use quetzalworks::room::ReturnTimes;
 use quetzalworks::runtime::Moment;
 
 use crate::direct::balance::NOW;
--- /dev/null
+++ b/tests/integration/direct/room/mod.rs
@@ -0,0 +1,5 @@
+//! Requests that wait for a place at an endpoint, or are refused.
+
+mod crowd;
+mod order;
+mod replay;
