Requests wait for a place at an endpoint that is expected in time

Cause: where all endpoints pause or are full, the entry refuses at once, also if a place is left within the objective; with no endpoint left, callers are told to return in vain.

--- a/src/control/thread.rs
+++ b/src/control/thread.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
+use event_listener::{Event, EventListener};
 use smol::Timer;
 use smol::channel::{self, Receiver, Sender};
 use smol::future::FutureExt;
@@ -91,6 +92,7 @@
 pub struct Control<P: Plane = SidecarPlane> {
     events: Sender<P::Event>,
     snapshot: Arc<ArcSwap<P::Snapshot>>,
+    published: Arc<Event>,
 }
 
 impl<P: Plane> Clone for Control<P> {
@@ -98,6 +100,7 @@
         Self {
             events: self.events.clone(),
             snapshot: Arc::clone(&self.snapshot),
+            published: Arc::clone(&self.published),
         }
     }
 }
@@ -120,17 +123,23 @@
         let (events, event_rx) = channel::bounded(EVENT_QUEUE_CAPACITY);
         let (effect_tx, effects) = channel::unbounded();
         let snapshot = Arc::new(ArcSwap::from_pointee(P::Snapshot::default()));
-        let published = Arc::clone(&snapshot);
+        let published = Arc::new(Event::new());
         let ticker = Ticker {
             plane,
             events: event_rx,
             effects: effect_tx,
-            published,
+            snapshot: Arc::clone(&snapshot),
+            published: Arc::clone(&published),
         };
         let thread = thread::Builder::new()
             .name("control".into())
             .spawn(move || ticker.run())?;
-        Ok((Self { events, snapshot }, effects, thread))
+        let control = Self {
+            events,
+            snapshot,
+            published,
+        };
+        Ok((control, effects, thread))
     }
 
     /// Returns the latest published snapshot.
@@ -139,6 +148,12 @@
         self.snapshot.load_full()
     }
 
+    /// Returns a listener for the next published snapshot.
+    #[must_use]
+    pub fn next_snapshot(&self) -> EventListener {
+        self.published.listen()
+    }
+
     /// Sends an event to the control thread; waits while the event queue is full.
     pub async fn send(&self, event: P::Event) {
         if self.events.send(event).await.is_err() {
@@ -163,7 +178,8 @@
     plane: P,
     events: Receiver<P::Event>,
     effects: Sender<P::Effect>,
-    published: Arc<ArcSwap<P::Snapshot>>,
+    snapshot: Arc<ArcSwap<P::Snapshot>>,
+    published: Arc<Event>,
 }
 
 impl<P: Plane> Ticker<P> {
@@ -181,7 +197,8 @@
     fn tick(&mut self, now: Instant, events: Vec<P::Event>) {
         let outcome = self.plane.tick(now, events);
         if let Some(snapshot) = outcome.snapshot {
-            self.published.store(Arc::new(snapshot));
+            self.snapshot.store(Arc::new(snapshot));
+            self.published.notify(usize::MAX);
         }
         for effect in outcome.effects {
             if self.effects.try_send(effect).is_err() {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -15,6 +15,7 @@
 use crate::http;
 use crate::ids;
 use crate::rollout;
+use crate::room;
 use crate::route;
 use crate::runtime;
 use crate::units;
@@ -23,6 +24,10 @@
 /// objective of its route.
 const COLD_WAIT_FRACTION: f64 = 0.25;
 
+/// Shortest wait for an endpoint that returns from a pause; an own answer that ends there
+/// is noticed at once.
+const MIN_RETURNING_WAIT: Duration = Duration::from_millis(10);
+
 /// Limits on the attempts of a request, for one kind of answer.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryLimits {
@@ -195,6 +200,79 @@
         self.choose_for(view, self.model, &self.tried)
     }
 
+    /// Chooses an endpoint outside of `full`, or any where none is left; `None` if no endpoint
+    /// may be sent the request now.
+    #[must_use]
+    pub fn choose_outside(
+        &self,
+        view: &direct::ServiceView,
+        full: &[ids::EndpointId],
+    ) -> Option<balance::Choice> {
+        if full.is_empty() {
+            return self.choose(view);
+        }
+        let left_out: Vec<_> = self.tried.iter().chain(full).cloned().collect();
+        self.choose_for(view, self.model, &left_out)
+            .or_else(|| self.choose(view))
+    }
+
+    /// Returns the share of the endpoints' places on which this entry may count.
+    #[must_use]
+    pub fn share(&self) -> units::Share {
+        self.cx.control.snapshot().share.of_connections()
+    }
+
+    /// Returns the request as it asks for a place.
+    #[must_use]
+    pub fn ask(&self) -> room::Ask {
+        let objective = self.rule.objective.duration();
+        room::Ask {
+            priority: self.priority,
+            team: self.team.clone(),
+            objective,
+            objective_left: objective.saturating_sub(self.arrived.elapsed()),
+            time_left: self.time_left(),
+        }
+    }
+
+    /// Returns when the endpoint takes a request, by what it has said of itself and how its
+    /// last requests ended.
+    #[must_use]
+    pub fn opening(
+        &self,
+        view: &direct::ServiceView,
+        endpoint: &direct::EndpointView,
+        now: runtime::Moment,
+    ) -> room::Opening {
+        let slots = endpoint.record.slots;
+        match endpoint.live.check_available(slots, now) {
+            Err(balance::Closed::Leaving) => return room::Opening::Never,
+            Err(balance::Closed::Paused(until)) => return room::Opening::At(until),
+            Err(balance::Closed::Returning) => {
+                let work = Self::expected_work(endpoint).unwrap_or_default();
+                return room::Opening::At(now.saturating_add(work.max(MIN_RETURNING_WAIT)));
+            }
+            Ok(()) => {}
+        }
+        if endpoint.live.is_suspended(now) || endpoint.live.is_silent(now) {
+            return room::Opening::Unknown;
+        }
+        let max_delay = self.rule.objective.duration().mul_f64(COLD_WAIT_FRACTION);
+        match endpoint.cold_delay(self.cold_limit(view, now).as_ref(), now) {
+            None => room::Opening::Unknown,
+            // A short delay is served by the choice, in the order of its permits.
+            Some(delay) if delay <= max_delay => room::Opening::Now,
+            Some(delay) => room::Opening::At(now.saturating_add(delay)),
+        }
+    }
+
+    /// Returns the expected time for which the request takes a place at the endpoint;
+    /// `None` before its first answer.
+    #[must_use]
+    pub fn expected_work(endpoint: &direct::EndpointView) -> Option<Duration> {
+        endpoint.live.mean_first_byte()
+    }
+
     /// Returns the expected time to the first byte with the model of this index; `None` if
     /// no endpoint may be sent the request now.
     #[must_use]
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod stream;
 mod suspicion;
 mod trace;
+mod wait;
 
 pub use cx::{Cx, NotReady};
 pub use metadata::{AnswerMetadata, ForwardMetadata, RequestMetadata, RequestedModel};
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -1,5 +1,6 @@
 //! Requests whose answer is delivered only once it is complete.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hyper::StatusCode;
@@ -7,7 +8,7 @@
 use crate::balance;
 use crate::direct;
 use crate::errors;
-use crate::gateway::{call, refuse, send, trace};
+use crate::gateway::{call, refuse, send, trace, wait};
 use crate::http;
 use crate::platform;
 use crate::rollout;
@@ -45,11 +46,14 @@
                 "the service is unknown",
             );
         };
-        let Some(choice) = call.choose(&view) else {
+        let Some((view, choice)) = wait::choose(&mut call, view).await else {
             break;
         };
         let timeout = call.attempt_timeout(&choice.endpoint, &RETRY_LIMITS);
-        let should_retry = match attempt(&mut call, &view, choice, timeout).await {
+        let endpoint = Arc::clone(&choice.endpoint);
+        let result = attempt(&mut call, &view, choice, timeout).await;
+        wait::record_end(&call, &endpoint, result.as_ref().err());
+        let should_retry = match result {
             Ok(answer) => {
                 let is_failure = answer.status.is_server_error();
                 last_answer = Some(answer);
@@ -161,13 +165,16 @@
     if call.attempts > 0 {
         return end_outcome_unknown(call);
     }
-    let earliest = call.earliest_return().unwrap_or_default();
-    refuse_until(
-        call,
-        errors::ResultCode::Overloaded,
-        "no endpoint takes the request now",
-        earliest,
-    )
+    let outlook = wait::outlook(call);
+    let now = runtime::Moment::now();
+    let code = errors::ResultCode::Overloaded;
+    if let Some(beyond) = outlook.in_vain(call.time_left(), now) {
+        let reason = "no endpoint is there, and none is expected in time";
+        let refusal = errors::Refusal::new(code, reason).with_retry_after(beyond.into());
+        return refuse::refuse(&mut call.trace, &refusal);
+    }
+    let reason = "no endpoint takes the request now";
+    refuse_until(call, code, reason, outlook.earliest())
 }
 
 /// Ends a request that may have been executed, with an unknown outcome.
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider, UpDownCounter};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
@@ -66,6 +66,9 @@
     log_dropped: Counter<u64>,
     rollout_verdicts: Counter<u64>,
     endpoints_closed: Counter<u64>,
+    waiting: UpDownCounter<i64>,
+    waited: Counter<u64>,
+    refused: Counter<u64>,
 }
 
 impl Metrics {
@@ -132,6 +135,18 @@
                 "quetzalworks_endpoints_closed",
                 "Endpoints that said in an answer that they leave or want a pause, by reason.",
             ),
+            waiting: meter
+                .i64_up_down_counter("quetzalworks_waiting")
+                .with_description("Requests that wait for a place at an endpoint, by service.")
+                .build(),
+            waited: count(
+                "quetzalworks_waited",
+                "Requests that have waited for a place, by service and end of the wait.",
+            ),
+            refused: count(
+                "quetzalworks_refused",
+                "Requests that were refused without a place, by service and outlook.",
+            ),
             rollout_verdicts: count(
                 "quetzalworks_rollout_verdicts",
                 "Changes of the judgement of a version in rollout, by service and verdict.",
@@ -272,6 +287,26 @@
             .add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a request that begins to wait for a place at an endpoint.
+    pub fn record_wait_begin(&self, service: &ids::ServiceName) {
+        let service = KeyValue::new("service", service.to_string());
+        self.waiting.add(1, &[service]);
+    }
+
+    /// Counts a request that has ended to wait for a place.
+    pub fn record_wait_end(&self, service: &ids::ServiceName, end: &'static str) {
+        let service = KeyValue::new("service", service.to_string());
+        self.waiting.add(-1, std::slice::from_ref(&service));
+        self.waited.add(1, &[service, KeyValue::new("end", end)]);
+    }
+
+    /// Counts a request that is refused without a place, by what its caller can expect.
+    pub fn record_refused(&self, service: &ids::ServiceName, outlook: &'static str) {
+        let service = KeyValue::new("service", service.to_string());
+        self.refused
+            .add(1, &[service, KeyValue::new("outlook", outlook)]);
+    }
+
     /// Counts a change of the judgement of a version that is rolled out.
     pub fn record_rollout_verdict(&self, service: &ids::ServiceName, verdict: &'static str) {
         let service = KeyValue::new("service", service.to_string());
