--- a/src/gateway/wait.rs
+++ b/src/gateway/wait.rs
@@ -153,6 +153,7 @@
         }
         room::Verdict::Wait(ticket) => {
             note(call, &supply, now);
+            call.trace.note("wait", &"begun");
             let began = Instant::now();
             let mut place = LinePlace::new(call, ticket);
             let is_called = place.wait(call).await;
--- a/src/room/outlook.rs
+++ b/src/room/outlook.rs
@@ -22,8 +22,8 @@
     In(Duration),
     /// Nothing tells when.
     Unknown,
-    /// The service has had no endpoint that takes requests, or is expected to, since this
-    /// time.
+    /// The service has had no endpoint that works and takes requests, or is expected to,
+    /// since this time.
     Absent(runtime::Moment),
 }
 
--- a/src/room/supply.rs
+++ b/src/room/supply.rs
@@ -80,10 +80,10 @@
         }
     }
 
-    /// Returns whether no endpoint is there or expected.
+    /// Returns whether no endpoint is open or expected to be.
     #[must_use]
     pub const fn is_absent(&self) -> bool {
-        self.open + self.unknown == 0 && self.next.is_none()
+        self.open == 0 && self.next.is_none()
     }
 
     /// Returns the time until the first place, not counting requests that wait already;
--- a/tests/integration/direct/room/mod.rs
+++ b/tests/integration/direct/room/mod.rs
@@ -3,3 +3,4 @@
 mod crowd;
 mod order;
 mod replay;
+mod waiters;
--- a/tests/integration/direct/room/order.rs
+++ b/tests/integration/direct/room/order.rs
@@ -123,7 +123,7 @@
     struct Case {
         name: &'static str,
         openings: &'static [Opening],
-        /// Whether a request may be sent, or a place is expected.
+        /// Whether no place is there or expected.
         is_absent: bool,
         first_place_ms: Option<u64>,
     }
@@ -139,7 +139,7 @@
     let cases = [
         case("no endpoint", &[][..], true, None),
         case("all leave", &[Never, Never], true, None),
-        case("one has failed", &[Never, Unknown], false, None),
+        case("one has failed", &[Never, Unknown], true, None),
         case("one pauses", &[Never, LATER], false, Some(900)),
         case("the first of two", &[LATER, SOON], false, Some(80)),
         case("one is open", &[LATER, Now], false, Some(0)),
