A request waits only where the queue of the endpoint leaves it time

The time to an answer was taken for the work, though most of it was the queue. Change: the work of a request is its time to the answer over the rounds of slots ahead of it; the wait for a slot by the load report counts against the objective. Tried without effect: refusing while all forecasts had been late for one objective (never the case, as reports age).

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -24,9 +24,9 @@
 /// objective of its route.
 const COLD_WAIT_FRACTION: f64 = 0.25;
 
-/// Shortest wait for an endpoint that returns from a pause; an own answer that ends there
-/// is noticed at once.
-const MIN_RETURNING_WAIT: Duration = Duration::from_millis(10);
+/// Wait for an endpoint that returns from a pause and takes more as time passes; an own
+/// answer that ends there is noticed at once.
+const RETURNING_WAIT: Duration = Duration::from_millis(10);
 
 /// Limits on the attempts of a request, for one kind of answer.
 #[derive(Clone, Copy, Debug)]
@@ -249,8 +249,7 @@
             Err(balance::Closed::Leaving) => return room::Opening::Never,
             Err(balance::Closed::Paused(until)) => return room::Opening::At(until),
             Err(balance::Closed::Returning) => {
-                let work = Self::expected_work(endpoint).unwrap_or_default();
-                return room::Opening::At(now.saturating_add(work.max(MIN_RETURNING_WAIT)));
+                return room::Opening::At(now.saturating_add(RETURNING_WAIT));
             }
             Ok(()) => {}
         }
@@ -266,13 +265,6 @@
         }
     }
 
-    /// Returns the expected time for which the request takes a place at the endpoint;
-    /// `None` before its first answer.
-    #[must_use]
-    pub fn expected_work(endpoint: &direct::EndpointView) -> Option<Duration> {
-        endpoint.live.mean_first_byte()
-    }
-
     /// Returns the expected time to the first byte with the model of this index; `None` if
     /// no endpoint may be sent the request now.
     #[must_use]
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -51,8 +51,9 @@
         };
         let timeout = call.attempt_timeout(&choice.endpoint, &RETRY_LIMITS);
         let endpoint = Arc::clone(&choice.endpoint);
+        let sent = wait::Sent::new(&choice);
         let result = attempt(&mut call, &view, choice, timeout).await;
-        wait::record_end(&call, &endpoint, result.as_ref().err());
+        wait::record_end(&call, &endpoint, &sent, result.as_ref().err());
         let should_retry = match result {
             Ok(answer) => {
                 let is_failure = answer.status.is_server_error();
--- a/src/gateway/wait.rs
+++ b/src/gateway/wait.rs
@@ -106,18 +106,25 @@
     for endpoint in view.endpoints.iter().filter(|endpoint| is_usable(endpoint)) {
         let id = &endpoint.record.id;
         let mut opening = call.opening(view, endpoint, now);
-        let full_until = call
-            .cx
-            .with_room(&call.service, |room| room.full_until(id, now));
+        let (full_until, work) = call.cx.with_room(&call.service, |room| {
+            (room.full_until(id, now), room.work_time(id))
+        });
         if let (room::Opening::Now, Some(until)) = (opening, full_until) {
             opening = room::Opening::At(until);
             full.push(id.clone());
         }
+        let slots = endpoint.record.slots;
+        let report_age = endpoint.live.load_age(now);
+        let load = endpoint.live.figures(None, now).load;
+        let wait = work.map_or(Duration::ZERO, |work| {
+            room::expected_wait(load, slots, work)
+        });
         places.push(room::Place {
             opening,
-            slots: endpoint.record.slots,
-            work: call::Call::expected_work(endpoint),
-            report_age: endpoint.live.load_age(now),
+            slots,
+            work,
+            wait,
+            report_age,
         });
     }
     Look {
@@ -170,18 +177,43 @@
     }
 }
 
+/// When an attempt began, and the requests that were at its endpoint then.
+pub struct Sent {
+    at: Instant,
+    load: u32,
+}
+
+impl Sent {
+    /// Creates the record of an attempt that begins now.
+    pub fn new(choice: &balance::Choice) -> Self {
+        Self {
+            at: Instant::now() + choice.delay,
+            load: choice.load,
+        }
+    }
+}
+
 /// Records that an attempt at an endpoint has ended, so that a place may be left there, or
 /// that it has turned the request away.
 pub fn record_end(
     call: &call::Call,
     endpoint: &direct::EndpointView,
+    sent: &Sent,
     error: Option<&send::AttemptError>,
 ) {
+    let id = &endpoint.record.id;
+    let slots = endpoint.record.slots;
+    if error.is_none() {
+        let total = sent.at.elapsed();
+        call.cx.with_room(&call.service, |room| {
+            room.record_answer(id, total, sent.load, slots);
+        });
+    }
     if let Some(send::AttemptError::NotRun(balance::Failure::Refused, _)) = error {
-        let work = call::Call::expected_work(endpoint).unwrap_or(DEFAULT_FULL);
         let now = runtime::Moment::now();
         call.cx.with_room(&call.service, |room| {
-            room.record_turned_away(&endpoint.record.id, work, now);
+            let work = room.work_time(id).unwrap_or(DEFAULT_FULL);
+            room.record_turned_away(id, work, now);
         });
     }
     call.cx.notify_room();
@@ -229,6 +261,7 @@
     call.trace.note("waiting", &waiting);
     call.trace.note("gap_ms", &supply.gap.as_millis());
     call.trace.note("work_ms", &supply.work.as_millis());
+    call.trace.note("slot_in_ms", &supply.wait.as_millis());
     if let Some(next) = supply.next {
         let next = next.saturating_since(now).as_millis();
         call.trace.note("next_ms", &next);
--- a/src/room/mod.rs
+++ b/src/room/mod.rs
@@ -9,6 +9,7 @@
 mod supply;
 mod ticket;
 mod turned_away;
+mod work_times;
 
 pub use line::{Claim, Line, WaiterKey};
 pub use opening::Opening;
@@ -18,3 +19,4 @@
 pub use supply::{Place, Supply};
 pub use ticket::{Called, Ticket, Waiting};
 pub use turned_away::TurnedAway;
+pub use work_times::{WorkTimes, expected_wait};
--- a/src/room/service_room.rs
+++ b/src/room/service_room.rs
@@ -15,13 +15,10 @@
 const MAX_WAITING: usize = 1_024;
 /// Part of the time between two places of this entry after which the next request goes:
 /// other entries do not use all of theirs.
-const PACE_FRACTION: f64 = 0.6;
+const PACE_FRACTION: f64 = 0.7;
 /// Multiple of the usual work that is kept for a request which has waited: an endpoint that
 /// was full queues it again.
 const WORK_MARGIN: f64 = 1.5;
-/// Part of the latency objective for which a request may always wait: so long it does not
-/// matter to its caller.
-const FREE_WAIT_DIVISOR: u32 = 8;
 
 /// A request that asks for a place.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,12 +37,13 @@
 
 impl Ask {
     /// Returns the longest useful wait: after it, the answer would come after the objective.
-    fn patience(&self, work: Duration) -> Duration {
-        let free = self.objective / FREE_WAIT_DIVISOR;
-        let in_time = self
-            .objective_left
-            .saturating_sub(work.mul_f64(WORK_MARGIN));
-        in_time.max(free).min(self.time_left.saturating_sub(work))
+    /// Zero if that is so anyway: the request would only make others late.
+    fn patience(&self, supply: &room::Supply) -> Duration {
+        let left = |until: Duration| {
+            let kept = supply.work.mul_f64(WORK_MARGIN) + supply.wait;
+            until.saturating_sub(kept)
+        };
+        left(self.objective_left).min(left(self.time_left))
     }
 }
 
@@ -92,6 +90,7 @@
     called_at: Option<runtime::Moment>,
     /// Since when no endpoint is there or expected; `None` if one is.
     absent_since: Option<runtime::Moment>,
+    work_times: room::WorkTimes,
     /// Whether an endpoint of the service has ever stated its load.
     states_load: bool,
 }
@@ -104,6 +103,25 @@
         self.states_load
     }
 
+    /// Records an answer that took `total`, of an endpoint with `load` requests when its
+    /// request was sent.
+    pub fn record_answer(
+        &mut self,
+        endpoint: &ids::EndpointId,
+        total: Duration,
+        load: u32,
+        slots: u32,
+    ) {
+        self.work_times.record(endpoint, total, load, slots);
+    }
+
+    /// Returns the expected time for which a request takes a slot at the endpoint; `None`
+    /// before its first answer.
+    #[must_use]
+    pub fn work_time(&self, endpoint: &ids::EndpointId) -> Option<Duration> {
+        self.work_times.get(endpoint)
+    }
+
     /// Records that an endpoint has turned a request away.
     pub fn record_turned_away(
         &mut self,
@@ -178,7 +196,7 @@
             priority: ask.priority,
             team: ask.team.clone(),
             work: supply.work,
-            patience: ask.patience(supply.work),
+            patience: ask.patience(supply),
         };
         let ahead = u32::try_from(self.line.ahead_of(&claim, now)).unwrap_or(u32::MAX);
         let Some(expected) = self.expected(supply, ahead, now) else {
--- a/src/room/supply.rs
+++ b/src/room/supply.rs
@@ -22,6 +22,8 @@
     pub slots: u32,
     /// Expected time for which a request takes one of them; `None` before the first answer.
     pub work: Option<Duration>,
+    /// Expected wait for a slot there, by its load report; zero without one.
+    pub wait: Duration,
     /// Age of its load report; `None` without a current one.
     pub report_age: Option<Duration>,
 }
@@ -37,6 +39,8 @@
     pub total: usize,
     /// Earliest time at which one that is not open is expected to be; `None` if none is.
     pub next: Option<runtime::Moment>,
+    /// Shortest expected wait for a slot at an endpoint that is open, or else expected to be.
+    pub wait: Duration,
     /// Expected time for which a request takes a place.
     pub work: Duration,
     /// Time between two places that are left for this entry's requests, by its share of
@@ -62,6 +66,9 @@
             At(at) => Some(at),
             Now | Unknown | Never => None,
         });
+        let is_open = |place: &&Place| matches!(place.opening, Now);
+        let open_wait = places.iter().filter(is_open).map(|place| place.wait).min();
+        let wait = open_wait.or_else(|| usable().map(|place| place.wait).min());
         let (sum, known) = usable()
             .filter_map(|place| place.work)
             .fold((Duration::ZERO, 0), |(sum, n), work| (sum + work, n + 1));
@@ -74,6 +81,7 @@
             unknown: count(|opening| matches!(opening, Unknown)),
             total: places.len(),
             next: next.min(),
+            wait: wait.unwrap_or_default(),
             work,
             gap: work.div_f64(own_slots),
             report_age: usable().filter_map(|place| place.report_age).max(),
--- a/src/room/turned_away.rs
+++ b/src/room/turned_away.rs
@@ -11,7 +11,7 @@
 use crate::runtime;
 
 /// Part of the usual work after which some slots have been left.
-const FULL_DIVISOR: u32 = 3;
+const FULL_DIVISOR: u32 = 2;
 /// Longest time for which a refusal counts, whatever the endpoint's usual work takes.
 const MAX_FULL: Duration = Duration::from_secs(1);
 
--- a/tests/integration/direct/room/order.rs
+++ b/tests/integration/direct/room/order.rs
@@ -152,6 +152,7 @@
                 opening: *opening,
                 slots: 6,
                 work: Some(ms(30)),
+                wait: ms(0),
                 report_age: None,
             })
             .collect();
