--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -10,7 +10,6 @@
 mod prompt;
 mod reading_speed;
 mod retry_window;
-mod return_times;
 
 pub use cached_parts::CachedParts;
 pub use choose::{Choice, ChoiceReason, Query, VersionFilter, choose};
@@ -24,4 +23,3 @@
 pub use prompt::{Prompt, PromptPart, Reading};
 pub use reading_speed::ReadingSpeed;
 pub use retry_window::RetryWindow;
-pub use return_times::ReturnTimes;
