Endpoints are chosen by the work time that they state

Cause: an endpoint's answers state its slots and how long work takes there now; both were dropped, and one forecast held for fast and slow endpoints. Requests went to endpoints that were slowed at that moment.

Change: both figures are decoded. An endpoint has a usual work time, learned from its statements and answers, and a pace that drifts back to it. balance::PlainWork and EngineWork forecast wait, first byte and end; the choice weighs them, lets other entries' load drift to the mean with the age of the report, and spreads requests over nearly equal endpoints. The writing speed of each model is learned from complete streams. Without a stated work time the score is as before.

--- a/src/balance/choose.rs
+++ b/src/balance/choose.rs
@@ -37,6 +37,13 @@
 /// Weight of an endpoint's failure rate in its score.
 const FAILURE_PENALTY_FACTOR: f64 = 4.0;
 
+/// Time constant with which a load report drifts to the mean of the candidates: the requests
+/// that it counts have ended since, and other entries have seen older ones.
+const LOAD_DRIFT: Duration = Duration::from_secs(1);
+/// Fraction above the lowest score up to which candidates count as equal, so that entries
+/// with the same old reports don't all choose the same one.
+const EQUAL_SCORE: f64 = 0.05;
+
 /// Constraint on the endpoint version that a request may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum VersionFilter<'a> {
@@ -78,6 +85,11 @@
     pub cold_limit: Option<balance::ColdLimit>,
     /// Maximum time for which the request may wait for a cold endpoint.
     pub max_delay: Duration,
+    /// Time in which an idle engine of usual speed writes the answer; zero if not known.
+    pub writing: Duration,
+    /// Seed by which requests spread over endpoints of nearly equal score; used only where
+    /// endpoints state their work time.
+    pub spread: ids::Fingerprint,
     /// Time of the selection.
     pub now: runtime::Moment,
 }
@@ -120,13 +132,22 @@
     pub load_age: Option<Duration>,
     /// Expected time from the send to the first byte.
     pub expected: Duration,
-    /// Expected time within it to read the prompt; zero without one.
+    /// Expected time from the send to the end of the answer. Equals `expected` where the
+    /// time to write it is not known.
+    pub end: Duration,
+    /// Writing time at the endpoint relative to that of an idle engine of usual speed.
+    pub writing_factor: f64,
+    /// Expected time to read the prompt; zero without one.
     pub reading: Duration,
     /// Prompt tokens that the endpoint has to read; zero without a prompt.
     pub unread: units::Tokens,
     /// Time to wait before the request is sent, as the endpoint is cold; counted in
     /// `expected`.
     pub delay: Duration,
+    /// Speed of the endpoint; `None` if it doesn't state its work time.
+    pub speed: Option<balance::EndpointSpeed>,
+    /// Age of that statement; zero without one.
+    pub speed_age: Duration,
 }
 
 impl fmt::Display for Choice {
@@ -156,6 +177,14 @@
             Some(age) => write!(f, " reported {} ms ago", age.as_millis())?,
             None => write!(f, " own only")?,
         }
+        if let Some(speed) = &self.speed {
+            let (stated, age) = (speed.stated(), self.speed_age.as_millis());
+            let learned = speed.learned();
+            write!(
+                f,
+                ", work time {stated}% {age} ms ago, learned {learned:.2}"
+            )?;
+        }
         if !self.delay.is_zero() {
             write!(f, ", sent in {} ms", self.delay.as_millis())?;
         }
@@ -191,9 +220,7 @@
         (&healthy, ChoiceReason::Score)
     };
     let candidates = weigh(candidates, query);
-    let best = candidates
-        .into_iter()
-        .min_by(|a, b| a.score.total_cmp(&b.score))?;
+    let best = pick(&candidates, query)?;
     let reason = if best.is_holder {
         ChoiceReason::Affinity
     } else {
@@ -214,10 +241,14 @@
         healthy: healthy.len(),
         load: best.figures.load,
         load_age: best.endpoint.live.load_age(query.now),
-        expected: best.wait() + best.reading,
+        expected: best.forecast.first,
+        end: best.forecast.end,
+        writing_factor: best.writing_factor,
         reading: best.reading,
         unread: best.unread,
         delay: Duration::ZERO,
+        speed: best.figures.speed,
+        speed_age: best.speed_age(query),
         endpoint: Arc::clone(best.endpoint),
     })
 }
@@ -243,10 +274,14 @@
         healthy: 0,
         load: best.figures.load,
         load_age: endpoint.live.load_age(query.now),
-        expected: delay + best.wait() + best.reading,
+        expected: delay + best.forecast.first,
+        end: delay + best.forecast.end,
+        writing_factor: best.writing_factor,
         reading: best.reading,
         unread: best.unread,
         delay,
+        speed: best.figures.speed,
+        speed_age: best.speed_age(query),
         endpoint: Arc::clone(endpoint),
     })
 }
@@ -276,6 +311,10 @@
     unread: units::Tokens,
     /// Time to read the prompt.
     reading: Duration,
+    /// Expected times of the answer.
+    forecast: balance::Forecast,
+    /// Writing time relative to that of an idle engine of usual speed.
+    writing_factor: f64,
     /// Relative expected time to an answer; lower is better.
     score: f64,
 }
@@ -292,9 +331,36 @@
         f64::from(self.figures.load) + pending / PENDING_READING_PER_REQUEST.as_secs_f64()
     }
 
-    fn rate(&mut self, query: &Query<'_>) {
+    fn speed_age(&self, query: &Query<'_>) -> Duration {
+        let speed = self.figures.speed;
+        speed.map_or(Duration::ZERO, |speed| speed.age(query.now))
+    }
+
+    /// Time to read this many tokens at the endpoint's speed.
+    fn reading_time(&self, reading: &balance::Reading<'_>, now: runtime::Moment) -> Duration {
+        let usual = reading.time(self.unread);
+        let speed = self.figures.speed;
+        speed.map_or(usual, |speed| {
+            usual.mul_f64(speed.learned() * speed.pace(now))
+        })
+    }
+
+    /// Requests of other entries at the endpoint: as reported, and drifting to the `mean` of
+    /// the candidates with the age of the report.
+    fn others(&self, mean: f64) -> f64 {
+        let reported = f64::from(self.figures.load - self.figures.own_load);
+        let kept = self.figures.load_age.map_or(0.0, |age| {
+            (-age.as_secs_f64() / LOAD_DRIFT.as_secs_f64()).exp()
+        });
+        kept.mul_add(reported - mean, mean)
+    }
+
+    /// Sets the forecast and the score; `load` is the number of requests at the endpoint.
+    fn rate(&mut self, load: f64, query: &Query<'_>) {
         let record = &self.endpoint.record;
-        let slots = f64::from(record.slots.max(1));
+        let speed = self.figures.speed;
+        let stated = self.figures.slots.filter(|_| speed.is_some());
+        let slots = stated.unwrap_or(record.slots).max(1);
         let path_penalty = if record.domain == *query.domain {
             0.0
         } else if self.endpoint.region.as_ref() == query.region {
@@ -302,11 +368,39 @@
         } else {
             CROSS_REGION_PENALTY
         };
-        let load = f64::from(self.figures.load) / slots;
         let failure_penalty = self.figures.failure_share * FAILURE_PENALTY_FACTOR;
-        let time = self.wait() + self.reading.mul_f64(READING_WEIGHT);
-        self.score = time.as_secs_f64().max(0.001) * (1.0 + load + path_penalty + failure_penalty);
+        let batch = load / f64::from(slots);
+        self.writing_factor = speed.map_or(1.0, |speed| speed.usual()) * (1.0 + batch);
+        self.forecast = if query.reading.is_none() && speed.is_some() {
+            let (ahead, work) = (load, self.wait());
+            balance::PlainWork { ahead, slots, work }.forecast()
+        } else {
+            balance::EngineWork {
+                wait: self.wait(),
+                reading: self.reading,
+                writing: query.writing.mul_f64(self.writing_factor),
+            }
+            .forecast()
+        };
+        let time = self.forecast.first + self.reading.mul_f64(READING_WEIGHT - 1.0);
+        self.score = time.as_secs_f64().max(0.001) * (1.0 + batch + path_penalty + failure_penalty);
+    }
+}
+
+/// Returns the candidate with the lowest score. Where endpoints state their work time, one of
+/// those that are nearly as good, by the seed of the request.
+fn pick<'a, 'b>(candidates: &'b [Candidate<'a>], query: &Query<'_>) -> Option<&'b Candidate<'a>> {
+    let best = candidates
+        .iter()
+        .min_by(|a, b| a.score.total_cmp(&b.score))?;
+    if best.figures.speed.is_none() {
+        return Some(best);
     }
+    let limit = best.score * (1.0 + EQUAL_SCORE);
+    candidates
+        .iter()
+        .filter(|candidate| candidate.score <= limit)
+        .min_by_key(|candidate| route::rank_of(query.spread, candidate.endpoint.record.id.as_str()))
 }
 
 /// Rates all candidates. Where an endpoint has probably cached a part of the prompt, only
@@ -322,21 +416,47 @@
             is_holder: false,
             unread: prompt_tokens,
             reading: Duration::ZERO,
+            forecast: balance::Forecast::default(),
+            writing_factor: 1.0,
             score: 0.0,
         })
         .collect();
     if let Some(reading) = reading {
         mark_holders(&mut candidates, reading);
         for candidate in &mut candidates {
-            candidate.reading = reading.time(candidate.unread);
+            candidate.reading = candidate.reading_time(reading, query.now);
         }
     }
+    let mean_others = mean_others(&candidates);
     for candidate in &mut candidates {
-        candidate.rate(query);
+        let load = match mean_others {
+            Some(mean) => candidate.others(mean) + f64::from(candidate.figures.own_load),
+            None => f64::from(candidate.figures.load),
+        };
+        candidate.rate(load, query);
     }
     candidates
 }
 
+/// Mean number of requests of other entries at the candidates with a load report; `None`
+/// unless one states its work time.
+fn mean_others(candidates: &[Candidate<'_>]) -> Option<f64> {
+    if candidates
+        .iter()
+        .all(|candidate| candidate.figures.speed.is_none())
+    {
+        return None;
+    }
+    let reported = candidates
+        .iter()
+        .filter(|candidate| candidate.figures.load_age.is_some());
+    let (sum, count) = reported.fold((0.0, 0.0_f64), |(sum, count), candidate| {
+        let others = candidate.figures.load - candidate.figures.own_load;
+        (sum + f64::from(others), count + 1.0)
+    });
+    Some(sum / count.max(1.0))
+}
+
 /// Marks the candidates that have probably cached a part of the prompt. Busy ones are
 /// left out, so that a popular prefix is spread over more endpoints.
 fn mark_holders(candidates: &mut [Candidate<'_>], reading: &balance::Reading<'_>) {
--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -30,6 +30,9 @@
 const SILENCE_READING_FACTOR: f64 = 2.0;
 /// Expected wait at an endpoint that has not answered yet.
 const DEFAULT_WAIT: Duration = Duration::from_millis(40);
+/// Time constant with which the wait of an endpoint that states its work time drifts back to
+/// the default: an entry of many gets an answer of each endpoint only every few seconds.
+const WAIT_DRIFT: Duration = Duration::from_secs(3);
 /// Multiple of the silence timeout after which an endpoint is abandoned even
 /// though it accepts connections, since a hung process accepts them too. A
 /// retry then still starts within a latency objective of 1.5 to 2 s.
@@ -51,12 +54,16 @@
 }
 
 /// Load that an endpoint reports with its answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ReportedLoad {
     /// Requests being executed, over all callers.
     pub running: u32,
     /// Requests queued at the endpoint, over all callers.
     pub waiting: u32,
+    /// Requests that the endpoint executes at once; `None` if not stated.
+    pub slots: Option<u32>,
+    /// How long work takes there at this moment; `None` if not stated.
+    pub work_time: Option<balance::WorkTime>,
 }
 
 /// Figures of an endpoint that the choice of one weighs.
@@ -73,6 +80,14 @@
     pub unread: Option<units::Tokens>,
     /// Moving average of the fraction of failed attempts, from 0 to 1.
     pub failure_share: f64,
+    /// Requests in flight of this entry alone.
+    pub own_load: u32,
+    /// Slots by the last report; `None` if not stated.
+    pub slots: Option<u32>,
+    /// Age of the load report; `None` where `load` counts only this entry's own requests.
+    pub load_age: Option<Duration>,
+    /// Speed of the endpoint; `None` if it has never stated its work time.
+    pub speed: Option<balance::EndpointSpeed>,
 }
 
 /// How an attempt at an endpoint failed.
@@ -123,8 +138,10 @@
     /// Moving average of the time to first byte, in milliseconds.
     mean_first_byte_ms: Option<f64>,
     /// Moving average of the part of it that reading the prompt does not explain, in
-    /// milliseconds.
+    /// milliseconds at the usual pace.
     mean_wait_ms: Option<f64>,
+    /// `None` if the endpoint has never stated its work time.
+    speed: Option<balance::EndpointSpeed>,
     /// Prompt parts that the endpoint has probably cached.
     cached: balance::CachedParts,
     failure_share: f64,
@@ -156,7 +173,13 @@
             .waiting_since_sum_ms
             .checked_div(u64::from(self.waiting));
         let waited = since.map(|since| now.saturating_since(runtime::Moment::from_millis(since)));
-        typical.max(waited.unwrap_or_default())
+        let paced = self.speed.map_or(typical, |speed| {
+            let above = typical.saturating_sub(DEFAULT_WAIT);
+            let kept = (-speed.age(now).as_secs_f64() / WAIT_DRIFT.as_secs_f64()).exp();
+            let drifted = typical.min(DEFAULT_WAIT) + above.mul_f64(kept);
+            drifted.mul_f64(speed.pace(now))
+        });
+        paced.max(waited.unwrap_or_default())
     }
 
     fn load(&self, now: runtime::Moment) -> u32 {
@@ -249,6 +272,13 @@
     /// Records the load report received with an answer.
     pub fn record_load(&self, load: ReportedLoad, now: runtime::Moment) {
         let mut state = self.lock();
+        // A status without a work time doesn't end the one stated before.
+        if let Some(stated) = load.work_time {
+            match &mut state.speed {
+                Some(speed) => speed.state(stated, now),
+                None => state.speed = Some(balance::EndpointSpeed::new(stated, now)),
+            }
+        }
         state.load_report = Some((load, now, state.in_flight));
     }
 
@@ -310,7 +340,12 @@
     pub fn record_success(&self, first: Duration, reading: Duration) {
         let mut state = self.lock();
         add_sample(&mut state.mean_first_byte_ms, first);
-        add_sample(&mut state.mean_wait_ms, first.saturating_sub(reading));
+        let wait = first.saturating_sub(reading);
+        let pace = state.speed.map_or(1.0, |speed| speed.stated().factor());
+        add_sample(&mut state.mean_wait_ms, wait.div_f64(pace));
+        if let Some(speed) = &mut state.speed {
+            speed.record(first, reading);
+        }
         state.failure_share *= 1.0 - MEAN_WEIGHT;
         if state.failure_share < MAX_FAILURE_SHARE / 2.0 {
             state.suspensions = 0;
@@ -375,17 +410,28 @@
         Some(now.saturating_since(at))
     }
 
+    /// Returns the speed of the endpoint; `None` if it has never stated its work time.
+    #[must_use]
+    pub fn speed(&self) -> Option<balance::EndpointSpeed> {
+        self.lock().speed
+    }
+
     /// Figures that the choice of an endpoint weighs. `reading` is the prompt of the
     /// request, if it has one.
     #[must_use]
     pub fn figures(&self, reading: Option<&balance::Reading<'_>>, now: runtime::Moment) -> Figures {
         let state = self.lock();
+        let report = state.current_report(now);
         Figures {
             load: state.load(now),
             wait: state.expected_wait(now),
             pending_reading: state.pending_reading,
             unread: reading.map(|reading| reading.unread(&state.cached, now)),
             failure_share: state.failure_share,
+            own_load: state.in_flight,
+            slots: report.and_then(|(load, ..)| load.slots),
+            load_age: report.map(|(_, at, _)| now.saturating_since(at)),
+            speed: state.speed,
         }
     }
 
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -234,6 +234,8 @@
                 domain: &settings.domain,
                 cold_limit,
                 max_delay,
+                writing: self.writing(model).unwrap_or_default(),
+                spread: ids::Fingerprint::fnv1a(&self.id),
                 now,
             };
             balance::choose(&view.endpoints, &query)
@@ -268,6 +270,14 @@
         })
     }
 
+    /// Returns the time in which an idle engine of usual speed writes the answer with the
+    /// model of this index; `None` if the caller states no length or none was answered yet.
+    #[must_use]
+    pub fn writing(&self, model: usize) -> Option<Duration> {
+        let expected = self.metadata.output?;
+        self.cx.writing(&self.service, model, expected)
+    }
+
     /// Returns the version filters in order of preference; the first with an available
     /// endpoint applies.
     fn version_filters<'a>(
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -52,6 +52,7 @@
     window: balance::RetryWindow,
     pressure: balance::Pressure,
     reading_speed: balance::ReadingSpeed,
+    writing_speed: balance::WritingSpeed,
     answered_parts: poison::AnsweredParts,
 }
 
@@ -177,6 +178,32 @@
         self.with_service(service, |state| state.reading_speed.get(model))
     }
 
+    /// Records that a model wrote an answer of which `expected` tokens were expected. `writing`
+    /// is the time from its first event to its last at an idle engine of usual speed.
+    pub fn record_writing(
+        &self,
+        service: &ids::ServiceName,
+        model: usize,
+        expected: units::Tokens,
+        writing: Duration,
+    ) {
+        self.with_service(service, |state| {
+            state.writing_speed.record(model, expected, writing);
+        });
+    }
+
+    /// Returns the time in which an idle engine of usual speed writes an answer of which
+    /// `expected` tokens are expected; `None` before the first answer of the model.
+    #[must_use]
+    pub fn writing(
+        &self,
+        service: &ids::ServiceName,
+        model: usize,
+        expected: units::Tokens,
+    ) -> Option<Duration> {
+        self.with_service(service, |state| state.writing_speed.time(model, expected))
+    }
+
     /// Records a complete answer of the service to a prompt with these parts.
     pub fn record_answered_parts(&self, service: &ids::ServiceName, parts: &[ids::Fingerprint]) {
         let now = runtime::Moment::now();
@@ -215,6 +242,7 @@
             window: balance::RetryWindow::new(bounds.retry_ratio, bounds.retry_window),
             pressure: balance::Pressure::default(),
             reading_speed: balance::ReadingSpeed::default(),
+            writing_speed: balance::WritingSpeed::default(),
             answered_parts: poison::AnsweredParts::default(),
         };
         update(services.entry(service.clone()).or_insert(state))
--- a/src/gateway/metadata.rs
+++ b/src/gateway/metadata.rs
@@ -33,6 +33,8 @@
     pub model: RequestedModel,
     /// Length and parts of the prompt; `None` if not stated.
     pub prompt: Option<balance::Prompt>,
+    /// Expected length of the answer in tokens; `None` if not stated.
+    pub output: Option<units::Tokens>,
     /// Id of the last event that the caller has, to resume a stream; `None` for a new
     /// one.
     pub last_event: Option<u64>,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -23,6 +23,9 @@
     /// Time spent waiting for the next event while only comments were passed on. The time
     /// that the caller takes to read does not count.
     waited: Duration,
+    /// Time spent waiting for all events of the source after its first; `None` if it doesn't
+    /// tell how fast the endpoint writes.
+    writing: Option<Duration>,
     continuation: Continuation,
     status: StatusCode,
 }
@@ -44,17 +47,19 @@
     /// Creates a relay for `source`. The caller already has the events up to
     /// `last_event`.
     #[must_use]
-    pub const fn new(
+    pub fn new(
         call: call::Call,
         source: stream::EventSource,
         last_event: Option<u64>,
         status: StatusCode,
     ) -> Self {
+        let is_whole = source.is_live && last_event.is_none();
         Self {
             call,
             source: Some(source),
             last_event,
             waited: Duration::ZERO,
+            writing: is_whole.then_some(Duration::ZERO),
             continuation: Continuation::Begun,
             status,
         }
@@ -90,7 +95,10 @@
                 return Some(Ok(taken.bytes));
             }
             let deadline = event_deadline(&self.call, waiting_since, self.waited);
-            match stream::read(&mut source.opened, deadline).await {
+            let began = Instant::now();
+            let chunk = stream::read(&mut source.opened, deadline).await;
+            self.writing = self.writing.map(|writing| writing + began.elapsed());
+            match chunk {
                 stream::Chunk::Data(bytes) => {
                     if source.push(&bytes).is_err() {
                         return Some(Err(self.interrupt("event too large")));
@@ -103,6 +111,7 @@
                     let id = source.opened.endpoint.record.id.clone();
                     self.call.trace.attempt(&id, "answered", &"complete");
                     self.call.clear_suspicion();
+                    self.record_writing(true);
                     let status = self.status.as_u16();
                     self.call.trace.finish(trace::Outcome::Answered, status);
                     self.source = None;
@@ -115,6 +124,7 @@
                     waiting_since = Instant::now();
                 }
                 stream::Chunk::TimedOut => {
+                    self.record_writing(false);
                     if let Err(err) = self.resume(balance::Failure::Silent).await {
                         return Some(Err(err));
                     }
@@ -124,8 +134,27 @@
         }
     }
 
+    /// Records how fast the endpoint has written. An answer that is not complete counts only
+    /// if it took longer than expected already.
+    fn record_writing(&self, is_complete: bool) {
+        let (Some(writing), Some(source)) = (self.writing, &self.source) else {
+            return;
+        };
+        let Some(expected) = self.call.metadata.output else {
+            return;
+        };
+        let usual = writing.div_f64(source.opened.writing_factor);
+        let known = self.call.writing(self.call.model);
+        if is_complete || known.is_some_and(|known| usual > known) {
+            let Self { call, .. } = self;
+            call.cx
+                .record_writing(&call.service, call.model, expected, usual);
+        }
+    }
+
     /// Resumes the stream after the last event that was passed on, at another endpoint.
     async fn resume(&mut self, failure: balance::Failure) -> io::Result<()> {
+        self.writing = None;
         // Dropped first, so that the endpoint stops working before another one continues.
         if let Some(source) = self.source.take() {
             let endpoint = source.opened.endpoint;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -57,6 +57,8 @@
     pub unread: units::Tokens,
     /// Expected time in which it reads them.
     pub reading: Duration,
+    /// Writing time at the endpoint relative to that of an idle engine of usual speed.
+    pub writing_factor: f64,
 }
 
 impl Opened {
@@ -217,6 +219,10 @@
     endpoint.live.record_activity(now);
     if let Some(load) = metadata.load {
         endpoint.live.record_load(load, now);
+        if let Some(speed) = endpoint.live.speed() {
+            let (stated, usual) = (speed.stated().factor(), speed.usual());
+            observe::metrics().record_endpoint_speed(&endpoint.record.id, stated, usual);
+        }
     }
     let broken = |reason: &str| AttemptError::Unknown(balance::Failure::Broken, reason.into());
     // Also a refusal must be the answer to this request: a faulty endpoint may repeat an
@@ -252,6 +258,7 @@
         sent,
         unread: choice.unread,
         reading: choice.reading,
+        writing_factor: choice.writing_factor,
     })
 }
 
--- a/src/gateway/standby.rs
+++ b/src/gateway/standby.rs
@@ -27,8 +27,10 @@
     #[must_use]
     pub fn new(mut opened: send::Opened, model: usize, deadline: Instant) -> Self {
         opened.permit.record_first_byte();
+        let mut source = stream::EventSource::new(opened);
+        source.is_live = false;
         Self {
-            source: stream::EventSource::new(opened),
+            source,
             model,
             deadline,
             is_broken: false,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -42,6 +42,9 @@
     pub opened: send::Opened,
     /// Buffer of bytes that have arrived and were not passed on yet.
     pub splitter: http::EventSplitter,
+    /// Whether its events are passed on as they arrive, so that their times tell how fast the
+    /// endpoint writes.
+    pub is_live: bool,
     reservation: Option<http::Reservation>,
 }
 
@@ -53,6 +56,7 @@
             reservation: opened.answer.reserve(),
             opened,
             splitter: http::EventSplitter::default(),
+            is_live: true,
         }
     }
 
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
@@ -66,6 +66,9 @@
     log_dropped: Counter<u64>,
     rollout_verdicts: Counter<u64>,
     endpoints_closed: Counter<u64>,
+    endpoint_work_time: Gauge<f64>,
+    endpoint_speed: Gauge<f64>,
+    escalations: Counter<u64>,
 }
 
 impl Metrics {
@@ -90,6 +93,9 @@
                 .with_boundaries(LATENCY_BUCKETS.to_vec())
                 .build()
         };
+        let gauge = |name: &'static str, text: &'static str| {
+            meter.f64_gauge(name).with_description(text).build()
+        };
         let count = |name: &'static str, text: &'static str| {
             meter.u64_counter(name).with_description(text).build()
         };
@@ -132,6 +138,18 @@
                 "quetzalworks_endpoints_closed",
                 "Endpoints that said in an answer that they leave or want a pause, by reason.",
             ),
+            endpoint_work_time: gauge(
+                "quetzalworks_endpoint_work_time",
+                "Work time that an endpoint stated last, as a multiple of the usual.",
+            ),
+            endpoint_speed: gauge(
+                "quetzalworks_endpoint_usual_work_time",
+                "Usual work time of an endpoint, as learned, as a multiple of its service's.",
+            ),
+            escalations: count(
+                "quetzalworks_escalations",
+                "Decisions about answers of smaller models, by route and decision.",
+            ),
             rollout_verdicts: count(
                 "quetzalworks_rollout_verdicts",
                 "Changes of the judgement of a version in rollout, by service and verdict.",
@@ -272,6 +290,21 @@
             .add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Records the speed of an endpoint that states its work time: the stated one, and the
+    /// usual one as learned, both as multiples of the usual one of its service.
+    pub fn record_endpoint_speed(&self, endpoint: &ids::EndpointId, stated: f64, usual: f64) {
+        let labels = [KeyValue::new("endpoint", endpoint.to_string())];
+        self.endpoint_work_time.record(stated, &labels);
+        self.endpoint_speed.record(usual, &labels);
+    }
+
+    /// Counts a decision about an answer of a smaller model.
+    pub fn record_escalation(&self, route: &str, decision: &'static str) {
+        let route = KeyValue::new("route", route.to_owned());
+        self.escalations
+            .add(1, &[route, KeyValue::new("decision", decision)]);
+    }
+
     /// Counts a change of the judgement of a version that is rolled out.
     pub fn record_rollout_verdict(&self, service: &ids::ServiceName, verdict: &'static str) {
         let service = KeyValue::new("service", service.to_string());
--- a/src/platform/endpoint_status.rs
+++ b/src/platform/endpoint_status.rs
@@ -33,5 +33,7 @@
     Ok(balance::ReportedLoad {
         running: status.running,
         waiting: status.queued,
+        slots: None,
+        work_time: None,
     })
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -26,6 +26,8 @@
 const MODEL: HeaderName = HeaderName::from_static("model");
 /// Number of prompt tokens and maximum number of output tokens, comma-separated.
 const TOKEN_COUNT: HeaderName = HeaderName::from_static("token-count");
+/// Estimated number of output tokens, often far off.
+const LENGTH_HINT: HeaderName = HeaderName::from_static("length-hint");
 /// Comma-separated parts of the prompt, each as `id:tokens`.
 const PROMPT_PARTS: HeaderName = HeaderName::from_static("prefix-hash");
 /// Id of the last event that the caller has received.
@@ -38,7 +40,8 @@
 const SIGNATURE: HeaderName = HeaderName::from_static("server-seal");
 /// Present on an answer whose request was not run.
 const NOT_RUN: HeaderName = HeaderName::from_static("not-executed");
-/// Running requests, waiting requests and slots of the endpoint, comma-separated.
+/// Running requests, waiting requests, slots and work time in percent of the usual,
+/// comma-separated; the last two may be absent.
 const LOAD: HeaderName = HeaderName::from_static("server-load");
 /// Present on all answers of an endpoint that leaves.
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
@@ -94,6 +97,7 @@
             Some(_) => gateway::RequestedModel::Named,
         },
         prompt: prompt(headers),
+        output: output(headers),
         last_event: text(headers, &LAST_EVENT).and_then(|text| text.parse().ok()),
     }
 }
@@ -116,6 +120,21 @@
     })
 }
 
+/// Decodes the expected length of the answer: the estimate, at most the stated maximum.
+fn output(headers: &HeaderMap) -> Option<units::Tokens> {
+    let stated = || {
+        text(headers, &TOKEN_COUNT)?
+            .split_once(',')?
+            .1
+            .trim()
+            .parse()
+            .ok()
+    };
+    let hint = || text(headers, &LENGTH_HINT)?.trim().parse().ok();
+    let lengths = [stated(), hint()].into_iter().flatten();
+    lengths.min().map(units::Tokens)
+}
+
 /// Builds the headers of a request to an endpoint: the caller's end-to-end
 /// headers, with those that only the router may set removed or replaced.
 #[must_use]
@@ -182,14 +201,15 @@
     pause
 }
 
+/// Decodes the reported load. The last two figures are optional; a malformed one counts as
+/// absent.
 fn load(headers: &HeaderMap) -> Option<balance::ReportedLoad> {
-    let mut parts = text(headers, &LOAD)?
-        .split(',')
-        .map(|part| part.trim().parse());
-    let mut next = || parts.next()?.ok();
+    let mut parts = text(headers, &LOAD)?.split(',').map(str::trim);
     Some(balance::ReportedLoad {
-        running: next()?,
-        waiting: next()?,
+        running: parts.next()?.parse().ok()?,
+        waiting: parts.next()?.parse().ok()?,
+        slots: parts.next().and_then(|part| part.parse().ok()),
+        work_time: parts.next().and_then(|part| part.parse().ok()),
     })
 }
 
--- a/tests/integration/direct/balance.rs
+++ b/tests/integration/direct/balance.rs
@@ -65,6 +65,8 @@
             entry: Fingerprint(0),
         }),
         max_delay: Duration::ZERO,
+        writing: Duration::ZERO,
+        spread: Fingerprint(0),
         now: Moment::from_millis(at),
     }
 }
@@ -95,6 +97,7 @@
                     ReportedLoad {
                         running: 4,
                         waiting: 3,
+                        ..ReportedLoad::default()
                     },
                     now,
                 );
@@ -337,6 +340,7 @@
                 let load = ReportedLoad {
                     running: 1,
                     waiting: 0,
+                    ..ReportedLoad::default()
                 };
                 endpoint.live.record_load(load, now);
             },
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -9,6 +9,7 @@
 mod decode;
 mod endless;
 pub mod endpoint;
+mod endpoint_speed;
 mod endpoints;
 mod events;
 mod explain;
