--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -3,17 +3,23 @@
 
 mod cached_parts;
 mod choose;
+mod endpoint_speed;
 mod fleet_share;
+mod forecast;
 mod live;
 mod pace;
 mod pressure;
 mod prompt;
 mod reading_speed;
 mod retry_window;
+mod work_time;
+mod writing_speed;
 
 pub use cached_parts::CachedParts;
 pub use choose::{Choice, ChoiceReason, Query, VersionFilter, choose};
+pub use endpoint_speed::EndpointSpeed;
 pub use fleet_share::{AnyFleetShare, Assigned, FleetShare, LEASE_DURATION, Unassigned};
+pub use forecast::{EngineWork, Forecast, PlainWork};
 pub use live::{Failure, Figures, Live, Permit, ReportedLoad, SilenceAction};
 pub use pace::{
     Admission, Answer, AnyPace, Bounds, Cause, Change, ColdLimit, Hold, Limit, MAX_PAUSE, Observed,
@@ -23,3 +29,5 @@
 pub use prompt::{Prompt, PromptPart, Reading};
 pub use reading_speed::ReadingSpeed;
 pub use retry_window::RetryWindow;
+pub use work_time::{InvalidWorkTime, WorkTime};
+pub use writing_speed::WritingSpeed;
--- a/src/balance/pace/life_cycle.rs
+++ b/src/balance/pace/life_cycle.rs
@@ -78,7 +78,7 @@
 }
 
 /// Answer that has begun.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Answer {
     /// Time from the send to the first byte, less the time to read the prompt.
     pub wait: Duration,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -24,10 +24,6 @@
 /// objective of its route.
 const COLD_WAIT_FRACTION: f64 = 0.25;
 
-/// Wait for an endpoint that returns from a pause and takes more as time passes; an own
-/// answer that ends there is noticed at once.
-const RETURNING_WAIT: Duration = Duration::from_millis(10);
-
 /// Limits on the attempts of a request, for one kind of answer.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryLimits {
@@ -244,17 +240,20 @@
         endpoint: &direct::EndpointView,
         now: runtime::Moment,
     ) -> room::Opening {
-        let slots = endpoint.record.slots;
-        match endpoint.live.check_available(slots, now) {
-            Err(balance::Closed::Leaving) => return room::Opening::Never,
-            Err(balance::Closed::Paused(until)) => return room::Opening::At(until),
-            Err(balance::Closed::Returning) => {
-                return room::Opening::At(now.saturating_add(RETURNING_WAIT));
+        let share = self.cx.control.snapshot().share.of_connections();
+        match endpoint.admission(share, now) {
+            balance::Admission::Open => {}
+            balance::Admission::LastResort(hold) | balance::Admission::Closed(hold) => {
+                return match hold {
+                    balance::Hold::Leaving => room::Opening::Never,
+                    balance::Hold::Paused(until) | balance::Hold::Rising(until) => {
+                        room::Opening::At(until)
+                    }
+                    balance::Hold::Failed(_) | balance::Hold::Probed(_) | balance::Hold::Silent => {
+                        room::Opening::Unknown
+                    }
+                };
             }
-            Ok(()) => {}
-        }
-        if endpoint.live.is_suspended(now) || endpoint.live.is_silent(now) {
-            return room::Opening::Unknown;
         }
         let max_delay = self.rule.objective.duration().mul_f64(COLD_WAIT_FRACTION);
         match endpoint.cold_delay(self.cold_limit(view, now).as_ref(), now) {
@@ -305,6 +304,8 @@
                 cold_limit,
                 share: self.cx.control.snapshot().share.of_connections(),
                 max_delay,
+                writing: self.writing(model).unwrap_or_default(),
+                spread: ids::Fingerprint::fnv1a(&self.id),
                 now,
             };
             balance::choose(&view.endpoints, &query)
@@ -339,6 +340,14 @@
         })
     }
 
+    /// Returns the time in which an idle engine of usual speed writes the answer with the
+    /// model of this index; `None` if the caller states no length or none was answered yet.
+    #[must_use]
+    pub fn writing(&self, model: usize) -> Option<Duration> {
+        let expected = self.metadata.output?;
+        self.cx.writing(&self.service, model, expected)
+    }
+
     /// Returns the version filters in order of preference; the first with an available
     /// endpoint applies.
     fn version_filters<'a>(
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider, UpDownCounter};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider, UpDownCounter};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
@@ -69,10 +69,60 @@
     log_dropped: Counter<u64>,
     rollout_verdicts: Counter<u64>,
     endpoints_closed: Counter<u64>,
+    load: LoadMetrics,
+}
+
+/// Instruments of the decisions under load.
+#[derive(Debug)]
+struct LoadMetrics {
     endpoint_paces: Counter<u64>,
     waiting: UpDownCounter<i64>,
     waited: Counter<u64>,
     refused: Counter<u64>,
+    endpoint_work_time: Gauge<f64>,
+    endpoint_speed: Gauge<f64>,
+    escalations: Counter<u64>,
+}
+
+impl LoadMetrics {
+    fn new(meter: &Meter) -> Self {
+        let gauge = |name: &'static str, text: &'static str| {
+            meter.f64_gauge(name).with_description(text).build()
+        };
+        let count = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        Self {
+            endpoint_paces: count(
+                "quetzalworks_endpoint_paces",
+                "Changes of the pace of an endpoint, by the stage that it reached and the cause.",
+            ),
+            waiting: meter
+                .i64_up_down_counter("quetzalworks_waiting")
+                .with_description("Requests that wait for a place at an endpoint, by service.")
+                .build(),
+            waited: count(
+                "quetzalworks_waited",
+                "Requests that have waited for a place, by service and end of the wait.",
+            ),
+            refused: count(
+                "quetzalworks_refused",
+                "Requests that were refused without a place, by service and outlook.",
+            ),
+            endpoint_work_time: gauge(
+                "quetzalworks_endpoint_work_time",
+                "Work time that an endpoint stated last, as a multiple of the usual.",
+            ),
+            endpoint_speed: gauge(
+                "quetzalworks_endpoint_usual_work_time",
+                "Usual work time of an endpoint, as learned, as a multiple of its service's.",
+            ),
+            escalations: count(
+                "quetzalworks_escalations",
+                "Decisions about answers of smaller models, by route and decision.",
+            ),
+        }
+    }
 }
 
 impl Metrics {
@@ -151,22 +201,7 @@
                 "quetzalworks_endpoints_closed",
                 "Endpoints that said in an answer that they leave or want a pause, by reason.",
             ),
-            endpoint_paces: count(
-                "quetzalworks_endpoint_paces",
-                "Changes of the pace of an endpoint, by the stage that it reached and the cause.",
-            ),
-            waiting: meter
-                .i64_up_down_counter("quetzalworks_waiting")
-                .with_description("Requests that wait for a place at an endpoint, by service.")
-                .build(),
-            waited: count(
-                "quetzalworks_waited",
-                "Requests that have waited for a place, by service and end of the wait.",
-            ),
-            refused: count(
-                "quetzalworks_refused",
-                "Requests that were refused without a place, by service and outlook.",
-            ),
+            load: LoadMetrics::new(&meter),
             rollout_verdicts: count(
                 "quetzalworks_rollout_verdicts",
                 "Changes of the judgement of a version in rollout, by service and verdict.",
@@ -330,29 +365,48 @@
     /// Counts a change of the pace of an endpoint.
     pub fn record_endpoint_pace(&self, stage: &'static str, cause: &'static str) {
         let labels = [KeyValue::new("stage", stage), KeyValue::new("cause", cause)];
-        self.endpoint_paces.add(1, &labels);
+        self.load.endpoint_paces.add(1, &labels);
     }
 
     /// Counts a request that begins to wait for a place at an endpoint.
     pub fn record_wait_begin(&self, service: &ids::ServiceName) {
         let service = KeyValue::new("service", service.to_string());
-        self.waiting.add(1, &[service]);
+        self.load.waiting.add(1, &[service]);
     }
 
     /// Counts a request that has ended to wait for a place.
     pub fn record_wait_end(&self, service: &ids::ServiceName, end: &'static str) {
         let service = KeyValue::new("service", service.to_string());
-        self.waiting.add(-1, std::slice::from_ref(&service));
-        self.waited.add(1, &[service, KeyValue::new("end", end)]);
+        self.load.waiting.add(-1, std::slice::from_ref(&service));
+        self.load
+            .waited
+            .add(1, &[service, KeyValue::new("end", end)]);
     }
 
     /// Counts a request that is refused without a place, by what its caller can expect.
     pub fn record_refused(&self, service: &ids::ServiceName, outlook: &'static str) {
         let service = KeyValue::new("service", service.to_string());
-        self.refused
+        self.load
+            .refused
             .add(1, &[service, KeyValue::new("outlook", outlook)]);
     }
 
+    /// Records the speed of an endpoint that states its work time: the stated one, and the
+    /// usual one as learned, both as multiples of the usual one of its service.
+    pub fn record_endpoint_speed(&self, endpoint: &ids::EndpointId, stated: f64, usual: f64) {
+        let labels = [KeyValue::new("endpoint", endpoint.to_string())];
+        self.load.endpoint_work_time.record(stated, &labels);
+        self.load.endpoint_speed.record(usual, &labels);
+    }
+
+    /// Counts a decision about an answer of a smaller model.
+    pub fn record_escalation(&self, route: &str, decision: &'static str) {
+        let route = KeyValue::new("route", route.to_owned());
+        self.load
+            .escalations
+            .add(1, &[route, KeyValue::new("decision", decision)]);
+    }
+
     /// Counts a change of the judgement of a version that is rolled out.
     pub fn record_rollout_verdict(&self, service: &ids::ServiceName, verdict: &'static str) {
         let service = KeyValue::new("service", service.to_string());
--- a/tests/integration/direct/balance.rs
+++ b/tests/integration/direct/balance.rs
@@ -66,6 +66,8 @@
         }),
         share: Share::clamped(1.0),
         max_delay: Duration::ZERO,
+        writing: Duration::ZERO,
+        spread: Fingerprint(0),
         now: Moment::from_millis(at),
     }
 }
@@ -96,6 +98,7 @@
                     ReportedLoad {
                         running: 4,
                         waiting: 3,
+                        ..ReportedLoad::default()
                     },
                     now,
                 );
@@ -338,6 +341,7 @@
                 let load = ReportedLoad {
                     running: 1,
                     waiting: 0,
+                    ..ReportedLoad::default()
                 };
                 endpoint.live.record_load(load, now);
             },
--- a/tests/integration/direct/pace.rs
+++ b/tests/integration/direct/pace.rs
@@ -127,6 +127,8 @@
         let load = ReportedLoad {
             running: count(self.running.len() + 1),
             waiting: count(self.queue.len()),
+            slots: None,
+            work_time: None,
         };
         job.view.live.record_load(load, now);
         job.view.live.record_activity(now);
