--- a/src/peers/handler.rs
+++ b/src/peers/handler.rs
@@ -77,7 +77,7 @@
     async fn answer(&self, poll: &peers::Poll, arrived: runtime::Moment) -> peers::PollAnswer {
         let deadline = Instant::now() + MAX_HOLD;
         loop {
-            let changed = self.relays.listen();
+            let changed = self.relays.listen(poll.source);
             let now = runtime::Moment::now();
             let answer = self
                 .relays
--- a/src/peers/relays.rs
+++ b/src/peers/relays.rs
@@ -10,35 +10,46 @@
 /// One [`peers::RelayLog`] for each topic.
 #[derive(Debug, Default)]
 pub struct Relays {
-    operator: Mutex<peers::RelayLog>,
-    endpoints: Mutex<peers::RelayLog>,
-    reports: Mutex<peers::RelayLog>,
+    operator: Topic,
+    endpoints: Topic,
+    reports: Topic,
+}
+
+#[derive(Debug, Default)]
+struct Topic {
+    log: Mutex<peers::RelayLog>,
     changed: Event,
 }
 
+impl Topic {
+    fn lock(&self) -> MutexGuard<'_, peers::RelayLog> {
+        self.log.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 impl Relays {
-    fn lock(&self, source: direct::Source) -> MutexGuard<'_, peers::RelayLog> {
-        let log = match source {
+    const fn topic(&self, source: direct::Source) -> &Topic {
+        match source {
             direct::Source::Operator => &self.operator,
             direct::Source::Endpoints => &self.endpoints,
             direct::Source::Reports => &self.reports,
-        };
-        log.lock().unwrap_or_else(PoisonError::into_inner)
+        }
     }
 
     /// Changes the log of a topic and notifies the polls that wait.
     pub fn update(&self, source: direct::Source, change: impl FnOnce(&mut peers::RelayLog)) {
-        change(&mut self.lock(source));
-        self.changed.notify(usize::MAX);
+        let topic = self.topic(source);
+        change(&mut topic.lock());
+        topic.changed.notify(usize::MAX);
     }
 
-    /// Returns a listener for the next change of any topic.
-    pub fn listen(&self) -> EventListener {
-        self.changed.listen()
+    /// Returns a listener for the next change of a topic.
+    pub fn listen(&self, source: direct::Source) -> EventListener {
+        self.topic(source).changed.listen()
     }
 
     /// Returns what `read` finds in the log of a topic.
     pub fn read<T>(&self, source: direct::Source, read: impl FnOnce(&peers::RelayLog) -> T) -> T {
-        read(&self.lock(source))
+        read(&self.topic(source).lock())
     }
 }
