An endpoint that recovers is not left idle for its past failures and slowness

Change: the limit ends only with an answer about as fast as before; a try goes out whatever the failures before it; answers of a rising endpoint lower its failure rate as fast as they move its means.

--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -355,7 +355,7 @@
         };
         add_sample(&mut state.mean_first_byte_ms, first, weight);
         add_sample(&mut state.mean_wait_ms, wait, weight);
-        state.failure_share *= 1.0 - MEAN_WEIGHT;
+        state.failure_share *= 1.0 - weight;
     }
 
     /// Records a failed attempt. `cold` is how long the endpoint is cold if the failure was a
@@ -414,7 +414,12 @@
                 .wait(state.expected_wait(now), &state.observed(now), now),
             pending_reading: state.pending_reading,
             unread: reading.map(|reading| reading.unread(&state.cached, now)),
-            failure_share: state.failure_share,
+            // A try is due however the attempts before it went.
+            failure_share: if state.pacer.is_probing() {
+                0.0
+            } else {
+                state.failure_share
+            },
         }
     }
 
--- a/src/balance/pace/life_cycle.rs
+++ b/src/balance/pace/life_cycle.rs
@@ -14,6 +14,9 @@
 
 /// Multiple of the usual wait above which an answer is late.
 const LATE_FACTOR: f64 = 2.0;
+/// Multiple of the usual wait up to which an endpoint is as fast as before. One that is
+/// slower keeps its limit, which rises beyond what it gets, and is tried again when idle.
+const USUAL_FACTOR: f64 = 1.25;
 /// Usual wait below which noise of links and timers would count as lateness.
 const MIN_USUAL: Duration = Duration::from_millis(40);
 /// Late answers in sequence after which the limit rises slowly: the endpoint is slower than
@@ -286,7 +289,9 @@
         let proven = bounds.part(running * 2.0).get();
         let proven = if running > 1.0 { proven } else { 0.0 };
         self.state.limit = pace::Limit::clamped((limit + step).max(proven));
-        if running >= bounds.slots() || self.state.limit >= bounds.full() {
+        let is_usual = answer.wait <= usual.max(MIN_USUAL).mul_f64(USUAL_FACTOR);
+        let is_loaded = running >= bounds.slots() || self.state.limit >= bounds.full();
+        if is_usual && is_loaded {
             return Step::Full(Pace { state: Full });
         }
         Step::Up(self)
--- a/src/balance/pace/pacer.rs
+++ b/src/balance/pace/pacer.rs
@@ -171,6 +171,12 @@
         pace::Stage::from(self.pace) == pace::Stage::Rising
     }
 
+    /// Whether a request finds out whether the endpoint works again.
+    #[must_use]
+    pub fn is_probing(&self) -> bool {
+        pace::Stage::from(self.pace) == pace::Stage::Probing
+    }
+
     /// Takes the last change for the log; `None` if there is none since the last call.
     pub const fn take_change(&mut self) -> Option<pace::Change> {
         self.change.take()
