A small share of a returned endpoint is used once a second

Cause: late answers hold the limit, and an entry with a small share sent one request in up to four seconds meanwhile: an endpoint that returns slower from a pause was nearly closed for a quarter of a minute.

Change: at most a second between two requests of an entry.

--- a/src/balance/pace/life_cycle.rs
+++ b/src/balance/pace/life_cycle.rs
@@ -27,7 +27,7 @@
 const IDLE_FACTOR: u32 = 4;
 /// Longest time between two requests of an entry, however small its share is: a newcomer
 /// may have none.
-const MAX_INTERVAL: Duration = Duration::from_secs(4);
+const MAX_INTERVAL: Duration = Duration::from_secs(1);
 /// Fraction to which trouble lowers the limit.
 const DECREASE: f64 = 0.5;
 /// Time granted to the request that tries a failed endpoint, until another one may.
--- a/tests/integration/direct/pace.rs
+++ b/tests/integration/direct/pace.rs
@@ -434,7 +434,7 @@
         case("a tenth, after its interval", 0.1, true, 1_000, true),
         case("a tenth, not answered", 0.1, false, 1_000, false),
         case("no share, at once", 0.0, true, 0, false),
-        case("no share, later", 0.0, true, 4_000, true),
+        case("no share, later", 0.0, true, 1_000, true),
     ];
     for case in cases {
         let view = endpoint("e", "north");
