--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -329,12 +329,6 @@
         self.lock().reachability = Reachability::Unreachable;
     }
 
-    /// Whether the endpoint has requests of this entry and exceeds the silence timeout.
-    #[must_use]
-    pub fn is_silent(&self, now: runtime::Moment) -> bool {
-        self.lock().is_silent(now)
-    }
-
     /// Returns what a waiting request has to do. `Probe` goes to one request at a
     /// time and is repeated when no result arrives within the probe timeout.
     #[must_use]
@@ -389,7 +383,7 @@
         if let Some(speed) = &mut state.speed {
             speed.record(first, reading);
         }
-        state.failure_share *= 1.0 - MEAN_WEIGHT;
+        state.failure_share *= 1.0 - weight;
     }
 
     /// Records a failed attempt. `cold` is how long the endpoint is cold if the failure was a
@@ -455,7 +449,12 @@
                 .wait(state.expected_wait(now), &state.observed(now), now),
             pending_reading: state.pending_reading,
             unread: reading.map(|reading| reading.unread(&state.cached, now)),
-            failure_share: state.failure_share,
+            // A try is due however the attempts before it went.
+            failure_share: if state.pacer.is_probing() {
+                0.0
+            } else {
+                state.failure_share
+            },
             own_load: state.in_flight,
             slots: report.and_then(|(load, ..)| load.slots),
             load_age: report.map(|(_, at, _)| now.saturating_since(at)),
