Slots of a record cannot overflow the sum; a request that may have run is not refused

Cause: a record that states 4,294,967,295 slots made the sum over endpoints overflow, so requests beside it ended without an answer. A request whose first attempt had failed could be refused a second one because places run short. Change: the sum is a float; after an attempt that may have run the choice is as before.

--- a/src/gateway/wait.rs
+++ b/src/gateway/wait.rs
@@ -140,7 +140,8 @@
     view: Arc<direct::ServiceView>,
 ) -> Option<(Arc<direct::ServiceView>, balance::Choice)> {
     let now = runtime::Moment::now();
-    if !knows_room(call, &view, now) {
+    // A request that may have run cannot be refused any more.
+    if call.attempts > 0 || !knows_room(call, &view, now) {
         let choice = call.choose(&view)?;
         return Some((view, choice));
     }
--- a/src/room/supply.rs
+++ b/src/room/supply.rs
@@ -73,9 +73,9 @@
             .filter_map(|place| place.work)
             .fold((Duration::ZERO, 0), |(sum, n), work| (sum + work, n + 1));
         let work = sum.checked_div(known).unwrap_or(DEFAULT_WORK).max(MIN_WORK);
-        let slots: u32 = usable().map(|place| place.slots).sum();
+        let slots: f64 = usable().map(|place| f64::from(place.slots)).sum();
         // Many entries share few places, but most have no request at the moment.
-        let own_slots = (f64::from(slots) * share.get()).max(1.0);
+        let own_slots = (slots * share.get()).max(1.0);
         Self {
             open: count(|opening| matches!(opening, Now)),
             unknown: count(|opening| matches!(opening, Unknown)),
--- a/tests/integration/direct/room/order.rs
+++ b/tests/integration/direct/room/order.rs
@@ -150,7 +150,8 @@
             .iter()
             .map(|opening| Place {
                 opening: *opening,
-                slots: 6,
+                // As many as a record can state: their sum must not overflow.
+                slots: u32::MAX,
                 work: Some(ms(30)),
                 wait: ms(0),
                 report_age: None,
