Tests of crowds that keep to no limit, at a direct entry

Fourteen tests start the process with 48 MB and 2,400 descriptors, hold a crowd of 100 to 900 connections open, and check that the process lives, its peak of resident memory and its open descriptors, and that an ordinary caller is answered within 20 attempts. They run one at a time.

--- a/tests/integration/direct/site.rs
+++ b/tests/integration/direct/site.rs
@@ -177,6 +177,11 @@
 impl Entry {
     /// Starts a process that uses the store at `store`.
     pub fn spawn(name: &str, store: SocketAddr) -> Self {
+        Self::spawn_with(name, store, "")
+    }
+
+    /// Like `spawn`, with further tables at the end of the settings.
+    pub fn spawn_with(name: &str, store: SocketAddr, tables: &str) -> Self {
         let (callers, readiness) = (isolation::free_addr(), isolation::free_addr());
         let settings = SETTINGS
             .replace(NAME, name)
@@ -184,7 +189,7 @@
             .replace("127.0.0.1:2", &readiness.to_string())
             .replace("127.0.0.1:3", &store.to_string());
         let path = isolation::create_test_dir().join("settings.toml");
-        fs::write(&path, settings).unwrap();
+        fs::write(&path, settings + tables).unwrap();
         Self {
             process: Process::spawn(path),
             callers,
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -13,6 +13,7 @@
 mod catalog;
 mod cli;
 mod control_proofs;
+mod crowd;
 mod daemon;
 mod demo;
 mod direct;
--- a/tests/integration/testing/process.rs
+++ b/tests/integration/testing/process.rs
@@ -54,11 +54,24 @@
 
     /// Returns the resident memory of the process; 0 once it has ended.
     pub fn resident_bytes(&self) -> u64 {
+        self.status_bytes("VmRSS:")
+    }
+
+    /// Returns the most memory that was resident so far; 0 once the process has ended.
+    pub fn peak_resident_bytes(&self) -> u64 {
+        self.status_bytes("VmHWM:")
+    }
+
+    /// Returns the number of open descriptors of the process; 0 once it has ended.
+    pub fn descriptors(&self) -> usize {
+        let open = fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        open.map_or(0, Iterator::count)
+    }
+
+    fn status_bytes(&self, field: &str) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let kilobytes = status.ok().and_then(|status| {
-            let line = status
-                .lines()
-                .find_map(|line| line.strip_prefix("VmRSS:"))?;
+            let line = status.lines().find_map(|line| line.strip_prefix(field))?;
             line.trim().trim_end_matches(" kB").parse::<u64>().ok()
         });
         kilobytes.unwrap_or_default() * 1_024
