--- a/tests/integration/crowd/client.rs
+++ b/tests/integration/crowd/client.rs
@@ -115,3 +115,11 @@
         true
     }
 }
+
+/// Returns `count` chunks of a chunked body, of `size` bytes each.
+pub fn chunks(size: usize, count: usize) -> Vec<u8> {
+    let mut chunk = format!("{size:x}\r\n").into_bytes();
+    chunk.resize(chunk.len() + size, b'x');
+    chunk.extend_from_slice(b"\r\n");
+    chunk.repeat(count)
+}
--- a/tests/integration/crowd/direct.rs
+++ b/tests/integration/crowd/direct.rs
@@ -4,7 +4,7 @@
 
 use hyper::Method;
 
-use crate::crowd::client::{Crowd, Script};
+use crate::crowd::client::{self, Crowd, Script};
 use crate::crowd::site::{MAX_BODY, Site};
 use crate::direct::endpoint::Behaviour;
 
@@ -56,13 +56,6 @@
     head("POST", "transfer-encoding: chunked\r\n")
 }
 
-fn chunks(size: usize, count: usize) -> Vec<u8> {
-    let mut chunk = format!("{size:x}\r\n").into_bytes();
-    chunk.resize(chunk.len() + size, b'x');
-    chunk.extend_from_slice(b"\r\n");
-    chunk.repeat(count)
-}
-
 /// Returns the head of a request without its end, of about `size` bytes.
 fn endless_head(size: usize) -> String {
     let mut text = head("GET", "").trim_end().to_owned();
@@ -104,13 +97,13 @@
 
 #[test]
 fn bodies_in_large_chunks_that_stop_short_leave_room() {
-    let script = Script::whole(&chunked(), &chunks(CHUNK, 15));
+    let script = Script::whole(&chunked(), &client::chunks(CHUNK, 15));
     Case::new("large chunks", FEW, script).check();
 }
 
 #[test]
 fn bodies_in_chunks_of_one_byte_that_stop_short_leave_room() {
-    let script = Script::whole(&chunked(), &chunks(1, 16_000));
+    let script = Script::whole(&chunked(), &client::chunks(1, 16_000));
     Case::new("chunks of one byte", MANY, script).check();
 }
 
@@ -122,7 +115,7 @@
 
 #[test]
 fn bodies_sent_over_the_limit_leave_room() {
-    let script = Script::whole(&chunked(), &chunks(CHUNK, 40));
+    let script = Script::whole(&chunked(), &client::chunks(CHUNK, 40));
     Case::new("sent over the limit", FEW, script).check();
 }
 
--- a/tests/integration/crowd/mod.rs
+++ b/tests/integration/crowd/mod.rs
@@ -3,4 +3,5 @@
 
 mod client;
 mod direct;
+mod entry;
 mod site;
--- a/tests/integration/crowd/site.rs
+++ b/tests/integration/crowd/site.rs
@@ -1,6 +1,5 @@
 //! Test site with little memory and few descriptors.
 
-use std::fs;
 use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
@@ -91,21 +90,23 @@
 
     /// Checks that the process lives and has kept to its memory and descriptors.
     pub fn check_process(&mut self, name: &str) {
-        let status = self.process.exit_status();
-        assert!(status.is_none(), "{name}: {status:?}");
-        let (peak, open) = (
-            self.process.peak_resident_bytes(),
-            self.process.descriptors(),
-        );
-        println!("{name}: peak {peak} bytes, {open} descriptors");
-        assert!(peak < MEMORY, "{name}: {peak} bytes");
-        assert!(open <= DESCRIPTORS - 200, "{name}: {open} descriptors");
+        check_process(&mut self.process, name, MEMORY, DESCRIPTORS - 200);
         assert!(site::is_ready(self.readiness), "{name}: not ready");
-        let logged = fs::read_to_string(&self.process.log_file).unwrap();
-        assert!(!logged.contains("panicked"), "{name}: {logged}");
     }
 }
 
+/// Checks that a process lives and has kept to so many bytes and descriptors.
+pub fn check_process(process: &mut Process, name: &str, memory: u64, descriptors: usize) {
+    let status = process.exit_status();
+    assert!(status.is_none(), "{name}: {status:?}");
+    let (peak, open) = (process.peak_resident_bytes(), process.descriptors());
+    println!("{name}: peak {peak} bytes, {open} descriptors");
+    assert!(peak < memory, "{name}: {peak} bytes");
+    assert!(open <= descriptors, "{name}: {open} descriptors");
+    let logged = process.logged();
+    assert!(!logged.contains("panicked"), "{name}: {logged}");
+}
+
 fn crowd_config() -> Value {
     let mut config = config(1);
     config["Limits"] = json!({ "MaxHeaderBytes": 8192, "MaxBodyBytes": MAX_BODY,
