Close connections without progress where memory or descriptors run short

Cause: heads, small bodies, read buffers and requests in progress counted nowhere; at the limit on connections the newcomer was dropped; with sidecars, a team's permit was taken before the body was read; a head could take the idle time.

Change: a table of connections with what each holds, from one budget; a pure choice of who is closed (http::eviction); time limits on heads (the configuration's, and 1 s) and on bodies without progress (5 s); permits after the body; 32 connections for readiness and metrics; reads of 8 KiB, so that the buffers of the HTTP library stay small until a body is large.

connections_over_the_limit_are_closed asserted that a newcomer is closed while all others idle, which is the fault. Its replacement asserts that no more than the limit are open, that exactly the longest idle ones were closed and that the newcomer is served, besides what it asserted before of later callers.

--- a/src/admin/api.rs
+++ b/src/admin/api.rs
@@ -145,7 +145,7 @@
     ) -> Result<http::Reply, admin::Failure> {
         let (head, body) = req.into_parts();
         let condition = admin::Condition::from_headers(&head.headers)?;
-        let body = http::read_request_body(body, self.limits, None).await?;
+        let body = http::read_request_body(body, &head.extensions, self.limits).await?;
         let object = object_json::parse(id.kind, &body)?;
         let request = ChangeRequest {
             id,
--- a/src/catalog/deployment.rs
+++ b/src/catalog/deployment.rs
@@ -14,6 +14,8 @@
     pub head: units::Bytes,
     /// Maximum size of a request's body.
     pub body: units::Bytes,
+    /// Time for a head from its first byte; `None` if the configuration states none.
+    pub head_time: Option<units::Millis>,
     /// Time for which a connection may be idle; `None` if the configuration states none.
     pub idle: Option<units::Millis>,
 }
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -46,9 +46,10 @@
     team: control::TeamView,
     req: Request<Incoming>,
 ) -> Result<model_request::ModelRequest, errors::Refusal> {
-    let permit = cx.admit(&team)?;
+    cx.check_admission(&team)?;
     let (head, body) = req.into_parts();
-    let body = http::read_request_body(body, cx.cfg.limits, Some(&cx.request_bodies)).await?;
+    let body = http::read_request_body(body, &head.extensions, cx.cfg.limits).await?;
+    let permit = cx.admit(&team)?;
     let chat = model_request::ChatRequest::parse(&body)?;
     let snapshot = cx.control.snapshot();
     let profile = snapshot.profiles.get(&chat.profile).ok_or_else(|| {
--- a/src/entry/cx.rs
+++ b/src/entry/cx.rs
@@ -40,8 +40,8 @@
     pub ratings: Arc<entry::Ratings>,
     /// Budget that limits the load which retries add.
     pub retry_budget: Mutex<route::RetryBudget>,
-    /// Memory for the bodies of requests.
-    pub request_bodies: Arc<http::BufferBudget>,
+    /// Memory for callers' connections and requests.
+    pub callers_memory: Arc<http::BufferBudget>,
     /// Number of running requests of each team.
     pub team_load: route::TeamLoad,
 }
@@ -52,6 +52,22 @@
         f(&mut self.outbox.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Refuses a request that [`Self::admit`] would refuse now, before its body is read. A
+    /// permit is taken only afterwards, so that callers who stop short hold none.
+    pub fn check_admission(&self, team: &control::TeamView) -> Result<(), errors::Refusal> {
+        self.check_outbox()?;
+        self.team_load.check(&team.name, team.max_concurrent)
+    }
+
+    fn check_outbox(&self) -> Result<(), errors::Refusal> {
+        if !self.with_outbox(|outbox| outbox.is_nearly_full()) {
+            return Ok(());
+        }
+        let code = errors::ResultCode::UsageQueueFull;
+        let reason = "usage cannot be put on record at present";
+        Err(errors::Refusal::new(code, reason).with_retry_after(RETRY_AFTER))
+    }
+
     /// Admits a new request, which occupies a slot of its team until the permit is
     /// dropped. Refuses it if the outbox is nearly full, as its usage might be lost, or
     /// if the team is at its limit.
@@ -59,13 +75,7 @@
         &self,
         team: &control::TeamView,
     ) -> Result<Arc<route::TeamPermit>, errors::Refusal> {
-        if self.with_outbox(|outbox| outbox.is_nearly_full()) {
-            return Err(errors::Refusal::new(
-                errors::ResultCode::UsageQueueFull,
-                "usage cannot be put on record at present",
-            )
-            .with_retry_after(RETRY_AFTER));
-        }
+        self.check_outbox()?;
         let permit = self.team_load.acquire(&team.name, team.max_concurrent)?;
         self.with_retry_budget(route::RetryBudget::credit_request);
         Ok(Arc::new(permit))
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -1,7 +1,7 @@
 //! Paths of the HTTP API for callers.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HeaderValue};
@@ -132,6 +132,15 @@
         ))
     }
 
+    fn overloaded(&self) -> http::Reply {
+        let code = errors::ResultCode::Overloaded;
+        let refusal = errors::Refusal::new(code, "there is no memory for the request now")
+            .with_retry_after(http::MEMORY_RETRY_AFTER);
+        observe::metrics().record_end(Some(code), Duration::ZERO);
+        log::info!("route: request refused: {refusal}.");
+        chat::error_response(&refusal)
+    }
+
     async fn handle(&self, req: Request<Incoming>) -> http::Reply {
         let arrived = Instant::now();
         let id = ids::RequestId::generate();
--- a/src/entry/role.rs
+++ b/src/entry/role.rs
@@ -79,7 +79,7 @@
             calls: Arc::clone(&calls),
             ratings: Arc::clone(&ratings),
             retry_budget: Mutex::default(),
-            request_bodies: http::BufferBudget::new(cfg.limits.buffered_bytes),
+            callers_memory: http::BufferBudget::counting_all(cfg.limits.buffered_bytes),
             team_load: route::TeamLoad::default(),
         });
         let usage = Arc::new(usage::UsageWriter::new(Arc::clone(&cx), log.clone()));
@@ -113,7 +113,9 @@
             limits: cfg.limits,
         };
         let api = Arc::new(handler::CallerApi::new(Arc::clone(&cx), Arc::new(admin)));
-        let server = http::Server::bind(cfg.callers_addr, cfg.limits, &traffic, api).await?;
+        let memory = Arc::clone(&cx.callers_memory);
+        let server =
+            http::Server::bind_within(cfg.callers_addr, cfg.limits, &traffic, api, memory).await?;
         Ok(Self {
             cx,
             server,
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -93,7 +93,7 @@
             format!("the team may not call service {name}"),
         ));
     }
-    let permit = cx.admit(&team)?;
+    cx.check_admission(&team)?;
     let (head, body) = req.into_parts();
     let method: Arc<str> = head.method.as_str().into();
     let key = idempotency_key(service, &method, &head.headers)?;
@@ -103,7 +103,8 @@
     let priority = input::header(&head.headers, "x-quetzalworks-priority")
         .map(|text| input::parse_header(text, "x-quetzalworks-priority"))
         .transpose()?;
-    let body = http::read_request_body(body, cx.cfg.limits, Some(&cx.request_bodies)).await?;
+    let body = http::read_request_body(body, &head.extensions, cx.cfg.limits).await?;
+    let permit = cx.admit(&team)?;
     Ok(entry::ServiceRequest {
         id,
         team: team.name,
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -22,9 +22,9 @@
 /// old for the entry to be ready: requests with keys will soon be refused.
 const MAX_READY_AGE_FRACTION: f64 = 0.6;
 
-/// Fraction of the memory of the process for the bodies of requests, which are kept until
-/// their answers are complete.
-const REQUESTS_MEMORY: f64 = 0.45;
+/// Fraction of the memory for traffic that callers' connections and requests may hold;
+/// bodies are kept until their answers are complete.
+const CALLERS_MEMORY: f64 = 0.55;
 /// Fraction for the answers of endpoints.
 const ANSWERS_MEMORY: f64 = 0.2;
 
@@ -61,8 +61,8 @@
     settings: ArcSwap<settings::Direct>,
     /// Handle to the control thread, which publishes snapshots.
     pub control: control::Control<direct::Plane>,
-    /// Memory for the bodies of requests.
-    pub request_bodies: Arc<http::BufferBudget>,
+    /// Memory for callers' connections and requests.
+    pub callers_memory: Arc<http::BufferBudget>,
     /// Pools of connections to endpoints.
     pub pools: pools::Pools,
     services: Mutex<HashMap<ids::ServiceName, ServiceState>>,
@@ -81,10 +81,12 @@
         control: control::Control<direct::Plane>,
         traffic: runtime::Traffic,
     ) -> Arc<Self> {
+        let resident = runtime::resident_bytes();
+        let part = |fraction| settings.traffic_memory(resident, fraction);
         Arc::new(Self {
             control,
-            pools: pools::Pools::new(traffic, settings.memory_part(ANSWERS_MEMORY)),
-            request_bodies: http::BufferBudget::new(settings.memory_part(REQUESTS_MEMORY)),
+            pools: pools::Pools::new(traffic, part(ANSWERS_MEMORY)),
+            callers_memory: http::BufferBudget::counting_all(part(CALLERS_MEMORY)),
             services: Mutex::default(),
             settings: ArcSwap::from_pointee(settings),
             stop_began_ms: AtomicU64::new(0),
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -5,6 +5,7 @@
 
 use hyper::body::{Body as _, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::http::Extensions;
 use hyper::{HeaderMap, Request};
 use smol::Timer;
 
@@ -24,6 +25,10 @@
 /// Time limit for a request's body, where the deadline of the request is not earlier.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time without progress after which a body is given up; several retransmissions of a lost
+/// packet take less.
+const BODY_STALL: Duration = Duration::from_secs(5);
+
 /// Earliest `Retry-After` for a request whose body does not fit into memory now.
 const BODY_RETRY_AFTER: units::Millis = units::Millis(300);
 
@@ -50,6 +55,14 @@
         ))
     }
 
+    fn overloaded(&self) -> http::Reply {
+        let mut trace = trace::Trace::begin("-".into());
+        let code = errors::ResultCode::Overloaded;
+        let refusal = errors::Refusal::new(code, "there is no memory for the request now");
+        let after = self.0.book_return(BODY_RETRY_AFTER, BODY_TIMEOUT);
+        refuse::refuse(&mut trace, &refusal.with_retry_after(after))
+    }
+
     async fn handle(&self, req: Request<Incoming>) -> http::Reply {
         // Boxed, so that an idle connection does not hold memory for the future.
         let mut reply = Box::pin(self.answer(req)).await;
@@ -102,7 +115,12 @@
         let deadline = arrived + time_limit.duration();
         let (head, body) = req.into_parts();
         let body = match self
-            .read_body(body, &admitted.deployment.limits, deadline)
+            .read_body(
+                body,
+                &head.extensions,
+                &admitted.deployment.limits,
+                deadline,
+            )
             .await
         {
             Ok(body) => body,
@@ -162,6 +180,7 @@
     async fn read_body(
         &self,
         body: Incoming,
+        extensions: &Extensions,
         limits: &catalog::CallerLimits,
         deadline: Instant,
     ) -> Result<hyper::body::Bytes, errors::Refusal> {
@@ -169,7 +188,7 @@
             return Ok(hyper::body::Bytes::new());
         }
         let body_deadline = deadline.min(Instant::now() + BODY_TIMEOUT);
-        let read = http::read_body(body, limits.body, Some(&self.0.request_bodies));
+        let read = http::receive_body(body, extensions, limits.body, BODY_STALL);
         let (code, reason) = match runtime::timeout_at(body_deadline, read).await {
             Some(Ok(body)) => return Ok(body),
             Some(Err(http::HttpError::TooLarge)) => {
@@ -182,11 +201,11 @@
                 let after = self.0.book_return(BODY_RETRY_AFTER, time_left);
                 return Err(refusal.with_retry_after(after));
             }
-            Some(Err(_)) => (errors::ResultCode::MalformedRequest, "the body broke off"),
-            None => (
+            Some(Err(http::HttpError::TimedOut)) | None => (
                 errors::ResultCode::SlowRequest,
                 "the body was not sent in time",
             ),
+            Some(Err(_)) => (errors::ResultCode::MalformedRequest, "the body broke off"),
         };
         Err(errors::Refusal::new(code, reason).with_retry_after(units::Millis(0)))
     }
--- a/src/gateway/role.rs
+++ b/src/gateway/role.rs
@@ -19,7 +19,7 @@
 use crate::settings;
 use crate::units;
 
-/// Interval at which idle connections are closed and the idle time of callers is updated
+/// Interval at which idle connections are closed and the time limits of callers are updated
 /// from the configuration.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Time from the begin of a planned stop to the close of idle connections. Until then
@@ -35,6 +35,13 @@
 /// Maximum head that is read; the limit of the configuration is checked afterwards.
 const MAX_HEAD_SIZE: units::Bytes = units::Bytes(32 * 1_024);
 
+/// Limits on readiness checks and metrics. Their connections are few, so that a crowd at
+/// these addresses takes neither memory nor descriptors from callers.
+const CONTROL_LIMITS: settings::Limits = settings::Limits {
+    max_connections: 32,
+    ..settings::Limits::DEFAULT
+};
+
 /// A running direct entry. Dropping it stops its tasks.
 #[derive(Debug)]
 pub struct Gateway {
@@ -67,13 +74,15 @@
             ..settings::Limits::default()
         };
         let caller_handler = Arc::new(handler::CallerHandler(Arc::clone(&cx)));
+        let memory = Arc::clone(&cx.callers_memory);
+        let addr = settings.callers_addr;
         let callers =
-            http::Server::bind(settings.callers_addr, limits, traffic, caller_handler).await?;
+            http::Server::bind_within(addr, limits, traffic, caller_handler, memory).await?;
         let callers = Arc::new(callers);
         let readiness_handler = Arc::new(readiness::Readiness(Arc::clone(&cx)));
         let readiness = http::Server::bind(
             settings.readiness_addr,
-            settings::Limits::default(),
+            CONTROL_LIMITS,
             traffic,
             readiness_handler,
         )
@@ -81,8 +90,7 @@
         let metrics = match settings.metrics_addr {
             Some(addr) => {
                 let page = Arc::new(observe::MetricsHandler);
-                let limits = settings::Limits::default();
-                Some(http::Server::bind(addr, limits, traffic, page).await?)
+                Some(http::Server::bind(addr, CONTROL_LIMITS, traffic, page).await?)
             }
             None => None,
         };
@@ -161,7 +169,7 @@
     }
 }
 
-/// Closes idle connections to endpoints and updates the idle time of callers, at every
+/// Closes idle connections to endpoints and updates the time limits of callers, at every
 /// interval.
 async fn sweep(cx: Arc<gateway::Cx>, callers: Arc<http::Server>) {
     loop {
@@ -169,7 +177,10 @@
         let snapshot = cx.control.snapshot();
         cx.pools.sweep(&snapshot);
         let deployment = snapshot.deployment.as_ref();
-        let idle = deployment.and_then(|known| known.limits.idle);
+        let limits = deployment.map(|known| &known.limits);
+        let idle = limits.and_then(|limits| limits.idle);
         callers.set_idle(idle.unwrap_or(CALLER_TIMEOUT));
+        let head_time = limits.and_then(|limits| limits.head_time);
+        callers.set_head_time(head_time.unwrap_or(CALLER_TIMEOUT));
     }
 }
--- a/src/http/body_buffer.rs
+++ b/src/http/body_buffer.rs
@@ -17,30 +17,36 @@
 }
 
 impl BodyBuffer {
-    /// Creates a buffer for at most `limit` bytes, and reserves `expected` bytes, the stated
-    /// length of the body. Without a budget only the limit holds.
-    pub fn new(
-        limit: units::Bytes,
-        expected: usize,
-        budget: Option<&Arc<buffer_budget::BufferBudget>>,
-    ) -> Result<Self, http::HttpError> {
-        let mut buffer = Self {
+    /// Creates an empty buffer for at most `limit` bytes. Without a budget only the limit
+    /// holds.
+    #[must_use]
+    pub fn new(limit: units::Bytes, budget: Option<&Arc<buffer_budget::BufferBudget>>) -> Self {
+        Self {
             buf: Vec::new(),
             limit: limit.as_usize(),
             reservation: budget.map(buffer_budget::BufferBudget::begin),
-        };
-        buffer.grow_to(expected)?;
-        Ok(buffer)
+        }
+    }
+
+    /// Makes room for `additional` bytes. Fails, and changes nothing, if the body would be
+    /// over its limit, or all bodies over their budget.
+    pub fn reserve(&mut self, additional: usize) -> Result<(), http::HttpError> {
+        self.grow_to(self.buf.len().saturating_add(additional))
     }
 
-    /// Adds bytes of the body. Fails if it is over its limit, or all bodies are over their
-    /// budget.
+    /// Adds bytes of the body. Fails like [`Self::reserve`].
     pub fn push(&mut self, chunk: &[u8]) -> Result<(), http::HttpError> {
-        self.grow_to(self.buf.len() + chunk.len())?;
+        self.reserve(chunk.len())?;
         self.buf.extend_from_slice(chunk);
         Ok(())
     }
 
+    /// Returns the memory that the buffer holds, in bytes.
+    #[must_use]
+    pub fn capacity(&self) -> usize {
+        self.buf.capacity()
+    }
+
     fn grow_to(&mut self, len: usize) -> Result<(), http::HttpError> {
         if len > self.limit {
             return Err(http::HttpError::TooLarge);
--- a/src/http/buffer_budget.rs
+++ b/src/http/buffer_budget.rs
@@ -8,38 +8,80 @@
 
 use crate::units;
 
-/// Size up to which a body is not counted, so that large bodies do not keep out small ones.
-const UNCOUNTED_BYTES: usize = 16 * 1_024;
+/// Size up to which a body is small. Large bodies do not keep out small ones.
+const SMALL_BYTES: usize = 16 * 1_024;
+/// Divisor of a budget that yields the part which large bodies leave to others.
+const RESERVED_PART: usize = 4;
 
 /// Memory for bodies, from which each buffer reserves what it holds.
 #[derive(Debug)]
 pub struct BufferBudget {
     limit: usize,
+    /// Limit for large bodies; at most `limit`.
+    large_limit: usize,
+    /// Whether small bodies count.
+    counts_small: bool,
     used: AtomicUsize,
     /// Budget of which this one is a part.
     parent: Option<Arc<Self>>,
+    released: event_listener::Event,
 }
 
 impl BufferBudget {
-    /// Creates a budget.
+    /// Creates a budget that does not count bodies up to 16 KiB.
     #[must_use]
     pub fn new(limit: units::Bytes) -> Arc<Self> {
-        Arc::new(Self {
-            limit: limit.as_usize(),
+        Arc::new(Self::with(limit.as_usize(), limit.as_usize(), false, None))
+    }
+
+    /// Creates a budget that counts everything, and of which bodies over 16 KiB leave a
+    /// quarter to others.
+    #[must_use]
+    pub fn counting_all(limit: units::Bytes) -> Arc<Self> {
+        let limit = limit.as_usize();
+        let large_limit = limit - limit / RESERVED_PART;
+        Arc::new(Self::with(limit, large_limit, true, None))
+    }
+
+    fn with(
+        limit: usize,
+        large_limit: usize,
+        counts_small: bool,
+        parent: Option<Arc<Self>>,
+    ) -> Self {
+        Self {
+            limit,
+            large_limit,
+            counts_small,
             used: AtomicUsize::new(0),
-            parent: None,
-        })
+            parent,
+            released: event_listener::Event::new(),
+        }
+    }
+
+    /// Returns the limit on reserved bytes.
+    #[must_use]
+    pub const fn limit(&self) -> units::Bytes {
+        units::Bytes(self.limit as u64)
+    }
+
+    /// Returns a future that completes at the next release after this call.
+    pub fn released(&self) -> event_listener::EventListener {
+        self.released.listen()
     }
 
     /// Creates a budget whose reservations also count against this one, with a limit of this
     /// one's divided by `divisor`.
     #[must_use]
     pub fn part(self: &Arc<Self>, divisor: usize) -> Arc<Self> {
-        Arc::new(Self {
-            limit: self.limit / divisor.max(1),
-            used: AtomicUsize::new(0),
-            parent: Some(Arc::clone(self)),
-        })
+        let (limit, large_limit) = (self.limit, self.large_limit);
+        let divisor = divisor.max(1);
+        Arc::new(Self::with(
+            limit / divisor,
+            large_limit / divisor,
+            self.counts_small,
+            Some(Arc::clone(self)),
+        ))
     }
 
     /// Returns the number of reserved bytes.
@@ -57,16 +99,24 @@
         }
     }
 
-    fn take(&self, bytes: usize) -> bool {
+    fn take(&self, bytes: usize, is_large: bool) -> bool {
+        let limit = if is_large {
+            self.large_limit
+        } else {
+            self.limit
+        };
         let taken = self
             .used
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, |used| {
-                used.checked_add(bytes).filter(|sum| *sum <= self.limit)
+                used.checked_add(bytes).filter(|sum| *sum <= limit)
             });
         if taken.is_err() {
             return false;
         }
-        let is_taken = self.parent.as_ref().is_none_or(|parent| parent.take(bytes));
+        let is_taken = self
+            .parent
+            .as_ref()
+            .is_none_or(|parent| parent.take(bytes, is_large));
         if !is_taken {
             self.used.fetch_sub(bytes, Ordering::AcqRel);
         }
@@ -75,6 +125,9 @@
 
     fn release(&self, bytes: usize) {
         self.used.fetch_sub(bytes, Ordering::AcqRel);
+        if bytes > 0 {
+            self.released.notify(usize::MAX);
+        }
         if let Some(parent) = &self.parent {
             parent.release(bytes);
         }
@@ -89,13 +142,42 @@
 }
 
 impl Reservation {
-    /// Changes the reservation to that of a buffer of this size. Returns false, and changes
+    /// Returns the number of reserved bytes.
+    #[must_use]
+    pub const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Changes the reservation to that of a body of this size. Returns false, and changes
     /// nothing, if the budget does not allow it.
     #[must_use]
     pub fn resize(&mut self, size: usize) -> bool {
-        let bytes = if size > UNCOUNTED_BYTES { size } else { 0 };
+        let is_large = size > SMALL_BYTES;
+        let bytes = if is_large || self.budget.counts_small {
+            size
+        } else {
+            0
+        };
+        self.resize_to(bytes, is_large)
+    }
+
+    /// Changes the reservation to this size, which is no body and always counts. Returns
+    /// false, and changes nothing, if the budget does not allow it.
+    #[must_use]
+    pub fn resize_exactly(&mut self, bytes: usize) -> bool {
+        self.resize_to(bytes, false)
+    }
+
+    /// Adds bytes that count like those of a large body. Returns false, and changes nothing,
+    /// if the budget does not allow it.
+    #[must_use]
+    pub fn add_large(&mut self, bytes: usize) -> bool {
+        self.resize_to(self.bytes + bytes, true)
+    }
+
+    fn resize_to(&mut self, bytes: usize, is_large: bool) -> bool {
         if bytes > self.bytes {
-            if !self.budget.take(bytes - self.bytes) {
+            if !self.budget.take(bytes - self.bytes, is_large) {
                 return false;
             }
         } else {
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -369,7 +369,7 @@
     /// Returns the complete body. Fails if it is larger than `limit`, or the answers of the
     /// server do not fit into their budget.
     pub async fn bytes(mut self, limit: units::Bytes) -> Result<Bytes, http::HttpError> {
-        let mut buffer = http::BodyBuffer::new(limit, 0, self.budget.as_ref())?;
+        let mut buffer = http::BodyBuffer::new(limit, self.budget.as_ref());
         while let Some(chunk) = self.chunk().await? {
             buffer.push(&chunk)?;
         }
--- a/src/http/reply.rs
+++ b/src/http/reply.rs
@@ -118,7 +118,8 @@
     B::Error: std::fmt::Display,
 {
     let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    let mut buffer = http::BodyBuffer::new(limit, stated, budget)?;
+    let mut buffer = http::BodyBuffer::new(limit, budget);
+    buffer.reserve(stated)?;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|err| http::HttpError::Broken(err.to_string().into()))?;
         if let Some(data) = frame.data_ref() {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -14,13 +14,13 @@
 use hyper::service::{HttpService, service_fn};
 use hyper::{Request, StatusCode};
 use smol::channel::{self, Receiver, Sender};
-use smol::future::FutureExt;
+use smol::future::{self, FutureExt};
 use smol::net::{TcpListener, TcpStream};
 use smol::{Task, Timer};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::http;
-use crate::http::stall;
+use crate::http::{connection, connection_table, held_body, stall};
 use crate::runtime;
 use crate::settings;
 use crate::units;
@@ -38,6 +38,11 @@
 /// a bare 431.
 const HEAD_SLACK: usize = 16 * 1_024;
 
+/// Time that the network may add to that of a head which its caller sent in time.
+const HEAD_MARGIN: Duration = Duration::from_secs(1);
+/// Interval at which an evicted connection checks whether its last request has ended.
+const EVICTION_POLL_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Handler of the requests that a [`Server`] receives.
 pub trait Handler: Send + Sync + 'static {
     /// Returns the reply to one request. Called concurrently for requests of different
@@ -53,6 +58,13 @@
             "the process stops; the outcome is unknown\n",
         )
     }
+
+    /// Returns the reply to a request for which there is no memory, and which is not
+    /// handled. It must promise that the request was not executed.
+    fn overloaded(&self) -> http::Reply {
+        let text = "there is no memory for the request now\n";
+        http::full(StatusCode::SERVICE_UNAVAILABLE, "text/plain", text)
+    }
 }
 
 /// A running server. Dropping it stops accepting and closes open connections after their
@@ -64,6 +76,7 @@
     ending: Sender<Infallible>,
     active: Arc<AtomicUsize>,
     idle_ms: Arc<AtomicU64>,
+    head_ms: Arc<AtomicU64>,
     _accept: Task<()>,
 }
 
@@ -76,7 +89,23 @@
         traffic: &runtime::Traffic,
         handler: Arc<H>,
     ) -> io::Result<Self> {
-        Self::bind_with(addr, limits, traffic, handler, http::Connections::default()).await
+        let connections = http::Connections::default();
+        let table = connection_table::ConnectionTable::new(None);
+        Self::bind_on(addr, limits, traffic, handler, connections, table).await
+    }
+
+    /// Like [`Server::bind`], with the memory for all connections and requests. Where it is
+    /// short, those are closed that hold most for longest without progress.
+    pub async fn bind_within<H: Handler>(
+        addr: SocketAddr,
+        limits: settings::Limits,
+        traffic: &runtime::Traffic,
+        handler: Arc<H>,
+        budget: Arc<http::BufferBudget>,
+    ) -> io::Result<Self> {
+        let connections = http::Connections::default();
+        let table = connection_table::ConnectionTable::new(Some(budget));
+        Self::bind_on(addr, limits, traffic, handler, connections, table).await
     }
 
     /// Like [`Server::bind`], with a handle that can sever all connections.
@@ -86,6 +115,18 @@
         traffic: &runtime::Traffic,
         handler: Arc<H>,
         connections: http::Connections,
+    ) -> io::Result<Self> {
+        let table = connection_table::ConnectionTable::new(None);
+        Self::bind_on(addr, limits, traffic, handler, connections, table).await
+    }
+
+    async fn bind_on<H: Handler>(
+        addr: SocketAddr,
+        limits: settings::Limits,
+        traffic: &runtime::Traffic,
+        handler: Arc<H>,
+        connections: http::Connections,
+        table: Arc<connection_table::ConnectionTable>,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(addr).await?;
         let addr = listener.local_addr()?;
@@ -93,6 +134,7 @@
         let (ending, ended) = channel::bounded(1);
         let active = Arc::new(AtomicUsize::new(0));
         let idle_ms = Arc::new(AtomicU64::new(limits.send_timeout_ms.0));
+        let head_ms = Arc::new(AtomicU64::new(limits.send_timeout_ms.0));
         let acceptor = Acceptor {
             listener,
             limits,
@@ -102,7 +144,9 @@
             ended,
             active: Arc::clone(&active),
             idle_ms: Arc::clone(&idle_ms),
+            head_ms: Arc::clone(&head_ms),
             connections,
+            table,
         };
         Ok(Self {
             addr,
@@ -110,6 +154,7 @@
             ending,
             active,
             idle_ms,
+            head_ms,
             _accept: traffic.spawn(acceptor.run()),
         })
     }
@@ -121,12 +166,18 @@
         self.addr
     }
 
-    /// Sets how long connections accepted from now on may stay idle or take for a head.
-    /// The default is the limit on the time to send a request.
+    /// Sets how long connections accepted from now on may stay idle. The default is the
+    /// limit on the time to send a request.
     pub fn set_idle(&self, idle: units::Millis) {
         self.idle_ms.store(idle.0, Ordering::Release);
     }
 
+    /// Sets how long callers of connections accepted from now on may take for a head, from
+    /// its first byte. The default is the limit on the time to send a request.
+    pub fn set_head_time(&self, head: units::Millis) {
+        self.head_ms.store(head.0, Ordering::Release);
+    }
+
     /// Returns the number of open connections. After [`Server::close_idle`], only those
     /// are counted that were open before and have an answer to deliver.
     #[must_use]
@@ -169,35 +220,52 @@
     ended: Receiver<Infallible>,
     active: Arc<AtomicUsize>,
     idle_ms: Arc<AtomicU64>,
+    head_ms: Arc<AtomicU64>,
     connections: http::Connections,
+    table: Arc<connection_table::ConnectionTable>,
 }
 
 impl<H: Handler> Acceptor<H> {
     async fn run(self) {
-        let connections = Arc::new(AtomicUsize::new(0));
         loop {
             let Ok((tcp, _)) = self.listener.accept().await else {
                 Timer::after(ACCEPT_BACKOFF).await;
                 continue;
             };
-            if connections.fetch_add(1, Ordering::AcqRel) >= self.limits.max_connections {
-                connections.fetch_sub(1, Ordering::AcqRel);
-                continue;
+            if self.table.len() >= self.limits.max_connections {
+                let is_evicted = self.table.evict_for_connection();
+                // Lets the evicted connection close before the next one is accepted.
+                future::yield_now().await;
+                if !is_evicted {
+                    continue;
+                }
             }
-            let serve = self.serve(tcp);
+            let Some(connection) = self.table.open() else {
+                future::yield_now().await;
+                continue;
+            };
+            let serve = self.serve(tcp, Arc::new(connection));
             let guard = (!self.closed.is_closed()).then(|| ConnectionGuard::new(&self.active));
-            let connections = ConnectionGuard(Arc::clone(&connections));
             let task = async move {
                 serve.await;
-                drop((guard, connections));
+                drop(guard);
             };
             self.traffic.spawn(task).detach();
         }
     }
 
-    fn serve(&self, tcp: TcpStream) -> impl Future<Output = ()> + Send + 'static {
+    fn serve(
+        &self,
+        tcp: TcpStream,
+        open: Arc<connection::Connection>,
+    ) -> impl Future<Output = ()> + Send + 'static {
         let limits = self.limits;
         let idle = units::Millis(self.idle_ms.load(Ordering::Acquire));
+        let head = units::Millis(self.head_ms.load(Ordering::Acquire));
+        let stall_limits = stall::StallLimits {
+            write: limits.send_timeout_ms.duration(),
+            head: head.duration() + HEAD_MARGIN,
+        };
         let handler = Arc::clone(&self.handler);
         let closed = self.closed.clone();
         let closing = closed.clone();
@@ -207,11 +275,20 @@
             if let Err(err) = tcp.set_nodelay(true) {
                 log::debug!("http: cannot set TCP_NODELAY on an accepted connection: {err}");
             }
-            let io = stall::StallLimited::new(tcp, limits.send_timeout_ms.duration());
-            let service = service_fn(move |req| {
+            let io = stall::StallLimited::new(tcp, stall_limits, Arc::clone(&open));
+            let table_entry = Arc::clone(&open);
+            let service = service_fn(move |mut req: Request<Incoming>| {
                 let handler = Arc::clone(&handler);
                 let (closing, ended) = (closing.clone(), ended.clone());
+                let open = Arc::clone(&table_entry);
                 async move {
+                    let Some(slot) = open.begin_request().await else {
+                        let mut reply = handler.overloaded();
+                        let close = HeaderValue::from_static("close");
+                        reply.headers_mut().insert(CONNECTION, close);
+                        return Ok(reply.map(|body| held_body::HeldBody::new(body, None)));
+                    };
+                    req.extensions_mut().insert(slot.body());
                     let unfinished = async {
                         until_closed(&ended).await;
                         handler.unfinished()
@@ -224,7 +301,7 @@
                         let close = HeaderValue::from_static("close");
                         reply.headers_mut().insert(CONNECTION, close);
                     }
-                    Ok(reply)
+                    Ok(reply.map(|body| held_body::HeldBody::new(body, Some(slot))))
                 }
             });
             let connection = http1::Builder::new()
@@ -236,9 +313,22 @@
                 severed.await;
                 Ok(())
             };
+            let evicted = async {
+                open.evicted().await;
+                // A body that is being received is refused by its reader, and a request that
+                // was received completely is answered.
+                while open.is_in_request() {
+                    Timer::after(EVICTION_POLL_INTERVAL).await;
+                }
+                Ok(())
+            };
             // `severed` is polled first: a request that arrives at the same time must not
             // reach the handler.
-            if let Err(err) = severed.or(serve_until_closed(connection, closed)).await {
+            if let Err(err) = severed
+                .or(evicted)
+                .or(serve_until_closed(connection, closed))
+                .await
+            {
                 log::debug!("http: connection ended: {err}");
             }
         }
@@ -257,7 +347,7 @@
     closed: Receiver<Infallible>,
 ) -> hyper::Result<()>
 where
-    S: HttpService<Incoming, ResBody = http::Body>,
+    S: HttpService<Incoming, ResBody = held_body::HeldBody>,
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     // Closed at once, a connection accepted late would get no answer to a request that is on
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -66,6 +66,7 @@
     log_dropped: Counter<u64>,
     rollout_verdicts: Counter<u64>,
     endpoints_closed: Counter<u64>,
+    connections_closed: Counter<u64>,
 }
 
 impl Metrics {
@@ -132,6 +133,10 @@
                 "quetzalworks_endpoints_closed",
                 "Endpoints that said in an answer that they leave or want a pause, by reason.",
             ),
+            connections_closed: count(
+                "quetzalworks_connections_closed",
+                "Callers' connections that were closed, or whose request was ended, by reason.",
+            ),
             rollout_verdicts: count(
                 "quetzalworks_rollout_verdicts",
                 "Changes of the judgement of a version in rollout, by service and verdict.",
@@ -272,6 +277,13 @@
             .add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a caller's connection that is closed, or whose request is ended, for its lack
+    /// of progress.
+    pub fn record_connection_closed(&self, reason: &'static str) {
+        self.connections_closed
+            .add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a change of the judgement of a version that is rolled out.
     pub fn record_rollout_verdict(&self, service: &ids::ServiceName, verdict: &'static str) {
         let service = KeyValue::new("service", service.to_string());
--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -95,6 +95,7 @@
 struct Limits {
     max_header_bytes: f64,
     max_body_bytes: f64,
+    header_timeout_ms: Option<f64>,
     idle_timeout_ms: Option<f64>,
 }
 
@@ -156,6 +157,10 @@
     let limits = catalog::CallerLimits {
         head: units::Bytes(to_integer(config.limits.max_header_bytes)),
         body: units::Bytes(to_integer(config.limits.max_body_bytes)),
+        head_time: config
+            .limits
+            .header_timeout_ms
+            .map(units::Millis::from_millis_rounded),
         idle: config
             .limits
             .idle_timeout_ms
--- a/src/route/team_load.rs
+++ b/src/route/team_load.rs
@@ -30,11 +30,7 @@
     pub fn acquire(&self, team: &ids::TeamName, max: u32) -> Result<TeamPermit, errors::Refusal> {
         let mut running = self.lock();
         let count = running.get(team).copied().unwrap_or(0);
-        if count >= max {
-            let reason = format!("the team has {max} requests running at this entry");
-            return Err(errors::Refusal::new(errors::ResultCode::Overloaded, reason)
-                .with_retry_after(RETRY_AFTER));
-        }
+        check(count, max)?;
         running.insert(team.clone(), count + 1);
         Ok(TeamPermit {
             team: team.clone(),
@@ -42,6 +38,11 @@
         })
     }
 
+    /// Refuses like [`Self::acquire`], without taking a slot.
+    pub fn check(&self, team: &ids::TeamName, max: u32) -> Result<(), errors::Refusal> {
+        check(self.running(team), max)
+    }
+
     /// Returns the number of running requests of the team.
     #[must_use]
     pub fn running(&self, team: &ids::TeamName) -> u32 {
@@ -59,6 +60,14 @@
     }
 }
 
+fn check(count: u32, max: u32) -> Result<(), errors::Refusal> {
+    if count < max {
+        return Ok(());
+    }
+    let reason = format!("the team has {max} requests running at this entry");
+    Err(errors::Refusal::new(errors::ResultCode::Overloaded, reason).with_retry_after(RETRY_AFTER))
+}
+
 impl Drop for TeamPermit {
     fn drop(&mut self) {
         let mut running = self.load.lock();
--- a/src/settings/direct.rs
+++ b/src/settings/direct.rs
@@ -37,15 +37,16 @@
 }
 
 impl Direct {
-    /// Returns a fraction of the memory that the process may use.
+    /// Returns a fraction of the memory that is left for traffic in a process that has
+    /// `resident` bytes in use before it.
     #[must_use]
     #[allow(
         clippy::cast_possible_truncation,
         clippy::cast_precision_loss,
         clippy::cast_sign_loss
     )]
-    pub fn memory_part(&self, fraction: f64) -> units::Bytes {
-        units::Bytes((self.memory.0 as f64 * fraction) as u64)
+    pub fn traffic_memory(&self, resident: units::Bytes, fraction: f64) -> units::Bytes {
+        units::Bytes((self.memory.0.saturating_sub(resident.0) as f64 * fraction) as u64)
     }
 }
 
--- a/src/settings/fields.rs
+++ b/src/settings/fields.rs
@@ -105,24 +105,33 @@
     pub head_bytes: units::Bytes,
     /// Maximum size of the body of a request; by default 1 MiB.
     pub body_bytes: units::Bytes,
-    /// Memory for the bodies of all requests together; by default 128 MiB.
+    /// Memory for the connections and requests of all callers together; by default 128 MiB.
     pub buffered_bytes: units::Bytes,
     /// Maximum time for a caller to send its request, and maximum time for which
     /// it may read nothing of its answer; by default 10 s.
     pub send_timeout_ms: units::Millis,
+    /// Maximum time without progress of a body, within the time to send a request; at least
+    /// 1 ms, by default 5 s.
+    pub body_stall_ms: units::Millis,
     /// Maximum number of open connections; by default 4096.
     pub max_connections: usize,
 }
 
+impl Limits {
+    /// The limits of a listener for which the settings state none.
+    pub const DEFAULT: Self = Self {
+        head_bytes: units::Bytes(16 * 1_024),
+        body_bytes: units::Bytes(1_024 * 1_024),
+        buffered_bytes: units::Bytes(128 * 1_024 * 1_024),
+        send_timeout_ms: units::Millis(10_000),
+        body_stall_ms: units::Millis(5_000),
+        max_connections: 4_096,
+    };
+}
+
 impl Default for Limits {
     fn default() -> Self {
-        Self {
-            head_bytes: units::Bytes(16 * 1_024),
-            body_bytes: units::Bytes(1_024 * 1_024),
-            buffered_bytes: units::Bytes(128 * 1_024 * 1_024),
-            send_timeout_ms: units::Millis(10_000),
-            max_connections: 4_096,
-        }
+        Self::DEFAULT
     }
 }
 
--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -89,6 +89,9 @@
         settings::Role::Entry(entry) if entry.usage_flush_ms == units::Millis(0) => {
             inconsistent("role.entry.usage_flush_ms", "must be at least 1")
         }
+        settings::Role::Entry(entry) if entry.limits.body_stall_ms == units::Millis(0) => {
+            inconsistent("role.entry.limits.body_stall_ms", "must be at least 1")
+        }
         settings::Role::Entry(entry) if entry.evidence_flush_ms == units::Millis(0) => {
             inconsistent("role.entry.evidence_flush_ms", "must be at least 1")
         }
--- a/tests/integration/crowd/mod.rs
+++ b/tests/integration/crowd/mod.rs
@@ -4,4 +4,6 @@
 mod client;
 mod direct;
 mod entry;
+mod eviction;
 mod site;
+mod time_limits;
