--- a/tests/integration/direct/site.rs
+++ b/tests/integration/direct/site.rs
@@ -177,6 +177,11 @@
 impl Entry {
     /// Starts a process that uses the store at `store`.
     pub fn spawn(name: &str, store: SocketAddr) -> Self {
+        Self::spawn_with(name, store, "")
+    }
+
+    /// Like `spawn`, with further tables at the end of the settings.
+    pub fn spawn_with(name: &str, store: SocketAddr, tables: &str) -> Self {
         let (callers, readiness) = (isolation::free_addr(), isolation::free_addr());
         let settings = SETTINGS
             .replace(NAME, name)
@@ -207,7 +212,7 @@
 
     fn with_settings(settings: &str, callers: SocketAddr, readiness: SocketAddr) -> Self {
         let path = isolation::create_test_dir().join("settings.toml");
-        fs::write(&path, settings).unwrap();
+        fs::write(&path, settings + tables).unwrap();
         Self {
             process: Process::spawn(path),
             callers,
