The expected end of an answer decides between the larger model and the one at hand

Cause: a larger model that had begun was cut off by the caller's deadline while the answer of the smaller one was on standby: engines with full batches write several times slower than a moment before. After an overload, answers of models too small were kept for seconds: the pressure and the mean waits lost their weight only with further answers, of which one entry of many gets few.

Change: balance::WritingSpeed learns the gaps between events of a service, each stream counting alike, and Live those of each endpoint. An answer on standby is held no longer than the larger model could still end in time, and is delivered at the larger one's begin if that would not. The forecast of an escalation goes by the waits of the last seconds, and holds it back far beyond the deadline. Pressure follows by time. Escalations are counted by decision.

Result: streams::an_answer_at_hand_... fails without the forecast of the end (no complete answer); cascade::escalation_returns_after_an_overload, balance::a_forecast_goes_by_recent_waits and cascade::each_stream_counts_alike_in_the_writing_speed fail with the averages of before.

--- a/src/balance/choose.rs
+++ b/src/balance/choose.rs
@@ -85,8 +85,12 @@
     pub cold_limit: Option<balance::ColdLimit>,
     /// Maximum time for which the request may wait for a cold endpoint.
     pub max_delay: Duration,
-    /// Time in which an idle engine of usual speed writes the answer; zero if not known.
+    /// Time in which an engine of usual speed writes the answer; zero if not known.
     pub writing: Duration,
+    /// Mean gap between events of the service's streams; `None` if not known.
+    pub event_gap: Option<Duration>,
+    /// Time until the answer must be complete.
+    pub time_left: Duration,
     /// Seed by which requests spread over endpoints of nearly equal score; used only where
     /// endpoints state their work time.
     pub spread: ids::Fingerprint,
@@ -132,11 +136,11 @@
     pub load_age: Option<Duration>,
     /// Expected time from the send to the first byte.
     pub expected: Duration,
-    /// Expected time from the send to the end of the answer. Equals `expected` where the
-    /// time to write it is not known.
+    /// Expected time from the send to the first byte, by waits of the last seconds alone.
+    pub begin: Duration,
+    /// Expected time from the send to the end of the answer. Equals `begin` where the time to
+    /// write it is not known.
     pub end: Duration,
-    /// Writing time at the endpoint relative to that of an idle engine of usual speed.
-    pub writing_factor: f64,
     /// Expected time to read the prompt; zero without one.
     pub reading: Duration,
     /// Prompt tokens that the endpoint has to read; zero without a prompt.
@@ -242,8 +246,8 @@
         load: best.figures.load,
         load_age: best.endpoint.live.load_age(query.now),
         expected: best.forecast.first,
-        end: best.forecast.end,
-        writing_factor: best.writing_factor,
+        begin: best.recent.first,
+        end: best.recent.end,
         reading: best.reading,
         unread: best.unread,
         delay: Duration::ZERO,
@@ -275,8 +279,8 @@
         load: best.figures.load,
         load_age: endpoint.live.load_age(query.now),
         expected: delay + best.forecast.first,
-        end: delay + best.forecast.end,
-        writing_factor: best.writing_factor,
+        begin: delay + best.recent.first,
+        end: delay + best.recent.end,
         reading: best.reading,
         unread: best.unread,
         delay,
@@ -313,18 +317,15 @@
     reading: Duration,
     /// Expected times of the answer.
     forecast: balance::Forecast,
-    /// Writing time relative to that of an idle engine of usual speed.
+    /// The same by waits of the last seconds alone.
+    recent: balance::Forecast,
+    /// Writing time relative to that of the service's engines.
     writing_factor: f64,
     /// Relative expected time to an answer; lower is better.
     score: f64,
 }
 
 impl Candidate<'_> {
-    /// Expected time until the engine begins to read the prompt.
-    fn wait(&self) -> Duration {
-        self.figures.wait + self.figures.pending_reading
-    }
-
     /// Requests at the endpoint plus its pending reading time, in units of requests.
     fn weighted_load(&self) -> f64 {
         let pending = self.figures.pending_reading.as_secs_f64();
@@ -355,6 +356,14 @@
         kept.mul_add(reported - mean, mean)
     }
 
+    /// Writing time at the endpoint, weighed by how much of the caller's time it takes: where
+    /// there is plenty, the first event is what counts.
+    fn weighted_writing(&self, query: &Query<'_>) -> Duration {
+        let writing = self.forecast.end.saturating_sub(self.forecast.first);
+        let part = writing.as_secs_f64() / query.time_left.as_secs_f64().max(0.001);
+        writing.mul_f64(part.min(1.0))
+    }
+
     /// Sets the forecast and the score; `load` is the number of requests at the endpoint.
     fn rate(&mut self, load: f64, query: &Query<'_>) {
         let record = &self.endpoint.record;
@@ -370,19 +379,30 @@
         };
         let failure_penalty = self.figures.failure_share * FAILURE_PENALTY_FACTOR;
         let batch = load / f64::from(slots);
-        self.writing_factor = speed.map_or(1.0, |speed| speed.usual()) * (1.0 + batch);
-        self.forecast = if query.reading.is_none() && speed.is_some() {
-            let (ahead, work) = (load, self.wait());
-            balance::PlainWork { ahead, slots, work }.forecast()
-        } else {
-            balance::EngineWork {
-                wait: self.wait(),
+        let usual = speed.map_or(1.0, |speed| speed.usual());
+        self.writing_factor = balance::writing_factor(self.figures.gap, query.event_gap, usual);
+        let pending = self.figures.pending_reading;
+        let forecast = |wait: Duration| {
+            if query.reading.is_none() && speed.is_some() {
+                let (ahead, work) = (load, wait);
+                return balance::PlainWork { ahead, slots, work }.forecast();
+            }
+            let engine = balance::EngineWork {
+                wait: wait + pending,
                 reading: self.reading,
                 writing: query.writing.mul_f64(self.writing_factor),
-            }
-            .forecast()
+            };
+            engine.forecast()
         };
-        let time = self.forecast.first + self.reading.mul_f64(READING_WEIGHT - 1.0);
+        let (forecast, recent) = (
+            forecast(self.figures.wait),
+            forecast(self.figures.recent_wait),
+        );
+        (self.forecast, self.recent) = (forecast, recent);
+        let mut time = self.forecast.first + self.reading.mul_f64(READING_WEIGHT - 1.0);
+        if speed.is_some() {
+            time += self.weighted_writing(query);
+        }
         self.score = time.as_secs_f64().max(0.001) * (1.0 + batch + path_penalty + failure_penalty);
     }
 }
@@ -417,6 +437,7 @@
             unread: prompt_tokens,
             reading: Duration::ZERO,
             forecast: balance::Forecast::default(),
+            recent: balance::Forecast::default(),
             writing_factor: 1.0,
             score: 0.0,
         })
--- a/src/balance/forecast.rs
+++ b/src/balance/forecast.rs
@@ -5,6 +5,26 @@
 
 use std::time::Duration;
 
+/// Time constant with which the writing speed seen at one endpoint drifts to the usual one.
+const WRITING_DRIFT: Duration = Duration::from_secs(3);
+
+/// Returns the writing time at an endpoint relative to that of the service's engines. `seen` is
+/// the mean gap between events there and its age, `service` that of the service, `usual` the
+/// work time of the endpoint relative to its service.
+#[must_use]
+pub fn writing_factor(
+    seen: Option<(Duration, Duration)>,
+    service: Option<Duration>,
+    usual: f64,
+) -> f64 {
+    let (Some((gap, age)), Some(service)) = (seen, service) else {
+        return usual;
+    };
+    let kept = (-age.as_secs_f64() / WRITING_DRIFT.as_secs_f64()).exp();
+    let now = gap.as_secs_f64() / service.as_secs_f64().max(1e-6);
+    kept.mul_add(now - usual, usual)
+}
+
 /// Expected times from the send of a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Forecast {
@@ -50,7 +70,7 @@
     pub wait: Duration,
     /// Reading time at the engine's speed and pace.
     pub reading: Duration,
-    /// Time from the first token to the last, at the engine's speed, pace and batch.
+    /// Time from the first event to the last, as fast as this engine writes now.
     pub writing: Duration,
 }
 
--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -30,9 +30,11 @@
 const SILENCE_READING_FACTOR: f64 = 2.0;
 /// Expected wait at an endpoint that has not answered yet.
 const DEFAULT_WAIT: Duration = Duration::from_millis(40);
-/// Time constant with which the wait of an endpoint that states its work time drifts back to
-/// the default: an entry of many gets an answer of each endpoint only every few seconds.
+/// Time constant with which the mean wait of an endpoint drifts back to the default: an entry
+/// of many gets an answer of each endpoint only every few seconds.
 const WAIT_DRIFT: Duration = Duration::from_secs(3);
+/// Time of writing at one endpoint in which the mean gap between its events follows a change.
+const GAP_MEMORY: Duration = Duration::from_secs(1);
 /// Multiple of the silence timeout after which an endpoint is abandoned even
 /// though it accepts connections, since a hung process accepts them too. A
 /// retry then still starts within a latency objective of 1.5 to 2 s.
@@ -74,6 +76,9 @@
     pub load: u32,
     /// Expected wait before the engine reads the prompt of a request sent now.
     pub wait: Duration,
+    /// The same with a mean that loses its weight with its age. Equals `wait` for an endpoint
+    /// that states its work time.
+    pub recent_wait: Duration,
     /// Time to read the prompts of this entry's requests whose answer has not begun.
     pub pending_reading: Duration,
     /// Prompt tokens that the endpoint would have to read; `None` without a prompt.
@@ -88,6 +93,9 @@
     pub load_age: Option<Duration>,
     /// Speed of the endpoint; `None` if it has never stated its work time.
     pub speed: Option<balance::EndpointSpeed>,
+    /// Mean gap between events of this entry's streams there, and the age of the last one;
+    /// `None` before the first.
+    pub gap: Option<(Duration, Duration)>,
 }
 
 /// How an attempt at an endpoint failed.
@@ -140,8 +148,13 @@
     /// Moving average of the part of it that reading the prompt does not explain, in
     /// milliseconds at the usual pace.
     mean_wait_ms: Option<f64>,
+    /// Time of the last answer in that average; `None` before the first.
+    mean_wait_at: Option<runtime::Moment>,
     /// `None` if the endpoint has never stated its work time.
     speed: Option<balance::EndpointSpeed>,
+    /// Mean gap between events of this entry's streams.
+    gap: Option<balance::EventGap>,
+    gap_at: runtime::Moment,
     /// Prompt parts that the endpoint has probably cached.
     cached: balance::CachedParts,
     failure_share: f64,
@@ -166,20 +179,40 @@
     /// Moving average of the wait before an engine reads a prompt, or the mean time that
     /// current requests have already waited if that is longer.
     fn expected_wait(&self, now: runtime::Moment) -> Duration {
-        let typical = self.mean_wait_ms.map_or(DEFAULT_WAIT, |millis| {
-            Duration::from_secs_f64(millis / 1_000.0)
+        let typical = self.typical_wait();
+        let paced = self.speed.map_or(typical, |speed| {
+            self.drifted_wait(now).mul_f64(speed.pace(now))
         });
+        paced.max(self.mean_waited(now))
+    }
+
+    fn gap(&self, now: runtime::Moment) -> Option<(Duration, Duration)> {
+        let gap = self.gap?.get();
+        Some((gap, now.saturating_since(self.gap_at)))
+    }
+
+    fn typical_wait(&self) -> Duration {
+        self.mean_wait_ms.map_or(DEFAULT_WAIT, |millis| {
+            Duration::from_secs_f64(millis / 1_000.0)
+        })
+    }
+
+    /// Typical wait, which drifts to the default with its age.
+    fn drifted_wait(&self, now: runtime::Moment) -> Duration {
+        let typical = self.typical_wait();
+        let age = self.mean_wait_at.map(|at| now.saturating_since(at));
+        let kept = (-age.unwrap_or_default().as_secs_f64() / WAIT_DRIFT.as_secs_f64()).exp();
+        let above = typical.saturating_sub(DEFAULT_WAIT);
+        typical.min(DEFAULT_WAIT) + above.mul_f64(kept)
+    }
+
+    /// Mean time that this entry's requests have waited for their answers to begin.
+    fn mean_waited(&self, now: runtime::Moment) -> Duration {
         let since = self
             .waiting_since_sum_ms
             .checked_div(u64::from(self.waiting));
         let waited = since.map(|since| now.saturating_since(runtime::Moment::from_millis(since)));
-        let paced = self.speed.map_or(typical, |speed| {
-            let above = typical.saturating_sub(DEFAULT_WAIT);
-            let kept = (-speed.age(now).as_secs_f64() / WAIT_DRIFT.as_secs_f64()).exp();
-            let drifted = typical.min(DEFAULT_WAIT) + above.mul_f64(kept);
-            drifted.mul_f64(speed.pace(now))
-        });
-        paced.max(waited.unwrap_or_default())
+        waited.unwrap_or_default()
     }
 
     fn load(&self, now: runtime::Moment) -> u32 {
@@ -352,6 +385,11 @@
         }
     }
 
+    /// Records the time at which the last recorded answer has begun.
+    pub fn record_first_at(&self, now: runtime::Moment) {
+        self.lock().mean_wait_at = Some(now);
+    }
+
     /// Records a failed attempt and may suspend the endpoint. `cold` is how long
     /// the endpoint is cold if the failure was a restart.
     pub fn record_failure(&self, failure: Failure, cold: Duration, now: runtime::Moment) {
@@ -410,6 +448,22 @@
         Some(now.saturating_since(at))
     }
 
+    /// Records the time between two events of a stream from the endpoint.
+    pub fn record_event_gap(&self, gap: Duration, now: runtime::Moment) {
+        let mut state = self.lock();
+        balance::EventGap::record(&mut state.gap, gap, GAP_MEMORY);
+        state.gap_at = now;
+    }
+
+    /// Returns the writing time at the endpoint relative to that of the service's engines,
+    /// whose mean gap between events is `service`.
+    #[must_use]
+    pub fn writing_factor(&self, service: Option<Duration>, now: runtime::Moment) -> f64 {
+        let state = self.lock();
+        let usual = state.speed.map_or(1.0, |speed| speed.usual());
+        balance::writing_factor(state.gap(now), service, usual)
+    }
+
     /// Returns the speed of the endpoint; `None` if it has never stated its work time.
     #[must_use]
     pub fn speed(&self) -> Option<balance::EndpointSpeed> {
@@ -425,6 +479,11 @@
         Figures {
             load: state.load(now),
             wait: state.expected_wait(now),
+            recent_wait: if state.speed.is_some() {
+                state.expected_wait(now)
+            } else {
+                state.drifted_wait(now).max(state.mean_waited(now))
+            },
             pending_reading: state.pending_reading,
             unread: reading.map(|reading| reading.unread(&state.cached, now)),
             failure_share: state.failure_share,
@@ -432,6 +491,7 @@
             slots: report.and_then(|(load, ..)| load.slots),
             load_age: report.map(|(_, at, _)| now.saturating_since(at)),
             speed: state.speed,
+            gap: state.gap(now),
         }
     }
 
--- a/src/cascade/mod.rs
+++ b/src/cascade/mod.rs
@@ -4,5 +4,5 @@
 mod models;
 mod standby;
 
-pub use models::{Cascade, Decision, Forecast};
+pub use models::{Cascade, Decision, Forecast, Limit};
 pub use standby::standby_time;
--- a/src/cascade/standby.rs
+++ b/src/cascade/standby.rs
@@ -11,13 +11,20 @@
 
 /// Returns the time since the arrival of a request up to which the answer of a smaller
 /// model is held back. An answer of some confidence is delivered within the objective;
-/// another one only if the larger model has not begun when the request is about to end.
+/// another one only if the larger model has not begun when its answer, which it writes in
+/// `writing`, would not end in time any more; zero if that is not known.
 #[must_use]
-pub fn standby_time(confidence: f64, objective: Duration, time_limit: Duration) -> Duration {
+pub fn standby_time(
+    confidence: f64,
+    objective: Duration,
+    time_limit: Duration,
+    writing: Duration,
+) -> Duration {
     let held = if confidence < MIN_CONFIDENCE_IN_TIME {
         time_limit
     } else {
         objective.min(time_limit)
     };
-    held.mul_f64(HELD_FRACTION)
+    let last_begin = time_limit.saturating_sub(writing);
+    held.mul_f64(HELD_FRACTION).min(last_begin)
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -11,7 +11,7 @@
 use crate::catalog;
 use crate::direct;
 use crate::gateway;
-use crate::gateway::{outcomes, trace};
+use crate::gateway::{outcomes, standby, trace};
 use crate::http;
 use crate::ids;
 use crate::rollout;
@@ -195,21 +195,28 @@
         self.choose_for(view, self.model, &self.tried)
     }
 
-    /// Returns the expected time to the first byte with the model of this index; `None` if
-    /// no endpoint may be sent the request now.
+    /// Returns the endpoint that would run the request with the model of this index, and its
+    /// forecast; `None` if no endpoint may be sent the request now.
     #[must_use]
-    pub fn expected_with(&self, view: &direct::ServiceView, model: usize) -> Option<Duration> {
-        let choice = self.choose_for(view, model, &[])?;
-        Some(choice.expected)
+    pub fn forecast_with(
+        &self,
+        view: &direct::ServiceView,
+        model: usize,
+    ) -> Option<balance::Choice> {
+        self.choose_for(view, model, &[])
     }
 
-    /// Returns the time until which a larger model may begin its answer before that of a
-    /// smaller one, with this confidence, is delivered.
+    /// Returns how long an answer of a smaller model, with this confidence, is held back.
     #[must_use]
-    pub fn standby_until(&self, confidence: f64) -> Instant {
-        let objective = self.rule.objective.duration();
-        let limit = self.deadline.saturating_duration_since(self.arrived);
-        self.arrived + cascade::standby_time(confidence, objective, limit)
+    pub fn hold(&self, confidence: f64) -> standby::Hold {
+        standby::Hold {
+            cx: Arc::clone(&self.cx),
+            service: self.service.clone(),
+            confidence,
+            objective: self.rule.objective.duration(),
+            arrived: self.arrived,
+            deadline: self.deadline,
+        }
     }
 
     fn choose_for(
@@ -224,6 +231,7 @@
         let cold_limit = self.cold_limit(view, now);
         let max_delay = self.rule.objective.duration().mul_f64(COLD_WAIT_FRACTION);
         let reading = self.reading(model);
+        let speed = self.cx.writing_speed(&self.service);
         filters.into_iter().flatten().find_map(|version| {
             let query = balance::Query {
                 version,
@@ -234,7 +242,9 @@
                 domain: &settings.domain,
                 cold_limit,
                 max_delay,
-                writing: self.writing(model).unwrap_or_default(),
+                writing: self.writing(&speed).unwrap_or_default(),
+                event_gap: speed.gap(),
+                time_left: self.time_left(),
                 spread: ids::Fingerprint::fnv1a(&self.id),
                 now,
             };
@@ -270,12 +280,10 @@
         })
     }
 
-    /// Returns the time in which an idle engine of usual speed writes the answer with the
-    /// model of this index; `None` if the caller states no length or none was answered yet.
-    #[must_use]
-    pub fn writing(&self, model: usize) -> Option<Duration> {
-        let expected = self.metadata.output?;
-        self.cx.writing(&self.service, model, expected)
+    /// Returns the time in which an engine of usual speed writes the answer; `None` if the
+    /// caller states no length, or the service has completed no answer yet.
+    fn writing(&self, speed: &balance::WritingSpeed) -> Option<Duration> {
+        speed.time(speed.events(self.metadata.output?)?)
     }
 
     /// Returns the version filters in order of preference; the first with an available
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -149,7 +149,8 @@
         first: Duration,
         objective: Duration,
     ) {
-        self.with_service(service, |state| state.pressure.add(first, objective));
+        let now = runtime::Moment::now();
+        self.with_service(service, |state| state.pressure.add(first, objective, now));
     }
 
     /// Returns how late the service's answers begin, relative to their latency objective.
@@ -178,30 +179,23 @@
         self.with_service(service, |state| state.reading_speed.get(model))
     }
 
-    /// Records that a model wrote an answer of which `expected` tokens were expected. `writing`
-    /// is the time from its first event to its last at an idle engine of usual speed.
-    pub fn record_writing(
-        &self,
-        service: &ids::ServiceName,
-        model: usize,
-        expected: units::Tokens,
-        writing: Duration,
-    ) {
+    /// Records the time between two events of an answer, at an engine of usual speed.
+    pub fn record_event_gap(&self, service: &ids::ServiceName, gap: Duration) {
+        self.with_service(service, |state| state.writing_speed.record_gap(gap));
+    }
+
+    /// Records the number of events of a complete answer of which `expected` tokens were
+    /// expected.
+    pub fn record_length(&self, service: &ids::ServiceName, expected: units::Tokens, events: u32) {
         self.with_service(service, |state| {
-            state.writing_speed.record(model, expected, writing);
+            state.writing_speed.record_length(expected, events);
         });
     }
 
-    /// Returns the time in which an idle engine of usual speed writes an answer of which
-    /// `expected` tokens are expected; `None` before the first answer of the model.
+    /// Returns how fast the service's engines write.
     #[must_use]
-    pub fn writing(
-        &self,
-        service: &ids::ServiceName,
-        model: usize,
-        expected: units::Tokens,
-    ) -> Option<Duration> {
-        self.with_service(service, |state| state.writing_speed.time(model, expected))
+    pub fn writing_speed(&self, service: &ids::ServiceName) -> balance::WritingSpeed {
+        self.with_service(service, |state| state.writing_speed)
     }
 
     /// Records a complete answer of the service to a prompt with these parts.
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -124,6 +124,7 @@
     let answered = !status.is_server_error();
     if answered {
         endpoint.live.record_success(first, Duration::ZERO);
+        endpoint.live.record_first_at(runtime::Moment::now());
         call.clear_suspicion();
     } else {
         let now = runtime::Moment::now();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,6 +9,7 @@
 use crate::balance;
 use crate::gateway::{call, stream, trace};
 use crate::http;
+use crate::runtime;
 
 /// Wait for the next event, as a multiple of the gap that the route permits.
 const EVENT_GAP_FACTOR: f64 = 2.0;
@@ -23,9 +24,9 @@
     /// Time spent waiting for the next event while only comments were passed on. The time
     /// that the caller takes to read does not count.
     waited: Duration,
-    /// Time spent waiting for all events of the source after its first; `None` if it doesn't
-    /// tell how fast the endpoint writes.
-    writing: Option<Duration>,
+    /// Time spent waiting since the last event of the source, and their number; `None` if
+    /// they don't tell how fast the endpoint writes.
+    writing: Option<(Duration, u32)>,
     continuation: Continuation,
     status: StatusCode,
 }
@@ -59,7 +60,7 @@
             source: Some(source),
             last_event,
             waited: Duration::ZERO,
-            writing: is_whole.then_some(Duration::ZERO),
+            writing: is_whole.then_some((Duration::ZERO, 0)),
             continuation: Continuation::Begun,
             status,
         }
@@ -86,7 +87,8 @@
                 continue;
             }
             if let Some(taken) = taken {
-                self.waited = if taken.has_event {
+                self.waited = if taken.events > 0 {
+                    self.record_events(taken.events);
                     Duration::ZERO
                 } else {
                     self.waited + waiting_since.elapsed()
@@ -97,7 +99,9 @@
             let deadline = event_deadline(&self.call, waiting_since, self.waited);
             let began = Instant::now();
             let chunk = stream::read(&mut source.opened, deadline).await;
-            self.writing = self.writing.map(|writing| writing + began.elapsed());
+            if let Some((gap, _)) = &mut self.writing {
+                *gap += began.elapsed();
+            }
             match chunk {
                 stream::Chunk::Data(bytes) => {
                     if source.push(&bytes).is_err() {
@@ -111,7 +115,7 @@
                     let id = source.opened.endpoint.record.id.clone();
                     self.call.trace.attempt(&id, "answered", &"complete");
                     self.call.clear_suspicion();
-                    self.record_writing(true);
+                    self.record_length();
                     let status = self.status.as_u16();
                     self.call.trace.finish(trace::Outcome::Answered, status);
                     self.source = None;
@@ -124,7 +128,6 @@
                     waiting_since = Instant::now();
                 }
                 stream::Chunk::TimedOut => {
-                    self.record_writing(false);
                     if let Err(err) = self.resume(balance::Failure::Silent).await {
                         return Some(Err(err));
                     }
@@ -134,21 +137,34 @@
         }
     }
 
-    /// Records how fast the endpoint has written. An answer that is not complete counts only
-    /// if it took longer than expected already.
-    fn record_writing(&self, is_complete: bool) {
-        let (Some(writing), Some(source)) = (self.writing, &self.source) else {
+    /// Records that the endpoint has written these events, one after the other.
+    fn record_events(&mut self, events: u32) {
+        let Some((gap, count)) = &mut self.writing else {
             return;
         };
-        let Some(expected) = self.call.metadata.output else {
+        let mean = *gap / events;
+        // The time before the first event doesn't tell how fast the endpoint writes.
+        let is_first = *count == 0;
+        *gap = Duration::ZERO;
+        *count += events;
+        let Some(source) = self.source.as_ref().filter(|_| !is_first) else {
             return;
         };
-        let usual = writing.div_f64(source.opened.writing_factor);
-        let known = self.call.writing(self.call.model);
-        if is_complete || known.is_some_and(|known| usual > known) {
+        let live = &source.opened.endpoint.live;
+        let usual = live.speed().map_or(1.0, |speed| speed.usual());
+        let cx = &self.call.cx;
+        for _ in 0..events {
+            live.record_event_gap(mean, runtime::Moment::now());
+            cx.record_event_gap(&self.call.service, mean.div_f64(usual));
+        }
+    }
+
+    /// Records the length of the complete answer.
+    fn record_length(&self) {
+        let expected = self.call.metadata.output;
+        if let (Some((_, events)), Some(expected)) = (self.writing, expected) {
             let Self { call, .. } = self;
-            call.cx
-                .record_writing(&call.service, call.model, expected, usual);
+            call.cx.record_length(&call.service, expected, events);
         }
     }
 
@@ -195,8 +211,8 @@
 /// Bytes that are passed on to the caller.
 struct TakenEvents {
     bytes: Bytes,
-    /// Whether there is an event among them, not only comments.
-    has_event: bool,
+    /// Number of events among them; the others are comments.
+    events: u32,
 }
 
 /// Takes the complete events that have arrived, without those that the caller already
@@ -208,7 +224,7 @@
     continuation: &mut Continuation,
 ) -> Option<TakenEvents> {
     let mut taken = Vec::new();
-    let mut has_event = false;
+    let mut events = 0;
     while let Some(event) = splitter.next_event() {
         if let (Some(id), Some(last)) = (event.id, *last)
             && id <= last
@@ -222,12 +238,12 @@
             *continuation = Continuation::Foreign;
             break;
         }
-        has_event |= !event.is_comment();
+        events += u32::from(!event.is_comment());
         taken.extend_from_slice(&event.bytes);
     }
     (!taken.is_empty()).then(|| TakenEvents {
         bytes: taken.into(),
-        has_event,
+        events,
     })
 }
 
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -57,8 +57,6 @@
     pub unread: units::Tokens,
     /// Expected time in which it reads them.
     pub reading: Duration,
-    /// Writing time at the endpoint relative to that of an idle engine of usual speed.
-    pub writing_factor: f64,
 }
 
 impl Opened {
@@ -73,6 +71,7 @@
     /// Records that the answer has begun `first` after the request was sent.
     pub fn record_success(&self, call: &call::Call, first: Duration) {
         self.endpoint.live.record_success(first, self.reading);
+        self.endpoint.live.record_first_at(runtime::Moment::now());
         call.cx
             .record_reading(&call.service, call.model, self.unread, first);
     }
@@ -258,7 +257,6 @@
         sent,
         unread: choice.unread,
         reading: choice.reading,
-        writing_factor: choice.writing_factor,
     })
 }
 
--- a/src/gateway/standby.rs
+++ b/src/gateway/standby.rs
@@ -1,15 +1,67 @@
 //! Answer of a smaller model that is kept until a larger model has begun to answer.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use smol::Timer;
+use smol::future::FutureExt;
+
+use crate::cascade;
 use crate::direct;
+use crate::gateway;
 use crate::gateway::{send, stream};
+use crate::ids;
+use crate::runtime;
 
 /// Maximum size in bytes of the events that are buffered. An answer that exceeds it is
 /// read on only when it is used.
 const MAX_BUFFER_BYTES: usize = 256 * 1_024;
 
+/// How long an answer of a smaller model is held back.
+#[derive(Debug)]
+pub struct Hold {
+    /// Context that all requests share.
+    pub cx: Arc<gateway::Cx>,
+    /// Service that runs the request.
+    pub service: ids::ServiceName,
+    /// Confidence of the model in the answer, from 0 to 1.
+    pub confidence: f64,
+    /// Latency objective for the first event.
+    pub objective: Duration,
+    /// Arrival of the request.
+    pub arrived: Instant,
+    /// Time at which the answer must be complete.
+    pub deadline: Instant,
+}
+
+impl Hold {
+    /// Returns the time until which the larger model may begin, by how fast the service
+    /// writes now. `events` is the length of the answer; `None` if it is not known.
+    #[must_use]
+    pub fn until(&self, events: Option<f64>) -> Instant {
+        let limit = self.deadline.saturating_duration_since(self.arrived);
+        let writing = events.and_then(|events| self.writing(events));
+        let writing = writing.unwrap_or_default();
+        self.arrived + cascade::standby_time(self.confidence, self.objective, limit, writing)
+    }
+
+    /// Time in which an engine of usual speed writes this many events.
+    fn writing(&self, events: f64) -> Option<Duration> {
+        self.cx.writing_speed(&self.service).time(events)
+    }
+
+    /// Returns whether a larger model that has just begun its answer at an endpoint is
+    /// expected to end it in time.
+    #[must_use]
+    pub fn ends_in_time(&self, events: f64, endpoint: &direct::EndpointView) -> bool {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let gap = self.cx.writing_speed(&self.service).gap();
+        let factor = endpoint.live.writing_factor(gap, runtime::Moment::now());
+        let writing = self.writing(events).unwrap_or_default();
+        writing.mul_f64(factor) <= left
+    }
+}
+
 /// A stream of events that is read into a buffer while its caller may still get a better
 /// answer.
 #[derive(Debug)]
@@ -19,6 +71,7 @@
     model: usize,
     deadline: Instant,
     is_broken: bool,
+    is_complete: bool,
 }
 
 impl Standby {
@@ -34,6 +87,7 @@
             model,
             deadline,
             is_broken: false,
+            is_complete: false,
         }
     }
 
@@ -49,13 +103,42 @@
         &self.source.opened.endpoint
     }
 
-    /// Runs `other`, and buffers the answer meanwhile.
-    pub async fn buffer_during<T>(&mut self, other: impl Future<Output = T>) -> T {
-        smol::future::or(other, async {
-            self.buffer().await;
-            std::future::pending().await
-        })
-        .await
+    /// Number of events of the answer; `None` unless it is complete. The answer of a larger
+    /// model is about as long.
+    #[must_use]
+    pub fn events(&self) -> Option<f64> {
+        let events = || f64::from(self.source.splitter.count_events());
+        self.is_complete.then(events)
+    }
+
+    /// Runs `other`, and buffers the answer meanwhile. Returns `None` once the answer is to
+    /// be delivered instead.
+    pub async fn hold_during<T>(
+        &mut self,
+        hold: &Hold,
+        other: impl Future<Output = T>,
+    ) -> Option<T> {
+        async { Some(other.await) }
+            .or(async {
+                // Callers misjudge the length too often to cut the time short by it.
+                let until = hold.until(None);
+                runtime::timeout_at(until, self.buffer()).await;
+                match self.events() {
+                    None => {
+                        Timer::at(until).await;
+                    }
+                    // How fast the service writes changes while the answer is held.
+                    Some(events) => loop {
+                        let until = hold.until(Some(events));
+                        if until <= Instant::now() {
+                            break;
+                        }
+                        Timer::at(until).await;
+                    },
+                }
+                None
+            })
+            .await
     }
 
     /// Buffers the answer until it ends, breaks off or fills the buffer.
@@ -68,7 +151,10 @@
                         return;
                     }
                 }
-                stream::Chunk::End => return,
+                stream::Chunk::End => {
+                    self.is_complete = true;
+                    return;
+                }
                 stream::Chunk::Broken | stream::Chunk::TimedOut => {
                     self.is_broken = true;
                     return;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -13,6 +13,7 @@
 use crate::errors;
 use crate::gateway::{call, plain, relay, send, standby, trace};
 use crate::http;
+use crate::observe;
 use crate::platform;
 use crate::rollout;
 use crate::runtime;
@@ -188,16 +189,25 @@
     opened.record_success(call, first);
     let outcome = rollout::AttemptOutcome::Answered(Some(first));
     call.observe(view, &opened.endpoint, outcome);
-    let until = call.standby_until(confidence);
+    let hold = call.hold(confidence);
     let mut standby = standby::Standby::new(opened, call.model, call.deadline);
     call.model = larger;
     let tried = std::mem::replace(&mut call.tried, call.refused_by.clone());
-    let attempts = standby.buffer_during(Box::pin(open(call, None)));
-    let answer = runtime::timeout_at(until, attempts).await;
-    if let Some(Ok(answer)) = answer {
-        return Some(Ok(answer));
-    }
-    if answer.is_none() {
+    let attempts = Box::pin(open(call, None));
+    let mut answer = standby.hold_during(&hold, attempts).await;
+    if let Some(Ok(source)) = &answer {
+        let endpoint = &source.opened.endpoint;
+        let ends_in_time = |events| hold.ends_in_time(events, endpoint);
+        if standby.events().is_none_or(ends_in_time) {
+            return answer;
+        }
+        call.trace
+            .attempt(&endpoint.record.id, "dropped", &"would not end in time");
+        let route = call.rule.name.as_str();
+        observe::metrics().record_escalation(route, "would_not_end_in_time");
+        // Dropped before the answer on standby is delivered, which ends the work there.
+        answer = Some(Err(NoStream::NoAnswer));
+    } else if answer.is_none() {
         // The abandoned attempt may have been executed.
         call.attempts += 1;
         call.trace.abandon("not begun in time");
@@ -233,9 +243,13 @@
 ) -> Option<usize> {
     call.chosen_model()?;
     let models = cascade::Cascade::new(&call.rule.models);
+    let choice = call.forecast_with(view, models.largest())?;
+    let elapsed = call.arrived.elapsed();
     let forecast = cascade::Forecast {
-        begin: call.arrived.elapsed() + call.expected_with(view, models.largest())?,
+        begin: elapsed + choice.begin,
+        end: elapsed + choice.end,
         objective: call.rule.objective.duration(),
+        time_limit: elapsed + call.time_left(),
         pressure: call.cx.pressure(&call.service),
         priority: call.priority,
     };
@@ -243,15 +257,26 @@
     if let Some(confidence) = opened.metadata.confidence {
         call.trace.note("confidence", &confidence);
         call.trace.note("larger_in_ms", &forecast.begin.as_millis());
+        call.trace.note("larger_ends_ms", &forecast.end.as_millis());
         call.trace
             .note("pressure", &format_args!("{:.2}", forecast.pressure.get()));
     }
-    match decision {
+    let larger = match decision {
         cascade::Decision::Escalate(larger) => {
             call.take_optional_retry(&RETRY_LIMITS).then_some(larger)
         }
         cascade::Decision::Keep => None,
+    };
+    if call.model < models.largest() {
+        let limit = forecast.limit(opened.metadata.confidence);
+        let decision = match (larger, limit) {
+            (Some(_), _) => "escalated",
+            (None, None) => "confident",
+            (None, Some(limit)) => limit.into(),
+        };
+        observe::metrics().record_escalation(call.rule.name.as_str(), decision);
     }
+    larger
 }
 
 async fn read_failure(
--- a/src/http/sse.rs
+++ b/src/http/sse.rs
@@ -89,6 +89,18 @@
         false
     }
 
+    /// Counts the complete events that are buffered, without comments.
+    #[must_use]
+    pub fn count_events(&self) -> u32 {
+        let mut rest = Self {
+            buf: self.buf.clone(),
+            ..Self::default()
+        };
+        let events = std::iter::from_fn(|| rest.next_event());
+        let count = events.filter(|event| !event.is_comment()).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
     /// Takes the next complete event or comment; `None` until more bytes arrive.
     pub fn next_event(&mut self) -> Option<Event> {
         let end = if self.comment_bytes > 0 {
--- a/tests/integration/direct/balance.rs
+++ b/tests/integration/direct/balance.rs
@@ -66,6 +66,8 @@
         }),
         max_delay: Duration::ZERO,
         writing: Duration::ZERO,
+        event_gap: None,
+        time_left: Duration::from_secs(5),
         spread: Fingerprint(0),
         now: Moment::from_millis(at),
     }
@@ -317,6 +319,37 @@
     }
 }
 
+/// Guards against a forecast by waits of an overload that is over: an entry of many gets an
+/// answer of each endpoint only every few seconds.
+#[test]
+fn a_forecast_goes_by_recent_waits() {
+    struct Case {
+        name: &'static str,
+        later_ms: u64,
+        begin_ms: std::ops::Range<u128>,
+    }
+    let case = |name, later_ms, begin_ms| Case {
+        name,
+        later_ms,
+        begin_ms,
+    };
+    let cases = [
+        case("just now", 0, 2_900..3_100),
+        case("a moment ago", 1_000, 2_000..2_900),
+        case("before the overload was over", 10_000, 0..300),
+    ];
+    let domain = "north".parse().unwrap();
+    for case in cases {
+        let endpoints = [endpoint("one", "north")];
+        let live = &endpoints[0].live;
+        live.record_success(Duration::from_secs(3), Duration::ZERO);
+        live.record_first_at(Moment::from_millis(NOW));
+        let choice = choose(&endpoints, &query(&domain, None, NOW + case.later_ms)).unwrap();
+        let begin = choice.begin.as_millis();
+        assert!(case.begin_ms.contains(&begin), "{}: {begin}", case.name);
+    }
+}
+
 /// Guards against a selection that can't be explained from the log.
 #[test]
 fn a_choice_is_logged_with_its_inputs() {
--- a/tests/integration/direct/cascade.rs
+++ b/tests/integration/direct/cascade.rs
@@ -2,16 +2,17 @@
 
 use std::time::Duration;
 
-use quetzalworks::balance::Pressure;
+use quetzalworks::balance::{Pressure, WritingSpeed};
 use quetzalworks::cascade::{Cascade, Decision, Forecast, standby_time};
 use quetzalworks::ids::ModelName;
+use quetzalworks::runtime::Moment;
 
 const OBJECTIVE: Duration = Duration::from_secs(1);
 
 fn pressure(first: Duration) -> Pressure {
     let mut pressure = Pressure::default();
-    for _ in 0..500 {
-        pressure.add(first, OBJECTIVE);
+    for at in 0..500 {
+        pressure.add(first, OBJECTIVE, Moment::from_millis(at * 10));
     }
     pressure
 }
@@ -89,7 +90,9 @@
         let ladder = Cascade::new(&models);
         let forecast = Forecast {
             begin: Duration::from_millis(100),
+            end: Duration::from_millis(100),
             objective: OBJECTIVE,
+            time_limit: 5 * OBJECTIVE,
             pressure: pressure(case.first),
             priority: 0,
         };
@@ -105,28 +108,46 @@
     struct Case {
         name: &'static str,
         begin_ms: u64,
+        end_ms: u64,
         load_ms: u64,
         priority: u8,
         step: Decision,
     }
-    let case = |name, begin_ms, load_ms, priority, step| Case {
+    let case = |name, (begin_ms, end_ms), load_ms, priority, step| Case {
         name,
         begin_ms,
+        end_ms,
         load_ms,
         priority,
         step,
     };
     let cases = [
-        case("in time", 800, 200, 0, Decision::Escalate(1)),
-        case("after the objective", 1_400, 200, 0, Decision::Keep),
-        case("loaded, urgent", 300, 550, 0, Decision::Escalate(1)),
-        case("loaded, less urgent", 300, 550, 2, Decision::Keep),
+        case("in time", (800, 800), 200, 0, Decision::Escalate(1)),
+        case(
+            "after the objective",
+            (1_400, 1_400),
+            200,
+            0,
+            Decision::Keep,
+        ),
+        case("loaded, urgent", (300, 300), 550, 0, Decision::Escalate(1)),
+        case("loaded, less urgent", (300, 300), 550, 2, Decision::Keep),
+        case("a long answer", (300, 3_900), 200, 0, Decision::Escalate(1)),
+        case(
+            "ends long after the limit",
+            (300, 20_000),
+            200,
+            0,
+            Decision::Keep,
+        ),
     ];
     let models: Vec<ModelName> = ["s", "l"].map(|name| name.parse().unwrap()).into();
     for case in cases {
         let forecast = Forecast {
             begin: Duration::from_millis(case.begin_ms),
+            end: Duration::from_millis(case.end_ms),
             objective: OBJECTIVE,
+            time_limit: 5 * OBJECTIVE,
             pressure: pressure(Duration::from_millis(case.load_ms)),
             priority: case.priority,
         };
@@ -135,29 +156,117 @@
     }
 }
 
+/// Guards against answers of models too small for seconds after an overload is over.
+#[test]
+fn escalation_returns_after_an_overload() {
+    struct Case {
+        name: &'static str,
+        /// Time between two answers of the service at this entry.
+        gap_ms: u64,
+    }
+    let case = |name, gap_ms| Case { name, gap_ms };
+    let cases = [
+        case("a busy entry", 50),
+        case("one entry of twenty", 250),
+        case("one entry of many", 500),
+    ];
+    let models: Vec<ModelName> = ["s", "l"].map(|name| name.parse().unwrap()).into();
+    for case in cases {
+        let mut pressure = Pressure::default();
+        let mut at = 0;
+        let mut answers = |first_ms, period_ms| {
+            let end = at + period_ms;
+            while at < end {
+                at += case.gap_ms;
+                let first = Duration::from_millis(first_ms);
+                pressure.add(first, OBJECTIVE, Moment::from_millis(at));
+            }
+            let forecast = Forecast {
+                begin: Duration::from_millis(300),
+                end: Duration::from_millis(300),
+                objective: OBJECTIVE,
+                time_limit: 5 * OBJECTIVE,
+                pressure,
+                priority: 1,
+            };
+            Cascade::new(&models).evaluate(0, Some(0.4), &forecast)
+        };
+        let name = case.name;
+        assert_eq!(answers(2_000, 10_000), Decision::Keep, "{name}: overload");
+        assert_eq!(answers(100, 4_000), Decision::Escalate(1), "{name}: over");
+    }
+}
+
+/// Guards against a writing speed that is that of the fast streams alone, as they have most
+/// of the events.
+#[test]
+fn each_stream_counts_alike_in_the_writing_speed() {
+    struct Case {
+        name: &'static str,
+        /// Gap between events of each stream that runs at the same time.
+        gaps_ms: &'static [u64],
+        expected_ms: std::ops::Range<u128>,
+    }
+    let case = |name, gaps_ms, expected_ms| Case {
+        name,
+        gaps_ms,
+        expected_ms,
+    };
+    let cases = [
+        case("alike", &[50, 50], 49..51),
+        case("a slow one and a fast one", &[40, 400], 190..250),
+        case("one of four is slow", &[40, 40, 40, 400], 110..150),
+    ];
+    for case in cases {
+        let mut speed = WritingSpeed::default();
+        for at in 1..=60_000 {
+            let ends = case.gaps_ms.iter().filter(|gap| at % **gap == 0);
+            ends.for_each(|gap| speed.record_gap(Duration::from_millis(*gap)));
+        }
+        let gap = speed.gap().unwrap().as_millis();
+        assert!(case.expected_ms.contains(&gap), "{}: {gap} ms", case.name);
+    }
+}
+
 /// Guards against an answer that is ready and not delivered because a larger model is late.
 #[test]
 fn an_answer_is_held_back_by_its_confidence() {
     struct Case {
         name: &'static str,
         confidence: f64,
+        writing_ms: u64,
         held_ms: std::ops::Range<u128>,
     }
     let cases = [
         Case {
             name: "of some confidence: in time",
             confidence: 0.4,
+            writing_ms: 0,
             held_ms: 500..1_000,
         },
         Case {
             name: "of none: while the better one may still be complete",
             confidence: 0.1,
+            writing_ms: 0,
             held_ms: 1_000..5_000,
         },
+        Case {
+            name: "of none, but the better one is long: while it may still be complete",
+            confidence: 0.1,
+            writing_ms: 3_000,
+            held_ms: 1_000..2_001,
+        },
+        Case {
+            name: "the better one can't be complete at all",
+            confidence: 0.1,
+            writing_ms: 6_000,
+            held_ms: 0..1,
+        },
     ];
     let limit = Duration::from_secs(5);
     for case in cases {
-        let held = standby_time(case.confidence, OBJECTIVE, limit).as_millis();
+        let writing = Duration::from_millis(case.writing_ms);
+        let held = standby_time(case.confidence, OBJECTIVE, limit, writing).as_millis();
         assert!(case.held_ms.contains(&held), "{}: {held} ms", case.name);
     }
 }
--- a/tests/integration/direct/endpoint.rs
+++ b/tests/integration/direct/endpoint.rs
@@ -59,6 +59,8 @@
     Trickle(u64, &'static str),
     /// Sends all events, with this confidence of the model in percent.
     Events(&'static str),
+    /// Like `Events`, with a pause before each event but the first.
+    PacedEvents(Duration, &'static str),
     /// Sends this text, with the id of the request for `{id}`, and closes the connection.
     Raw(&'static str),
     /// Like `Events`, after a pause.
@@ -294,13 +296,27 @@
                 self.send_answer(tcp, req, &Behaviour::Events("90"))
             }
             Behaviour::Events(confidence) => {
-                self.send_events(tcp, req, confidence, EVENTS);
-                let _ = tcp.write_all(b"0\r\n\r\n");
-                true
+                self.send_complete(tcp, req, confidence, Duration::ZERO)
+            }
+            Behaviour::PacedEvents(pause, confidence) => {
+                self.send_complete(tcp, req, confidence, *pause)
             }
         }
     }
 
+    /// Sends all events, with a pause between them. Returns that the connection stays open.
+    fn send_complete(
+        &self,
+        mut tcp: &TcpStream,
+        req: &Received,
+        confidence: &str,
+        pause: Duration,
+    ) -> bool {
+        self.send_paced(tcp, req, confidence, EVENTS, pause);
+        let _ = tcp.write_all(b"0\r\n\r\n");
+        true
+    }
+
     /// Sends so many bytes, then waits for the end of the connection.
     fn send_bytes(&self, mut tcp: &TcpStream, bytes: usize) {
         let _ = tcp.write_all(&vec![b'a'; bytes]);
@@ -327,7 +343,18 @@
         tcp.write_all(answer.as_bytes()).is_ok()
     }
 
-    fn send_events(&self, mut tcp: &TcpStream, req: &Received, confidence: &str, last: u64) {
+    fn send_events(&self, tcp: &TcpStream, req: &Received, confidence: &str, last: u64) {
+        self.send_paced(tcp, req, confidence, last, Duration::ZERO);
+    }
+
+    fn send_paced(
+        &self,
+        mut tcp: &TcpStream,
+        req: &Received,
+        confidence: &str,
+        last: u64,
+        pause: Duration,
+    ) {
         let id = req.header("attempt-id").unwrap_or_default();
         let head = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: {}\r\nConfidence: {confidence}\r\n\
@@ -339,6 +366,9 @@
             .header("last-event-id")
             .map_or(0, |event| event.parse().unwrap());
         for event in from + 1..=last {
+            if event > from + 1 {
+                thread::sleep(pause);
+            }
             let model = req.header("model").unwrap_or_default();
             let _ = write_chunk(tcp, &format!("id: {event}\ndata: {event} {model}\n\n"));
         }
--- a/tests/integration/direct/streams.rs
+++ b/tests/integration/direct/streams.rs
@@ -278,6 +278,44 @@
     assert_eq!(arrivals, 2);
 }
 
+/// Guards against an answer that is cut off by the deadline although that of a smaller model
+/// was at hand.
+#[test]
+fn an_answer_at_hand_is_delivered_where_the_larger_one_would_end_too_late() {
+    struct Case {
+        name: &'static str,
+        confidence: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "no confidence",
+            confidence: "0",
+        },
+        Case {
+            name: "little confidence",
+            confidence: "20",
+        },
+    ];
+    for case in cases {
+        // All events take 6 s, and callers wait for 4 s.
+        let paced = || Behaviour::PacedEvents(Duration::from_millis(1_200), "90");
+        let script = Arc::new(Mutex::new(vec![
+            Behaviour::Events(case.confidence),
+            paced(),
+        ]));
+        let engines = ["a", "b"].map(|id| Endpoint::shared(id, &script, paced()));
+        let mut config = config(1);
+        config["Routes"][0]["GapAimMs"] = 3_000.into();
+        let endpoints = engines.each_ref().map(|engine| ("writer", engine));
+        let site = Site::with_config(&endpoints, &config);
+        // Its events show how fast the service writes; it has no other answer at hand.
+        let first = site.chat("id-1");
+        assert!(first.is_err(), "{}: the first is cut off", case.name);
+        let answer = site.chat("id-2").map(|answer| ids(&answer.text()).len());
+        assert_eq!(answer.ok(), Some(6), "{}", case.name);
+    }
+}
+
 /// Guards against treating a busy endpoint as gone because it sends nothing while it
 /// processes a prompt.
 #[test]
