--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -19,7 +19,7 @@
 pub use choose::{Choice, ChoiceReason, Query, VersionFilter, choose};
 pub use endpoint_speed::EndpointSpeed;
 pub use fleet_share::{AnyFleetShare, Assigned, FleetShare, LEASE_DURATION, Unassigned};
-pub use forecast::{EngineWork, Forecast, PlainWork};
+pub use forecast::{EngineWork, Forecast, PlainWork, writing_factor};
 pub use live::{Failure, Figures, Live, Permit, ReportedLoad, SilenceAction};
 pub use pace::{
     Admission, Answer, AnyPace, Bounds, Cause, Change, ColdLimit, Hold, Limit, MAX_PAUSE, Observed,
@@ -30,4 +30,4 @@
 pub use reading_speed::ReadingSpeed;
 pub use retry_window::RetryWindow;
 pub use work_time::{InvalidWorkTime, WorkTime};
-pub use writing_speed::WritingSpeed;
+pub use writing_speed::{EventGap, WritingSpeed};
--- a/tests/integration/direct/site.rs
+++ b/tests/integration/direct/site.rs
@@ -188,7 +188,7 @@
             .replace("127.0.0.1:1", &callers.to_string())
             .replace("127.0.0.1:2", &readiness.to_string())
             .replace("127.0.0.1:3", &store.to_string());
-        Self::with_settings(&settings, callers, readiness)
+        Self::with_settings(&(settings + tables), callers, readiness)
     }
 
     /// Starts a process that shares reads with others. The drain limit is long enough that a
@@ -212,7 +212,7 @@
 
     fn with_settings(settings: &str, callers: SocketAddr, readiness: SocketAddr) -> Self {
         let path = isolation::create_test_dir().join("settings.toml");
-        fs::write(&path, settings + tables).unwrap();
+        fs::write(&path, settings).unwrap();
         Self {
             process: Process::spawn(path),
             callers,
