--- a/src/gateway/wait.rs
+++ b/src/gateway/wait.rs
@@ -15,6 +15,9 @@
 use crate::room;
 use crate::runtime;
 
+/// Assumed work of a request at an endpoint that has not answered yet.
+const DEFAULT_WORK: Duration = Duration::from_millis(40);
+
 /// A place in the line of a service, given up if the caller leaves.
 struct LinePlace {
     cx: Arc<gateway::Cx>,
@@ -213,17 +216,13 @@
     if let Some(send::AttemptError::NotRun(balance::Failure::Refused, _)) = error {
         let now = runtime::Moment::now();
         call.cx.with_room(&call.service, |room| {
-            let work = room.work_time(id).unwrap_or(DEFAULT_FULL);
+            let work = room.work_time(id).unwrap_or(DEFAULT_WORK);
             room.record_turned_away(id, work, now);
         });
     }
     call.cx.notify_room();
 }
 
-/// Time for which an endpoint is taken to be full that has refused a request, before its
-/// first answer.
-const DEFAULT_FULL: Duration = Duration::from_millis(40);
-
 /// Returns what the caller can expect if the request is refused now, and counts it.
 pub fn outlook(call: &mut call::Call) -> room::Outlook {
     let now = runtime::Moment::now();
