A crowd that finds no memory causes no search for each of its requests

Cause: each head that found no memory searched all connections; on a busy machine the process waited for the processor (timers 137 ms late) and was not ready when heads_that_trickle looked, in one of two runs beside two busy processes.

Change: 50 ms pause after a search that found nobody; a request waits until enough is released, not for the first release.

--- a/src/http/buffer_budget.rs
+++ b/src/http/buffer_budget.rs
@@ -65,6 +65,13 @@
         units::Bytes(self.limit as u64)
     }
 
+    /// Returns the number of bytes that are not reserved.
+    #[must_use]
+    pub fn free(&self) -> units::Bytes {
+        let used = self.used.load(Ordering::Acquire);
+        units::Bytes(self.limit.saturating_sub(used) as u64)
+    }
+
     /// Returns a future that completes at the next release after this call.
     pub fn released(&self) -> event_listener::EventListener {
         self.released.listen()
--- a/src/http/connection_table.rs
+++ b/src/http/connection_table.rs
@@ -4,13 +4,12 @@
 use std::time::{Duration, Instant};
 
 use slotmap::SlotMap;
-use smol::Timer;
 use smol::channel;
-use smol::future::FutureExt;
 
 use crate::http;
 use crate::http::{connection, connection_row, eviction};
 use crate::observe;
+use crate::runtime;
 use crate::units;
 
 slotmap::new_key_type! {
@@ -23,6 +22,9 @@
 /// Divisor of the budget that yields the memory freed at a time, so that one choice among
 /// all connections serves several requests.
 const FREED_PART: u64 = 32;
+/// Pause after a choice that found nobody to close, so that a crowd that finds no memory
+/// does not cause a search among all connections for each of its requests.
+const SEARCH_PAUSE: Duration = Duration::from_millis(50);
 /// Minimum interval between log lines about evicted connections.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -33,6 +35,14 @@
     budget: Option<Arc<http::BufferBudget>>,
     rows: Mutex<SlotMap<ConnectionKey, connection_row::Row>>,
     log: Mutex<EvictionLog>,
+    /// The last search for memory that found nobody to close.
+    failed_search: Mutex<Option<FailedSearch>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct FailedSearch {
+    at: Instant,
+    need: units::Bytes,
 }
 
 #[derive(Debug, Default)]
@@ -49,6 +59,7 @@
             budget,
             rows: Mutex::default(),
             log: Mutex::default(),
+            failed_search: Mutex::default(),
         })
     }
 
@@ -111,12 +122,20 @@
             return false;
         };
         let now = Instant::now();
+        let mut failed = self
+            .failed_search
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if failed.is_some_and(|last| now - last.at < SEARCH_PAUSE && need >= last.need) {
+            return false;
+        }
         let target = units::Bytes(budget.limit().0 / FREED_PART);
         let mut rows = self.lock();
         let chosen = eviction::for_memory(candidates(&rows, now), need, target);
         for key in &chosen {
             self.evict(&mut rows, *key, now, http::CloseReason::Memory);
         }
+        *failed = chosen.is_empty().then_some(FailedSearch { at: now, need });
         !chosen.is_empty()
     }
 
@@ -159,18 +178,19 @@
         let Some(budget) = &self.budget else {
             return;
         };
-        let released = budget.released();
         if !self.evict_for_memory(need) {
             return;
         }
-        let released = async {
-            released.await;
+        let is_free = async {
+            loop {
+                let released = budget.released();
+                if budget.free() >= need {
+                    return;
+                }
+                released.await;
+            }
         };
-        released
-            .or(async {
-                Timer::after(RELEASE_TIMEOUT).await;
-            })
-            .await;
+        runtime::timeout_at(Instant::now() + RELEASE_TIMEOUT, is_free).await;
     }
 }
 
