A larger run is given up only where it would take twice the time left

Cause: the forecast of the end is uncertain, and an answer of the larger model is worth several times that of one too small. With the expected end alone, many larger runs were dropped that might have ended in time.

Change: half of the expected writing time must fit, at the begin of the larger model and while the answer on standby is held. The length of the answer on standby is counted once.

--- a/src/cascade/mod.rs
+++ b/src/cascade/mod.rs
@@ -5,4 +5,4 @@
 mod standby;
 
 pub use models::{Cascade, Decision, Forecast, Limit};
-pub use standby::standby_time;
+pub use standby::{may_end_in_time, standby_time};
--- a/src/gateway/standby.rs
+++ b/src/gateway/standby.rs
@@ -50,15 +50,15 @@
         self.cx.writing_speed(&self.service).time(events)
     }
 
-    /// Returns whether a larger model that has just begun its answer at an endpoint is
-    /// expected to end it in time.
+    /// Returns whether a larger model that has just begun its answer at an endpoint may still
+    /// end it in time.
     #[must_use]
-    pub fn ends_in_time(&self, events: f64, endpoint: &direct::EndpointView) -> bool {
+    pub fn may_end_in_time(&self, events: f64, endpoint: &direct::EndpointView) -> bool {
         let left = self.deadline.saturating_duration_since(Instant::now());
         let gap = self.cx.writing_speed(&self.service).gap();
         let factor = endpoint.live.writing_factor(gap, runtime::Moment::now());
         let writing = self.writing(events).unwrap_or_default();
-        writing.mul_f64(factor) <= left
+        cascade::may_end_in_time(writing.mul_f64(factor), left)
     }
 }
 
@@ -71,7 +71,8 @@
     model: usize,
     deadline: Instant,
     is_broken: bool,
-    is_complete: bool,
+    /// Number of events of the complete answer; `None` before its end.
+    events: Option<u32>,
 }
 
 impl Standby {
@@ -87,7 +88,7 @@
             model,
             deadline,
             is_broken: false,
-            is_complete: false,
+            events: None,
         }
     }
 
@@ -106,9 +107,8 @@
     /// Number of events of the answer; `None` unless it is complete. The answer of a larger
     /// model is about as long.
     #[must_use]
-    pub fn events(&self) -> Option<f64> {
-        let events = || f64::from(self.source.splitter.count_events());
-        self.is_complete.then(events)
+    pub fn length(&self) -> Option<f64> {
+        self.events.map(f64::from)
     }
 
     /// Runs `other`, and buffers the answer meanwhile. Returns `None` once the answer is to
@@ -123,7 +123,7 @@
                 // Callers misjudge the length too often to cut the time short by it.
                 let until = hold.until(None);
                 runtime::timeout_at(until, self.buffer()).await;
-                match self.events() {
+                match self.length() {
                     None => {
                         Timer::at(until).await;
                     }
@@ -152,7 +152,7 @@
                     }
                 }
                 stream::Chunk::End => {
-                    self.is_complete = true;
+                    self.events = Some(self.source.splitter.count_events());
                     return;
                 }
                 stream::Chunk::Broken | stream::Chunk::TimedOut => {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -197,8 +197,8 @@
     let mut answer = standby.hold_during(&hold, attempts).await;
     if let Some(Ok(source)) = &answer {
         let endpoint = &source.opened.endpoint;
-        let ends_in_time = |events| hold.ends_in_time(events, endpoint);
-        if standby.events().is_none_or(ends_in_time) {
+        let may_end = |events| hold.may_end_in_time(events, endpoint);
+        if standby.length().is_none_or(may_end) {
             return answer;
         }
         call.trace
