Decoding of expected lengths has its cases

Cause: the length that a caller expects decides on escalations, and no test covers it. Change: a table of stated maxima and hints.

--- a/tests/integration/direct/endpoint_speed.rs
+++ b/tests/integration/direct/endpoint_speed.rs
@@ -273,3 +273,33 @@
         assert_eq!(factor, case.work_time, "{name}");
     }
 }
+
+/// Guards against an estimate of the answer's length above what the caller allows.
+#[test]
+fn expected_lengths_are_decoded() {
+    struct Case {
+        count: &'static str,
+        hint: &'static str,
+        output: Option<u64>,
+    }
+    let case = |count, hint, output| Case {
+        count,
+        hint,
+        output,
+    };
+    let cases = [
+        case("1460,80", "25", Some(25)),
+        case("1460,80", "700", Some(80)),
+        case("1460,80", "many", Some(80)),
+        case("1460", "25", Some(25)),
+        case("none", "none", None),
+    ];
+    for case in cases {
+        let headers: HeaderMap = [("token-count", case.count), ("length-hint", case.hint)]
+            .map(|(name, value)| (name.parse().unwrap(), value.parse().unwrap()))
+            .into_iter()
+            .collect();
+        let output = headers::decode_request(&headers).output.map(|it| it.0);
+        assert_eq!(output, case.output, "{} {}", case.count, case.hint);
+    }
+}
