A suspended endpoint is told from one closed otherwise in tests

Cause: the test counted any state but open as suspended, so that a cold or silent endpoint passed too. Change: only a suspension after a failure counts; any state other than it and open fails the test. Result: direct::failures passes (5 tests of the module), and is stricter both ways.

--- a/tests/integration/direct/failures.rs
+++ b/tests/integration/direct/failures.rs
@@ -11,8 +11,13 @@
 
 use crate::direct::balance::{NOW, chosen, endpoint, query};
 
+/// Panics if the endpoint is neither open nor suspended.
 fn is_suspended(live: &Live, now: Moment) -> bool {
-    live.admission(Bounds::default(), now) != Admission::Open
+    match live.admission(Bounds::default(), now) {
+        Admission::Open => false,
+        Admission::LastResort(Hold::Failed(_)) => true,
+        other => panic!("{other:?}"),
+    }
 }
 
 fn is_silent(live: &Live, now: Moment) -> bool {
