A probe whose caller leaves lets another one try the endpoint

Cause: a dropped request reports neither success nor failure, so the endpoint counted as probed for 4 s although it was healthy. Change: a permit dropped before its answer begins gives the probe up, if it is the one that was sent last; a failure recorded before closes as ever.

--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -238,6 +238,13 @@
         self.in_flight > 0 && now.saturating_since(self.last_seen) > self.silence_timeout()
     }
 
+    /// Stops counting a request as waiting for its answer to begin.
+    fn end_wait(&mut self, reading: Duration, sent: runtime::Moment) {
+        self.pending_reading = self.pending_reading.saturating_sub(reading);
+        self.waiting -= 1;
+        self.waiting_since_sum_ms -= sent.as_millis();
+    }
+
     fn is_unresponsive(&self, now: runtime::Moment) -> bool {
         now.saturating_since(self.last_seen) > self.silence_timeout().mul_f64(UNRESPONSIVE_FACTOR)
     }
@@ -553,19 +560,19 @@
 impl Permit {
     /// Records that the answer has begun; further calls have no effect.
     pub fn record_first_byte(&mut self) {
-        let Some((reading, sent)) = self.waiting.take() else {
-            return;
-        };
-        let mut state = self.live.lock();
-        state.pending_reading = state.pending_reading.saturating_sub(reading);
-        state.waiting -= 1;
-        state.waiting_since_sum_ms -= sent.as_millis();
+        if let Some((reading, sent)) = self.waiting.take() {
+            self.live.lock().end_wait(reading, sent);
+        }
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.record_first_byte();
-        self.live.lock().in_flight -= 1;
+        let mut state = self.live.lock();
+        if let Some((reading, sent)) = self.waiting.take() {
+            state.end_wait(reading, sent);
+            state.pacer.give_up(sent);
+        }
+        state.in_flight -= 1;
     }
 }
--- a/src/balance/pace/any_pace.rs
+++ b/src/balance/pace/any_pace.rs
@@ -129,6 +129,16 @@
         }
     }
 
+    /// Returns the state after the caller of a request sent at a time has left before its
+    /// answer began.
+    #[must_use]
+    pub fn give_up(self, sent: runtime::Moment) -> Self {
+        match self {
+            Self::Probing(probing) => Self::Probing(probing.give_up(sent)),
+            _ => self,
+        }
+    }
+
     /// Returns the state after the endpoint has started, returned or become cold. A pause
     /// and a suspension last.
     #[must_use]
--- a/src/balance/pace/life_cycle.rs
+++ b/src/balance/pace/life_cycle.rs
@@ -186,6 +186,13 @@
         self
     }
 
+    /// The caller of the request sent at a time has left before any outcome, so that
+    /// another request may try the endpoint.
+    pub(super) fn give_up(mut self, sent: runtime::Moment) -> Self {
+        self.state.sent = self.state.sent.filter(|last| *last != sent);
+        self
+    }
+
     /// The endpoint has answered, in whatever time.
     pub(super) fn answer(self, bounds: &pace::Bounds, observed: &pace::Observed) -> Pace<Rising> {
         let Probing { .. } = self.state;
--- a/src/balance/pace/pacer.rs
+++ b/src/balance/pace/pacer.rs
@@ -85,6 +85,11 @@
         self.pace = self.pace.send(now);
     }
 
+    /// Records that the caller of a request sent at a time has left before its answer began.
+    pub fn give_up(&mut self, sent: runtime::Moment) {
+        self.pace = self.pace.give_up(sent);
+    }
+
     /// Records that the endpoint has started or returned, and has to find its pace.
     pub fn start(&mut self, bounds: pace::Bounds, observed: &pace::Observed) {
         self.bounds = bounds;
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -22,6 +22,7 @@
 mod operator;
 mod outcomes;
 mod pace;
+mod pace_moves;
 mod pool;
 mod regions;
 mod returns;
