--- a/src/balance/pace/any_pace.rs
+++ b/src/balance/pace/any_pace.rs
@@ -202,11 +202,15 @@
         trouble: pace::Trouble,
         until: runtime::Moment,
         bounds: &pace::Bounds,
+        observed: &pace::Observed,
         now: runtime::Moment,
     ) -> Self {
         let is_down = trouble == pace::Trouble::Down;
         match self {
             Self::Full(full) if is_down => Self::Closed(full.close(until, false)),
+            Self::Probing(probing) if trouble == pace::Trouble::Refused => {
+                Self::Rising(probing.refuse(bounds, observed, now))
+            }
             Self::Probing(probing) => Self::Closed(probing.close(until, false)),
             Self::Rising(rising) if is_down => Self::Closed(rising.close(until, false)),
             Self::Rising(rising) => rising.fall(bounds, now).map_or(self, Self::Rising),
--- a/src/balance/pace/life_cycle.rs
+++ b/src/balance/pace/life_cycle.rs
@@ -193,6 +193,27 @@
         self
     }
 
+    /// The endpoint is full, hence alive.
+    pub(super) fn refuse(
+        self,
+        bounds: &pace::Bounds,
+        observed: &pace::Observed,
+        now: runtime::Moment,
+    ) -> Pace<Rising> {
+        let Probing { sent } = self.state;
+        let Pace { state: rising } = Pace::rising(bounds, observed, false);
+        let floor = bounds.floor();
+        Pace {
+            state: Rising {
+                limit: floor,
+                threshold: floor,
+                sent,
+                fell: Some(now),
+                ..rising
+            },
+        }
+    }
+
     /// The endpoint has answered, in whatever time.
     pub(super) fn answer(self, bounds: &pace::Bounds, observed: &pace::Observed) -> Pace<Rising> {
         let Probing { .. } = self.state;
--- a/src/balance/pace/pacer.rs
+++ b/src/balance/pace/pacer.rs
@@ -151,7 +151,7 @@
         let doubled = INITIAL_SUSPENSION * 2_u32.saturating_pow(strikes.min(4));
         let until = now.saturating_add(doubled.min(MAX_SUSPENSION));
         let before = pace::Stage::from(self.pace);
-        let pace = self.pace.fail(trouble, until, &self.bounds, now);
+        let pace = self.pace.fail(trouble, until, &self.bounds, observed, now);
         if before != pace::Stage::Closed && pace::Stage::from(pace) == pace::Stage::Closed {
             self.strikes = strikes;
             self.failed_at = Some(now);
--- a/tests/integration/direct/pace_moves.rs
+++ b/tests/integration/direct/pace_moves.rs
@@ -11,7 +11,8 @@
     Moment::from_millis(NOW + millis)
 }
 
-/// Guards against a healthy endpoint that stays shut since the caller of its probe has left.
+/// Guards against a healthy endpoint that stays shut since the caller of its probe has left,
+/// or since it was full.
 #[test]
 fn a_probe_ends_by_its_outcome() {
     struct Case {
@@ -48,6 +49,7 @@
             Some(Failure::Answered),
             is_failed,
         ),
+        case("refused", true, Some(Failure::Refused), is_open),
     ];
     for case in cases {
         let view = endpoint("e", "north");
