The limit of a cold endpoint begins once in a cold span

Cause: each look at a cold endpoint limited it again, so that it went to its full load and back until the span was over. Change: the limit begins once, and again only for a further span or after a failure that may be a restart.

--- a/src/balance/pace/pacer.rs
+++ b/src/balance/pace/pacer.rs
@@ -37,6 +37,8 @@
     failed_at: Option<runtime::Moment>,
     /// Until when the endpoint counts as cold, as it may have restarted after a failure.
     cold_until: runtime::Moment,
+    /// End of the cold span for which the limit has begun, as last known.
+    limited_until: runtime::Moment,
     permits: pace::Permits,
     /// Last change that has not been taken for the log.
     change: Option<pace::Change>,
@@ -69,12 +71,17 @@
         let Some(limit) = limit else {
             return Some(Duration::ZERO);
         };
-        if cold_until.max(self.cold_until) <= now {
+        let cold_until = cold_until.max(self.cold_until);
+        if cold_until <= now {
             self.permits.lift();
             return Some(Duration::ZERO);
         }
-        let pace = self.pace.start(&self.bounds, observed);
-        self.set(pace, pace::Cause::Cold, None);
+        // An endpoint that has proven its pace keeps it, although the span still lasts.
+        if self.limited_until <= now {
+            let pace = self.pace.start(&self.bounds, observed);
+            self.set(pace, pace::Cause::Cold, None);
+        }
+        self.limited_until = cold_until;
         self.permits.delay(limit, endpoint, now)
     }
 
@@ -131,6 +138,7 @@
             Failure::Answered | Failure::Misdirected | Failure::Refused
         ) {
             self.cold_until = now.saturating_add(cold);
+            self.limited_until = runtime::Moment::default();
         }
         let (trouble, cause) = match failure {
             Failure::Refused => (pace::Trouble::Refused, pace::Cause::Refused),
--- a/tests/integration/direct/pace_moves.rs
+++ b/tests/integration/direct/pace_moves.rs
@@ -2,11 +2,15 @@
 
 use std::time::Duration;
 
-use quetzalworks::balance::{Admission, Bounds, Failure, Hold};
+use quetzalworks::balance::{Admission, Bounds, ColdLimit, Failure, Hold, Stage};
+use quetzalworks::ids::Fingerprint;
 use quetzalworks::runtime::Moment;
+use quetzalworks::units::Rate;
 
 use crate::direct::balance::{NOW, endpoint};
 
+const USUAL: Duration = Duration::from_millis(100);
+
 fn at(millis: u64) -> Moment {
     Moment::from_millis(NOW + millis)
 }
@@ -71,3 +75,64 @@
         drop(probe);
     }
 }
+
+/// Guards against a cold endpoint whose limit begins again after each end.
+#[test]
+fn a_cold_span_limits_an_endpoint_once() {
+    struct Case {
+        name: &'static str,
+        /// End of the cold span by the record at a time in ms.
+        cold_until_ms: fn(u64) -> u64,
+        /// Time of a failure after which the endpoint may have restarted.
+        failed_ms: Option<u64>,
+        /// Changes to a limit.
+        limited: usize,
+    }
+    let case = |name, cold_until_ms, failed_ms, limited| Case {
+        name,
+        cold_until_ms,
+        failed_ms,
+        limited,
+    };
+    let cases = [
+        case("one span", |_| 5_000, None, 1),
+        case(
+            "its end moves with the reports",
+            |t| 5_000 + t / 500,
+            None,
+            1,
+        ),
+        case(
+            "a second span",
+            |t| if t < 4_000 { 2_000 } else { 9_000 },
+            None,
+            2,
+        ),
+        case("broken within the span", |_| 5_000, Some(2_000), 2),
+    ];
+    for case in cases {
+        let view = endpoint("e", "north");
+        let live = &view.live;
+        let limit = ColdLimit {
+            rate: Rate::clamped(10.0),
+            entry: Fingerprint(0),
+        };
+        let mut limited = 0;
+        for t in (0..8_000).step_by(100) {
+            let _ = live.admission(Bounds::default(), at(t));
+            let until = at((case.cold_until_ms)(t));
+            let _ = live.cold_delay(&view.record.id, until, Some(&limit), at(t));
+            let count = |to: Stage| usize::from(to == Stage::Rising);
+            limited += live.take_pace_change().map_or(0, |change| count(change.to));
+            let mut permit = live.begin(Duration::ZERO, at(t));
+            permit.record_first_byte();
+            if case.failed_ms == Some(t) {
+                live.record_failure(Failure::Broken, Duration::from_secs(3), at(t));
+            } else {
+                live.record_success(USUAL, Duration::ZERO);
+            }
+            let _ = live.take_pace_change();
+        }
+        assert_eq!(limited, case.limited, "{}", case.name);
+    }
+}
