The usual wait of a service is computed only for a new incarnation

Cause: each record of a listing, changed or not, sorted the waits of all endpoints of its service under their locks. Change: it is computed where an endpoint appears or has started again. No time was measured.

--- a/src/direct/system/endpoints.rs
+++ b/src/direct/system/endpoints.rs
@@ -131,7 +131,10 @@
     let mut cold_until = cx.now.saturating_add(record.cold_left.duration());
     let known_at_start = !world.endpoints_listed;
     let share = world.share;
-    let usual = world.usual_wait(&record.service);
+    let row = world.endpoints.by_name(&record.id);
+    let begins = row.map_or(!known_at_start, |row| record.started > row.record.started);
+    // Looks at all endpoints of the service, so not for each record of a listing.
+    let usual = begins.then(|| world.usual_wait(&record.service)).flatten();
     let Some(row) = world.endpoints.by_name_mut(&record.id) else {
         if !known_at_start {
             cold_until = cold_until.max(cx.now.saturating_add(cold_span));
