A request at a high limit looks again after some milliseconds

Cause: the time to the next look is the usual wait over the limit, below 1 ms at a high limit, so that waiting requests polled. Change: it is 5 ms at least. Result: the_next_look_is_some_time_away failed on the code before (at 8,000 slots) and passes.

--- a/src/balance/pace/life_cycle.rs
+++ b/src/balance/pace/life_cycle.rs
@@ -28,6 +28,8 @@
 /// Longest time between two requests of an entry, however small its share is: a newcomer
 /// may have none.
 const MAX_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest time until a request at the limit looks again, however many answers are due.
+const MIN_INTERVAL: Duration = Duration::from_millis(5);
 /// Fraction to which trouble lowers the limit.
 const DECREASE: f64 = 0.5;
 /// Time granted to the request that tries a failed endpoint, until another one may.
@@ -276,7 +278,7 @@
         let interval = Duration::try_from_secs_f64(self.expected().as_secs_f64() / floor)
             .map_or(MAX_INTERVAL, |interval| interval.min(MAX_INTERVAL));
         if !limit.admits(waiting) {
-            return Some(now.saturating_add(interval.min(self.expected())));
+            return Some(now.saturating_add(interval.min(self.expected()).max(MIN_INTERVAL)));
         }
         // A share of less than one request is one request at times.
         let next = sent.map(|sent| sent.saturating_add(interval));
--- a/tests/integration/direct/pace_moves.rs
+++ b/tests/integration/direct/pace_moves.rs
@@ -136,3 +136,29 @@
         assert_eq!(limited, case.limited, "{}", case.name);
     }
 }
+
+/// Guards against requests that look again all the time whether they may go.
+#[test]
+fn the_next_look_is_some_time_away() {
+    struct Case {
+        slots: u32,
+        waiting: usize,
+    }
+    let cases = [(8, 1), (80, 10), (8_000, 1_000)].map(|(slots, waiting)| Case { slots, waiting });
+    for case in cases {
+        let view = endpoint("e", "north");
+        let live = &view.live;
+        let bounds = Bounds {
+            slots: case.slots,
+            ..Bounds::default()
+        };
+        live.start(bounds, Some(USUAL));
+        let _permits: Vec<_> = (0..case.waiting)
+            .map(|_| live.begin(Duration::ZERO, at(0)))
+            .collect();
+        let Admission::LastResort(Hold::Rising(next)) = live.admission(bounds, at(0)) else {
+            panic!("{} slots: not at its limit", case.slots);
+        };
+        assert!(next >= at(5), "{} slots", case.slots);
+    }
+}
