The memory of failures is described as it is counted

Cause: the text spoke of time at full load; the code counts from the last time a failure closed the endpoint. Change: the text says so. Result: text only.

--- a/src/balance/pace/pacer.rs
+++ b/src/balance/pace/pacer.rs
@@ -11,7 +11,8 @@
 const INITIAL_SUSPENSION: Duration = Duration::from_millis(500);
 /// Maximum suspension, so that a recovered endpoint is soon in use again.
 const MAX_SUSPENSION: Duration = Duration::from_secs(4);
-/// Time at full load after which a further failure counts as the first.
+/// Time since a failure last closed the endpoint, after which a further one counts as the
+/// first.
 const STRIKE_MEMORY: Duration = Duration::from_secs(10);
 /// Longest pause that is granted; a longer one is a mistake of the endpoint.
 pub const MAX_PAUSE: Duration = Duration::from_secs(30);
