An answer is recorded together with its time

Change: record_success takes the time; record_first_at is gone. Tests pass the simulated time of each answer; their bounds are the same.

--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -397,9 +397,9 @@
         reading.unread(&self.lock().cached, now)
     }
 
-    /// Records an answered attempt. `first` is its time to first byte, of which the engine
-    /// needed `reading` to read the prompt.
-    pub fn record_success(&self, first: Duration, reading: Duration) {
+    /// Records an answered attempt whose answer has begun at `now`. `first` is its time to
+    /// first byte, of which the engine needed `reading` to read the prompt.
+    pub fn record_success(&self, first: Duration, reading: Duration, now: runtime::Moment) {
         let mut state = self.lock();
         let pace = state.speed.map_or(1.0, |speed| speed.stated().factor());
         let wait = first.saturating_sub(reading).div_f64(pace);
@@ -420,17 +420,13 @@
         };
         add_sample(&mut state.mean_first_byte_ms, first, weight);
         add_sample(&mut state.mean_wait_ms, wait, weight);
+        state.mean_wait_at = Some(now);
         if let Some(speed) = &mut state.speed {
             speed.record(first, reading);
         }
         state.failure_share *= 1.0 - weight;
     }
 
-    /// Records the time at which the last recorded answer has begun.
-    pub fn record_first_at(&self, now: runtime::Moment) {
-        self.lock().mean_wait_at = Some(now);
-    }
-
     /// Records a failed attempt. `cold` is how long the endpoint is cold if the failure was a
     /// restart.
     pub fn record_failure(&self, failure: Failure, cold: Duration, now: runtime::Moment) {
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -128,8 +128,8 @@
 ) {
     let answered = !status.is_server_error();
     if answered {
-        endpoint.live.record_success(first, Duration::ZERO);
-        endpoint.live.record_first_at(runtime::Moment::now());
+        let now = runtime::Moment::now();
+        endpoint.live.record_success(first, Duration::ZERO, now);
         call.clear_suspicion();
     } else {
         let now = runtime::Moment::now();
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -70,9 +70,9 @@
 
     /// Records that the answer has begun `first` after the request was sent.
     pub fn record_success(&self, call: &call::Call, first: Duration) {
-        self.endpoint.live.record_success(first, self.reading);
+        let now = runtime::Moment::now();
+        self.endpoint.live.record_success(first, self.reading, now);
         pace::report(&self.endpoint);
-        self.endpoint.live.record_first_at(runtime::Moment::now());
         call.cx
             .record_reading(&call.service, call.model, self.unread, first);
     }
--- a/tests/integration/direct/balance.rs
+++ b/tests/integration/direct/balance.rs
@@ -117,10 +117,10 @@
         },
         Case {
             name: "slow to answer",
-            prepare: |near, _| {
+            prepare: |near, now| {
                 for _ in 0..20 {
                     near.live
-                        .record_success(Duration::from_secs(1), Duration::ZERO);
+                        .record_success(Duration::from_secs(1), Duration::ZERO, now);
                 }
             },
             chosen: "far",
@@ -295,9 +295,11 @@
             .map(|i| endpoint(&format!("e{i}"), "north"))
             .collect();
         for other in &endpoints {
-            other
-                .live
-                .record_success(Duration::from_millis(100), Duration::ZERO);
+            other.live.record_success(
+                Duration::from_millis(100),
+                Duration::ZERO,
+                Moment::from_millis(NOW),
+            );
         }
         let shared = prompt(7, 6_000);
         let before = chosen(&endpoints, &query(&domain, Some(&shared), NOW)).unwrap();
@@ -305,9 +307,11 @@
         let preferred = endpoints.iter().find(is_preferred).unwrap();
         if let Some(millis) = case.first_byte_ms {
             for _ in 0..50 {
-                preferred
-                    .live
-                    .record_success(Duration::from_millis(millis), Duration::ZERO);
+                preferred.live.record_success(
+                    Duration::from_millis(millis),
+                    Duration::ZERO,
+                    Moment::from_millis(NOW),
+                );
             }
         }
         let sent = |waited: &u64| {
@@ -343,8 +347,8 @@
     for case in cases {
         let endpoints = [endpoint("one", "north")];
         let live = &endpoints[0].live;
-        live.record_success(Duration::from_secs(3), Duration::ZERO);
-        live.record_first_at(Moment::from_millis(NOW));
+        let now = Moment::from_millis(NOW);
+        live.record_success(Duration::from_secs(3), Duration::ZERO, now);
         let choice = choose(&endpoints, &query(&domain, None, NOW + case.later_ms)).unwrap();
         let begin = choice.begin.as_millis();
         assert!(case.begin_ms.contains(&begin), "{}: {begin}", case.name);
--- a/tests/integration/direct/endpoint_speed.rs
+++ b/tests/integration/direct/endpoint_speed.rs
@@ -120,7 +120,7 @@
             live.record_activity(at(end));
             live.record_load(report, at(end));
             done.permit.record_first_byte();
-            live.record_success(took, Duration::ZERO);
+            live.record_success(took, Duration::ZERO, at(end));
             in_time += u64::from(took.as_millis() <= u128::from(case.objective_ms));
         }
         let entry = rng.usize(..case.entries);
--- a/tests/integration/direct/failures.rs
+++ b/tests/integration/direct/failures.rs
@@ -138,12 +138,11 @@
     ];
     for case in cases {
         let endpoint = endpoint("e", "north");
+        let sent = Moment::from_millis(NOW);
         for _ in 0..100 {
-            endpoint
-                .live
-                .record_success(Duration::from_millis(case.usual_ms), Duration::ZERO);
+            let usual = Duration::from_millis(case.usual_ms);
+            endpoint.live.record_success(usual, Duration::ZERO, sent);
         }
-        let sent = Moment::from_millis(NOW);
         let _permit = case
             .in_flight
             .then(|| endpoint.live.begin(Duration::ZERO, sent));
--- a/tests/integration/direct/pace.rs
+++ b/tests/integration/direct/pace.rs
@@ -134,7 +134,7 @@
         job.view.live.record_activity(now);
         job.permit.record_first_byte();
         let first = Duration::from_millis(t - job.sent);
-        job.view.live.record_success(first, Duration::ZERO);
+        job.view.live.record_success(first, Duration::ZERO, now);
         self.served.push(t);
     }
 
@@ -445,8 +445,11 @@
             share: Share::clamped(case.share),
         };
         let pause = Duration::from_secs(1);
-        view.live
-            .record_success(Duration::from_millis(100), Duration::ZERO);
+        view.live.record_success(
+            Duration::from_millis(100),
+            Duration::ZERO,
+            Moment::from_millis(NOW),
+        );
         view.live.pause(pause, Moment::from_millis(NOW));
         let sent = Moment::from_millis(NOW).saturating_add(pause);
         let first = view.live.admission(bounds, sent);
--- a/tests/integration/direct/pace_moves.rs
+++ b/tests/integration/direct/pace_moves.rs
@@ -129,7 +129,7 @@
             if case.failed_ms == Some(t) {
                 live.record_failure(Failure::Broken, Duration::from_secs(3), at(t));
             } else {
-                live.record_success(USUAL, Duration::ZERO);
+                live.record_success(USUAL, Duration::ZERO, at(t));
             }
             let _ = live.take_pace_change();
         }
