--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -238,6 +238,13 @@
         self.in_flight > 0 && now.saturating_since(self.last_seen) > self.silence_timeout()
     }
 
+    /// Stops counting a request as waiting for its answer to begin.
+    fn end_wait(&mut self, reading: Duration, sent: runtime::Moment) {
+        self.pending_reading = self.pending_reading.saturating_sub(reading);
+        self.waiting -= 1;
+        self.waiting_since_sum_ms -= sent.as_millis();
+    }
+
     fn is_unresponsive(&self, now: runtime::Moment) -> bool {
         now.saturating_since(self.last_seen) > self.silence_timeout().mul_f64(UNRESPONSIVE_FACTOR)
     }
@@ -390,9 +397,9 @@
         reading.unread(&self.lock().cached, now)
     }
 
-    /// Records an answered attempt. `first` is its time to first byte, of which the engine
-    /// needed `reading` to read the prompt.
-    pub fn record_success(&self, first: Duration, reading: Duration) {
+    /// Records an answered attempt whose answer has begun at `now`. `first` is its time to
+    /// first byte, of which the engine needed `reading` to read the prompt.
+    pub fn record_success(&self, first: Duration, reading: Duration, now: runtime::Moment) {
         let mut state = self.lock();
         let pace = state.speed.map_or(1.0, |speed| speed.stated().factor());
         let wait = first.saturating_sub(reading).div_f64(pace);
@@ -413,17 +420,13 @@
         };
         add_sample(&mut state.mean_first_byte_ms, first, weight);
         add_sample(&mut state.mean_wait_ms, wait, weight);
+        state.mean_wait_at = Some(now);
         if let Some(speed) = &mut state.speed {
             speed.record(first, reading);
         }
         state.failure_share *= 1.0 - weight;
     }
 
-    /// Records the time at which the last recorded answer has begun.
-    pub fn record_first_at(&self, now: runtime::Moment) {
-        self.lock().mean_wait_at = Some(now);
-    }
-
     /// Records a failed attempt. `cold` is how long the endpoint is cold if the failure was a
     /// restart.
     pub fn record_failure(&self, failure: Failure, cold: Duration, now: runtime::Moment) {
@@ -553,19 +556,19 @@
 impl Permit {
     /// Records that the answer has begun; further calls have no effect.
     pub fn record_first_byte(&mut self) {
-        let Some((reading, sent)) = self.waiting.take() else {
-            return;
-        };
-        let mut state = self.live.lock();
-        state.pending_reading = state.pending_reading.saturating_sub(reading);
-        state.waiting -= 1;
-        state.waiting_since_sum_ms -= sent.as_millis();
+        if let Some((reading, sent)) = self.waiting.take() {
+            self.live.lock().end_wait(reading, sent);
+        }
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.record_first_byte();
-        self.live.lock().in_flight -= 1;
+        let mut state = self.live.lock();
+        if let Some((reading, sent)) = self.waiting.take() {
+            state.end_wait(reading, sent);
+            state.pacer.give_up(sent);
+        }
+        state.in_flight -= 1;
     }
 }
--- a/src/balance/pace/life_cycle.rs
+++ b/src/balance/pace/life_cycle.rs
@@ -28,6 +28,8 @@
 /// Longest time between two requests of an entry, however small its share is: a newcomer
 /// may have none.
 const MAX_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest time until a request at the limit looks again, however many answers are due.
+const MIN_INTERVAL: Duration = Duration::from_millis(5);
 /// Fraction to which trouble lowers the limit.
 const DECREASE: f64 = 0.5;
 /// Time granted to the request that tries a failed endpoint, until another one may.
@@ -186,6 +188,34 @@
         self
     }
 
+    /// The caller of the request sent at a time has left before any outcome, so that
+    /// another request may try the endpoint.
+    pub(super) fn give_up(mut self, sent: runtime::Moment) -> Self {
+        self.state.sent = self.state.sent.filter(|last| *last != sent);
+        self
+    }
+
+    /// The endpoint is full, hence alive.
+    pub(super) fn refuse(
+        self,
+        bounds: &pace::Bounds,
+        observed: &pace::Observed,
+        now: runtime::Moment,
+    ) -> Pace<Rising> {
+        let Probing { sent } = self.state;
+        let Pace { state: rising } = Pace::rising(bounds, observed, false);
+        let floor = bounds.floor();
+        Pace {
+            state: Rising {
+                limit: floor,
+                threshold: floor,
+                sent,
+                fell: Some(now),
+                ..rising
+            },
+        }
+    }
+
     /// The endpoint has answered, in whatever time.
     pub(super) fn answer(self, bounds: &pace::Bounds, observed: &pace::Observed) -> Pace<Rising> {
         let Probing { .. } = self.state;
@@ -248,7 +278,7 @@
         let interval = Duration::try_from_secs_f64(self.expected().as_secs_f64() / floor)
             .map_or(MAX_INTERVAL, |interval| interval.min(MAX_INTERVAL));
         if !limit.admits(waiting) {
-            return Some(now.saturating_add(interval.min(self.expected())));
+            return Some(now.saturating_add(interval.min(self.expected()).max(MIN_INTERVAL)));
         }
         // A share of less than one request is one request at times.
         let next = sent.map(|sent| sent.saturating_add(interval));
--- a/src/balance/pace/pacer.rs
+++ b/src/balance/pace/pacer.rs
@@ -11,7 +11,8 @@
 const INITIAL_SUSPENSION: Duration = Duration::from_millis(500);
 /// Maximum suspension, so that a recovered endpoint is soon in use again.
 const MAX_SUSPENSION: Duration = Duration::from_secs(4);
-/// Time at full load after which a further failure counts as the first.
+/// Time since a failure last closed the endpoint, after which a further one counts as the
+/// first.
 const STRIKE_MEMORY: Duration = Duration::from_secs(10);
 /// Longest pause that is granted; a longer one is a mistake of the endpoint.
 pub const MAX_PAUSE: Duration = Duration::from_secs(30);
@@ -37,6 +38,8 @@
     failed_at: Option<runtime::Moment>,
     /// Until when the endpoint counts as cold, as it may have restarted after a failure.
     cold_until: runtime::Moment,
+    /// End of the cold span for which the limit has begun, as last known.
+    limited_until: runtime::Moment,
     permits: pace::Permits,
     /// Last change that has not been taken for the log.
     change: Option<pace::Change>,
@@ -69,12 +72,17 @@
         let Some(limit) = limit else {
             return Some(Duration::ZERO);
         };
-        if cold_until.max(self.cold_until) <= now {
+        let cold_until = cold_until.max(self.cold_until);
+        if cold_until <= now {
             self.permits.lift();
             return Some(Duration::ZERO);
         }
-        let pace = self.pace.start(&self.bounds, observed);
-        self.set(pace, pace::Cause::Cold, None);
+        // An endpoint that has proven its pace keeps it, although the span still lasts.
+        if self.limited_until <= now {
+            let pace = self.pace.start(&self.bounds, observed);
+            self.set(pace, pace::Cause::Cold, None);
+        }
+        self.limited_until = cold_until;
         self.permits.delay(limit, endpoint, now)
     }
 
@@ -85,6 +93,11 @@
         self.pace = self.pace.send(now);
     }
 
+    /// Records that the caller of a request sent at a time has left before its answer began.
+    pub fn give_up(&mut self, sent: runtime::Moment) {
+        self.pace = self.pace.give_up(sent);
+    }
+
     /// Records that the endpoint has started or returned, and has to find its pace.
     pub fn start(&mut self, bounds: pace::Bounds, observed: &pace::Observed) {
         self.bounds = bounds;
@@ -126,6 +139,7 @@
             Failure::Answered | Failure::Misdirected | Failure::Refused
         ) {
             self.cold_until = now.saturating_add(cold);
+            self.limited_until = runtime::Moment::default();
         }
         let (trouble, cause) = match failure {
             Failure::Refused => (pace::Trouble::Refused, pace::Cause::Refused),
@@ -146,7 +160,7 @@
         let doubled = INITIAL_SUSPENSION * 2_u32.saturating_pow(strikes.min(4));
         let until = now.saturating_add(doubled.min(MAX_SUSPENSION));
         let before = pace::Stage::from(self.pace);
-        let pace = self.pace.fail(trouble, until, &self.bounds, now);
+        let pace = self.pace.fail(trouble, until, &self.bounds, observed, now);
         if before != pace::Stage::Closed && pace::Stage::from(pace) == pace::Stage::Closed {
             self.strikes = strikes;
             self.failed_at = Some(now);
--- a/tests/integration/direct/failures.rs
+++ b/tests/integration/direct/failures.rs
@@ -11,8 +11,13 @@
 
 use crate::direct::balance::{NOW, chosen, endpoint, query};
 
+/// Panics if the endpoint is neither open nor suspended.
 fn is_suspended(live: &Live, now: Moment) -> bool {
-    live.admission(Bounds::default(), now) != Admission::Open
+    match live.admission(Bounds::default(), now) {
+        Admission::Open => false,
+        Admission::LastResort(Hold::Failed(_)) => true,
+        other => panic!("{other:?}"),
+    }
 }
 
 fn is_silent(live: &Live, now: Moment) -> bool {
@@ -133,12 +138,11 @@
     ];
     for case in cases {
         let endpoint = endpoint("e", "north");
+        let sent = Moment::from_millis(NOW);
         for _ in 0..100 {
-            endpoint
-                .live
-                .record_success(Duration::from_millis(case.usual_ms), Duration::ZERO);
+            let usual = Duration::from_millis(case.usual_ms);
+            endpoint.live.record_success(usual, Duration::ZERO, sent);
         }
-        let sent = Moment::from_millis(NOW);
         let _permit = case
             .in_flight
             .then(|| endpoint.live.begin(Duration::ZERO, sent));
