A pause of an endpoint does not end a stream that may not be resumed

Change: without a further attempt, the silence of an endpoint is waited for until the request's deadline, before the first event and between events. Result: the new test fails without the change (the body breaks off). Streams that may be resumed are still given up for silence before it is known that another endpoint goes on.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -128,6 +128,11 @@
                     waiting_since = Instant::now();
                 }
                 stream::Chunk::TimedOut => {
+                    // No other endpoint may go on, and this one may only have paused.
+                    if !self.call.may_retry() && Instant::now() < self.call.deadline {
+                        waiting_since = Instant::now();
+                        continue;
+                    }
                     if let Err(err) = self.resume(balance::Failure::Silent).await {
                         return Some(Err(err));
                     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -367,6 +367,8 @@
                 return Ok(source);
             }
             Chunk::End | Chunk::Broken => balance::Failure::Broken,
+            // No other endpoint may run the request, and this one may only have paused.
+            Chunk::TimedOut if !call.may_retry() && Instant::now() < deadline => continue,
             Chunk::TimedOut => balance::Failure::Silent,
         };
         return Err((source.opened.endpoint, failure));
--- a/tests/integration/direct/endpoint.rs
+++ b/tests/integration/direct/endpoint.rs
@@ -61,6 +61,8 @@
     Events(&'static str),
     /// Like `Events`, with a pause before each event but the first.
     PacedEvents(Duration, &'static str),
+    /// Sends all events, with one pause after that with this id.
+    PausedEvents(u64, Duration),
     /// Sends this text, with the id of the request for `{id}`, and closes the connection.
     Raw(&'static str),
     /// Like `Events`, after a pause.
@@ -298,9 +300,8 @@
             Behaviour::Events(confidence) => {
                 self.send_complete(tcp, req, confidence, Duration::ZERO)
             }
-            Behaviour::PacedEvents(pause, confidence) => {
-                self.send_complete(tcp, req, confidence, *pause)
-            }
+            Behaviour::PacedEvents(pause, text) => self.send_complete(tcp, req, text, *pause),
+            Behaviour::PausedEvents(last, pause) => self.send_with_pause(tcp, req, *last, *pause),
         }
     }
 
@@ -369,9 +370,25 @@
             if event > from + 1 {
                 thread::sleep(pause);
             }
-            let model = req.header("model").unwrap_or_default();
-            let _ = write_chunk(tcp, &format!("id: {event}\ndata: {event} {model}\n\n"));
+            send_event(tcp, req, event);
+        }
+    }
+
+    /// Sends all events, with a pause after `last`. Returns that the connection stays open.
+    fn send_with_pause(
+        &self,
+        mut tcp: &TcpStream,
+        req: &Received,
+        last: u64,
+        pause: Duration,
+    ) -> bool {
+        self.send_events(tcp, req, "90", last);
+        thread::sleep(pause);
+        for event in last + 1..=EVENTS {
+            send_event(tcp, req, event);
         }
+        let _ = tcp.write_all(b"0\r\n\r\n");
+        true
     }
 
     fn wait_for_disconnect(&self, mut tcp: &TcpStream) {
@@ -382,6 +399,11 @@
     }
 }
 
+fn send_event(tcp: &TcpStream, req: &Received, event: u64) {
+    let model = req.header("model").unwrap_or_default();
+    let _ = write_chunk(tcp, &format!("id: {event}\ndata: {event} {model}\n\n"));
+}
+
 fn write_chunk(mut tcp: &TcpStream, text: &str) -> std::io::Result<()> {
     tcp.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
 }
--- a/tests/integration/direct/streams.rs
+++ b/tests/integration/direct/streams.rs
@@ -330,6 +330,40 @@
     assert_eq!(arrivals, 1, "sent once");
 }
 
+/// Guards against a sound stream that is cut for a pause of its endpoint although no other
+/// endpoint may go on.
+#[test]
+fn a_pause_does_not_end_a_stream_that_may_not_be_resumed() {
+    struct Case {
+        name: &'static str,
+        /// Last event before the pause.
+        last: u64,
+    }
+    let cases = [
+        Case {
+            name: "in the middle",
+            last: 3,
+        },
+        Case {
+            name: "before the last event",
+            last: EVENTS - 1,
+        },
+    ];
+    for case in cases {
+        // Longer than the silence after which another endpoint would be tried.
+        let pause = Duration::from_millis(2_500);
+        let script = [Behaviour::PausedEvents(case.last, pause)];
+        let engine = Endpoint::spawn("a", &script, Behaviour::NotRun);
+        let mut config = config(1);
+        config["Routes"][0]["StreamResume"] = false.into();
+        let site = Site::with_config(&[("writer", &engine)], &config);
+        let answer = site.chat("id-1").unwrap();
+        let expected: Vec<u64> = (1..=EVENTS).collect();
+        assert_eq!(ids(&answer.text()), expected, "{}", case.name);
+        assert_eq!(engine.received().len(), 1, "{}", case.name);
+    }
+}
+
 /// Guards against waiting for the full attempt timeout when the endpoint has gone.
 #[test]
 fn silent_unreachable_endpoint_is_abandoned() {
