Test of a paused stream uses a service that states no status

Cause: the first form passed without the change too, as an engine that answers the question for its status is not taken to hang. Result: fails without the change (the body breaks off), passes with it.

--- a/tests/integration/direct/streams.rs
+++ b/tests/integration/direct/streams.rs
@@ -356,6 +356,9 @@
         let engine = Endpoint::spawn("a", &script, Behaviour::NotRun);
         let mut config = config(1);
         config["Routes"][0]["StreamResume"] = false.into();
+        // An engine is asked for its status; another service is taken to hang.
+        let service = config["Services"][0].as_object_mut().unwrap();
+        service.remove("Engine");
         let site = Site::with_config(&[("writer", &engine)], &config);
         let answer = site.chat("id-1").unwrap();
         let expected: Vec<u64> = (1..=EVENTS).collect();
