Try the last resort before a request is refused

Cause: endpoints that the choice tries only as a last resort counted as closed, so that the room refused, or held and then refused, a request for which the choice had one. Change: an opening says so, with its time if there is one; where none is open, such an endpoint gets the request in place of a refusal, at once or at the end of a wait. Where one is open the line is not passed. Result: the cases of last_resort.rs, seen failing with the new opening and the decision as before ("pause, failed" was refused).

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -240,23 +240,29 @@
         endpoint: &direct::EndpointView,
         now: runtime::Moment,
     ) -> room::Opening {
-        let share = self.cx.control.snapshot().share.of_connections();
-        match endpoint.admission(share, now) {
+        let reopening = |hold| match hold {
+            balance::Hold::Leaving => room::Opening::Never,
+            balance::Hold::Paused(until) | balance::Hold::Rising(until) => room::Opening::At(until),
+            balance::Hold::Failed(_) | balance::Hold::Probed(_) | balance::Hold::Silent => {
+                room::Opening::Unknown
+            }
+        };
+        let max_delay = self.rule.objective.duration().mul_f64(COLD_WAIT_FRACTION);
+        let cold_delay = endpoint.cold_delay(self.cold_limit(view, now).as_ref(), now);
+        match endpoint.admission(self.share(), now) {
             balance::Admission::Open => {}
-            balance::Admission::LastResort(hold) | balance::Admission::Closed(hold) => {
-                return match hold {
-                    balance::Hold::Leaving => room::Opening::Never,
-                    balance::Hold::Paused(until) | balance::Hold::Rising(until) => {
-                        room::Opening::At(until)
-                    }
-                    balance::Hold::Failed(_) | balance::Hold::Probed(_) | balance::Hold::Silent => {
-                        room::Opening::Unknown
-                    }
+            balance::Admission::Closed(hold) => return reopening(hold),
+            balance::Admission::LastResort(hold) => {
+                // The choice tries it now, unless it is cold and has no permit soon.
+                let is_tried = cold_delay.is_some_and(|delay| delay <= max_delay);
+                return match reopening(hold) {
+                    room::Opening::At(until) if is_tried => room::Opening::LastResort(Some(until)),
+                    room::Opening::Unknown if is_tried => room::Opening::LastResort(None),
+                    opening => opening,
                 };
             }
         }
-        let max_delay = self.rule.objective.duration().mul_f64(COLD_WAIT_FRACTION);
-        match endpoint.cold_delay(self.cold_limit(view, now).as_ref(), now) {
+        match cold_delay {
             None => room::Opening::Unknown,
             // A short delay is served by the choice, in the order of its permits.
             Some(delay) if delay <= max_delay => room::Opening::Now,
--- a/src/room/opening.rs
+++ b/src/room/opening.rs
@@ -12,6 +12,8 @@
     /// It is expected to take one at this time: a pause ends, a permit is due or a place is
     /// left.
     At(runtime::Moment),
+    /// Only where no other does; `Some` is when it is expected to take one as usual.
+    LastResort(Option<runtime::Moment>),
     /// It has failed or is silent; nothing tells when it is back. A request may be sent to it
     /// where nothing better is left.
     Unknown,
--- a/src/room/service_room.rs
+++ b/src/room/service_room.rs
@@ -201,14 +201,18 @@
         let ahead = u32::try_from(self.line.ahead_of(&claim, now)).unwrap_or(u32::MAX);
         let Some(expected) = self.expected(supply, ahead, now) else {
             // The choice of an endpoint has the last word on those that may have failed.
-            return if supply.unknown > 0 {
+            return if supply.unknown > 0 || supply.has_last_resort_only() {
                 Verdict::Send
             } else {
                 Verdict::Refuse
             };
         };
         if expected > claim.patience || self.line.len() >= MAX_WAITING {
-            return Verdict::Refuse;
+            return if supply.has_last_resort_only() {
+                Verdict::Send
+            } else {
+                Verdict::Refuse
+            };
         }
         Verdict::Wait(self.line.join(claim, now))
     }
@@ -229,6 +233,9 @@
             return Turn::Send(self.line.call(ticket));
         }
         if until <= now {
+            if supply.has_last_resort_only() {
+                return Turn::Send(self.line.call(ticket));
+            }
             self.line.leave(ticket);
             return Turn::Refuse;
         }
--- a/src/room/supply.rs
+++ b/src/room/supply.rs
@@ -35,6 +35,8 @@
     pub open: usize,
     /// Number of endpoints of which nothing tells when they are back.
     pub unknown: usize,
+    /// Number of endpoints that take a request only where no other does.
+    pub last_resort: usize,
     /// Number of all endpoints that the request may use.
     pub total: usize,
     /// Earliest time at which one that is not open is expected to be; `None` if none is.
@@ -54,17 +56,18 @@
     /// Sums the places up. `share` is the part of them that this entry may count on.
     #[must_use]
     pub fn new(places: &[Place], share: units::Share) -> Self {
-        use room::Opening::{At, Never, Now, Unknown};
+        use room::Opening::{At, LastResort, Never, Now, Unknown};
         let count = |wanted: fn(&room::Opening) -> bool| {
             places.iter().filter(|place| wanted(&place.opening)).count()
         };
         let usable = || {
-            let is_usable = |place: &&Place| matches!(place.opening, Now | At(_));
+            let is_usable =
+                |place: &&Place| matches!(place.opening, Now | At(_) | LastResort(Some(_)));
             places.iter().filter(is_usable)
         };
         let next = places.iter().filter_map(|place| match place.opening {
-            At(at) => Some(at),
-            Now | Unknown | Never => None,
+            At(at) | LastResort(Some(at)) => Some(at),
+            Now | LastResort(None) | Unknown | Never => None,
         });
         let is_open = |place: &&Place| matches!(place.opening, Now);
         let open_wait = places.iter().filter(is_open).map(|place| place.wait).min();
@@ -79,6 +82,7 @@
         Self {
             open: count(|opening| matches!(opening, Now)),
             unknown: count(|opening| matches!(opening, Unknown)),
+            last_resort: count(|opening| matches!(opening, LastResort(_))),
             total: places.len(),
             next: next.min(),
             wait: wait.unwrap_or_default(),
@@ -94,6 +98,12 @@
         self.open == 0 && self.next.is_none()
     }
 
+    /// Returns whether the choice would try an endpoint that may not be well.
+    #[must_use]
+    pub const fn has_last_resort_only(&self) -> bool {
+        self.open == 0 && self.last_resort > 0
+    }
+
     /// Returns the time until the first place, not counting requests that wait already;
     /// `None` if none is expected.
     #[must_use]
--- a/tests/integration/direct/room/mod.rs
+++ b/tests/integration/direct/room/mod.rs
@@ -1,6 +1,7 @@
 //! Requests that wait for a place at an endpoint, or are refused.
 
 mod crowd;
+mod last_resort;
 mod order;
 mod replay;
 mod waiters;
