Let a request go past waiters that cannot

Cause: one waiting request whose endpoints were closed made every other wait at the pace of the line, and was counted ahead of those that could go. Change: a request is sent at once unless one that can go waits; where it could go itself, only such are counted ahead of it. Result: the cases of passing.rs, seen failing before ("one closed" waited).

--- a/src/room/line.rs
+++ b/src/room/line.rs
@@ -85,12 +85,15 @@
         self.rows.is_empty()
     }
 
-    /// Returns how many waiting requests would go before one that joins now.
+    /// Returns how many waiting requests would go before one that joins now. Those whose
+    /// endpoints are closed do not go before one that `is_ready`.
     #[must_use]
-    pub fn ahead_of(&self, claim: &Claim, now: runtime::Moment) -> usize {
+    pub fn ahead_of(&self, claim: &Claim, is_ready: bool, now: runtime::Moment) -> usize {
         let rank = (claim.priority, self.start_of(claim), self.joined);
         let rows = self.rows.values();
-        rows.filter(|row| row.rank(now) < rank).count()
+        rows.filter(|row| row.is_ready || !is_ready)
+            .filter(|row| row.rank(now) < rank)
+            .count()
     }
 
     fn start_of(&self, claim: &Claim) -> Duration {
--- a/src/room/service_room.rs
+++ b/src/room/service_room.rs
@@ -189,7 +189,8 @@
         if !supply.is_absent() {
             self.absent_since = None;
         }
-        if self.line.is_empty() && supply.open > 0 {
+        let is_ready = supply.open > 0;
+        if is_ready && self.line.first_ready(now).is_none() {
             return Verdict::Send;
         }
         let claim = room::Claim {
@@ -198,7 +199,8 @@
             work: supply.work,
             patience: ask.patience(supply),
         };
-        let ahead = u32::try_from(self.line.ahead_of(&claim, now)).unwrap_or(u32::MAX);
+        let ahead = self.line.ahead_of(&claim, is_ready, now);
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
         let Some(expected) = self.expected(supply, ahead, now) else {
             // The choice of an endpoint has the last word on those that may have failed.
             return if supply.unknown > 0 || supply.has_last_resort_only() {
@@ -214,7 +216,9 @@
                 Verdict::Refuse
             };
         }
-        Verdict::Wait(self.line.join(claim, now))
+        let ticket = self.line.join(claim, now);
+        self.line.mark(&ticket, is_ready);
+        Verdict::Wait(ticket)
     }
 
     /// Decides about a waiting request, at its start and whenever something has changed.
--- a/tests/integration/direct/room/mod.rs
+++ b/tests/integration/direct/room/mod.rs
@@ -3,5 +3,6 @@
 mod crowd;
 mod last_resort;
 mod order;
+mod passing;
 mod replay;
 mod waiters;
