Wake the next waiter when the first can no longer go

Cause: a request that could go, behind another, slept to the end of its patience; when the endpoints of the one before it closed, nothing woke it. Change: it looks again when the next place is due, and a request that finds its endpoints closed wakes the others. Result: the cases of wakes.rs, seen failing before (nobody went within twenty turns; without that bound the test did not end).

--- a/src/gateway/wait.rs
+++ b/src/gateway/wait.rs
@@ -48,9 +48,12 @@
                 || room::Supply::new(&[], call.share()),
                 |view| look(call, &view, now).supply,
             );
-            let turn = self
-                .cx
-                .with_room(&self.service, |room| room.turn(ticket, &supply, now));
+            let (turn, has_new_first) = self.cx.with_room(&self.service, |room| {
+                (room.turn(ticket, &supply, now), room.take_new_first())
+            });
+            if has_new_first {
+                self.cx.notify_room();
+            }
             match turn {
                 room::Turn::Send(_) => {
                     self.end = room::WaitEnd::Place;
--- a/src/room/line.rs
+++ b/src/room/line.rs
@@ -116,11 +116,11 @@
         room::Ticket::new(self.rows.insert(row))
     }
 
-    /// Records whether an endpoint that the request may use is open.
-    pub fn mark(&mut self, ticket: &room::Ticket<room::Waiting>, is_ready: bool) {
-        if let Some(row) = self.rows.get_mut(ticket.key()) {
-            row.is_ready = is_ready;
-        }
+    /// Records whether an endpoint that the request may use is open. Returns whether one was
+    /// when it last looked.
+    pub fn mark(&mut self, ticket: &room::Ticket<room::Waiting>, is_ready: bool) -> bool {
+        let row = self.rows.get_mut(ticket.key());
+        row.is_some_and(|row| std::mem::replace(&mut row.is_ready, is_ready))
     }
 
     /// Returns when the request has waited as long as it may.
--- a/src/room/service_room.rs
+++ b/src/room/service_room.rs
@@ -88,6 +88,8 @@
     turned_away: room::TurnedAway,
     /// When a waiting request last got a place.
     called_at: Option<runtime::Moment>,
+    /// Whether a request can no longer go, so that another may be the first.
+    has_new_first: bool,
     /// Since when no endpoint is there or expected; `None` if one is.
     absent_since: Option<runtime::Moment>,
     work_times: room::WorkTimes,
@@ -228,7 +230,8 @@
         supply: &room::Supply,
         now: runtime::Moment,
     ) -> Turn {
-        self.line.mark(&ticket, supply.open > 0);
+        let was_ready = self.line.mark(&ticket, supply.open > 0);
+        self.has_new_first |= was_ready && supply.open == 0;
         let until = self.line.patience_ends(&ticket);
         let next_call = self.next_call(supply, now);
         let is_first = self.line.first_ready(now) == Some(ticket.key());
@@ -243,7 +246,8 @@
             self.line.leave(ticket);
             return Turn::Refuse;
         }
-        let wake = if is_first {
+        // The first may not be able to go at its time: the next looks then too.
+        let wake = if is_first || (supply.open > 0 && next_call > now) {
             next_call
         } else if supply.open > 0 {
             until
@@ -253,6 +257,12 @@
         Turn::Wait(ticket, wake.min(until))
     }
 
+    /// Returns whether a request that could go no longer can since this was last asked; the
+    /// others have to look again.
+    pub fn take_new_first(&mut self) -> bool {
+        std::mem::take(&mut self.has_new_first)
+    }
+
     /// Takes out a waiting request whose caller has left.
     pub fn leave(&mut self, ticket: room::Ticket<room::Waiting>) {
         self.line.leave(ticket);
--- a/tests/integration/direct/room/mod.rs
+++ b/tests/integration/direct/room/mod.rs
@@ -6,3 +6,4 @@
 mod passing;
 mod replay;
 mod waiters;
+mod wakes;
