--- a/src/room/line.rs
+++ b/src/room/line.rs
@@ -85,12 +85,15 @@
         self.rows.is_empty()
     }
 
-    /// Returns how many waiting requests would go before one that joins now.
+    /// Returns how many waiting requests would go before one that joins now. Those whose
+    /// endpoints are closed do not go before one that `is_ready`.
     #[must_use]
-    pub fn ahead_of(&self, claim: &Claim, now: runtime::Moment) -> usize {
+    pub fn ahead_of(&self, claim: &Claim, is_ready: bool, now: runtime::Moment) -> usize {
         let rank = (claim.priority, self.start_of(claim), self.joined);
         let rows = self.rows.values();
-        rows.filter(|row| row.rank(now) < rank).count()
+        rows.filter(|row| row.is_ready || !is_ready)
+            .filter(|row| row.rank(now) < rank)
+            .count()
     }
 
     fn start_of(&self, claim: &Claim) -> Duration {
@@ -113,11 +116,11 @@
         room::Ticket::new(self.rows.insert(row))
     }
 
-    /// Records whether an endpoint that the request may use is open.
-    pub fn mark(&mut self, ticket: &room::Ticket<room::Waiting>, is_ready: bool) {
-        if let Some(row) = self.rows.get_mut(ticket.key()) {
-            row.is_ready = is_ready;
-        }
+    /// Records whether an endpoint that the request may use is open. Returns whether one was
+    /// when it last looked.
+    pub fn mark(&mut self, ticket: &room::Ticket<room::Waiting>, is_ready: bool) -> bool {
+        let row = self.rows.get_mut(ticket.key());
+        row.is_some_and(|row| std::mem::replace(&mut row.is_ready, is_ready))
     }
 
     /// Returns when the request has waited as long as it may.
--- a/src/room/service_room.rs
+++ b/src/room/service_room.rs
@@ -88,6 +88,8 @@
     turned_away: room::TurnedAway,
     /// When a waiting request last got a place.
     called_at: Option<runtime::Moment>,
+    /// Whether a request can no longer go, so that another may be the first.
+    has_new_first: bool,
     /// Since when no endpoint is there or expected; `None` if one is.
     absent_since: Option<runtime::Moment>,
     work_times: room::WorkTimes,
@@ -189,7 +191,8 @@
         if !supply.is_absent() {
             self.absent_since = None;
         }
-        if self.line.is_empty() && supply.open > 0 {
+        let is_ready = supply.open > 0;
+        if is_ready && self.line.first_ready(now).is_none() {
             return Verdict::Send;
         }
         let claim = room::Claim {
@@ -198,19 +201,26 @@
             work: supply.work,
             patience: ask.patience(supply),
         };
-        let ahead = u32::try_from(self.line.ahead_of(&claim, now)).unwrap_or(u32::MAX);
+        let ahead = self.line.ahead_of(&claim, is_ready, now);
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
         let Some(expected) = self.expected(supply, ahead, now) else {
             // The choice of an endpoint has the last word on those that may have failed.
-            return if supply.unknown > 0 {
+            return if supply.unknown > 0 || supply.has_last_resort_only() {
                 Verdict::Send
             } else {
                 Verdict::Refuse
             };
         };
         if expected > claim.patience || self.line.len() >= MAX_WAITING {
-            return Verdict::Refuse;
+            return if supply.has_last_resort_only() {
+                Verdict::Send
+            } else {
+                Verdict::Refuse
+            };
         }
-        Verdict::Wait(self.line.join(claim, now))
+        let ticket = self.line.join(claim, now);
+        self.line.mark(&ticket, is_ready);
+        Verdict::Wait(ticket)
     }
 
     /// Decides about a waiting request, at its start and whenever something has changed.
@@ -220,7 +230,8 @@
         supply: &room::Supply,
         now: runtime::Moment,
     ) -> Turn {
-        self.line.mark(&ticket, supply.open > 0);
+        let was_ready = self.line.mark(&ticket, supply.open > 0);
+        self.has_new_first |= was_ready && supply.open == 0;
         let until = self.line.patience_ends(&ticket);
         let next_call = self.next_call(supply, now);
         let is_first = self.line.first_ready(now) == Some(ticket.key());
@@ -229,10 +240,14 @@
             return Turn::Send(self.line.call(ticket));
         }
         if until <= now {
+            if supply.has_last_resort_only() {
+                return Turn::Send(self.line.call(ticket));
+            }
             self.line.leave(ticket);
             return Turn::Refuse;
         }
-        let wake = if is_first {
+        // The first may not be able to go at its time: the next looks then too.
+        let wake = if is_first || (supply.open > 0 && next_call > now) {
             next_call
         } else if supply.open > 0 {
             until
@@ -242,6 +257,12 @@
         Turn::Wait(ticket, wake.min(until))
     }
 
+    /// Returns whether a request that could go no longer can since this was last asked; the
+    /// others have to look again.
+    pub fn take_new_first(&mut self) -> bool {
+        std::mem::take(&mut self.has_new_first)
+    }
+
     /// Takes out a waiting request whose caller has left.
     pub fn leave(&mut self, ticket: room::Ticket<room::Waiting>) {
         self.line.leave(ticket);
