--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -53,7 +53,8 @@
         let endpoint = Arc::clone(&choice.endpoint);
         let sent = wait::Sent::new(&choice);
         let result = attempt(&mut call, &view, choice, timeout).await;
-        wait::record_end(&call, &endpoint, &sent, result.as_ref().err());
+        let ended = result.as_ref().map(|answer| answer.status);
+        wait::record_end(&call, &endpoint, &sent, ended);
         let should_retry = match result {
             Ok(answer) => {
                 let is_failure = answer.status.is_server_error();
--- a/src/gateway/wait.rs
+++ b/src/gateway/wait.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use hyper::StatusCode;
 use smol::Timer;
 use smol::future::FutureExt;
 
@@ -206,17 +207,18 @@
     call: &call::Call,
     endpoint: &direct::EndpointView,
     sent: &Sent,
-    error: Option<&send::AttemptError>,
+    ended: Result<StatusCode, &send::AttemptError>,
 ) {
     let id = &endpoint.record.id;
     let slots = endpoint.record.slots;
-    if error.is_none() {
+    // A failure may come in no time, and tells nothing of how long work takes.
+    if ended.is_ok_and(|status| !status.is_server_error()) {
         let total = sent.at.elapsed();
         call.cx.with_room(&call.service, |room| {
             room.record_answer(id, total, sent.load, slots);
         });
     }
-    if let Some(send::AttemptError::NotRun(balance::Failure::Refused, _)) = error {
+    if let Err(send::AttemptError::NotRun(balance::Failure::Refused, _)) = ended {
         let now = runtime::Moment::now();
         call.cx.with_room(&call.service, |room| {
             let work = room.work_time(id).unwrap_or(DEFAULT_WORK);
