Count no body that is discarded as held

Cause: a body refused for lack of memory kept its last size in the row of its connection while the rest was discarded, so the choice of evictions expected memory from it that was released already. Change: its size is set to zero before the rest is discarded.

--- a/src/http/request_body.rs
+++ b/src/http/request_body.rs
@@ -64,6 +64,9 @@
         .map(request_slot::UnreadBody::begin);
     let result = collect(&mut body, reading.as_ref(), limit, stall).await;
     if matches!(result, Err(http::HttpError::OverBudget)) {
+        if let Some(reading) = &reading {
+            reading.set_held(0);
+        }
         while let Ok(Some(_)) = next_chunk(&mut body, reading.as_ref(), stall).await {}
     }
     result
