Serve the newcomer for which others were evicted

Cause: a connection or an incomplete head that found no memory evicted others and was closed all the same, so room was made for nobody. Change: after an eviction a new connection reserves once more, after a yield; a head stays pending with its timer armed and reserves at its next poll. No test of its own shows the fault on the code before.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -69,17 +69,19 @@
     }
 
     /// Reserves the memory of an incomplete head, and returns when the head began; `None` if
-    /// there is none. Fails if there is no memory; the connection is then to be closed.
+    /// there is none. If there is no memory, others are evicted, and the next call reserves
+    /// again. Fails if nobody can be evicted; the connection is then to be closed.
     pub fn await_head(&self) -> io::Result<Option<Instant>> {
-        let reserved = self.with_row(|row| match row.head_began() {
-            Some(began) => row.reserve().then_some(Some(began)),
-            None => Some(None),
-        });
-        if let Some(Some(began)) = reserved {
+        let (began, is_reserved) = self
+            .with_row(|row| {
+                let began = row.head_began();
+                (began, began.is_none() || row.reserve())
+            })
+            .unwrap_or((None, false));
+        let need = units::Bytes(connection_row::READ_BUFFER as u64);
+        if is_reserved || self.table.evict_for_memory(need) {
             return Ok(began);
         }
-        self.table
-            .evict_for_memory(units::Bytes(connection_row::READ_BUFFER as u64));
         Err(io::ErrorKind::OutOfMemory.into())
     }
 
--- a/src/http/connection_table.rs
+++ b/src/http/connection_table.rs
@@ -5,6 +5,7 @@
 
 use slotmap::SlotMap;
 use smol::channel;
+use smol::future;
 
 use crate::http;
 use crate::http::{connection, connection_row, eviction};
@@ -87,14 +88,20 @@
 
     /// Adds a connection, and evicts others if it finds no memory. Returns `None` if there
     /// is none to be had; the connection is then to be closed.
-    pub fn open(self: &Arc<Self>) -> Option<connection::Connection> {
+    pub async fn open(self: &Arc<Self>) -> Option<connection::Connection> {
         let now = Instant::now();
         let (evicted, evictions) = channel::bounded(1);
         let reservation = self.budget.as_ref().map(http::BufferBudget::begin);
         let mut row = connection_row::Row::new(reservation, evicted, now);
         if !row.reserve() {
-            self.evict_for_memory(units::Bytes(connection_row::CONNECTION_BYTES as u64));
-            return None;
+            if !self.evict_for_memory(units::Bytes(connection_row::CONNECTION_BYTES as u64)) {
+                return None;
+            }
+            // Lets the evicted connections close.
+            future::yield_now().await;
+            if !row.reserve() {
+                return None;
+            }
         }
         let key = self.lock().insert(row);
         Some(connection::Connection::new(
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -240,7 +240,7 @@
                     continue;
                 }
             }
-            let Some(connection) = self.table.open() else {
+            let Some(connection) = self.table.open().await else {
                 future::yield_now().await;
                 continue;
             };
