Discard the body of a request refused at its begin

Cause: the refusal of a request without memory closed the connection with its body unread; the reset that follows may take the refusal along. Change: the body is discarded, without a buffer, for up to 500 ms before the reply; the connection counts as receiving a body for that time. No test of its own shows the fault on the code before.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use smol::channel::Receiver;
 
 use crate::http;
@@ -118,6 +120,17 @@
         Some(request_slot::RequestSlot::new(Arc::clone(self)))
     }
 
+    /// Reads the body of a refused request to its end, and keeps nothing of it.
+    pub async fn discard_body(&self, mut body: Incoming) {
+        self.with_row(|row| row.begin(Activity::Body));
+        while let Some(Ok(_)) = body.frame().await {}
+    }
+
+    /// Records that a body is no longer discarded.
+    pub fn end_discard(&self) {
+        self.with_row(connection_row::Row::end_request);
+    }
+
     /// Waits until the connection is evicted.
     pub async fn evicted(&self) {
         while self.evictions.recv().await.is_ok() {}
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -40,6 +40,9 @@
 
 /// Time that the network may add to that of a head which its caller sent in time.
 const HEAD_MARGIN: Duration = Duration::from_secs(1);
+/// Maximum time to discard the body of a refused request. Closed with unread bytes, the
+/// connection would be reset, and its caller may miss the refusal.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval at which an evicted connection checks whether its last request has ended.
 const EVICTION_POLL_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -283,6 +286,9 @@
                 let open = Arc::clone(&table_entry);
                 async move {
                     let Some(slot) = open.begin_request().await else {
+                        let discarded = open.discard_body(req.into_body());
+                        runtime::timeout_at(Instant::now() + DISCARD_TIMEOUT, discarded).await;
+                        open.end_discard();
                         let mut reply = handler.overloaded();
                         let close = HeaderValue::from_static("close");
                         reply.headers_mut().insert(CONNECTION, close);
