Time each head with a timer of its own

Cause: the timer of a head was kept when the next head began without a read in between that found none, so the next one could end early. Change: the timer is kept with the begin of its head and replaced when it differs. No test of its own shows the fault on the code before.

--- a/src/http/stall.rs
+++ b/src/http/stall.rs
@@ -5,7 +5,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use smol::Timer;
 use smol::io::{AsyncRead, AsyncWrite};
@@ -35,8 +35,8 @@
     read_size: usize,
     /// Timer of the current stall; `None` unless a write is pending.
     write_timer: Option<Timer>,
-    /// Timer of the current head; `None` unless more of a head is awaited.
-    head_timer: Option<Timer>,
+    /// Begin of the current head and its timer; `None` unless more of a head is awaited.
+    head_timer: Option<(Instant, Timer)>,
 }
 
 impl StallLimited {
@@ -64,9 +64,11 @@
             return Poll::Pending;
         };
         let limit = self.limits.head;
-        let timer = self
+        // A timer of the head before would end this one early.
+        self.head_timer.take_if(|(of, _)| *of != began);
+        let (_, timer) = self
             .head_timer
-            .get_or_insert_with(|| Timer::at(began + limit));
+            .get_or_insert_with(|| (began, Timer::at(began + limit)));
         if Pin::new(timer).poll(cx).is_pending() {
             return Poll::Pending;
         }
