Announce the close of an evicted connection

Cause: an evicted connection with a request in progress closes up to 250 ms after its answer, and may take another request in between. Change: its answers carry Connection: close. No test of its own shows the fault on the code before.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -136,6 +136,12 @@
         while self.evictions.recv().await.is_ok() {}
     }
 
+    /// Returns whether the connection was evicted and closes soon.
+    #[must_use]
+    pub fn is_evicted(&self) -> bool {
+        self.evictions.is_closed()
+    }
+
     /// Returns whether a request is being handled whose caller still reads or sends.
     #[must_use]
     pub fn is_in_request(&self) -> bool {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -303,7 +303,7 @@
                     if http::is_abandoned(&reply) {
                         return Err(io::Error::from(io::ErrorKind::ConnectionAborted));
                     }
-                    if closing.is_closed() {
+                    if closing.is_closed() || open.is_evicted() {
                         let close = HeaderValue::from_static("close");
                         reply.headers_mut().insert(CONNECTION, close);
                     }
