--- a/src/http/buffer_budget.rs
+++ b/src/http/buffer_budget.rs
@@ -1,7 +1,8 @@
-//! Limit on the memory that buffered bodies take together.
+//! Limit on the memory that buffered bodies, connections and requests take together.
 //!
-//! Load pattern: a burst of large requests, or a faulty endpoint that sends bytes without
-//! end to many requests at once. Limits on each body alone do not bound their sum.
+//! Load pattern: a burst of large requests, many callers that stay connected, or a faulty
+//! endpoint that sends bytes without end to many requests at once. Limits on each of them
+//! alone do not bound their sum.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -26,7 +26,7 @@
 impl Drop for Connection {
     fn drop(&mut self) {
         let row = self.table.lock().remove(self.key);
-        // Dropped without the lock, since the release wakes requests that wait for memory.
+        // Outside the lock, which the requests take that the release wakes.
         drop(row);
     }
 }
--- a/src/http/connection_row.rs
+++ b/src/http/connection_row.rs
@@ -28,6 +28,7 @@
 /// Number of received bytes that count as progress; fewer do not keep a connection from
 /// being evicted.
 const PROGRESS_BYTES: usize = 1_024;
+
 /// A row of the table of connections.
 #[derive(Debug)]
 pub struct Row {
