--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use smol::channel::Receiver;
 
 use crate::http;
@@ -24,7 +26,7 @@
 impl Drop for Connection {
     fn drop(&mut self) {
         let row = self.table.lock().remove(self.key);
-        // Dropped without the lock, since the release wakes requests that wait for memory.
+        // Outside the lock, which the requests take that the release wakes.
         drop(row);
     }
 }
@@ -69,17 +71,19 @@
     }
 
     /// Reserves the memory of an incomplete head, and returns when the head began; `None` if
-    /// there is none. Fails if there is no memory; the connection is then to be closed.
+    /// there is none. If there is no memory, others are evicted, and the next call reserves
+    /// again. Fails if nobody can be evicted; the connection is then to be closed.
     pub fn await_head(&self) -> io::Result<Option<Instant>> {
-        let reserved = self.with_row(|row| match row.head_began() {
-            Some(began) => row.reserve().then_some(Some(began)),
-            None => Some(None),
-        });
-        if let Some(Some(began)) = reserved {
+        let (began, is_reserved, need) = self
+            .with_row(|row| {
+                let began = row.head_began();
+                let is_reserved = began.is_none() || row.reserve();
+                (began, is_reserved, row.shortfall())
+            })
+            .unwrap_or((None, false, units::Bytes(0)));
+        if is_reserved || self.table.evict_for_memory(need) {
             return Ok(began);
         }
-        self.table
-            .evict_for_memory(units::Bytes(connection_row::READ_BUFFER as u64));
         Err(io::ErrorKind::OutOfMemory.into())
     }
 
@@ -106,10 +110,9 @@
             }) == Some(true)
         };
         if !begin() {
-            self.table
-                .make_room(units::Bytes(connection_row::REQUEST_BYTES as u64))
-                .await;
-            if !begin() {
+            let need = self.with_row(|row| row.shortfall());
+            let need = need.unwrap_or(units::Bytes(0));
+            if !self.table.make_room(need, begin).await {
                 self.with_row(|row| row.begin(Activity::Idle));
                 return None;
             }
@@ -117,11 +120,28 @@
         Some(request_slot::RequestSlot::new(Arc::clone(self)))
     }
 
+    /// Reads the body of a refused request to its end, and keeps nothing of it.
+    pub async fn discard_body(&self, mut body: Incoming) {
+        self.with_row(|row| row.begin(Activity::Body));
+        while let Some(Ok(_)) = body.frame().await {}
+    }
+
+    /// Records that a body is no longer discarded.
+    pub fn end_discard(&self) {
+        self.with_row(connection_row::Row::end_request);
+    }
+
     /// Waits until the connection is evicted.
     pub async fn evicted(&self) {
         while self.evictions.recv().await.is_ok() {}
     }
 
+    /// Returns whether the connection was evicted and closes soon.
+    #[must_use]
+    pub fn is_evicted(&self) -> bool {
+        self.evictions.is_closed()
+    }
+
     /// Returns whether a request is being handled whose caller still reads or sends.
     #[must_use]
     pub fn is_in_request(&self) -> bool {
--- a/src/http/request_body.rs
+++ b/src/http/request_body.rs
@@ -64,6 +64,9 @@
         .map(request_slot::UnreadBody::begin);
     let result = collect(&mut body, reading.as_ref(), limit, stall).await;
     if matches!(result, Err(http::HttpError::OverBudget)) {
+        if let Some(reading) = &reading {
+            reading.set_held(0);
+        }
         while let Ok(Some(_)) = next_chunk(&mut body, reading.as_ref(), stall).await {}
     }
     result
@@ -96,8 +99,12 @@
     let mut result = buffer.reserve(additional);
     if let Some(reading) = reading {
         if result == Err(http::HttpError::OverBudget) {
-            reading.make_room(units::Bytes(additional as u64)).await;
-            result = buffer.reserve(additional);
+            let need = buffer.shortfall(additional);
+            let attempt = || {
+                result = buffer.reserve(additional);
+                result != Err(http::HttpError::OverBudget)
+            };
+            reading.make_room(need, attempt).await;
         }
         reading.set_held(buffer.capacity());
     }
