Follower that lost its reader reads without waiting

Cause: the first own read after following was a long poll, so at a limit of 5 s on revoked keys the confirmation could come after 1.8 + 1.25 s, when the entry was no longer ready. At 2 s the allowed age alone was 1.3 s. Change: the first read after following does not wait, and the configuration at a follower is at most a third of that limit old.

--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -58,8 +58,7 @@
         }
         let wait = shared
             .as_ref()
-            .and_then(|task| task.reader_wait(&duty))
-            .unwrap_or(poll.wait);
+            .map_or(poll.wait, |task| task.read_wait(&duty, poll.wait));
         let read_started = runtime::Moment::now();
         let read = match position {
             None => list_newest(&store, source).await,
--- a/src/direct/follow_task.rs
+++ b/src/direct/follow_task.rs
@@ -86,10 +86,14 @@
         now.saturating_since(self.confirmed)
     }
 
-    /// Returns how long a read for others waits for records; `None` if this entry reads for
-    /// itself.
-    pub(super) fn reader_wait(&self, duty: &peers::Duty) -> Option<Duration> {
-        (*duty == peers::Duty::Read).then_some(self.shared.limits.reader_wait)
+    /// Returns how long the next read waits for records, where those of an entry that does not
+    /// read for others wait for `alone`.
+    pub(super) fn read_wait(&self, duty: &peers::Duty, alone: Duration) -> Duration {
+        let usual = match duty {
+            peers::Duty::Read => self.shared.limits.reader_wait,
+            _ => alone,
+        };
+        self.course.read_wait(usual)
     }
 
     /// Polls the followed entry for the records from `from` on, and returns them with a time
--- a/src/peers/course.rs
+++ b/src/peers/course.rs
@@ -162,6 +162,16 @@
         }
     }
 
+    /// Returns how long the next read of the store waits for records, where reads usually wait
+    /// for `usual`. The first one after following does not wait, as what is known may be old.
+    #[must_use]
+    pub const fn read_wait(&self, usual: Duration) -> Duration {
+        match self {
+            Self::Reading(course) if !course.state.has_read => Duration::ZERO,
+            _ => usual,
+        }
+    }
+
     /// Ends following for this reason; no change where the entry reads.
     #[must_use]
     pub fn end_following(self, reason: FollowEnd, now: runtime::Moment) -> Self {
--- a/src/peers/limits.rs
+++ b/src/peers/limits.rs
@@ -16,6 +16,9 @@
 /// Maximum age of the endpoints at a follower, as a fraction of the drain limit. The rest is
 /// for a read of its own and the transit of a request.
 const ENDPOINT_AGE: f64 = 0.6;
+/// Maximum age of the configuration at a follower, as a fraction of the time for which
+/// revoked keys may be accepted. The rest is for a read of its own.
+const OPERATOR_AGE_REVOKE_FRACTION: f64 = 1.0 / 3.0;
 /// Time beyond the reader's wait within which its answer arrives: a call of the store, and
 /// a message.
 const ANSWER_MARGIN: Duration = Duration::from_millis(300);
@@ -45,7 +48,14 @@
         let answer = poll.pause + reader_wait + ANSWER_MARGIN;
         let age = match source {
             direct::Source::Endpoints => bounds.drain.duration().mul_f64(ENDPOINT_AGE),
-            _ => reader_wait + answer,
+            direct::Source::Operator => {
+                let limit = bounds
+                    .revoke
+                    .map(|revoke| revoke.duration().mul_f64(OPERATOR_AGE_REVOKE_FRACTION));
+                let usual = reader_wait + answer;
+                limit.map_or(usual, |limit| limit.min(usual))
+            }
+            direct::Source::Reports => reader_wait + answer,
         };
         Self {
             reader_wait,
--- a/tests/integration/peers/course.rs
+++ b/tests/integration/peers/course.rs
@@ -216,3 +216,41 @@
         }
     }
 }
+
+/// Guards against a follower that loses its reader and confirms the configuration only after
+/// it has stopped being ready.
+#[test]
+fn a_follower_confirms_for_itself_before_its_knowledge_is_too_old() {
+    struct Case {
+        revoke_ms: u64,
+        reason: FollowEnd,
+    }
+    let case = |revoke_ms, reason| Case { revoke_ms, reason };
+    let cases = [
+        case(2_000, FollowEnd::Silent),
+        case(2_000, FollowEnd::Stale),
+        case(5_000, FollowEnd::Silent),
+        case(5_000, FollowEnd::Replaced),
+    ];
+    // A call of the store that does not wait.
+    let call = Duration::from_millis(300);
+    for case in cases {
+        let bounds = Bounds {
+            revoke: Some(Millis(case.revoke_ms)),
+            ..settings().bounds
+        };
+        let limits = FollowLimits::new(Source::Operator, &bounds);
+        let poll = PollSettings::new(Source::Operator, &bounds);
+        let now = Moment::from_millis(100_000);
+        let follows = AnyCourse::default()
+            .record_success()
+            .plan(&duty(Some("a")), now);
+        let lost = follows.end_following(case.reason, now);
+        let age = limits.age + lost.read_wait(poll.wait) + call;
+        let revoke = Duration::from_millis(case.revoke_ms);
+        let name = format!("{} ms, {}: {age:?}", case.revoke_ms, case.reason);
+        assert!(age < revoke.mul_f64(0.5), "{name}");
+        let usual = lost.record_success().read_wait(poll.wait);
+        assert_eq!(usual, poll.wait, "{name}");
+    }
+}
