Page that ends before the follower's position confirms nothing later

Cause: a page from a reader that lags behind the store counted as a confirmation of records which it lacks, so a withdrawn key could seem confirmed. Change: such a page confirms at most what was confirmed before; without a newer page, following ends as stale. Result: the new cases pass; with the comparison taken out, 'ends before the position' fails (100.208 s instead of 100.05 s).

--- a/src/direct/follow_task.rs
+++ b/src/direct/follow_task.rs
@@ -106,7 +106,7 @@
         let result = self.ask(from, asked).await;
         let now = runtime::Moment::now();
         let result = result.map(|page| {
-            let read_started = page.read_started(asked);
+            let read_started = page.confirmed(from, asked, self.confirmed);
             (page, read_started)
         });
         match &result {
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -55,6 +55,23 @@
         let sent = asked.as_millis().saturating_add(self.held.0);
         runtime::Moment::from_millis(sent.saturating_sub(self.age.0))
     }
+
+    /// Returns the time as of which this page confirms the records before `from`, of which the
+    /// store confirmed at `known` what the follower has. A page that ends before `from` lacks
+    /// some of them, and confirms nothing later than `known`.
+    #[must_use]
+    pub fn confirmed(
+        &self,
+        from: ids::Offset,
+        asked: runtime::Moment,
+        known: runtime::Moment,
+    ) -> runtime::Moment {
+        let read_started = self.read_started(asked);
+        if self.end < from {
+            return read_started.min(known);
+        }
+        read_started
+    }
 }
 
 /// Answer to a [`Poll`].
--- a/tests/integration/peers/relay.rs
+++ b/tests/integration/peers/relay.rs
@@ -272,3 +272,37 @@
         Moment::default()
     );
 }
+
+/// Guards against a configuration that counts as confirmed by a page which lacks a part of it.
+#[test]
+fn a_page_that_ends_too_early_confirms_nothing() {
+    struct Case {
+        name: &'static str,
+        from: u64,
+        known: u64,
+        confirmed: u64,
+    }
+    let case = |name, from, known, confirmed| Case {
+        name,
+        from,
+        known,
+        confirmed,
+    };
+    // The page ends at 8; its read began 601 ms before the answer, rounded up.
+    let (asked, newer) = (at(809), 208);
+    let cases = [
+        case("ends behind the position", 7, 50, newer),
+        case("ends at the position", 8, 50, newer),
+        case("ends before the position", 9, 50, 50),
+        case("ends far before the position", 500, 50, 50),
+        case("ends before the position, known later", 9, 700, newer),
+    ];
+    for case in cases {
+        let answer = log().answer(&poll(case.from, 0), at(800), at(800));
+        let Some(PollAnswer::Page(page)) = answer else {
+            panic!("{}: {answer:?}", case.name);
+        };
+        let confirmed = page.confirmed(Offset(case.from), asked, at(case.known));
+        assert_eq!(confirmed, at(case.confirmed), "{}", case.name);
+    }
+}
