Failed listings of the group are repeated ever more rarely

Cause: a listing that failed was repeated at each call that renews the leases, and could delay that call by 1.2 s each time. Change: failures are recorded with a pause that doubles from 2 s to 64 s, and the listing has 300 ms. Result: the new cases pass; without the pause, the case 'never' lists at each second. The limit of 300 ms has no test of its own.

--- a/src/direct/join.rs
+++ b/src/direct/join.rs
@@ -49,11 +49,13 @@
                 }
                 let has_changed = membership.generation != generation;
                 generation = membership.generation;
-                if member.place.is_some()
-                    && listing.record(generation, held, leases, call_started)
-                    && list_members(&store, &control).await
+                if member.place.is_some() && listing.record(generation, held, leases, call_started)
                 {
-                    listing.record_listing(call_started);
+                    if list_members(&store, &control).await {
+                        listing.record_listing(call_started);
+                    } else {
+                        listing.record_failure(call_started);
+                    }
                 }
                 if has_changed {
                     ACKNOWLEDGE_DELAY
--- a/src/peers/listing.rs
+++ b/src/peers/listing.rs
@@ -17,6 +17,11 @@
 /// [`SETTLED`].
 const MIN_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Time after a failed listing in which it is not repeated, doubled with each failure in a row.
+const FAILURE_PAUSE: Duration = Duration::from_secs(2);
+/// Maximum of that time.
+const MAX_FAILURE_PAUSE: Duration = Duration::from_secs(64);
+
 /// Decides when the members of the group are listed.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ListingPlan {
@@ -25,6 +30,10 @@
     listed_at: runtime::Moment,
     /// Division for which the members are known; `None` if they never were listed.
     listed: Option<ids::DivisionGeneration>,
+    /// Time from which the group may be listed.
+    not_before: runtime::Moment,
+    /// Number of failed listings in a row.
+    failures: u32,
 }
 
 impl ListingPlan {
@@ -46,12 +55,21 @@
         let is_overdue =
             self.listed.is_some() && now.saturating_since(self.listed_at) >= MIN_INTERVAL;
         let is_large = all > held.saturating_mul(MAX_ALONE) || self.listed.is_some();
-        self.listed != Some(generation) && is_large && (is_settled || is_overdue)
+        let is_allowed = now >= self.not_before;
+        self.listed != Some(generation) && is_large && is_allowed && (is_settled || is_overdue)
     }
 
     /// Records a successful listing.
     pub const fn record_listing(&mut self, now: runtime::Moment) {
         self.listed = Some(self.generation);
         self.listed_at = now;
+        self.failures = 0;
+    }
+
+    /// Records a listing that failed.
+    pub fn record_failure(&mut self, now: runtime::Moment) {
+        let pause = FAILURE_PAUSE.saturating_mul(1 << self.failures.min(8));
+        self.not_before = now.saturating_add(pause.min(MAX_FAILURE_PAUSE));
+        self.failures = self.failures.saturating_add(1);
     }
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -25,6 +25,8 @@
 /// Maximum time for a call, besides the time that a read may wait for a record.
 /// A slow store takes some hundred milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// The same for the list of members, for which a call that renews leases waits.
+const MEMBERS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum size of the body of a response.
 const MAX_RESPONSE: units::Bytes = units::Bytes(16 * 1_024 * 1_024);
 /// Size of the header before the records of a read: the end of the partition
@@ -256,7 +258,7 @@
     pub async fn members(&self) -> Result<Vec<peers::Member>, platform::PlatformError> {
         let uri = format!("{}?group={}", store_call::OWNERS, platform::group::GROUP);
         let (status, body) = self
-            .call(Method::GET, uri, Bytes::new(), CALL_TIMEOUT)
+            .call(Method::GET, uri, Bytes::new(), MEMBERS_TIMEOUT)
             .await?;
         if status != StatusCode::OK {
             return Err(platform::PlatformError::Status(status.as_u16()));
--- a/tests/integration/peers/election.rs
+++ b/tests/integration/peers/election.rs
@@ -227,3 +227,44 @@
         assert_eq!(listed, case.listed, "{}", case.name);
     }
 }
+
+/// Guards against a listing that the store refuses and that is repeated at each call.
+#[test]
+fn failed_listings_are_repeated_more_and_more_rarely() {
+    struct Case {
+        name: &'static str,
+        /// Whether the listing at this number succeeds; `None` if none does.
+        succeeds: Option<usize>,
+        /// When the group is listed, in seconds.
+        listed: &'static [u64],
+    }
+    let cases = [
+        Case {
+            name: "never",
+            succeeds: None,
+            listed: &[2, 4, 8, 16, 32, 64, 128, 192],
+        },
+        Case {
+            name: "at the third",
+            succeeds: Some(2),
+            listed: &[2, 4, 8],
+        },
+    ];
+    for case in cases {
+        let mut plan = ListingPlan::default();
+        let start = Moment::from_millis(100_000);
+        let mut listed = Vec::new();
+        for second in 0..200 {
+            let now = start.saturating_add(std::time::Duration::from_secs(second));
+            if plan.record(DivisionGeneration(1), 4, 96, now) {
+                if case.succeeds == Some(listed.len()) {
+                    plan.record_listing(now);
+                } else {
+                    plan.record_failure(now);
+                }
+                listed.push(second);
+            }
+        }
+        assert_eq!(listed, case.listed, "{}", case.name);
+    }
+}
