Rounds of rollout results leave out what is older than 250 ms

Cause: results up to 500 ms old were appended, while their entry gives up at 400 ms and shares newer ones itself. One record that could not be encoded ended the round for all. Change: the limit is 250 ms in total, and such a record is left out alone. Result: the new test passes, and fails on the code before. The record that cannot be encoded has no test: names are too short to bring it about.

--- a/src/peers/evidence.rs
+++ b/src/peers/evidence.rs
@@ -16,9 +16,9 @@
 /// Minimum time between the begins of two rounds. It delays the results of entries of other
 /// readers; those of the same round need no further exchange.
 const ROUND_INTERVAL: Duration = Duration::from_millis(200);
-/// Age beyond which results are not appended: the entry has shared them itself by then, and
-/// maybe newer ones.
-const MAX_AGE: Duration = Duration::from_millis(300);
+/// Age beyond which results are not appended. The entry gives up later than this, by the time
+/// that an append takes, and shares them itself, maybe newer ones.
+const MAX_AGE: Duration = Duration::from_millis(250);
 /// Maximum number of entries that wait for a round.
 const MAX_WAITING: usize = 512;
 
@@ -79,8 +79,9 @@
 }
 
 /// Lists before it appends: an earlier process of an entry may have shared results, which
-/// the new ones replace. Requests without an answer are served by their entries.
-async fn serve(store: &platform::StoreClient, round: Vec<Waiting>) {
+/// the new ones replace. Requests without an answer are served by their entries, as are those
+/// whose results cannot be encoded.
+async fn serve(store: &platform::StoreClient, mut round: Vec<Waiting>) {
     let listed = match direct::newest_evidence(store).await {
         Ok(listed) => listed,
         Err(err) => {
@@ -89,19 +90,23 @@
         }
     };
     let now = runtime::Moment::now();
-    let round: Vec<_> = round
-        .into_iter()
-        .filter(|waiting| now.saturating_since(waiting.arrived) <= ROUND_INTERVAL + MAX_AGE)
-        .collect();
+    let mut records = Vec::new();
+    round.retain(|waiting| {
+        if now.saturating_since(waiting.arrived) > MAX_AGE {
+            return false;
+        }
+        let Some(own) = &waiting.req.own else {
+            return true;
+        };
+        let record = platform::evidence_record::encode(own).ok().flatten();
+        let is_encoded = record.is_some();
+        records.extend(record);
+        is_encoded
+    });
     let shared: Vec<_> = round
         .iter()
         .filter_map(|waiting| waiting.req.own.as_ref())
         .collect();
-    let records: Option<Vec<_>> = shared
-        .iter()
-        .map(|own| platform::evidence_record::encode(own).ok().flatten())
-        .collect();
-    let Some(records) = records else { return };
     if !records.is_empty()
         && let Err(err) = store
             .append(platform::evidence_record::TOPIC, None, &records)
--- a/tests/integration/peers/evidence.rs
+++ b/tests/integration/peers/evidence.rs
@@ -121,6 +121,31 @@
     });
 }
 
+/// Guards against results that an entry has given up on, and that replace its newer ones.
+#[test]
+fn results_that_have_waited_too_long_are_left_out() {
+    smol::block_on(async {
+        let traffic = http::traffic();
+        let log = StandinLog::bind(isolation::free_addr(), &traffic).await;
+        let log = log.unwrap();
+        let store = StoreClient::new(log.addr(), traffic.clone());
+        let (rounds, queue) = EvidenceRounds::new();
+        let ask = |vm: &str| {
+            rounds.exchange(EvidenceRequest {
+                vm: vm.parse().unwrap(),
+                own: Some(results(vm, 1, 1)),
+            })
+        };
+        let mut old = Box::pin(ask("entry-1"));
+        assert!(smol::future::poll_once(&mut old).await.is_none());
+        std::thread::sleep(Duration::from_millis(300));
+        let serving = traffic.spawn(run_rounds(store.clone(), queue));
+        assert_eq!(old.await, None);
+        assert_eq!(newest_evidence(&store).await.unwrap(), []);
+        drop(serving);
+    });
+}
+
 /// Guards against results that are lost with the reader that was to share them.
 #[test]
 fn a_follower_shares_again_what_is_not_listed() {
