Endpoints removed together are kept within the drain limit at followers; the listener for entries is bounded

Change: the time for which they are kept shrinks by the age of what a follower knew; 128 connections of other entries, and 8% of the memory for their requests.

--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -32,6 +32,7 @@
 pub use poll_settings::PollSettings;
 pub use snapshot::{EndpointView, ServiceView, Snapshot, VersionSplit};
 pub use store_health::StoreHealth;
+pub use system::retention_after_mass_removal;
 pub use tallies::Tallies;
 pub use withdrawn::WithdrawnVersions;
 pub use world::{EndpointKey, EndpointRow, PeerResults, RolloutRow, World, cold_duration};
--- a/src/direct/system/endpoints.rs
+++ b/src/direct/system/endpoints.rs
@@ -8,6 +8,8 @@
 use crate::direct;
 use crate::direct::system::TickCx;
 use crate::ids;
+use crate::peers;
+use crate::settings;
 
 /// Time after an outage of the store within which endpoints whose record lapsed
 /// during the outage report again; the platform states about two seconds.
@@ -59,6 +61,7 @@
         world.endpoints_listed = true;
     }
     remove(world, cx, &removed);
+    world.endpoints_confirmed = world.endpoints_confirmed.max(Some(batch.read_started));
 }
 
 /// Removes endpoints, or retains them for a while when an outage of the store
@@ -71,9 +74,9 @@
         .filter(|recovery_deadline| *recovery_deadline > cx.now);
     let mass_services = mass_removals(world, removed);
     let bounds = &world.settings.bounds;
-    let pause = direct::PollSettings::new(direct::Source::Endpoints, bounds).pause;
-    let max_delay = bounds.drain.duration().mul_f64(RETENTION_DRAIN_FRACTION);
-    let mass_retention = max_delay.saturating_sub(pause);
+    let confirmed = world.endpoints_confirmed.filter(|_| world.duty.is_follow());
+    let unknown = confirmed.map_or(Duration::ZERO, |at| cx.now.saturating_since(at));
+    let mass_retention = retention_after_mass_removal(bounds, unknown);
     for id in removed {
         let Some(row) = world.endpoints.by_name_mut(id) else {
             continue;
@@ -95,6 +98,18 @@
     }
 }
 
+/// Returns how long endpoints that were removed at once stay in use. `unknown` is the time
+/// for which a follower may not have known of the removal, of which at most the age counts
+/// up to which it follows; zero for an entry that reads for itself.
+#[must_use]
+pub fn retention_after_mass_removal(bounds: &settings::Bounds, unknown: Duration) -> Duration {
+    let source = direct::Source::Endpoints;
+    let pause = direct::PollSettings::new(source, bounds).pause;
+    let age = peers::FollowLimits::new(source, bounds).age;
+    let max_delay = bounds.drain.duration().mul_f64(RETENTION_DRAIN_FRACTION);
+    max_delay.saturating_sub(unknown.min(age).max(pause))
+}
+
 /// Services that lose many endpoints at once which were not draining.
 fn mass_removals(world: &direct::World, removed: &[ids::EndpointId]) -> HashSet<ids::ServiceName> {
     let mut lost: HashMap<&ids::ServiceName, usize> = HashMap::new();
--- a/src/direct/system/evidence.rs
+++ b/src/direct/system/evidence.rs
@@ -5,7 +5,6 @@
 use crate::direct;
 use crate::direct::system::TickCx;
 use crate::ids;
-use crate::peers;
 use crate::rollout;
 
 /// Time between exchanges while a small share of the traffic is observed.
@@ -65,7 +64,7 @@
 }
 
 fn apply(world: &mut direct::World, cx: &TickCx, records: &[direct::SharedEvidence]) {
-    let is_follower = matches!(*world.duty, peers::Duty::Follow { .. });
+    let is_follower = world.duty.is_follow();
     for (service, row) in &mut world.rollouts {
         let is_first = row.peers.read_at.is_none();
         let mut listed = direct::Tallies::default();
--- a/src/direct/system/mod.rs
+++ b/src/direct/system/mod.rs
@@ -12,6 +12,7 @@
 mod suspects;
 mod tick;
 
+pub use endpoints::retention_after_mass_removal;
 pub use snapshot::build as snapshot;
 pub use tick::TickCx;
 
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -108,6 +108,8 @@
     pub share: balance::AnyFleetShare,
     /// When the leases of the share were last confirmed; shared with traffic.
     pub share_freshness: Arc<direct::Freshness>,
+    /// Start of the last read of the endpoints; `None` before the first.
+    pub endpoints_confirmed: Option<runtime::Moment>,
     /// Whether a complete listing of the endpoints has been read.
     pub endpoints_listed: bool,
     /// Entries that read for each other.
@@ -135,6 +137,7 @@
             freshness: Arc::default(),
             share: balance::AnyFleetShare::default(),
             share_freshness: Arc::default(),
+            endpoints_confirmed: None,
             endpoints_listed: false,
             members: peers::Members::default(),
             duty: Arc::default(),
--- a/src/gateway/peering.rs
+++ b/src/gateway/peering.rs
@@ -10,9 +10,12 @@
 use crate::platform;
 use crate::runtime;
 use crate::settings;
+use crate::units;
 
-/// Maximum number of connections of other entries.
-const MAX_CONNECTIONS: usize = 512;
+/// Maximum number of connections of other entries: those of 16 followers, four each, twice.
+const MAX_CONNECTIONS: usize = 128;
+/// Fraction of the memory of the process for the connections and requests of other entries.
+const PEERS_MEMORY: f64 = 0.08;
 
 /// A running listener for other entries. Dropping it stops it.
 #[derive(Debug)]
@@ -39,11 +42,14 @@
         };
         let relays = Arc::new(peers::Relays::default());
         let (rounds, queue) = peers::EvidenceRounds::new();
+        let part = settings.traffic_memory(units::Bytes(0), PEERS_MEMORY);
+        let memory = http::BufferBudget::counting_all(part);
         let handler = Arc::new(peers::PeerHandler {
+            memory: Arc::clone(&memory),
             relays: Arc::clone(&relays),
             rounds: rounds.clone(),
         });
-        let server = http::Server::bind(addr, limits, traffic, handler)
+        let server = http::Server::bind_within(addr, limits, traffic, handler, memory)
             .await
             .inspect_err(|err| {
                 log::warn!(target: "peers", addr:% = addr, error:% = err;
--- a/src/peers/duty.rs
+++ b/src/peers/duty.rs
@@ -21,3 +21,11 @@
         addr: SocketAddr,
     },
 }
+
+impl Duty {
+    /// Returns whether the entry follows a reader.
+    #[must_use]
+    pub const fn is_follow(&self) -> bool {
+        matches!(self, Self::Follow { .. })
+    }
+}
--- a/src/peers/handler.rs
+++ b/src/peers/handler.rs
@@ -27,6 +27,8 @@
 /// Answers the entries that follow this one.
 #[derive(Debug)]
 pub struct PeerHandler {
+    /// Memory for the requests of other entries.
+    pub memory: Arc<http::BufferBudget>,
     /// Records that this entry passes on.
     pub relays: Arc<peers::Relays>,
     /// Rounds in which this entry exchanges the results of rollouts.
@@ -40,11 +42,11 @@
             return http::not_found();
         }
         match req.uri().path() {
-            POLL_PATH => match decode_body(req).await {
+            POLL_PATH => match decode_body(req, &self.memory).await {
                 Some(poll) => reply(&self.answer(&poll, arrived).await),
                 None => status(StatusCode::BAD_REQUEST),
             },
-            EVIDENCE_PATH => match decode_body(req).await {
+            EVIDENCE_PATH => match decode_body(req, &self.memory).await {
                 Some(req) => match self.rounds.exchange(req).await {
                     Some(results) => reply(&results),
                     None => status(StatusCode::SERVICE_UNAVAILABLE),
@@ -56,8 +58,11 @@
     }
 }
 
-async fn decode_body<T: serde::de::DeserializeOwned>(req: Request<Incoming>) -> Option<T> {
-    let body = http::read_body(req.into_body(), MAX_REQUEST, None);
+async fn decode_body<T: serde::de::DeserializeOwned>(
+    req: Request<Incoming>,
+    memory: &Arc<http::BufferBudget>,
+) -> Option<T> {
+    let body = http::read_body(req.into_body(), MAX_REQUEST, Some(memory));
     let body = runtime::timeout_at(Instant::now() + BODY_TIMEOUT, body).await?;
     postcard::from_bytes(&body.ok()?).ok()
 }
--- a/tests/integration/peers/course.rs
+++ b/tests/integration/peers/course.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use quetzalworks::direct::{PollSettings, Source};
+use quetzalworks::direct::{PollSettings, Source, retention_after_mass_removal};
 use quetzalworks::peers::{AnyCourse, Duty, FollowEnd, FollowLimits};
 use quetzalworks::runtime::Moment;
 use quetzalworks::settings::Bounds;
@@ -254,3 +254,51 @@
         assert_eq!(usual, poll.wait, "{name}");
     }
 }
+
+/// Guards against endpoints that leave together and stay in use at a follower past the limit
+/// on drains, as it learnt late that they were gone.
+#[test]
+fn endpoints_removed_together_are_kept_within_the_drain_limit() {
+    struct Case {
+        name: &'static str,
+        drain_ms: u64,
+        /// Time for which the follower may not have known.
+        unknown_ms: u64,
+        kept_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "an entry that reads for itself",
+            drain_ms: 2_000,
+            unknown_ms: 0,
+            kept_ms: 900,
+        },
+        Case {
+            name: "a follower whose reader is in time",
+            drain_ms: 2_000,
+            unknown_ms: 900,
+            kept_ms: 700,
+        },
+        Case {
+            name: "a follower whose reader froze",
+            drain_ms: 3_000,
+            unknown_ms: 1_800,
+            kept_ms: 600,
+        },
+        Case {
+            name: "a follower that was without reads for long, as in an outage",
+            drain_ms: 3_000,
+            unknown_ms: 9_000,
+            kept_ms: 600,
+        },
+    ];
+    for case in cases {
+        let bounds = Bounds {
+            drain: Millis(case.drain_ms),
+            ..settings().bounds
+        };
+        let unknown = Duration::from_millis(case.unknown_ms);
+        let kept = retention_after_mass_removal(&bounds, unknown);
+        assert_eq!(kept.as_millis(), u128::from(case.kept_ms), "{}", case.name);
+    }
+}
