--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -39,19 +39,12 @@
             if let Some(from) = position
                 && task.is_following()
             {
-                match task.poll(from).await {
-                    Ok((page, read_started)) => {
-                        let batch = RawBatch::relayed(from, page);
-                        position = Some(batch.end);
-                        send(&control, source, batch, read_started).await;
-                    }
-                    Err(peers::FollowEnd::StoreLost) => {
-                        let reason = "the entry that is followed has lost the store".into();
-                        control
-                            .send(direct::Event::ReadFailed(source, reason))
-                            .await;
-                    }
-                    Err(_) => {}
+                // A failure ends following. That the reader has lost the store is no outage of
+                // the store for this entry: its own read tells.
+                if let Ok((page, read_started)) = task.poll(from).await {
+                    let batch = RawBatch::relayed(from, page);
+                    position = Some(batch.end);
+                    send(&control, source, batch, read_started).await;
                 }
                 continue;
             }
