--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -316,7 +316,7 @@
                 tried,
                 domain: &settings.domain,
                 cold_limit,
-                share: self.cx.control.snapshot().share.of_connections(),
+                share: self.share(),
                 max_delay,
                 writing: self.writing(&speed).unwrap_or_default(),
                 event_gap: speed.gap(),
@@ -413,7 +413,7 @@
         let view = self.view()?;
         let now = runtime::Moment::now();
         let cold_limit = self.cold_limit(&view, now);
-        let share = self.cx.control.snapshot().share.of_connections();
+        let share = self.share();
         let mut earliest: Option<Duration> = None;
         for endpoint in &view.endpoints {
             let held = match endpoint.admission(share, now) {
@@ -442,7 +442,7 @@
         view: &direct::ServiceView,
         endpoint: &direct::EndpointView,
     ) -> http::Client {
-        let share = self.cx.control.snapshot().share.of_connections();
+        let share = self.share();
         let limit = view.upstream.max_connections;
         self.cx.pools.client(&endpoint.record, limit, share)
     }
