--- a/review/lib-2/harness.rs
+++ b/review/lib-2/harness.rs
@@ -961,15 +961,26 @@
 struct Net {
     a: u8,
     b: u8,
+    /// Keeps other runs from the same addresses.
+    _lock: TcpListener,
 }
 
 impl Net {
+    /// Port by which a run holds its addresses.
+    const LOCK_PORT: u16 = 9463;
+
     fn new() -> Self {
-        let seed = std::process::id() ^ (unix_ms() as u32);
-        Self {
-            a: 16 + (seed % 200) as u8,
-            b: (seed / 200 % 250) as u8,
+        for attempt in 0..200_u32 {
+            let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+            let seed =
+                std::process::id().wrapping_mul(2_654_435_761) ^ time.subsec_nanos() ^ attempt;
+            let (a, b) = (16 + (seed % 200) as u8, (seed / 200 % 250) as u8);
+            let lock = TcpListener::bind((Ipv4Addr::new(127, a, b, 1), Self::LOCK_PORT));
+            if let Ok(lock) = lock {
+                return Self { a, b, _lock: lock };
+            }
         }
+        give_up("no free loopback addresses")
     }
 
     fn store(&self) -> Ipv4Addr {
@@ -1127,6 +1138,7 @@
 // Cases
 
 struct Setup {
+    _net: Net,
     record: Record,
     fleet: Arc<Fleet>,
     entries: Entries,
@@ -1172,6 +1184,7 @@
     // Every rule counts machines that have been in touch for `ContactMs`.
     thread::sleep(Duration::from_millis(CONTACT_MS + 500));
     Setup {
+        _net: net,
         record: record.clone(),
         fleet,
         entries,
