The limit that an endpoint names is decoded, logged and counted

Callers saw: nothing yet. Cause of the gap: neither logs nor metrics told whether an entry had received a limit, so that the hypotheses of docs/incidents/named-limit.md could not be told apart.

Change: the header is decoded in src/platform, kept with the endpoint's figures, logged and counted when it changes. No decision reads it yet.

--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -158,6 +158,8 @@
     failure_share: f64,
     last_seen: runtime::Moment,
     reachability: Reachability,
+    /// Limit that its last answer named; `None` if it named none.
+    named_limit: Option<units::Rate>,
 }
 
 impl State {
@@ -316,6 +318,14 @@
         state.pacer.start(bounds, &observed);
     }
 
+    /// Records the limit that its last answer names for all entries together. Returns whether
+    /// that is new.
+    pub fn name_limit(&self, limit: Option<units::Rate>) -> bool {
+        let mut state = self.lock();
+        let before = std::mem::replace(&mut state.named_limit, limit);
+        before != limit
+    }
+
     /// Checks whether the endpoint takes another request of this entry.
     #[must_use]
     pub fn admission(&self, bounds: balance::Bounds, now: runtime::Moment) -> balance::Admission {
--- a/src/gateway/metadata.rs
+++ b/src/gateway/metadata.rs
@@ -53,6 +53,9 @@
     pub wish: Option<balance::Wish>,
     /// Load that the endpoint reports; `None` if it reports none.
     pub load: Option<balance::ReportedLoad>,
+    /// Requests per second that the endpoint takes from all entries together; `None` if it
+    /// names no limit.
+    pub limit: Option<units::Rate>,
     /// Confidence of the model in its answer, from 0 to 1; `None` if not stated.
     pub confidence: Option<f64>,
     /// Whether the body has a content encoding, which an endpoint's own answer never has.
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -240,6 +240,7 @@
         let failure = if status == StatusCode::MISDIRECTED_REQUEST {
             balance::Failure::Misdirected
         } else {
+            record_limit(&endpoint, metadata.limit);
             balance::Failure::Refused
         };
         // Read to the end only to keep the connection; the content is not used.
@@ -251,6 +252,7 @@
     if !metadata.signed || metadata.encoded {
         return Err(broken("answer is not the endpoint's own"));
     }
+    record_limit(&endpoint, metadata.limit);
     Ok(Opened {
         answer,
         metadata,
@@ -281,6 +283,25 @@
     pace::report(endpoint);
 }
 
+/// Records the limit that an answer of the endpoint names; `None` if it names none.
+fn record_limit(endpoint: &direct::EndpointView, limit: Option<units::Rate>) {
+    if !endpoint.live.name_limit(limit) {
+        return;
+    }
+    let id = &endpoint.record.id;
+    match limit {
+        Some(limit) => {
+            log::info!(target: "endpoint", endpoint:% = id, limit:% = limit, source = "answer";
+                "endpoint names a limit for all entries");
+        }
+        None => {
+            log::info!(target: "endpoint", endpoint:% = id, source = "answer";
+                "endpoint names no limit any more");
+        }
+    }
+    observe::metrics().record_named_limit(if limit.is_some() { "named" } else { "lifted" });
+}
+
 /// Returns an error once the endpoint is unresponsive to all requests of this entry.
 /// Never returns on the last attempt, since no other endpoint may take over.
 async fn until_unresponsive<T>(
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -77,6 +77,7 @@
 #[derive(Debug)]
 struct LoadMetrics {
     endpoint_paces: Counter<u64>,
+    named_limits: Counter<u64>,
     waiting: UpDownCounter<i64>,
     waited: Counter<u64>,
     refused: Counter<u64>,
@@ -98,6 +99,10 @@
                 "quetzalworks_endpoint_paces",
                 "Changes of the pace of an endpoint, by the stage that it reached and the cause.",
             ),
+            named_limits: count(
+                "quetzalworks_named_limits",
+                "Limits for all entries that endpoints have named, changed or lifted.",
+            ),
             waiting: meter
                 .i64_up_down_counter("quetzalworks_waiting")
                 .with_description("Requests that wait for a place at an endpoint, by service.")
@@ -373,6 +378,12 @@
         self.load.endpoint_paces.add(1, &labels);
     }
 
+    /// Counts a change of the limit that an endpoint names for all entries.
+    pub fn record_named_limit(&self, change: &'static str) {
+        let change = KeyValue::new("change", change);
+        self.load.named_limits.add(1, &[change]);
+    }
+
     /// Counts a request that begins to wait for a place at an endpoint.
     pub fn record_wait_begin(&self, service: &ids::ServiceName) {
         let service = KeyValue::new("service", service.to_string());
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -45,6 +45,9 @@
 const LOAD: HeaderName = HeaderName::from_static("server-load");
 /// Present on all answers of an endpoint that leaves.
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// Requests per second that the endpoint takes from all entries together, while its answers
+/// state it.
+const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// The model's confidence in its answer, 0 to 100.
 const CONFIDENCE: HeaderName = HeaderName::from_static("confidence");
 
@@ -176,6 +179,7 @@
         not_run: headers.contains_key(NOT_RUN),
         wish: wish(status, headers),
         load: load(headers),
+        limit: text(headers, &LIMIT).and_then(|limit| limit.parse().ok()),
         confidence: number(headers, &CONFIDENCE).map(|percent| percent / 100.0),
         encoded: headers.contains_key(header::CONTENT_ENCODING),
     }
