Test of the limit that an endpoint names, red

Guards against entries that each go on as before, or each take the whole limit: four entries, one endpoint that names 2 a second; killed, frozen and late entries, the store away. A second test guards the end of a limit.

--- a/tests/integration/direct/endpoint.rs
+++ b/tests/integration/direct/endpoint.rs
@@ -59,6 +59,8 @@
     Trickle(u64, &'static str),
     /// Sends all events, with this confidence of the model in percent.
     Events(&'static str),
+    /// Like `Events`, and names this limit for all entries in requests per second.
+    Limited(&'static str),
     /// Like `Events`, with a pause before each event but the first.
     PacedEvents(Duration, &'static str),
     /// Sends all events, with one pause after that with this id.
@@ -300,6 +302,10 @@
             Behaviour::Events(confidence) => {
                 self.send_complete(tcp, req, confidence, Duration::ZERO)
             }
+            Behaviour::Limited(rate) => {
+                let headers = format!("90\r\nServer-Limit: {rate}");
+                self.send_complete(tcp, req, &headers, Duration::ZERO)
+            }
             Behaviour::PacedEvents(pause, text) => self.send_complete(tcp, req, text, *pause),
             Behaviour::PausedEvents(last, pause) => self.send_with_pause(tcp, req, *last, *pause),
         }
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -18,6 +18,7 @@
 mod idle;
 mod keys;
 mod mild_faults;
+mod named_limit;
 mod odd_records;
 mod operator;
 mod outcomes;
