Rates over all entries are divided by drawn leases

Callers saw: nothing by itself. Cause: an entry's part of the rate of a cold endpoint was its share of all leases. At dozens of entries that is less than a request in many seconds each, and the sum over a short time depends on when the entries send, so that a smaller rate could not be kept this way.

Change: the leases are numbered, and the rate of an endpoint goes to the holders of a few of them, which all entries draw alike by its id.

--- a/src/balance/choose.rs
+++ b/src/balance/choose.rs
@@ -81,11 +81,11 @@
     pub tried: &'a [ids::EndpointId],
     /// Failure domain of this entry; endpoints in it are preferred.
     pub domain: &'a ids::DomainName,
-    /// Limit on the requests of this entry to a cold endpoint; `None` means no limit.
-    pub cold_limit: Option<balance::ColdLimit>,
+    /// Rates over all entries, such as that of requests to a cold endpoint.
+    pub rates: &'a balance::SharedRates,
     /// Share of this entry in what an endpoint can carry that is not at its full load.
     pub share: units::Share,
-    /// Maximum time for which the request may wait for a cold endpoint.
+    /// Maximum time for which the request may wait for a permit at an endpoint.
     pub max_delay: Duration,
     /// Time in which an engine of usual speed writes the answer; zero if not known.
     pub writing: Duration,
@@ -110,7 +110,8 @@
     Score,
     /// No eligible endpoint is healthy; it has the lowest score among all of them.
     LastResort,
-    /// All endpoints that may be used are cold; it is the first that takes another request.
+    /// All endpoints that may be used have a rate over all entries; it is the first that takes
+    /// another request.
     NextPermit,
 }
 
@@ -147,7 +148,7 @@
     pub reading: Duration,
     /// Prompt tokens that the endpoint has to read; zero without a prompt.
     pub unread: units::Tokens,
-    /// Time to wait before the request is sent, as the endpoint is cold; counted in
+    /// Time to wait before the request is sent, as the endpoint has a rate; counted in
     /// `expected`.
     pub delay: Duration,
     /// Speed of the endpoint; `None` if it doesn't state its work time.
@@ -208,7 +209,7 @@
     let eligible: Vec<_> = endpoints
         .iter()
         .filter(|endpoint| {
-            is_allowed(endpoint, query) && cold_delay(endpoint, query) == Some(Duration::ZERO)
+            is_allowed(endpoint, query) && permit_delay(endpoint, query) == Some(Duration::ZERO)
         })
         .collect();
     if eligible.is_empty() {
@@ -259,13 +260,14 @@
     })
 }
 
-/// Selects the cold endpoint that may be sent the request first, within the maximum delay.
+/// Selects the endpoint whose rate lets it be sent the request first, within the maximum
+/// delay.
 fn choose_delayed(endpoints: &[Arc<direct::EndpointView>], query: &Query<'_>) -> Option<Choice> {
     let candidates = endpoints
         .iter()
         .filter(|endpoint| is_allowed(endpoint, query) && may_wait_for(endpoint, query));
     let (delay, endpoint) = candidates
-        .filter_map(|endpoint| Some((cold_delay(endpoint, query)?, endpoint)))
+        .filter_map(|endpoint| Some((permit_delay(endpoint, query)?, endpoint)))
         .min_by_key(|(delay, _)| *delay)
         .filter(|(delay, _)| *delay <= query.max_delay)?;
     let weighed = weigh(&[endpoint], query);
@@ -296,8 +298,8 @@
     admission(endpoint, query) == balance::Admission::Open
 }
 
-/// Whether a request may wait for a cold endpoint. Its permits go before the limit of this
-/// entry, as the request would be refused otherwise.
+/// Whether a request may wait for a permit at the endpoint. Permits go before the limit of
+/// this entry, as the request would be refused otherwise.
 fn may_wait_for(endpoint: &direct::EndpointView, query: &Query<'_>) -> bool {
     use balance::{Admission, Hold};
     matches!(
@@ -537,6 +539,6 @@
         && !matches!(admission(endpoint, query), balance::Admission::Closed(_))
 }
 
-fn cold_delay(endpoint: &direct::EndpointView, query: &Query<'_>) -> Option<Duration> {
-    endpoint.cold_delay(query.cold_limit.as_ref(), query.now)
+fn permit_delay(endpoint: &direct::EndpointView, query: &Query<'_>) -> Option<Duration> {
+    endpoint.permit_delay(query.rates, query.now)
 }
--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -458,20 +458,20 @@
 
     /// Returns how long a request to the endpoint with this id has to wait; `None` if none
     /// is allowed. While the endpoint is cold, by its record or after a failure, requests are
-    /// limited; without a limit it takes any number.
+    /// limited by the rates.
     #[must_use]
-    pub fn cold_delay(
+    pub fn permit_delay(
         &self,
         endpoint: &ids::EndpointId,
         cold_until: runtime::Moment,
-        limit: Option<&balance::ColdLimit>,
+        rates: &balance::SharedRates,
         now: runtime::Moment,
     ) -> Option<Duration> {
         let mut state = self.lock();
         let observed = state.observed(now);
         state
             .pacer
-            .cold_delay(endpoint, cold_until, limit, &observed, now)
+            .permit_delay(endpoint, cold_until, rates, &observed, now)
     }
 
     /// Age of the report used by [`Self::load`]; `None` when there is no current one.
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -6,6 +6,7 @@
 mod endpoint_speed;
 mod fleet_share;
 mod forecast;
+mod held_leases;
 mod live;
 mod pace;
 mod pressure;
@@ -20,10 +21,11 @@
 pub use endpoint_speed::EndpointSpeed;
 pub use fleet_share::{AnyFleetShare, Assigned, FleetShare, LEASE_DURATION, Unassigned};
 pub use forecast::{EngineWork, Forecast, PlainWork, writing_factor};
+pub use held_leases::HeldLeases;
 pub use live::{Failure, Figures, Live, Permit, ReportedLoad, SilenceAction};
 pub use pace::{
-    Admission, Answer, AnyPace, Bounds, Cause, Change, ColdLimit, Hold, Limit, MAX_PAUSE, Observed,
-    Pacer, Stage, Trouble, Wish, usual_wait,
+    Admission, Answer, AnyPace, Bounds, Cause, Change, Hold, Limit, MAX_PAUSE, Observed, Pacer,
+    SharedRates, Stage, Trouble, Wish, usual_wait,
 };
 pub use pressure::Pressure;
 pub use prompt::{Prompt, PromptPart, Reading};
--- a/src/balance/pace/mod.rs
+++ b/src/balance/pace/mod.rs
@@ -18,5 +18,5 @@
 pub use life_cycle::{Answer, Closed, Full, Leaving, Pace, Probing, Rising, Trouble};
 pub use limit::Limit;
 pub use pacer::{MAX_PAUSE, Pacer, Wish};
-pub use permits::{ColdLimit, Permits};
+pub use permits::{Permits, SharedRates};
 pub use usual_wait::usual_wait;
--- a/src/balance/pace/pacer.rs
+++ b/src/balance/pace/pacer.rs
@@ -1,4 +1,4 @@
-//! Keeps the pace of one endpoint, the permits while it is cold, and the last change.
+//! Keeps the pace of one endpoint, the permits while its rate is limited, and the last change.
 
 use std::time::Duration;
 
@@ -6,6 +6,7 @@
 use crate::balance::pace;
 use crate::ids;
 use crate::runtime;
+use crate::units;
 
 /// First suspension of a failing endpoint; doubles with each further one.
 const INITIAL_SUSPENSION: Duration = Duration::from_millis(500);
@@ -59,23 +60,35 @@
     }
 
     /// Returns how long a request to the endpoint has to wait for a permit; `None` if none
-    /// is allowed. While the endpoint is cold, by its record or after a failure, requests
-    /// are limited; without a limit on cold endpoints it takes any number.
-    pub fn cold_delay(
+    /// is allowed. Requests are limited while the endpoint is cold, by its record or after a
+    /// failure, where cold endpoints have a limit.
+    pub fn permit_delay(
         &mut self,
         endpoint: &ids::EndpointId,
         cold_until: runtime::Moment,
-        limit: Option<&pace::ColdLimit>,
+        rates: &pace::SharedRates,
         observed: &pace::Observed,
         now: runtime::Moment,
     ) -> Option<Duration> {
-        let Some(limit) = limit else {
+        let Some(rate) = self.cold_rate(cold_until, rates, observed, now) else {
+            self.permits.lift();
             return Some(Duration::ZERO);
         };
+        self.permits.delay(rate, rates, endpoint, now)
+    }
+
+    /// Returns the rate over all entries while the endpoint is cold; `None` without one.
+    fn cold_rate(
+        &mut self,
+        cold_until: runtime::Moment,
+        rates: &pace::SharedRates,
+        observed: &pace::Observed,
+        now: runtime::Moment,
+    ) -> Option<units::Rate> {
+        let rate = rates.cold?;
         let cold_until = cold_until.max(self.cold_until);
         if cold_until <= now {
-            self.permits.lift();
-            return Some(Duration::ZERO);
+            return None;
         }
         // An endpoint that has proven its pace keeps it, although the span still lasts.
         if self.limited_until <= now {
@@ -83,7 +96,7 @@
             self.set(pace, pace::Cause::Cold, None);
         }
         self.limited_until = cold_until;
-        self.permits.delay(limit, endpoint, now)
+        Some(rate)
     }
 
     /// Records that a request is about to be sent.
--- a/src/direct/change.rs
+++ b/src/direct/change.rs
@@ -156,10 +156,10 @@
 }
 
 /// Leases that the store has assigned to this entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Assignment {
-    /// Number of leases held.
-    pub leases: u32,
+    /// Leases held, in order of their numbers.
+    pub leases: Arc<[ids::LeaseNumber]>,
     /// Start of the call; the leases are held at least as of this time.
     pub call_started: runtime::Moment,
 }
--- a/src/direct/join.rs
+++ b/src/direct/join.rs
@@ -39,7 +39,7 @@
             Ok(membership) => {
                 let held = u32::try_from(membership.held.len()).unwrap_or(u32::MAX);
                 let assignment = direct::Assignment {
-                    leases: held,
+                    leases: membership.leases(leases),
                     call_started,
                 };
                 control.send(direct::Event::Assigned(assignment)).await;
@@ -68,7 +68,7 @@
                 if !is_expired && age >= balance::LEASE_DURATION {
                     is_expired = true;
                     log::warn!(target: "share", error:% = err, age_ms:% = age.as_millis();
-                        "leases expired, cold endpoints get fewer requests");
+                        "leases expired, endpoints with a rate over all entries get fewer requests");
                 }
                 INTERVAL
             }
--- a/src/direct/snapshot.rs
+++ b/src/direct/snapshot.rs
@@ -38,16 +38,16 @@
         self.live.admission(balance::Bounds { slots, share }, now)
     }
 
-    /// Returns how long a request has to wait because the endpoint is cold; `None` if none is
-    /// allowed.
+    /// Returns how long a request has to wait because all entries together may send the
+    /// endpoint only so many; `None` if none is allowed.
     #[must_use]
-    pub fn cold_delay(
+    pub fn permit_delay(
         &self,
-        limit: Option<&balance::ColdLimit>,
+        rates: &balance::SharedRates,
         now: runtime::Moment,
     ) -> Option<Duration> {
         self.live
-            .cold_delay(&self.record.id, self.cold_until, limit, now)
+            .permit_delay(&self.record.id, self.cold_until, rates, now)
     }
 }
 
@@ -97,10 +97,10 @@
 }
 
 impl Snapshot {
-    /// Returns the share of this entry in the rate of requests to a cold endpoint.
+    /// Returns the leases by which this entry gets its part of a rate over all entries.
     #[must_use]
-    pub fn cold_rate_share(&self, now: runtime::Moment) -> units::Share {
-        self.share.of_cold_rate(self.share_freshness.age(now))
+    pub fn leases(&self, now: runtime::Moment) -> balance::HeldLeases {
+        self.share.leases(self.share_freshness.age(now))
     }
 
     /// Whether the configuration and at least one usable endpoint are known.
--- a/src/direct/system/endpoints.rs
+++ b/src/direct/system/endpoints.rs
@@ -145,7 +145,7 @@
     let cold_span = world.cold_duration(&record.service);
     let mut cold_until = cx.now.saturating_add(record.cold_left.duration());
     let known_at_start = !world.endpoints_listed;
-    let share = world.share;
+    let share = world.share.of_connections();
     let row = world.endpoints.by_name(&record.id);
     let begins = row.map_or(!known_at_start, |row| record.started > row.record.started);
     // Looks at all endpoints of the service, so not for each record of a listing.
--- a/src/direct/system/operator.rs
+++ b/src/direct/system/operator.rs
@@ -149,7 +149,7 @@
 /// was out of service. All of them look idle.
 fn mark_cold(world: &mut direct::World, cx: &TickCx, domain: &ids::DomainName) {
     let deployment = world.deployment.clone();
-    let share = world.share;
+    let share = world.share.of_connections();
     for (_, row) in world.endpoints.iter_mut() {
         if row.record.domain == *domain {
             row.start_pace(share, None);
--- a/src/direct/system/share.rs
+++ b/src/direct/system/share.rs
@@ -1,8 +1,9 @@
 //! System that follows the share of this entry in limits over all entries.
 
+use std::sync::Arc;
+
 use crate::direct;
 use crate::direct::system::TickCx;
-use crate::units;
 
 /// Applies the leases assigned in this tick.
 pub fn run(world: &mut direct::World, cx: &mut TickCx) {
@@ -11,10 +12,11 @@
             continue;
         };
         let all = world.settings.leases;
-        let share = units::Share::clamped(f64::from(assignment.leases) / f64::from(all));
-        let assigned = world.share.assign(share);
+        let leases = Arc::clone(&assignment.leases);
+        let assigned = world.share.clone().assign(leases, all);
         if assigned != world.share {
-            log::info!(target: "share", leases = assignment.leases, all = all, share:% = share;
+            log::info!(target: "share", leases = assignment.leases.len(), all = all,
+                share:% = assigned.of_connections();
                 "share of the limits over all entries changed");
             world.share = assigned;
             cx.changed = true;
--- a/src/direct/system/snapshot.rs
+++ b/src/direct/system/snapshot.rs
@@ -27,7 +27,7 @@
         services,
         suspects: Arc::clone(&world.suspects),
         freshness: Arc::clone(&world.freshness),
-        share: world.share,
+        share: world.share.clone(),
         share_freshness: Arc::clone(&world.share_freshness),
         duty: Arc::clone(&world.duty),
     }
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -14,6 +14,7 @@
 use crate::runtime;
 use crate::settings;
 use crate::table;
+use crate::units;
 
 slotmap::new_key_type! {
     /// Key of a row in the table of endpoints.
@@ -184,10 +185,10 @@
     /// Lets the endpoint find its pace, as it has started or returned. `share` is that of
     /// this entry in the limits over all entries, `usual` the wait expected of an endpoint
     /// of the service; `None` if it is not known.
-    pub fn start_pace(&self, share: balance::AnyFleetShare, usual: Option<Duration>) {
+    pub fn start_pace(&self, share: units::Share, usual: Option<Duration>) {
         let bounds = balance::Bounds {
             slots: self.record.slots,
-            share: share.of_connections(),
+            share,
         };
         self.live.start(bounds, usual);
     }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -248,13 +248,13 @@
             }
         };
         let max_delay = self.rule.objective.duration().mul_f64(COLD_WAIT_FRACTION);
-        let cold_delay = endpoint.cold_delay(self.cold_limit(view, now).as_ref(), now);
+        let permit_delay = endpoint.permit_delay(&self.shared_rates(view, now), now);
         match endpoint.admission(self.share(), now) {
             balance::Admission::Open => {}
             balance::Admission::Closed(hold) => return reopening(hold),
             balance::Admission::LastResort(hold) => {
-                // The choice tries it now, unless it is cold and has no permit soon.
-                let is_tried = cold_delay.is_some_and(|delay| delay <= max_delay);
+                // The choice tries it now, unless it has a rate and no permit is due soon.
+                let is_tried = permit_delay.is_some_and(|delay| delay <= max_delay);
                 return match reopening(hold) {
                     room::Opening::At(until) if is_tried => room::Opening::LastResort(Some(until)),
                     room::Opening::Unknown if is_tried => room::Opening::LastResort(None),
@@ -262,7 +262,7 @@
                 };
             }
         }
-        match cold_delay {
+        match permit_delay {
             None => room::Opening::Unknown,
             // A short delay is served by the choice, in the order of its permits.
             Some(delay) if delay <= max_delay => room::Opening::Now,
@@ -303,7 +303,7 @@
         let now = runtime::Moment::now();
         let filters = self.version_filters(view, now);
         let settings = self.cx.settings();
-        let cold_limit = self.cold_limit(view, now);
+        let rates = self.shared_rates(view, now);
         let max_delay = self.rule.objective.duration().mul_f64(COLD_WAIT_FRACTION);
         let reading = self.reading(model);
         let speed = self.cx.writing_speed(&self.service);
@@ -315,7 +315,7 @@
                 region: settings.regions.get(&settings.domain),
                 tried,
                 domain: &settings.domain,
-                cold_limit,
+                rates: &rates,
                 share: self.share(),
                 max_delay,
                 writing: self.writing(&speed).unwrap_or_default(),
@@ -328,19 +328,17 @@
         })
     }
 
-    /// Returns the limit on the requests of this entry to a cold endpoint of the service;
-    /// `None` if there is none.
-    fn cold_limit(
+    /// Returns the rates over all entries at the endpoints of the service.
+    fn shared_rates(
         &self,
         view: &direct::ServiceView,
         now: runtime::Moment,
-    ) -> Option<balance::ColdLimit> {
-        let cold = view.upstream.cold_start?;
-        let share = self.cx.control.snapshot().cold_rate_share(now);
-        Some(balance::ColdLimit {
-            rate: units::Rate::clamped(cold.rate.get() * share.get()),
+    ) -> balance::SharedRates {
+        balance::SharedRates {
+            cold: view.upstream.cold_start.map(|cold| cold.rate),
+            leases: self.cx.control.snapshot().leases(now),
             entry: ids::Fingerprint::fnv1a(self.cx.settings().vm.as_str()),
-        })
+        }
     }
 
     /// Returns the prompt as read by the model with this index; `None` for a request
@@ -412,7 +410,7 @@
     pub fn earliest_return(&self) -> Option<Duration> {
         let view = self.view()?;
         let now = runtime::Moment::now();
-        let cold_limit = self.cold_limit(&view, now);
+        let rates = self.shared_rates(&view, now);
         let share = self.share();
         let mut earliest: Option<Duration> = None;
         for endpoint in &view.endpoints {
@@ -423,7 +421,7 @@
                 balance::Admission::Closed(_) => continue,
                 balance::Admission::Open | balance::Admission::LastResort(_) => Duration::ZERO,
             };
-            let left = match endpoint.cold_delay(cold_limit.as_ref(), now) {
+            let left = match endpoint.permit_delay(&rates, now) {
                 Some(delay) => delay.max(held),
                 None => continue,
             };
--- a/src/ids/mod.rs
+++ b/src/ids/mod.rs
@@ -14,6 +14,7 @@
     ServiceName, TeamName, VersionName, VmName,
 };
 pub use number::{
-    DivisionGeneration, Fence, Generation, Incarnation, InvalidNumber, Offset, Revision,
+    DivisionGeneration, Fence, Generation, Incarnation, InvalidNumber, LeaseNumber, Offset,
+    Revision,
 };
 pub use request_id::{CallId, ChangeId, InvalidId, RequestId};
--- a/src/ids/number.rs
+++ b/src/ids/number.rs
@@ -55,6 +55,10 @@
     /// Position of a record in one stream of the platform's log, from 0.
     Offset(u64)
 }
+number! {
+    /// Number of a lease among those that the store divides among the entries, from 0.
+    LeaseNumber(u32)
+}
 number! {
     /// Fencing number of a lease: the log offset of its accepted claim.
     Fence(u64)
--- a/src/platform/group.rs
+++ b/src/platform/group.rs
@@ -67,6 +67,23 @@
     pub held: Vec<HeldPartition>,
 }
 
+impl Membership {
+    /// Returns the leases that the member holds, in order of their numbers. The partitions of
+    /// all topics are `all` leases; those of other topics are left out.
+    #[must_use]
+    pub fn leases(&self, all: u32) -> Arc<[ids::LeaseNumber]> {
+        let partitions = all / TOPIC_COUNT;
+        let number = |(topic, partition, _): &HeldPartition| {
+            let topic: u32 = topic.strip_prefix(TOPIC_PREFIX)?.parse().ok()?;
+            let is_known = topic < TOPIC_COUNT && *partition < partitions;
+            is_known.then(|| ids::LeaseNumber(topic * partitions + partition))
+        };
+        let mut leases: Vec<_> = self.held.iter().filter_map(number).collect();
+        leases.sort_unstable();
+        leases.into()
+    }
+}
+
 /// A partition with the member that holds it: topic, partition, member and offset.
 pub type OwnedPartition = (Arc<str>, u32, peers::Member, i64);
 
--- a/tests/integration/direct/balance.rs
+++ b/tests/integration/direct/balance.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use quetzalworks::balance::{
-    ColdLimit, Failure, Prompt, PromptPart, Query, Reading, ReportedLoad, RetryWindow,
-    VersionFilter, choose,
+    Failure, HeldLeases, Prompt, PromptPart, Query, Reading, ReportedLoad, RetryWindow,
+    SharedRates, VersionFilter, choose,
 };
 use quetzalworks::catalog::AllowedRegions;
 use quetzalworks::direct::EndpointView;
-use quetzalworks::ids::{DomainName, Fingerprint};
+use quetzalworks::ids::{DomainName, Fingerprint, LeaseNumber};
 use quetzalworks::runtime::Moment;
 use quetzalworks::units::{Millis, Rate, Share, Tokens};
 
@@ -17,8 +17,29 @@
 
 pub static ANYWHERE: LazyLock<AllowedRegions> = LazyLock::new(AllowedRegions::default);
 
+/// Rates at an entry that holds all leases.
+static RATES: LazyLock<SharedRates> = LazyLock::new(|| alone(2.0));
+
+/// Rates of a service whose cold endpoints have none.
+pub static UNLIMITED: LazyLock<SharedRates> = LazyLock::new(SharedRates::default);
+
 pub const NOW: u64 = 1_000_000;
 
+/// Rates at an entry that holds all leases; `cold` is that of cold endpoints.
+pub fn alone(cold: f64) -> SharedRates {
+    SharedRates {
+        cold: Some(Rate::clamped(cold)),
+        leases: leases(0..96, 96),
+        entry: Fingerprint(0),
+    }
+}
+
+/// Leases with these numbers, which have not expired.
+pub fn leases(numbers: impl IntoIterator<Item = u32>, all: u32) -> HeldLeases {
+    let held = numbers.into_iter().map(LeaseNumber).collect();
+    HeldLeases::new(held, all, Share::clamped(1.0))
+}
+
 pub fn endpoint(id: &str, domain: &str) -> Arc<EndpointView> {
     let mut value = entry("writer", "v1", 1);
     value["Zone"] = domain.into();
@@ -60,10 +81,7 @@
         region: None,
         tried: &[],
         domain,
-        cold_limit: Some(ColdLimit {
-            rate: Rate::clamped(2.0),
-            entry: Fingerprint(0),
-        }),
+        rates: &RATES,
         share: Share::clamped(1.0),
         max_delay: Duration::ZERO,
         writing: Duration::ZERO,
--- a/tests/integration/direct/endpoint.rs
+++ b/tests/integration/direct/endpoint.rs
@@ -258,19 +258,8 @@
                 let answer = complete_answer(200, &id, &seal, "once");
                 send(&format!("{answer}{answer}"))
             }
-            Behaviour::DoubtfulCut(last, confidence) => {
-                self.send_events(tcp, req, confidence, *last);
-                false
-            }
-            Behaviour::Cut(last) => {
-                self.send_events(tcp, req, "90", *last);
-                // Half of the event that would come next.
-                let _ = write_chunk(tcp, &format!("id: {}\ndata: ha", last + 1));
-                false
-            }
-            Behaviour::Stall(last) => {
-                self.send_events(tcp, req, "90", *last);
-                self.wait_for_disconnect(tcp);
+            Behaviour::DoubtfulCut(..) | Behaviour::Cut(_) | Behaviour::Stall(_) => {
+                self.send_part_of_stream(tcp, req, behaviour);
                 false
             }
             Behaviour::Endless(first, rest) => {
@@ -311,6 +300,25 @@
         }
     }
 
+    /// Sends the first events of a stream that ends too early or stalls.
+    fn send_part_of_stream(&self, tcp: &TcpStream, req: &Received, behaviour: &Behaviour) {
+        match behaviour {
+            Behaviour::DoubtfulCut(last, confidence) => {
+                self.send_events(tcp, req, confidence, *last);
+            }
+            Behaviour::Cut(last) => {
+                self.send_events(tcp, req, "90", *last);
+                // Half of the event that would come next.
+                let _ = write_chunk(tcp, &format!("id: {}\ndata: ha", last + 1));
+            }
+            Behaviour::Stall(last) => {
+                self.send_events(tcp, req, "90", *last);
+                self.wait_for_disconnect(tcp);
+            }
+            _ => unreachable!("sends a whole answer"),
+        }
+    }
+
     /// Sends all events, with a pause between them. Returns that the connection stays open.
     fn send_complete(
         &self,
--- a/tests/integration/direct/failures.rs
+++ b/tests/integration/direct/failures.rs
@@ -2,14 +2,10 @@
 
 use std::time::Duration;
 
-use quetzalworks::balance::{
-    Admission, Bounds, ColdLimit, Failure, Hold, Live, Permit, SilenceAction,
-};
-use quetzalworks::ids::Fingerprint;
+use quetzalworks::balance::{Admission, Bounds, Failure, Hold, Live, Permit, SilenceAction};
 use quetzalworks::runtime::Moment;
-use quetzalworks::units::Rate;
 
-use crate::direct::balance::{NOW, chosen, endpoint, query};
+use crate::direct::balance::{NOW, alone, chosen, endpoint, query};
 
 /// Panics if the endpoint is neither open nor suspended.
 fn is_suspended(live: &Live, now: Moment) -> bool {
@@ -55,13 +51,10 @@
         live.record_failure(case.failure, Duration::from_secs(3), now);
         let name = case.failure;
         assert_eq!(is_suspended(live, now), case.suspended, "{name}");
-        let limit = ColdLimit {
-            rate: Rate::clamped(2.0),
-            entry: Fingerprint(0),
-        };
+        let rates = alone(2.0);
         let admits = |at: &Moment| {
             let id = &endpoint.record.id;
-            let delay = live.cold_delay(id, Moment::default(), Some(&limit), *at);
+            let delay = live.permit_delay(id, Moment::default(), &rates, *at);
             delay == Some(Duration::ZERO)
         };
         // The first permit comes within one period of the limit.
--- a/tests/integration/direct/pace.rs
+++ b/tests/integration/direct/pace.rs
@@ -10,7 +10,7 @@
 use quetzalworks::runtime::Moment;
 use quetzalworks::units::Share;
 
-use crate::direct::balance::{NOW, endpoint, query};
+use crate::direct::balance::{NOW, UNLIMITED, endpoint, query};
 
 const ENTRIES: usize = 8;
 const ENDPOINTS: usize = 6;
@@ -287,7 +287,7 @@
 
 fn query_at(domain: &DomainName, t: u64) -> Query<'_> {
     Query {
-        cold_limit: None,
+        rates: &UNLIMITED,
         share: share(),
         ..query(domain, None, NOW + t)
     }
--- a/tests/integration/direct/pace_moves.rs
+++ b/tests/integration/direct/pace_moves.rs
@@ -2,12 +2,10 @@
 
 use std::time::Duration;
 
-use quetzalworks::balance::{Admission, Bounds, ColdLimit, Failure, Hold, Stage};
-use quetzalworks::ids::Fingerprint;
+use quetzalworks::balance::{Admission, Bounds, Failure, Hold, Stage};
 use quetzalworks::runtime::Moment;
-use quetzalworks::units::Rate;
 
-use crate::direct::balance::{NOW, endpoint};
+use crate::direct::balance::{NOW, alone, endpoint};
 
 const USUAL: Duration = Duration::from_millis(100);
 
@@ -113,15 +111,12 @@
     for case in cases {
         let view = endpoint("e", "north");
         let live = &view.live;
-        let limit = ColdLimit {
-            rate: Rate::clamped(10.0),
-            entry: Fingerprint(0),
-        };
+        let rates = alone(10.0);
         let mut limited = 0;
         for t in (0..8_000).step_by(100) {
             let _ = live.admission(Bounds::default(), at(t));
             let until = at((case.cold_until_ms)(t));
-            let _ = live.cold_delay(&view.record.id, until, Some(&limit), at(t));
+            let _ = live.permit_delay(&view.record.id, until, &rates, at(t));
             let count = |to: Stage| usize::from(to == Stage::Rising);
             limited += live.take_pace_change().map_or(0, |change| count(change.to));
             let mut permit = live.begin(Duration::ZERO, at(t));
