All entries together keep to the limit that an endpoint names

Callers saw: an endpoint in need was sent up to 22 requests in 4 s where it had named a limit that allows 12, went on answering slowly, and got no relief for as long as it asked.

Evidence: the timeline (18 of 18 endpoints open at each choice) and the red test, 921 requests in 4 s of 17.

Change: the limit goes the way of the rate of cold endpoints, by the leases of the store with their age; the smaller of the two rates binds. Entries share named limits in the reports' topic, as one that has no part of a limit gets no answer that tells of its end: the holder of the first lease drawn for the endpoint writes it, others only what is missing after a while. A limit holds for one incarnation of the endpoint. A limit of zero counts as 0.1 a second, as only a request finds out that it is over.

Why it works: a holder sends at most one request more than its part in any time, and the drawn leases are few, so that the sum stays under one and a half times the limit and 5, also while leases change hands, entries have lost the store, or 360 of them know it.

--- a/src/balance/live.rs
+++ b/src/balance/live.rs
@@ -158,8 +158,6 @@
     failure_share: f64,
     last_seen: runtime::Moment,
     reachability: Reachability,
-    /// Limit that its last answer named; `None` if it named none.
-    named_limit: Option<units::Rate>,
 }
 
 impl State {
@@ -318,12 +316,17 @@
         state.pacer.start(bounds, &observed);
     }
 
-    /// Records the limit that its last answer names for all entries together. Returns whether
-    /// that is new.
+    /// Records the limit that the endpoint names for all entries together, by its last answer
+    /// or what other entries know; `None` if it names none. Returns whether that is new.
     pub fn name_limit(&self, limit: Option<units::Rate>) -> bool {
-        let mut state = self.lock();
-        let before = std::mem::replace(&mut state.named_limit, limit);
-        before != limit
+        self.lock().pacer.name_limit(limit)
+    }
+
+    /// Returns the limit that the endpoint names for all entries together; `None` if it names
+    /// none.
+    #[must_use]
+    pub fn named_limit(&self) -> Option<units::Rate> {
+        self.lock().pacer.named_limit()
     }
 
     /// Checks whether the endpoint takes another request of this entry.
@@ -457,8 +460,8 @@
     }
 
     /// Returns how long a request to the endpoint with this id has to wait; `None` if none
-    /// is allowed. While the endpoint is cold, by its record or after a failure, requests are
-    /// limited by the rates.
+    /// is allowed. Requests are limited while the endpoint is cold, by its record or after a
+    /// failure, and while it names a limit.
     #[must_use]
     pub fn permit_delay(
         &self,
--- a/src/balance/pace/pacer.rs
+++ b/src/balance/pace/pacer.rs
@@ -15,6 +15,9 @@
 /// Time since a failure last closed the endpoint, after which a further one counts as the
 /// first.
 const STRIKE_MEMORY: Duration = Duration::from_secs(10);
+/// Least limit that counts, in requests per second: only a request finds out whether an
+/// endpoint that wants none has changed its mind.
+const MIN_NAMED_LIMIT: f64 = 0.1;
 /// Longest pause that is granted; a longer one is a mistake of the endpoint.
 pub const MAX_PAUSE: Duration = Duration::from_secs(30);
 
@@ -42,6 +45,9 @@
     /// End of the cold span for which the limit has begun, as last known.
     limited_until: runtime::Moment,
     permits: pace::Permits,
+    /// Requests per second that the endpoint takes from all entries together; `None` if it
+    /// names no limit.
+    named_limit: Option<units::Rate>,
     /// Last change that has not been taken for the log.
     change: Option<pace::Change>,
 }
@@ -61,7 +67,7 @@
 
     /// Returns how long a request to the endpoint has to wait for a permit; `None` if none
     /// is allowed. Requests are limited while the endpoint is cold, by its record or after a
-    /// failure, where cold endpoints have a limit.
+    /// failure, where cold endpoints have a limit, and while it names one.
     pub fn permit_delay(
         &mut self,
         endpoint: &ids::EndpointId,
@@ -70,13 +76,29 @@
         observed: &pace::Observed,
         now: runtime::Moment,
     ) -> Option<Duration> {
-        let Some(rate) = self.cold_rate(cold_until, rates, observed, now) else {
+        let cold = self.cold_rate(cold_until, rates, observed, now);
+        let limits = [cold, self.named_limit].into_iter().flatten();
+        let Some(rate) = limits.min_by(|a, b| a.get().total_cmp(&b.get())) else {
             self.permits.lift();
             return Some(Duration::ZERO);
         };
         self.permits.delay(rate, rates, endpoint, now)
     }
 
+    /// Records the limit that the endpoint names for all entries; `None` if it names none.
+    /// Returns whether that is new.
+    pub fn name_limit(&mut self, limit: Option<units::Rate>) -> bool {
+        let limit = limit.map(|limit| units::Rate::clamped(limit.get().max(MIN_NAMED_LIMIT)));
+        let before = std::mem::replace(&mut self.named_limit, limit);
+        before != limit
+    }
+
+    /// Returns the limit that the endpoint names for all entries; `None` if it names none.
+    #[must_use]
+    pub const fn named_limit(&self) -> Option<units::Rate> {
+        self.named_limit
+    }
+
     /// Returns the rate over all entries while the endpoint is cold; `None` without one.
     fn cold_rate(
         &mut self,
--- a/src/direct/change.rs
+++ b/src/direct/change.rs
@@ -102,6 +102,24 @@
     pub withdrawn: BTreeSet<ids::VersionName>,
 }
 
+/// Limit that an endpoint names for the requests of all entries together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct NamedLimit {
+    /// Requests per second.
+    pub rate: units::Rate,
+    /// Start of the incarnation that names it, as Unix time; 0 when unknown.
+    pub started: units::Millis,
+}
+
+/// What an entry tells the others of the limit of an endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitReport {
+    /// Endpoint that the report is about.
+    pub endpoint: ids::EndpointId,
+    /// Limit that it names; `None` if it names none any more.
+    pub limit: Option<NamedLimit>,
+}
+
 /// Results of a rollout at one entry, as shared with the others through the store.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct SharedEvidence {
@@ -137,7 +155,8 @@
     Operator,
     /// Status records of the endpoints.
     Endpoints,
-    /// Stages of rollouts and crashes under requests, written by the entries.
+    /// Stages of rollouts, crashes under requests and limits of endpoints, written by the
+    /// entries.
     Reports,
 }
 
@@ -190,6 +209,10 @@
     SuspectCleared(ids::Fingerprint),
     /// A request was refused because it, or a part of its prompt, has crashed endpoints.
     SuspectRefused(ids::Fingerprint),
+    /// An answer of an endpoint has named a limit, changed or lifted it.
+    LimitNamed(ids::EndpointId),
+    /// Limits of endpoints from the reports' topic, by any entry.
+    LimitReports(Batch<LimitReport>),
     /// A read of a topic failed, with the reason.
     ReadFailed(Source, Arc<str>),
     /// An attempt to write a rollout report has ended.
@@ -216,6 +239,8 @@
     Report(RolloutReport, ids::Offset),
     /// Publish the crashes under a request to other entries.
     PublishCrashes(poison::CrashReport),
+    /// Publish the limit of an endpoint to other entries.
+    PublishLimit(LimitReport),
     /// Read the results of a rollout that entries have shared, then share those of this
     /// entry; `None` if they are shared already.
     ExchangeEvidence(Option<Box<SharedEvidence>>),
--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -98,6 +98,9 @@
     if let Some(crashes) = batch.crashes(source) {
         control.send(crashes).await;
     }
+    if let Some(limits) = batch.limits(source, read_started) {
+        control.send(limits).await;
+    }
     control.send(batch.decode(source, read_started)).await;
 }
 
@@ -162,8 +165,22 @@
         (!reports.is_empty()).then_some(direct::Event::CrashReports(reports))
     }
 
+    /// Returns the limits of endpoints, which share that topic too.
+    fn limits(
+        &self,
+        source: direct::Source,
+        read_started: runtime::Moment,
+    ) -> Option<direct::Event> {
+        if source != direct::Source::Reports {
+            return None;
+        }
+        let limits = self.map(read_started, platform::limit_record::decode);
+        let has_news = limits.complete || !limits.items.is_empty();
+        has_news.then_some(direct::Event::LimitReports(limits))
+    }
+
     fn map<T>(
-        self,
+        &self,
         read_started: runtime::Moment,
         decode: impl Fn(&str, Option<&Bytes>) -> Option<T>,
     ) -> direct::Batch<T> {
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -19,8 +19,8 @@
 mod writer;
 
 pub use change::{
-    Assignment, Batch, Effect, EndpointChange, EndpointRecord, Event, OperatorChange, RolloutOrder,
-    RolloutReport, SharedEvidence, Source,
+    Assignment, Batch, Effect, EndpointChange, EndpointRecord, Event, LimitReport, NamedLimit,
+    OperatorChange, RolloutOrder, RolloutReport, SharedEvidence, Source,
 };
 pub use evidence::{Evidence, Sample, WaitingKey};
 pub use exchange::{SharedExchange, exchange, newest_evidence};
@@ -35,5 +35,7 @@
 pub use system::retention_after_mass_removal;
 pub use tallies::Tallies;
 pub use withdrawn::WithdrawnVersions;
-pub use world::{EndpointKey, EndpointRow, PeerResults, RolloutRow, World, cold_duration};
+pub use world::{
+    EndpointKey, EndpointRow, LimitRow, PeerResults, RolloutRow, World, cold_duration,
+};
 pub use writer::write;
--- a/src/direct/system/mod.rs
+++ b/src/direct/system/mod.rs
@@ -2,6 +2,7 @@
 
 mod endpoints;
 mod evidence;
+mod limits;
 mod members;
 mod operator;
 mod process;
@@ -22,12 +23,13 @@
 type System = fn(&mut direct::World, &mut TickCx);
 
 /// All systems, in the order in which they run.
-pub const ALL: [System; 9] = [
+pub const ALL: [System; 10] = [
     process::run,
     share::run,
     members::run,
     operator::run,
     endpoints::run,
+    limits::run,
     reports::run,
     evidence::run,
     rollouts::run,
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -35,6 +35,17 @@
     pub retained_until: Option<runtime::Moment>,
 }
 
+/// Limit of an endpoint, as the entries share it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LimitRow {
+    /// Limit in the store; `None` if there is none.
+    pub recorded: Option<direct::NamedLimit>,
+    /// Whether the record has changed and is not applied to the endpoint yet.
+    pub is_unapplied: bool,
+    /// When this entry publishes what it knows, if that is not on record then.
+    pub publish_at: Option<runtime::Moment>,
+}
+
 /// Results of a rollout at the other entries together.
 #[derive(Clone, Debug, Default)]
 pub struct PeerResults {
@@ -89,6 +100,8 @@
     pub deployment: Option<Arc<catalog::Deployment>>,
     /// Endpoints by id, in service or not.
     pub endpoints: table::Table<EndpointKey, ids::EndpointId, EndpointRow>,
+    /// Limits that endpoints name, by endpoint; only those on record or to be published.
+    pub limits: HashMap<ids::EndpointId, LimitRow>,
     /// Ordered rollouts, by service.
     pub rollouts: HashMap<ids::ServiceName, RolloutRow>,
     /// Versions that were rolled back by earlier orders.
@@ -128,6 +141,7 @@
             settings,
             deployment: None,
             endpoints: table::Table::default(),
+            limits: HashMap::new(),
             rollouts: HashMap::new(),
             withdrawn: direct::WithdrawnVersions::default(),
             reports: HashMap::new(),
--- a/src/direct/writer.rs
+++ b/src/direct/writer.rs
@@ -1,4 +1,4 @@
-//! Task that writes rollout reports and crash reports to the store.
+//! Task that writes the reports of this entry to the store.
 
 use hyper::body::Bytes;
 use smol::channel::{Receiver, Sender};
@@ -34,6 +34,13 @@
                         "crash report was not written, other entries are not informed");
                 }
             }
+            direct::Effect::PublishLimit(report) => {
+                let record = platform::limit_record::encode(&report);
+                if let Err(err) = append(&store, None, record).await {
+                    log::warn!(target: "endpoint", endpoint:% = report.endpoint, error:% = err;
+                        "limit of an endpoint was not written, other entries are not informed");
+                }
+            }
             direct::Effect::ExchangeEvidence(own) => {
                 if let Err(err) = exchanges.try_send(own) {
                     log::debug!(target: "rollout", error:% = err; "the last exchange of rollout results is still under way");
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -240,7 +240,7 @@
         let failure = if status == StatusCode::MISDIRECTED_REQUEST {
             balance::Failure::Misdirected
         } else {
-            record_limit(&endpoint, metadata.limit);
+            record_limit(call, &endpoint, metadata.limit);
             balance::Failure::Refused
         };
         // Read to the end only to keep the connection; the content is not used.
@@ -252,7 +252,7 @@
     if !metadata.signed || metadata.encoded {
         return Err(broken("answer is not the endpoint's own"));
     }
-    record_limit(&endpoint, metadata.limit);
+    record_limit(call, &endpoint, metadata.limit);
     Ok(Opened {
         answer,
         metadata,
@@ -284,11 +284,13 @@
 }
 
 /// Records the limit that an answer of the endpoint names; `None` if it names none.
-fn record_limit(endpoint: &direct::EndpointView, limit: Option<units::Rate>) {
+fn record_limit(call: &call::Call, endpoint: &direct::EndpointView, limit: Option<units::Rate>) {
     if !endpoint.live.name_limit(limit) {
         return;
     }
     let id = &endpoint.record.id;
+    let named = direct::Event::LimitNamed(id.clone());
+    call.cx.control.send_or_drop(named);
     match limit {
         Some(limit) => {
             log::info!(target: "endpoint", endpoint:% = id, limit:% = limit, source = "answer";
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -12,6 +12,7 @@
 pub mod evidence_record;
 pub mod group;
 pub mod headers;
+pub mod limit_record;
 mod log_client;
 pub mod operator;
 mod page;
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -17,6 +17,8 @@
 mod fleet_share;
 mod idle;
 mod keys;
+mod limit_replay;
+mod limit_reports;
 mod mild_faults;
 mod named_limit;
 mod odd_records;
--- a/tests/integration/direct/named_limit.rs
+++ b/tests/integration/direct/named_limit.rs
@@ -60,9 +60,12 @@
             },
         },
         Case {
+            // Longer than a lease, and shorter than entries serve keys without the store.
             name: "the store is away",
             disturb: |site, _| {
                 site.store.control(LogCommand::Outage(Outage::Refusing));
+                thread::sleep(Duration::from_millis(3_500));
+                site.store.control(LogCommand::Outage(Outage::Up));
                 Vec::new()
             },
         },
