The era of the store is read, logged and counted

Callers saw: nothing by itself. Cause of the gap: the log of a successful read did not tell whether its offset still meant the same records.

Change: the client reads the era in each response, and logs and counts a rise. No decision uses it yet.

--- a/src/ids/mod.rs
+++ b/src/ids/mod.rs
@@ -15,6 +15,6 @@
 };
 pub use number::{
     DivisionGeneration, Fence, Generation, Incarnation, InvalidNumber, LeaseNumber, Offset,
-    Revision,
+    Revision, StoreEra,
 };
 pub use request_id::{CallId, ChangeId, InvalidId, RequestId};
--- a/src/ids/number.rs
+++ b/src/ids/number.rs
@@ -59,6 +59,11 @@
     /// Number of a lease among those that the store divides among the entries, from 0.
     LeaseNumber(u32)
 }
+number! {
+    /// Counts how often the store has come back from an older copy. What was written in the
+    /// time that the copy lacks is gone, and its offsets are given out again.
+    StoreEra(u64)
+}
 number! {
     /// Fencing number of a lease: the log offset of its accepted claim.
     Fence(u64)
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -63,6 +63,7 @@
     direct_attempts: Counter<u64>,
     store_calls: Counter<u64>,
     store_latency: Histogram<f64>,
+    store_restores: Counter<u64>,
     relays_sent: Counter<u64>,
     relay_age: Histogram<f64>,
     follow_ends: Counter<u64>,
@@ -187,6 +188,10 @@
                 "Calls of the store by kind and result.",
             ),
             store_latency: latency("quetzalworks_store_latency", "Time of a call of the store."),
+            store_restores: count(
+                "quetzalworks_store_restores",
+                "Times at which the store has come back from an older copy.",
+            ),
             relays_sent: count(
                 "quetzalworks_relays_sent",
                 "Answers to entries that follow this one, by topic.",
@@ -357,6 +362,11 @@
         self.relay_age.record(age.as_secs_f64(), &[topic]);
     }
 
+    /// Counts a return of the store from an older copy.
+    pub fn record_store_restored(&self) {
+        self.store_restores.add(1, &[]);
+    }
+
     /// Counts an end of following another entry.
     pub fn record_follow_end(&self, topic: &'static str, reason: &'static str) {
         let labels = [
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,7 +1,7 @@
 //! HTTP client of the platform's metadata store.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
@@ -9,7 +9,8 @@
 use base64::engine::general_purpose::STANDARD;
 use http_body_util::Full;
 use hyper::body::Bytes;
-use hyper::{Method, Request, StatusCode};
+use hyper::header::HeaderName;
+use hyper::{HeaderMap, Method, Request, StatusCode};
 
 use crate::http;
 use crate::ids;
@@ -33,11 +34,16 @@
 /// and the first retained offset, 8 bytes each.
 const READ_HEADER_BYTES: usize = 16;
 
+/// Header of each response: the era of the store.
+pub(super) const ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// Client of the store; clones share connections.
 #[derive(Clone, Debug)]
 pub struct StoreClient {
     http: Arc<ArcSwap<http::Client>>,
     traffic: runtime::Traffic,
+    /// Latest era in any response; `None` before the first.
+    era: Arc<Mutex<Option<ids::StoreEra>>>,
 }
 
 /// Consecutive records of a partition, the result of one read.
@@ -143,6 +149,7 @@
         Self {
             http: Arc::new(ArcSwap::from_pointee(client(addr, &traffic))),
             traffic,
+            era: Arc::default(),
         }
     }
 
@@ -266,6 +273,23 @@
         platform::group::decode_owners(&body).ok_or_else(|| malformed(&"answer without rows"))
     }
 
+    /// Records the era of a response; a store that states none stays in the first one.
+    fn record_era(&self, headers: &HeaderMap) -> ids::StoreEra {
+        let stated = headers.get(ERA).and_then(|era| era.to_str().ok());
+        let era: ids::StoreEra = stated.and_then(|era| era.parse().ok()).unwrap_or_default();
+        let mut latest = self.era.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = *latest;
+        if before.is_none_or(|before| era > before) {
+            *latest = Some(era);
+            if let Some(before) = before {
+                log::warn!(target: "store", era:% = era, before:% = before;
+                    "store has come back from an older copy, writes of the last seconds are gone");
+                observe::metrics().record_store_restored();
+            }
+        }
+        era
+    }
+
     /// Sends a request and reads its response. The timeout covers the body too,
     /// since the store may stall after it has sent the response head.
     async fn call(
@@ -287,6 +311,7 @@
             let http = self.http.load_full();
             let answer = http.send(req, timeout).await?;
             let status = answer.status;
+            self.record_era(&answer.headers);
             Ok((status, answer.bytes(MAX_RESPONSE).await?))
         };
         let result = runtime::timeout_at(deadline, exchange).await.unwrap_or(Err(
