Test of a store that comes back from an older copy, red

Guards against records that are never seen as their offsets were given out before, an older configuration that replaces a newer one, and orders that end as the copy lacks them. The stand-in store can be restored from a copy: its era rises, and an offset that it has not given out is answered with 410.

Measured: the first case passes, the second fails: the newest configuration is not in force within 60 s.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -9,7 +9,6 @@
 use base64::engine::general_purpose::STANDARD;
 use http_body_util::Full;
 use hyper::body::Bytes;
-use hyper::header::HeaderName;
 use hyper::{HeaderMap, Method, Request, StatusCode};
 
 use crate::http;
@@ -34,9 +33,6 @@
 /// and the first retained offset, 8 bytes each.
 const READ_HEADER_BYTES: usize = 16;
 
-/// Header of each response: the era of the store.
-pub(super) const ERA: HeaderName = HeaderName::from_static("store-era");
-
 /// Client of the store; clones share connections.
 #[derive(Clone, Debug)]
 pub struct StoreClient {
@@ -275,7 +271,9 @@
 
     /// Records the era of a response; a store that states none stays in the first one.
     fn record_era(&self, headers: &HeaderMap) -> ids::StoreEra {
-        let stated = headers.get(ERA).and_then(|era| era.to_str().ok());
+        let stated = headers
+            .get(&store_call::ERA)
+            .and_then(|era| era.to_str().ok());
         let era: ids::StoreEra = stated.and_then(|era| era.parse().ok()).unwrap_or_default();
         let mut latest = self.era.lock().unwrap_or_else(PoisonError::into_inner);
         let before = *latest;
--- a/src/platform/store_call.rs
+++ b/src/platform/store_call.rs
@@ -6,6 +6,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use hyper::body::Bytes;
+use hyper::header::HeaderName;
 use hyper::{Method, StatusCode, Uri};
 use serde_json::json;
 
@@ -25,6 +26,9 @@
 /// Path of requests for the members of a group.
 pub(super) const OWNERS: &str = "/log-owners";
 
+/// Header of each response: the era of the store.
+pub const ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// Returns the kind of a call by its path and topic, as counted in the metrics.
 #[must_use]
 pub fn kind(uri: &str) -> &'static str {
--- a/src/standin/log.rs
+++ b/src/standin/log.rs
@@ -8,6 +8,7 @@
 
 use event_listener::Event;
 use hyper::body::{Bytes, Incoming};
+use hyper::header::HeaderValue;
 use hyper::{Request, StatusCode};
 use serde_json::Value;
 use smol::Timer;
@@ -165,7 +166,7 @@
         let Ok(body) = http::read_body(body, MAX_BODY, None).await else {
             return serve::status(StatusCode::PAYLOAD_TOO_LARGE);
         };
-        let reply = match platform::StoreCall::decode(&head.method, &head.uri, &body) {
+        let mut reply = match platform::StoreCall::decode(&head.method, &head.uri, &body) {
             Some(platform::StoreCall::Append { topic, at, records }) => {
                 self.handle_append(&topic, at, records).await
             }
@@ -183,6 +184,10 @@
         if !delay.is_zero() {
             Timer::after(delay).await;
         }
+        let era = self.lock().era.0;
+        reply
+            .headers_mut()
+            .insert(store_call::ERA, HeaderValue::from(era));
         reply
     }
 }
@@ -250,6 +255,19 @@
         }
     }
 
+    /// Returns a copy of all records.
+    #[must_use]
+    pub fn copy(&self) -> topics::LogCopy {
+        self.log.lock().copy()
+    }
+
+    /// Replaces all records by those of a copy, as a store that comes back from one does:
+    /// later offsets are given out again, and the era rises.
+    pub fn restore(&self, copy: &topics::LogCopy) {
+        self.log.lock().restore(copy);
+        self.log.changed.notify(usize::MAX);
+    }
+
     /// Returns the number of calls of this kind so far, as in the metrics of the callers.
     #[must_use]
     pub fn calls(&self, kind: &str) -> u64 {
--- a/src/standin/topics.rs
+++ b/src/standin/topics.rs
@@ -53,7 +53,7 @@
 const MAX_PAGE_BYTES: usize = 1_024 * 1_024;
 
 /// Retained records of one topic.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Topic {
     /// Number of truncated records, thus the offset of the first retained one.
     truncated: usize,
@@ -89,10 +89,16 @@
 #[derive(Debug, Default)]
 pub struct Topics {
     by_name: HashMap<Arc<str>, Topic>,
+    /// Number of times that the log has come back from a copy.
+    pub(super) era: ids::StoreEra,
     pub(super) outage: Outage,
     pub(super) answer_delay: units::Millis,
 }
 
+/// Records of all topics at some time.
+#[derive(Clone, Debug)]
+pub struct LogCopy(HashMap<Arc<str>, Topic>);
+
 impl Topics {
     pub(super) fn control(&mut self, command: LogCommand) {
         match command {
@@ -107,6 +113,17 @@
         }
     }
 
+    /// Returns a copy of the records of all topics.
+    pub(super) fn copy(&self) -> LogCopy {
+        LogCopy(self.by_name.clone())
+    }
+
+    /// Replaces all records by those of the copy, and begins the next era.
+    pub(super) fn restore(&mut self, copy: &LogCopy) {
+        self.by_name.clone_from(&copy.0);
+        self.era = self.era.next();
+    }
+
     fn topic(&mut self, topic: &str) -> &mut Topic {
         self.by_name.entry(topic.into()).or_default()
     }
@@ -154,12 +171,12 @@
     }
 
     /// Reads records from an offset, up to [`MAX_PAGE_BYTES`]; `Expired` if the
-    /// offset was truncated.
+    /// offset was truncated or not given out yet.
     pub(super) fn read(&self, topic: &str, from: ids::Offset) -> platform::ReadOutcome {
         let empty = Topic::default();
         let state = self.by_name.get(topic).unwrap_or(&empty);
         let first_retained = ids::Offset(state.truncated as u64);
-        if from < first_retained {
+        if from < first_retained || from > state.end() {
             return platform::ReadOutcome::Expired { first_retained };
         }
         let skip = usize::try_from(from.0).unwrap_or(usize::MAX) - state.truncated;
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -28,6 +28,7 @@
 mod pace_moves;
 mod pool;
 mod regions;
+mod restored;
 mod returns;
 mod rollouts;
 mod room;
