Positions in the store hold for one era, and a listing of a copy ends nothing

Callers saw: after the store came back from an older copy, an entry that had been cut off from it went on with a configuration of before, answered 404 on routes that are there, and sent requests to an evacuated domain for seconds.

Cause: a position in a topic was an offset alone. Once the offsets that were given out again had passed it, the read succeeded, and the records before it were never seen; at the very end, an empty read confirmed what was old. The same holds for positions of followers and relayed pages, and for the end on which a rollout report is conditional.

Change: a position has the era of the store. Reads, polls of other entries and conditional writes of an earlier era are refused, and the newest records are listed. The first such listing may lack or precede what is known: it ends no order and no endpoint, begins no rollout, and adds no endpoint; a complete one follows 2.2 s later. Results and limits are shared again.

--- a/src/direct/change.rs
+++ b/src/direct/change.rs
@@ -160,16 +160,27 @@
     Reports,
 }
 
+/// What the records of a read tell of those that it lacks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// Records since the last read.
+    News,
+    /// The newest record of every key: a missing key means that its record is gone.
+    Complete,
+    /// The same after the store has come back from an older copy. Records may be older than
+    /// what is known, or missing until they are written again; a complete listing follows.
+    Restored,
+}
+
 /// Records obtained by one read of a topic, in log order.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Batch<T> {
-    /// Whether this is a complete listing with the newest record of every key,
-    /// so that a missing key means that its record is gone.
-    pub complete: bool,
+    /// What the records are.
+    pub scope: Scope,
     /// Decoded records; undecodable ones may be left out.
     pub items: Vec<T>,
-    /// Offset at which the next read continues.
-    pub end: ids::Offset,
+    /// Position at which the next read continues.
+    pub end: ids::Position,
     /// Start of the read; the records are current at least as of this time.
     pub read_started: runtime::Moment,
 }
@@ -235,8 +246,8 @@
 /// Work that the control thread requests from the I/O tasks.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
-    /// Write a rollout report, provided that the topic still ends at this offset.
-    Report(RolloutReport, ids::Offset),
+    /// Write a rollout report, provided that the topic still ends at this position.
+    Report(RolloutReport, ids::Position),
     /// Publish the crashes under a request to other entries.
     PublishCrashes(poison::CrashReport),
     /// Publish the limit of an endpoint to other entries.
--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -1,7 +1,7 @@
 //! Task that follows a topic of the store and sends its records to the control thread.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::body::Bytes;
 use smol::Timer;
@@ -13,6 +13,9 @@
 use crate::platform;
 use crate::runtime;
 
+/// Time in which what the store has lost is written again after its return from a copy; the
+/// platform states about two seconds.
+const REWRITE_TIME: Duration = Duration::from_millis(2_200);
 /// Delay after a failed read; the platform charges for refused calls too.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Status with which the store answers for a topic that has no records yet.
@@ -21,7 +24,8 @@
 type Control = control::Control<direct::Plane>;
 
 /// Follows one topic until the process exits. Starts with a listing of the
-/// newest records and repeats it when the position is no longer retained.
+/// newest records and repeats it when the position is no longer retained, or when the store
+/// has come back from an older copy: at once, and again when all is written again.
 /// With `shared`, it may follow another entry instead of the store, or read for others.
 pub async fn follow(
     store: platform::StoreClient,
@@ -30,9 +34,15 @@
     shared: Option<direct::SharedReads>,
     control: Control,
 ) {
-    let mut position = None;
+    let mut position: Option<ids::Position> = None;
+    // Era of the last listing; `None` before the first.
+    let mut listed_era = None;
+    let mut relist_at: Option<Instant> = None;
     let mut shared = shared.map(|shared| direct::FollowTask::new(shared, source));
     loop {
+        if relist_at.is_some_and(|at| Instant::now() >= at) {
+            position = None;
+        }
         let duty = Arc::clone(&control.snapshot().duty);
         if let Some(task) = &mut shared {
             task.plan(&duty);
@@ -52,9 +62,12 @@
         let wait = shared
             .as_ref()
             .map_or(poll.wait, |task| task.read_wait(&duty, poll.wait));
+        let wait = relist_at.map_or(wait, |at| {
+            wait.min(at.saturating_duration_since(Instant::now()))
+        });
         let read_started = runtime::Moment::now();
         let read = match position {
-            None => list_newest(&store, source).await,
+            None => list_newest(&store, source, listed_era).await,
             Some(from) => read_from(&store, source, from, wait).await,
         };
         match read {
@@ -63,6 +76,11 @@
                     task.record_read(&duty, position, &batch, read_started);
                 }
                 position = Some(batch.end);
+                if batch.scope != direct::Scope::News {
+                    listed_era = Some(batch.end.era);
+                    let is_restored = batch.scope == direct::Scope::Restored;
+                    relist_at = is_restored.then(|| Instant::now() + REWRITE_TIME);
+                }
                 let has_records = !batch.records.is_empty();
                 send(&control, source, batch, read_started).await;
                 if has_records && !poll.pause.is_zero() {
@@ -74,6 +92,11 @@
                     "read position is no longer retained, listing the newest record of each key");
                 position = None;
             }
+            Err(platform::PlatformError::Restored) => {
+                log::info!(target: "store", source:% = source, position = position.map(|at| at.to_string());
+                    "read position is of an earlier era, listing the newest record of each key");
+                position = None;
+            }
             Err(err) => {
                 if let Some(task) = &shared {
                     task.record_failure();
@@ -116,28 +139,31 @@
 
 /// Keys and values as read, not decoded yet.
 pub(super) struct RawBatch {
-    /// Whether this is a listing.
-    pub(super) whole: bool,
+    /// What the records are.
+    pub(super) scope: direct::Scope,
     pub(super) records: KeyedValues,
     /// Offsets of the records; none in a listing.
     pub(super) offsets: Vec<ids::Offset>,
-    pub(super) end: ids::Offset,
+    pub(super) end: ids::Position,
 }
 
 impl RawBatch {
     /// Takes over what an entry has passed on for the records from `from` on. Older ones are
     /// ignored, and the position never moves back.
-    fn relayed(from: ids::Offset, page: peers::RelayedPage) -> Self {
+    fn relayed(from: ids::Position, page: peers::RelayedPage) -> Self {
         let news = page.records.into_iter();
-        let records = news.filter(|record| record.offset >= from);
+        let records = news.filter(|record| record.offset >= from.offset);
         let (offsets, records) = records
             .map(|record| (record.offset, (record.key, record.value.map(Bytes::from))))
             .unzip();
         Self {
-            whole: false,
+            scope: direct::Scope::News,
             records,
             offsets,
-            end: page.end.max(from),
+            end: ids::Position {
+                offset: page.end.max(from.offset),
+                ..from
+            },
         }
     }
 
@@ -175,7 +201,7 @@
             return None;
         }
         let limits = self.map(read_started, platform::limit_record::decode);
-        let has_news = limits.complete || !limits.items.is_empty();
+        let has_news = limits.scope != direct::Scope::News || !limits.items.is_empty();
         has_news.then_some(direct::Event::LimitReports(limits))
     }
 
@@ -185,7 +211,7 @@
         decode: impl Fn(&str, Option<&Bytes>) -> Option<T>,
     ) -> direct::Batch<T> {
         direct::Batch {
-            complete: self.whole,
+            scope: self.scope,
             items: self
                 .records
                 .iter()
@@ -223,13 +249,20 @@
 
 /// Lists the newest record of each key. The pages are not a consistent snapshot,
 /// so the position is the end stated by the first page: later changes are read again.
+/// `last_era` is that of the last listing; `None` before the first.
 async fn list_newest(
     store: &platform::StoreClient,
     source: direct::Source,
+    last_era: Option<ids::StoreEra>,
 ) -> Result<Read, platform::PlatformError> {
     let (records, end) = newest_records(store, topic(source)).await?;
+    let scope = if last_era.is_some_and(|last| end.era > last) {
+        direct::Scope::Restored
+    } else {
+        direct::Scope::Complete
+    };
     Ok(Read::Records(RawBatch {
-        whole: true,
+        scope,
         records,
         offsets: Vec::new(),
         end,
@@ -237,21 +270,30 @@
 }
 
 /// Returns the newest record of each key of a topic, and the end stated by the first page.
+/// Fails with `Restored` where the store comes back from a copy between two pages.
 pub async fn newest_records(
     store: &platform::StoreClient,
     topic: &str,
-) -> Result<(KeyedValues, ids::Offset), platform::PlatformError> {
+) -> Result<(KeyedValues, ids::Position), platform::PlatformError> {
     let mut records = Vec::new();
     let mut end = None;
     let mut after: Option<Arc<str>> = None;
     loop {
         let page = match store.newest(topic, after.as_deref()).await {
             Err(platform::PlatformError::Status(STATUS_NO_TOPIC)) => {
-                platform::NewestPage::default()
+                let era = store.latest_era().unwrap_or_default();
+                let offset = ids::Offset::default();
+                platform::NewestPage {
+                    end: ids::Position { era, offset },
+                    ..platform::NewestPage::default()
+                }
             }
             page => page?,
         };
-        end.get_or_insert(page.end);
+        let first: &ids::Position = end.get_or_insert(page.end);
+        if first.era != page.end.era {
+            return Err(platform::PlatformError::Restored);
+        }
         after = page.records.last().map(|record| Arc::clone(&record.key));
         records.extend(
             page.records
@@ -269,14 +311,20 @@
 async fn read_from(
     store: &platform::StoreClient,
     source: direct::Source,
-    from: ids::Offset,
+    from: ids::Position,
     wait: Duration,
 ) -> Result<Read, platform::PlatformError> {
     let page = match store.read(topic(source), from, wait).await {
+        // The copy may be older than the topic.
+        Err(platform::PlatformError::Status(STATUS_NO_TOPIC))
+            if store.latest_era().is_some_and(|era| era > from.era) =>
+        {
+            return Err(platform::PlatformError::Restored);
+        }
         Err(platform::PlatformError::Status(STATUS_NO_TOPIC)) => {
             Timer::after(wait).await;
             return Ok(Read::Records(RawBatch {
-                whole: false,
+                scope: direct::Scope::News,
                 records: Vec::new(),
                 offsets: Vec::new(),
                 end: from,
@@ -288,8 +336,9 @@
         }
         Ok(platform::ReadOutcome::Records(page)) => page,
     };
-    let end = ids::Offset(from.0.saturating_add(page.records.len() as u64));
-    let offsets = (from.0..).map(ids::Offset);
+    let offset = ids::Offset(from.offset.0.saturating_add(page.records.len() as u64));
+    let end = ids::Position { offset, ..from };
+    let offsets = (from.offset.0..).map(ids::Offset);
     let (offsets, records) = offsets
         .zip(&page.records)
         .filter_map(|(offset, content)| {
@@ -298,7 +347,7 @@
         })
         .unzip();
     Ok(Read::Records(RawBatch {
-        whole: false,
+        scope: direct::Scope::News,
         records,
         offsets,
         end,
--- a/src/direct/follow_task.rs
+++ b/src/direct/follow_task.rs
@@ -100,13 +100,13 @@
     /// not later than the begin of the read. On failure, this entry reads for itself.
     pub(super) async fn poll(
         &mut self,
-        from: ids::Offset,
+        from: ids::Position,
     ) -> Result<(peers::RelayedPage, runtime::Moment), peers::FollowEnd> {
         let asked = runtime::Moment::now();
         let result = self.ask(from, asked).await;
         let now = runtime::Moment::now();
         let result = result.map(|page| {
-            let read_started = page.confirmed(from, asked, self.confirmed);
+            let read_started = page.confirmed(from.offset, asked, self.confirmed);
             (page, read_started)
         });
         match &result {
@@ -135,7 +135,7 @@
 
     async fn ask(
         &self,
-        from: ids::Offset,
+        from: ids::Position,
         asked: runtime::Moment,
     ) -> Result<peers::RelayedPage, peers::FollowEnd> {
         let client = self.client.as_ref().ok_or(peers::FollowEnd::Unreachable)?;
@@ -169,7 +169,7 @@
     pub(super) fn record_read(
         &mut self,
         duty: &peers::Duty,
-        from: Option<ids::Offset>,
+        from: Option<ids::Position>,
         batch: &feed::RawBatch,
         read_started: runtime::Moment,
     ) {
@@ -181,7 +181,7 @@
         self.shared.relays.update(self.source, |log| match from {
             Some(from) => {
                 let records = self.relayed(batch);
-                log.append(records, from, batch.end, read_started);
+                log.append(records, from, batch.end.offset, read_started);
             }
             None => log.restart(batch.end, read_started),
         });
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -20,7 +20,7 @@
 
 pub use change::{
     Assignment, Batch, Effect, EndpointChange, EndpointRecord, Event, LimitReport, NamedLimit,
-    OperatorChange, RolloutOrder, RolloutReport, SharedEvidence, Source,
+    OperatorChange, RolloutOrder, RolloutReport, Scope, SharedEvidence, Source,
 };
 pub use evidence::{Evidence, Sample, WaitingKey};
 pub use exchange::{SharedExchange, exchange, newest_evidence};
--- a/src/direct/system/endpoints.rs
+++ b/src/direct/system/endpoints.rs
@@ -46,6 +46,10 @@
     let mut removed = Vec::new();
     for change in &batch.items {
         match change {
+            // A copy may hold endpoints that have left since.
+            direct::EndpointChange::Seen(record)
+                if batch.scope == direct::Scope::Restored
+                    && world.endpoints.by_name(&record.id).is_none() => {}
             direct::EndpointChange::Seen(record) => {
                 removed.retain(|id| *id != record.id);
                 apply_report(world, cx, record);
@@ -54,7 +58,7 @@
             direct::EndpointChange::Unusable(_) => {}
         }
     }
-    if batch.complete {
+    if batch.scope == direct::Scope::Complete {
         let listed: HashSet<&ids::EndpointId> = batch.items.iter().map(change_id).collect();
         let missing = world.endpoints.iter_named().map(|(id, _)| id);
         removed.extend(missing.filter(|id| !listed.contains(id)).cloned());
--- a/src/direct/system/limits.rs
+++ b/src/direct/system/limits.rs
@@ -30,7 +30,12 @@
                 let row = world.limits.entry(endpoint.clone()).or_default();
                 row.publish_at.get_or_insert(cx.now.saturating_add(delay));
             }
-            direct::Event::LimitReports(batch) => record(world, batch),
+            direct::Event::LimitReports(batch) => {
+                record(world, batch);
+                if batch.scope == direct::Scope::Restored {
+                    publish_again(world, cx);
+                }
+            }
             _ => {}
         }
     }
@@ -55,14 +60,14 @@
 }
 
 /// Records what the store holds. A complete listing without an endpoint means that its limit
-/// is over.
+/// is over, unless this entry is about to publish it.
 fn record(world: &mut direct::World, batch: &direct::Batch<direct::LimitReport>) {
-    if batch.complete {
+    if batch.scope != direct::Scope::News {
         for (id, row) in &mut world.limits {
             let is_listed = batch.items.iter().any(|report| report.endpoint == *id);
-            if !is_listed && row.recorded.is_some() {
-                row.recorded = None;
-                row.is_unapplied = true;
+            if !is_listed && row.recorded.take().is_some() {
+                let is_over = batch.scope == direct::Scope::Complete;
+                row.is_unapplied = is_over && row.publish_at.is_none();
             }
         }
     }
@@ -73,6 +78,18 @@
     }
 }
 
+/// Publishes all that this entry knows, as its records may be lost.
+fn publish_again(world: &mut direct::World, cx: &TickCx) {
+    let named = world.endpoints.iter_named();
+    let named = named.filter(|(_, row)| row.live.named_limit().is_some());
+    let ids: Vec<_> = named.map(|(id, _)| id.clone()).collect();
+    for id in ids {
+        let due = cx.now.saturating_add(publish_delay(world, &id, cx));
+        let row = world.limits.entry(id).or_default();
+        row.publish_at.get_or_insert(due);
+    }
+}
+
 /// Applies a changed record to the endpoint, and publishes what is not on record yet.
 fn update(world: &mut direct::World, cx: &mut TickCx, id: &ids::EndpointId) {
     let leases = world.share.leases(world.share_freshness.age(cx.now));
--- a/src/direct/system/operator.rs
+++ b/src/direct/system/operator.rs
@@ -28,7 +28,7 @@
     batch: &direct::Batch<direct::OperatorChange>,
 ) {
     world.record_read(direct::Source::Operator, cx.now);
-    if batch.complete {
+    if batch.scope == direct::Scope::Complete {
         withdraw_missing(world, cx, batch);
     }
     for change in &batch.items {
@@ -36,6 +36,8 @@
             direct::OperatorChange::Deployment(deployment) => {
                 apply_deployment(world, cx, deployment);
             }
+            // A copy may hold an order that was withdrawn or replaced since.
+            direct::OperatorChange::Rollout { .. } if batch.scope == direct::Scope::Restored => {}
             direct::OperatorChange::Rollout { service, plan } => {
                 apply_rollout(world, cx, service, plan.as_ref());
             }
--- a/src/direct/system/reports.rs
+++ b/src/direct/system/reports.rs
@@ -27,9 +27,15 @@
 
 fn apply(world: &mut direct::World, cx: &mut TickCx, batch: &direct::Batch<direct::RolloutReport>) {
     world.record_read(direct::Source::Reports, cx.now);
-    if batch.complete {
+    if batch.scope != direct::Scope::News {
         world.reports.clear();
     }
+    if batch.scope == direct::Scope::Restored {
+        // Their records may be lost as well; stages are reported again as they are missing.
+        for row in world.rollouts.values_mut() {
+            row.shared = direct::Tallies::default();
+        }
+    }
     for report in &batch.items {
         withdraw_versions(world, cx, report);
         world.reports.insert(report.service.clone(), report.clone());
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -109,7 +109,7 @@
     /// Newest rollout reports in the store, by service.
     pub reports: HashMap<ids::ServiceName, direct::RolloutReport>,
     /// Read position in the reports' topic; `None` before the first read.
-    pub reports_end: Option<ids::Offset>,
+    pub reports_end: Option<ids::Position>,
     /// Requests suspected of crashing endpoints.
     pub suspects: Arc<poison::Suspects>,
     /// Failure domains that operators have taken out of service.
--- a/src/direct/writer.rs
+++ b/src/direct/writer.rs
@@ -63,7 +63,7 @@
 async fn write_report(
     store: &platform::StoreClient,
     report: &direct::RolloutReport,
-    at: ids::Offset,
+    at: ids::Position,
 ) -> bool {
     let record = platform::rollout_status::encode(report);
     match append(store, Some(at), record).await {
@@ -85,11 +85,11 @@
     }
 }
 
-/// Appends a record to the reports' topic, which all entries write to. With an
-/// offset in `at`, only if the topic still ends there.
+/// Appends a record to the reports' topic, which all entries write to. With a
+/// position in `at`, only if the topic still ends there.
 async fn append(
     store: &platform::StoreClient,
-    at: Option<ids::Offset>,
+    at: Option<ids::Position>,
     record: serde_json::Result<Option<Bytes>>,
 ) -> Result<platform::AppendOutcome, platform::PlatformError> {
     let unencodable = |reason: String| {
--- a/src/ids/mod.rs
+++ b/src/ids/mod.rs
@@ -5,6 +5,7 @@
 mod fingerprint;
 mod name;
 mod number;
+mod position;
 mod request_id;
 
 pub use digest::Digest;
@@ -17,4 +18,5 @@
     DivisionGeneration, Fence, Generation, Incarnation, InvalidNumber, LeaseNumber, Offset,
     Revision, StoreEra,
 };
+pub use position::Position;
 pub use request_id::{CallId, ChangeId, InvalidId, RequestId};
--- a/src/peers/handler.rs
+++ b/src/peers/handler.rs
@@ -13,7 +13,7 @@
 use crate::units;
 
 /// Path of polls; the number changes with their encoding.
-pub(super) const POLL_PATH: &str = "/peers/1/poll";
+pub(super) const POLL_PATH: &str = "/peers/2/poll";
 /// Path of exchanges of the results of rollouts.
 pub(super) const EVIDENCE_PATH: &str = "/peers/1/evidence";
 /// Maximum size of a request.
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -15,8 +15,8 @@
 pub struct Poll {
     /// Topic that is followed.
     pub source: direct::Source,
-    /// Offset of the first record that the follower lacks.
-    pub from: ids::Offset,
+    /// Position of the first record that the follower lacks.
+    pub from: ids::Position,
     /// Number of the reader's last confirmation that the follower has received; 0 if none.
     pub seen: u64,
 }
--- a/src/peers/relay_log.rs
+++ b/src/peers/relay_log.rs
@@ -39,6 +39,8 @@
     number: u64,
     records: VecDeque<peers::RelayRecord>,
     bytes: usize,
+    /// Era in which the offsets were given out.
+    era: ids::StoreEra,
     start: ids::Offset,
     end: ids::Offset,
     /// Status that each endpoint has last reported.
@@ -47,12 +49,13 @@
 
 impl RelayLog {
     /// Begins with a complete listing that ends at `end`; it is not passed on.
-    pub fn restart(&mut self, end: ids::Offset, read_started: runtime::Moment) {
+    pub fn restart(&mut self, end: ids::Position, read_started: runtime::Moment) {
         self.records.clear();
         self.reported.clear();
         self.bytes = 0;
-        self.start = end;
-        self.end = end;
+        self.era = end.era;
+        self.start = end.offset;
+        self.end = end.offset;
         self.confirm(read_started);
     }
 
@@ -61,11 +64,12 @@
     pub fn append(
         &mut self,
         records: impl IntoIterator<Item = (peers::RelayRecord, Option<direct::EndpointChange>)>,
-        from: ids::Offset,
+        from: ids::Position,
         end: ids::Offset,
         read_started: runtime::Moment,
     ) {
-        if from != self.end || self.state == State::Idle {
+        let continues = (from.era, from.offset) == (self.era, self.end);
+        if !continues || self.state == State::Idle {
             self.restart(from, read_started);
         }
         for (record, change) in records {
@@ -147,7 +151,7 @@
             State::Failed => return Some(peers::PollAnswer::StoreLost),
             State::Confirmed(read_started) => read_started,
         };
-        if poll.from < self.start {
+        if poll.from.era != self.era || poll.from.offset < self.start {
             return Some(peers::PollAnswer::NotRetained);
         }
         if poll.seen == self.number {
@@ -157,7 +161,7 @@
         let age = now.saturating_since(confirmed);
         Some(peers::PollAnswer::Page(peers::RelayedPage {
             records: records
-                .filter(|record| record.offset >= poll.from)
+                .filter(|record| record.offset >= poll.from.offset)
                 .cloned()
                 .collect(),
             end: self.end,
--- a/src/platform/error.rs
+++ b/src/platform/error.rs
@@ -11,6 +11,8 @@
     Refused(http::HttpError),
     /// The service responded with this unexpected HTTP status.
     Status(u16),
+    /// The position is of an earlier era of the store, which has come back from an older copy.
+    Restored,
     /// The request was sent but got no usable response; it may or may not have taken effect.
     Unknown(http::HttpError),
 }
@@ -23,7 +25,7 @@
         match self {
             Self::Unknown(_) => true,
             Self::Status(status) => matches!(status, 500 | 502 | 504),
-            Self::Refused(_) => false,
+            Self::Refused(_) | Self::Restored => false,
         }
     }
 }
@@ -33,6 +35,7 @@
         match self {
             Self::Refused(err) => write!(f, "not done: {err}"),
             Self::Status(status) => write!(f, "answered with status {status}"),
+            Self::Restored => write!(f, "not done: the store has come back from an older copy"),
             Self::Unknown(err) => write!(f, "outcome unknown: {err}"),
         }
     }
--- a/src/platform/group.rs
+++ b/src/platform/group.rs
@@ -65,6 +65,9 @@
     /// Partitions that the member holds.
     #[serde(rename = "parts")]
     pub held: Vec<HeldPartition>,
+    /// Era of the store that has answered. Generations of different eras can't be compared.
+    #[serde(skip)]
+    pub era: ids::StoreEra,
 }
 
 impl Membership {
--- a/src/platform/log_client.rs
+++ b/src/platform/log_client.rs
@@ -58,12 +58,12 @@
         wait: Duration,
     ) -> Result<platform::Page, platform::PlatformError> {
         let topic = stream.to_string();
-        let mut read = self.store.read(&topic, from, wait).await?;
+        let (_, mut read) = self.store.read_offset(&topic, from, wait).await?;
         if let platform::ReadOutcome::Expired { first_retained } = read {
-            read = self
+            let again = self
                 .store
-                .read(&topic, first_retained, Duration::ZERO)
-                .await?;
+                .read_offset(&topic, first_retained, Duration::ZERO);
+            read = again.await?.1;
         }
         match read {
             platform::ReadOutcome::Records(records) => Ok(page(stream, records)),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,5 +1,6 @@
 //! HTTP client of the platform's metadata store.
 
+use std::cmp::Ordering;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -75,7 +76,7 @@
     /// Whether more keys follow.
     pub has_more: bool,
     /// End of the partition at the time of the listing.
-    pub end: ids::Offset,
+    pub end: ids::Position,
 }
 
 /// The newest record of a key.
@@ -101,6 +102,19 @@
     },
 }
 
+/// Response of the store.
+struct Answer {
+    status: StatusCode,
+    era: ids::StoreEra,
+    body: Bytes,
+}
+
+impl Answer {
+    fn unexpected(&self) -> platform::PlatformError {
+        platform::PlatformError::Status(self.status.as_u16())
+    }
+}
+
 #[derive(serde::Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct NewestBody {
@@ -157,27 +171,45 @@
     }
 
     /// Reads records from `from` on; waits up to `wait` for a record where there is none yet.
+    /// Fails with `Restored` where the position is of an earlier era.
     pub async fn read(
         &self,
         topic: &str,
-        from: ids::Offset,
+        from: ids::Position,
         wait: Duration,
     ) -> Result<ReadOutcome, platform::PlatformError> {
+        let (era, read) = self.read_offset(topic, from.offset, wait).await?;
+        match era.cmp(&from.era) {
+            Ordering::Equal => Ok(read),
+            Ordering::Greater => Err(platform::PlatformError::Restored),
+            Ordering::Less => Err(malformed(&"response of an earlier era")),
+        }
+    }
+
+    /// Reads records from an offset on, whatever the era in which it was given out. Returns
+    /// the era of the response too.
+    pub(super) async fn read_offset(
+        &self,
+        topic: &str,
+        from: ids::Offset,
+        wait: Duration,
+    ) -> Result<(ids::StoreEra, ReadOutcome), platform::PlatformError> {
         let wait_ms = wait.as_millis();
         let uri = format!(
             "{}?Topic={topic}&part=0&From={from}&WaitMs={wait_ms}",
             store_call::READ
         );
-        let (status, body) = self
+        let answer = self
             .call(Method::GET, uri, Bytes::new(), wait + CALL_TIMEOUT)
             .await?;
-        match status {
-            StatusCode::OK => decode_read(from, &body),
-            StatusCode::GONE => Ok(ReadOutcome::Expired {
-                first_retained: parse::<ExpiredBody>(&body)?.first,
-            }),
-            _ => Err(platform::PlatformError::Status(status.as_u16())),
-        }
+        let read = match answer.status {
+            StatusCode::OK => decode_read(from, &answer.body)?,
+            StatusCode::GONE => ReadOutcome::Expired {
+                first_retained: parse::<ExpiredBody>(&answer.body)?.first,
+            },
+            _ => return Err(answer.unexpected()),
+        };
+        Ok((answer.era, read))
     }
 
     /// Lists one page of the newest records of the keys after `after`, or from the first key on.
@@ -191,13 +223,13 @@
             uri.push_str("&After=");
             uri.push_str(after);
         }
-        let (status, body) = self
+        let answer = self
             .call(Method::GET, uri, Bytes::new(), CALL_TIMEOUT)
             .await?;
-        if status != StatusCode::OK {
-            return Err(platform::PlatformError::Status(status.as_u16()));
+        if answer.status != StatusCode::OK {
+            return Err(answer.unexpected());
         }
-        let page: NewestBody = parse(&body)?;
+        let page: NewestBody = parse(&answer.body)?;
         let decode = |item: NewestItem| {
             let value = STANDARD
                 .decode(item.value)
@@ -212,32 +244,39 @@
         Ok(NewestPage {
             records: page.items.into_iter().filter_map(decode).collect(),
             has_more: page.has_more,
-            end: page.end,
+            end: ids::Position {
+                era: answer.era,
+                offset: page.end,
+            },
         })
     }
 
     /// Appends records to a topic, all or none; where `at` is given, only if the
-    /// partition ends at that offset.
+    /// partition ends there. Fails with `Restored` where that is of an earlier era than any
+    /// response so far.
     pub async fn append(
         &self,
         topic: &str,
-        at: Option<ids::Offset>,
+        at: Option<ids::Position>,
         records: &[Bytes],
     ) -> Result<AppendOutcome, platform::PlatformError> {
         let mut uri = format!("{}?Topic={topic}&part=0", store_call::APPEND);
         if let Some(at) = at {
-            uri = format!("{uri}&At={at}");
+            if self.latest_era().is_some_and(|latest| latest > at.era) {
+                return Err(platform::PlatformError::Restored);
+            }
+            uri = format!("{uri}&At={}", at.offset);
         }
         let body = record::encode(records);
-        let (status, body) = self.call(Method::POST, uri, body, CALL_TIMEOUT).await?;
-        match status {
+        let answer = self.call(Method::POST, uri, body, CALL_TIMEOUT).await?;
+        match answer.status {
             StatusCode::OK => Ok(AppendOutcome::AppendedAt(
-                parse::<AppendBody>(&body)?.offset,
+                parse::<AppendBody>(&answer.body)?.offset,
             )),
             StatusCode::PRECONDITION_FAILED => Ok(AppendOutcome::EndMismatch {
-                end: parse::<MovedBody>(&body)?.end,
+                end: parse::<MovedBody>(&answer.body)?.end,
             }),
-            _ => Err(platform::PlatformError::Status(status.as_u16())),
+            _ => Err(answer.unexpected()),
         }
     }
 
@@ -250,23 +289,32 @@
             platform::PlatformError::Refused(http::HttpError::Malformed(err.to_string().into()))
         })?;
         let uri = store_call::JOIN.into();
-        let (status, body) = self.call(Method::POST, uri, body, CALL_TIMEOUT).await?;
-        if status != StatusCode::OK {
-            return Err(platform::PlatformError::Status(status.as_u16()));
+        let answer = self.call(Method::POST, uri, body, CALL_TIMEOUT).await?;
+        if answer.status != StatusCode::OK {
+            return Err(answer.unexpected());
         }
-        parse(&body)
+        let mut membership: platform::group::Membership = parse(&answer.body)?;
+        membership.era = answer.era;
+        Ok(membership)
     }
 
     /// Lists the members that hold partitions in the group of the entries.
     pub async fn members(&self) -> Result<Vec<peers::Member>, platform::PlatformError> {
         let uri = format!("{}?group={}", store_call::OWNERS, platform::group::GROUP);
-        let (status, body) = self
+        let answer = self
             .call(Method::GET, uri, Bytes::new(), MEMBERS_TIMEOUT)
             .await?;
-        if status != StatusCode::OK {
-            return Err(platform::PlatformError::Status(status.as_u16()));
+        if answer.status != StatusCode::OK {
+            return Err(answer.unexpected());
         }
-        platform::group::decode_owners(&body).ok_or_else(|| malformed(&"answer without rows"))
+        platform::group::decode_owners(&answer.body)
+            .ok_or_else(|| malformed(&"answer without rows"))
+    }
+
+    /// Returns the latest era in any response; `None` before the first.
+    #[must_use]
+    pub fn latest_era(&self) -> Option<ids::StoreEra> {
+        *self.era.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Records the era of a response; a store that states none stays in the first one.
@@ -296,7 +344,7 @@
         uri: String,
         body: Bytes,
         timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), platform::PlatformError> {
+    ) -> Result<Answer, platform::PlatformError> {
         let began = Instant::now();
         let deadline = began + timeout;
         let kind = store_call::kind(&uri);
@@ -308,15 +356,17 @@
         let exchange = async {
             let http = self.http.load_full();
             let answer = http.send(req, timeout).await?;
-            let status = answer.status;
-            self.record_era(&answer.headers);
-            Ok((status, answer.bytes(MAX_RESPONSE).await?))
+            Ok(Answer {
+                status: answer.status,
+                era: self.record_era(&answer.headers),
+                body: answer.bytes(MAX_RESPONSE).await?,
+            })
         };
         let result = runtime::timeout_at(deadline, exchange).await.unwrap_or(Err(
             platform::PlatformError::Unknown(http::HttpError::TimedOut),
         ));
         let outcome = match &result {
-            Ok((status, _)) if status.is_server_error() => "refused",
+            Ok(answer) if answer.status.is_server_error() => "refused",
             Ok(_) => "answered",
             Err(platform::PlatformError::Refused(_)) => "unreachable",
             Err(_) => "unanswered",
--- a/src/platform/store_call.rs
+++ b/src/platform/store_call.rs
@@ -175,7 +175,7 @@
             json!({ "Key": record.key, "Value": value, "Offset": record.offset })
         })
         .collect();
-    let body = json!({ "Items": items, "HasMore": newest.has_more, "End": newest.end });
+    let body = json!({ "Items": items, "HasMore": newest.has_more, "End": newest.end.offset });
     json_answer(StatusCode::OK, &body)
 }
 
--- a/src/standin/groups.rs
+++ b/src/standin/groups.rs
@@ -59,6 +59,7 @@
         group::Membership {
             generation: self.generation,
             held,
+            era: ids::StoreEra::default(),
         }
     }
 
--- a/src/standin/topics.rs
+++ b/src/standin/topics.rs
@@ -224,7 +224,10 @@
         platform::NewestPage {
             records,
             has_more: rest.next().is_some(),
-            end: state.end(),
+            end: ids::Position {
+                era: self.era,
+                offset: state.end(),
+            },
         }
     }
 
--- a/tests/integration/direct/limit_reports.rs
+++ b/tests/integration/direct/limit_reports.rs
@@ -1,13 +1,13 @@
 //! Limits of endpoints as entries share them through the store.
 
 use quetzalworks::direct::{
-    Assignment, Batch, Effect, EndpointChange, Event, LimitReport, NamedLimit,
+    Assignment, Batch, Effect, EndpointChange, Event, LimitReport, NamedLimit, Scope,
 };
-use quetzalworks::ids::{LeaseNumber, Offset};
+use quetzalworks::ids::LeaseNumber;
 use quetzalworks::platform::{self, limit_record};
 use quetzalworks::units::{Millis, Rate};
 
-use crate::direct::world::{TestWorld, entry, record};
+use crate::direct::world::{TestWorld, entry, position, record};
 
 struct Case {
     name: &'static str,
@@ -64,7 +64,7 @@
             "named in an answer, and on record",
             |world| {
                 named(world, Some(2.0));
-                on_record(world, false, &[Some((2.0, BORN))]);
+                on_record(world, Scope::News, &[Some((2.0, BORN))]);
                 world.advance(5_000);
             },
             Some(2.0),
@@ -81,14 +81,14 @@
         ),
         case(
             "known from another entry",
-            |world| on_record(world, false, &[Some((2.0, BORN))]),
+            |world| on_record(world, Scope::News, &[Some((2.0, BORN))]),
             Some(2.0),
             &[],
         ),
         case(
             "over, by an answer",
             |world| {
-                on_record(world, false, &[Some((2.0, BORN))]);
+                on_record(world, Scope::News, &[Some((2.0, BORN))]);
                 named(world, None);
             },
             None,
@@ -96,29 +96,29 @@
         ),
         case(
             "over, by another entry",
-            |world| on_record(world, false, &[Some((2.0, BORN)), None]),
+            |world| on_record(world, Scope::News, &[Some((2.0, BORN)), None]),
             None,
             &[],
         ),
         case(
             "over while this entry could not read",
             |world| {
-                on_record(world, false, &[Some((2.0, BORN))]);
-                on_record(world, true, &[]);
+                on_record(world, Scope::News, &[Some((2.0, BORN))]);
+                on_record(world, Scope::Complete, &[]);
             },
             None,
             &[],
         ),
         case(
             "of an earlier incarnation",
-            |world| on_record(world, false, &[Some((2.0, BORN - 1))]),
+            |world| on_record(world, Scope::News, &[Some((2.0, BORN - 1))]),
             None,
             &[],
         ),
         case(
             "of an earlier incarnation, for long",
             |world| {
-                on_record(world, false, &[Some((2.0, BORN - 1))]);
+                on_record(world, Scope::News, &[Some((2.0, BORN - 1))]);
                 world.advance(31_000);
             },
             None,
@@ -127,7 +127,7 @@
         case(
             "read before the record of the endpoint",
             |world| {
-                on_record(world, false, &[Some((2.0, BORN + 1))]);
+                on_record(world, Scope::News, &[Some((2.0, BORN + 1))]);
                 let mut value = entry("writer", "v1", 1);
                 value["born"] = (BORN + 1).into();
                 let seen = EndpointChange::Seen(record("limited", &value));
@@ -151,7 +151,7 @@
 
 /// The store holds these limits of the endpoint, with the start of the incarnation, one after
 /// the other.
-fn on_record(world: &mut TestWorld, complete: bool, limits: &[Option<(f64, u64)>]) {
+fn on_record(world: &mut TestWorld, scope: Scope, limits: &[Option<(f64, u64)>]) {
     let report = |limit: &Option<(f64, u64)>| LimitReport {
         endpoint: "limited".parse().unwrap(),
         limit: limit.map(|(rate, started)| NamedLimit {
@@ -160,9 +160,9 @@
         }),
     };
     let batch = Batch {
-        complete,
+        scope,
         items: limits.iter().map(report).collect(),
-        end: Offset(1),
+        end: position(1),
         read_started: world.now,
     };
     world.tick(vec![Event::LimitReports(batch)]);
--- a/tests/integration/direct/mild_faults.rs
+++ b/tests/integration/direct/mild_faults.rs
@@ -6,15 +6,15 @@
 use std::time::Duration;
 
 use quetzalworks::direct::{
-    Batch, Effect, Event, OperatorChange, Plane, RolloutReport, Sample, SharedEvidence, Snapshot,
-    VersionSplit, World,
+    Batch, Effect, Event, OperatorChange, Plane, RolloutReport, Sample, Scope, SharedEvidence,
+    Snapshot, VersionSplit, World,
 };
-use quetzalworks::ids::{Offset, ServiceName};
+use quetzalworks::ids::ServiceName;
 use quetzalworks::rollout::{AttemptOutcome, Stage};
 use quetzalworks::runtime::Moment;
 use serde_json::json;
 
-use crate::direct::world::{config, operator_change, settings};
+use crate::direct::world::{config, operator_change, position, settings};
 
 const ENTRIES: usize = 4;
 const TICK: Duration = Duration::from_millis(100);
@@ -63,9 +63,9 @@
 
 fn batch<T>(items: Vec<T>, end: usize, now: Moment) -> Batch<T> {
     Batch {
-        complete: true,
+        scope: Scope::Complete,
         items,
-        end: Offset(end as u64),
+        end: position(end as u64),
         read_started: now,
     }
 }
@@ -127,7 +127,7 @@
         }
         for effect in outcome.effects {
             match effect {
-                Effect::Report(report, end) if end == Offset(self.reports.len() as u64) => {
+                Effect::Report(report, end) if end == position(self.reports.len() as u64) => {
                     self.reports.push(report);
                 }
                 Effect::ExchangeEvidence(own) => self.exchange(entry, own),
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -29,6 +29,7 @@
 mod pool;
 mod regions;
 mod restored;
+mod restored_listings;
 mod returns;
 mod rollouts;
 mod room;
--- a/tests/integration/direct/rollouts.rs
+++ b/tests/integration/direct/rollouts.rs
@@ -4,11 +4,10 @@
 use std::time::Duration;
 
 use quetzalworks::direct::{Effect, RolloutReport, Sample, VersionSplit};
-use quetzalworks::ids::Offset;
 use quetzalworks::rollout::{AttemptOutcome, Stage};
 use serde_json::json;
 
-use crate::direct::world::{TestWorld, operator_change};
+use crate::direct::world::{TestWorld, operator_change, position};
 
 fn started() -> TestWorld {
     let mut world = TestWorld::new();
@@ -236,7 +235,7 @@
     let mut world = started();
     assert_eq!(
         world.effects,
-        [Effect::Report(report(Stage::Probing), Offset(0))]
+        [Effect::Report(report(Stage::Probing), position(0))]
     );
     // Another entry wrote first and has found the version to be bad.
     world.effects.clear();
@@ -263,7 +262,7 @@
     let writes = world
         .effects
         .iter()
-        .filter(|effect| **effect == Effect::Report(report(Stage::Probing), Offset(0)))
+        .filter(|effect| **effect == Effect::Report(report(Stage::Probing), position(0)))
         .count();
     assert!((1..=3).contains(&writes), "{writes} writes in a second");
 }
--- a/tests/integration/direct/store.rs
+++ b/tests/integration/direct/store.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use quetzalworks::direct::{PollSettings, Source};
-use quetzalworks::ids::Offset;
-use quetzalworks::platform::{AppendOutcome, ReadOutcome, StoreClient, with_key};
+use quetzalworks::ids::{Offset, Position, StoreEra};
+use quetzalworks::platform::{AppendOutcome, PlatformError, ReadOutcome, StoreClient, with_key};
 use quetzalworks::settings::Bounds;
 use quetzalworks::standin::StandinLog;
 use quetzalworks::units::Millis;
 
-use crate::direct::world::settings;
+use crate::direct::world::{position, settings};
 use crate::testing::{http, isolation};
 
 const TOPIC: &str = "keyed.test";
@@ -30,7 +30,7 @@
     smol::block_on(async {
         let (_log, store) = empty_store().await;
         let record = with_key("k", b"v").unwrap();
-        let append = |at| store.append(TOPIC, Some(Offset(at)), std::slice::from_ref(&record));
+        let append = |at| store.append(TOPIC, Some(position(at)), std::slice::from_ref(&record));
         assert_eq!(append(0).await, Ok(AppendOutcome::AppendedAt(Offset(0))));
         assert_eq!(
             append(0).await,
@@ -54,7 +54,7 @@
             log.put(TOPIC, key, value.map(str::as_bytes));
         }
         log.retain_from(TOPIC, Offset(4));
-        let read = store.read(TOPIC, Offset(1), Duration::ZERO).await;
+        let read = store.read(TOPIC, position(1), Duration::ZERO).await;
         assert_eq!(
             read,
             Ok(ReadOutcome::Expired {
@@ -63,7 +63,7 @@
         );
         let newest = store.newest(TOPIC, None).await.unwrap();
         let keys: Vec<_> = newest.records.iter().map(|record| &*record.key).collect();
-        assert_eq!((keys, newest.end), (vec!["a"], Offset(4)));
+        assert_eq!((keys, newest.end), (vec!["a"], position(4)));
         assert_eq!(newest.records[0].value.as_deref(), Some(b"3".as_slice()));
     });
 }
@@ -145,3 +145,56 @@
         assert_eq!(found, expected, "{}", case.name);
     }
 }
+
+/// Guards against a read or a write at an offset that the store has given out again since.
+#[test]
+fn a_position_of_an_earlier_era_is_refused() {
+    struct Case {
+        name: &'static str,
+        /// Records written after the store has come back from a copy with one record.
+        again: u64,
+        /// Position of a reader who has read three records before.
+        era: u64,
+        is_read: bool,
+        is_appended: bool,
+    }
+    let case = |name, again, era| Case {
+        name,
+        again,
+        era,
+        is_read: era == 1,
+        is_appended: era == 1 && again == 2,
+    };
+    let cases = [
+        case("not given out again", 0, 0),
+        case("ends there again", 2, 0),
+        case("passed", 5, 0),
+        case("ends there, of this era", 2, 1),
+        case("passed, of this era", 5, 1),
+    ];
+    for case in cases {
+        smol::block_on(async {
+            let (log, store) = empty_store().await;
+            let write = || log.put(TOPIC, "k", Some(b"v"));
+            write();
+            let copy = log.copy();
+            write();
+            write();
+            let read = store.read(TOPIC, position(0), Duration::ZERO).await;
+            assert!(matches!(read, Ok(ReadOutcome::Records(read)) if read.end == Offset(3)));
+            log.restore(&copy);
+            (0..case.again).for_each(|_| write());
+            let at = Position {
+                era: StoreEra(case.era),
+                offset: Offset(3),
+            };
+            let read = store.read(TOPIC, at, Duration::ZERO).await;
+            let is_restored = read == Err(PlatformError::Restored);
+            assert_eq!(!is_restored, case.is_read, "{}: {read:?}", case.name);
+            let record = with_key("k", b"w").unwrap();
+            let append = store.append(TOPIC, Some(at), &[record]).await;
+            let is_appended = matches!(append, Ok(AppendOutcome::AppendedAt(_)));
+            assert_eq!(is_appended, case.is_appended, "{}: {append:?}", case.name);
+        });
+    }
+}
--- a/tests/integration/direct/world.rs
+++ b/tests/integration/direct/world.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use quetzalworks::direct::{
-    Batch, EndpointChange, EndpointRecord, Event, OperatorChange, Plane, Snapshot, World,
+    Batch, EndpointChange, EndpointRecord, Event, OperatorChange, Plane, Scope, Snapshot, World,
 };
-use quetzalworks::ids::Offset;
+use quetzalworks::ids::{Offset, Position};
 use quetzalworks::platform::{direct_settings, endpoint_record, operator};
 use quetzalworks::runtime::Moment;
 use quetzalworks::{direct, settings};
@@ -66,6 +66,14 @@
     })
 }
 
+/// Position in the first era of the store.
+pub fn position(offset: u64) -> Position {
+    Position {
+        offset: Offset(offset),
+        ..Position::default()
+    }
+}
+
 /// Record of a warm endpoint of `service`, in the platform's format.
 pub fn entry(service: &str, version: &str, sequence: u64) -> Value {
     json!({
@@ -129,11 +137,16 @@
         }
     }
 
+    /// Returns the records of a complete listing, or those since the last read.
     fn batch<T>(&self, complete: bool, items: Vec<T>, end: u64) -> Batch<T> {
         Batch {
-            complete,
+            scope: if complete {
+                Scope::Complete
+            } else {
+                Scope::News
+            },
             items,
-            end: Offset(end),
+            end: position(end),
             read_started: self.now,
         }
     }
--- a/tests/integration/peers/relay.rs
+++ b/tests/integration/peers/relay.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use quetzalworks::direct::{EndpointChange, EndpointRecord, Source};
-use quetzalworks::ids::{EndpointId, Offset};
+use quetzalworks::ids::{EndpointId, Offset, Position, StoreEra};
 use quetzalworks::peers::{Poll, PollAnswer, RelayLog, RelayRecord, RelayedPage};
 use quetzalworks::runtime::Moment;
 use quetzalworks::units::Millis;
 
-use crate::direct::world::{entry, record};
+use crate::direct::world::{entry, position, record};
 
 fn at(millis: u64) -> Moment {
     Moment::from_millis(100_000 + millis)
@@ -25,20 +25,67 @@
 fn poll(from: u64, seen: u64) -> Poll {
     Poll {
         source: Source::Endpoints,
-        from: Offset(from),
+        from: position(from),
         seen,
     }
 }
 
+/// Position after the store has come back from a copy.
+fn next_era(offset: u64) -> Position {
+    Position {
+        era: StoreEra(1),
+        offset: Offset(offset),
+    }
+}
+
 /// A log whose listing ended at 5, followed by records 5 to 7 read from 200 ms on.
 fn log() -> RelayLog {
     let mut log = RelayLog::default();
-    log.restart(Offset(5), at(0));
+    log.restart(position(5), at(0));
     let records = (5..8).map(|offset| (raw(offset), None));
-    log.append(records, Offset(5), Offset(8), at(200));
+    log.append(records, position(5), Offset(8), at(200));
     log
 }
 
+/// Guards against records that a follower never gets, as their offsets were given out before.
+#[test]
+fn a_reader_answers_only_positions_of_its_era() {
+    struct Case {
+        name: &'static str,
+        /// Whether the reader knows that the store has come back from a copy.
+        is_restored: bool,
+        from: Position,
+        is_answered: bool,
+    }
+    let case = |name, is_restored, from, is_answered| Case {
+        name,
+        is_restored,
+        from,
+        is_answered,
+    };
+    let cases = [
+        case("neither knows of the return", false, position(8), true),
+        case("only the reader does", true, position(8), false),
+        case("only the follower does", false, next_era(8), false),
+        case("both do", true, next_era(8), true),
+    ];
+    for case in cases {
+        let mut log = log();
+        if case.is_restored {
+            log.restart(next_era(2), at(300));
+            let records = (2..9).map(|offset| (raw(offset), None));
+            log.append(records, next_era(2), Offset(9), at(400));
+        }
+        let poll = Poll {
+            from: case.from,
+            ..poll(0, 0)
+        };
+        let answer = log.answer(&poll, at(500), at(500));
+        let is_answered = matches!(answer, Some(PollAnswer::Page(_)));
+        assert_eq!(is_answered, case.is_answered, "{}: {answer:?}", case.name);
+    }
+}
+
 /// Guards against records that a follower lacks and is not given, against old pages, and
 /// against answers of an entry that does not read or cannot.
 #[test]
@@ -84,7 +131,7 @@
             "the store is regained",
             |log| {
                 log.fail();
-                log.append([(raw(8), None)], Offset(8), Offset(9), at(400));
+                log.append([(raw(8), None)], position(8), Offset(9), at(400));
             },
             poll(7, 2),
             offsets(&[7, 8]),
@@ -97,13 +144,13 @@
         ),
         case(
             "listed again",
-            |log| log.restart(Offset(30), at(500)),
+            |log| log.restart(position(30), at(500)),
             poll(8, 2),
             Answer::Other(PollAnswer::NotRetained),
         ),
         case(
             "a read that does not continue the log",
-            |log| log.append([(raw(40), None)], Offset(40), Offset(41), at(500)),
+            |log| log.append([(raw(40), None)], position(40), Offset(41), at(500)),
             poll(8, 2),
             Answer::Other(PollAnswer::NotRetained),
         ),
@@ -111,7 +158,7 @@
             "reads for others again",
             |log| {
                 log.stop();
-                log.append([(raw(8), None)], Offset(8), Offset(9), at(600));
+                log.append([(raw(8), None)], position(8), Offset(9), at(600));
             },
             poll(8, 2),
             offsets(&[8]),
@@ -172,7 +219,7 @@
     ];
     for case in cases {
         let mut log = RelayLog::default();
-        log.restart(Offset(0), at(0));
+        log.restart(position(0), at(0));
         let again = case.second.clone();
         let changes = [
             seen(|_| ()),
@@ -183,7 +230,7 @@
         let is_cold = matches!(&changes[2], EndpointChange::Seen(record) if record.cold_left.0 > 0);
         let is_gone = !matches!(&changes[2], EndpointChange::Seen(_));
         let records = (0..).map(raw).zip(changes.map(Some));
-        log.append(records, Offset(0), Offset(4), at(0));
+        log.append(records, position(0), Offset(4), at(0));
         let Some(PollAnswer::Page(page)) = log.answer(&poll(0, 0), at(1), at(1)) else {
             panic!("{}: no page", case.name);
         };
@@ -202,14 +249,14 @@
 #[test]
 fn the_oldest_records_are_dropped_and_not_skipped() {
     let mut log = RelayLog::default();
-    log.restart(Offset(0), at(0));
+    log.restart(position(0), at(0));
     let large = |offset| RelayRecord {
         value: Some(vec![0; 60_000]),
         ..raw(offset)
     };
     for offset in 0..100 {
         let next = Offset(offset + 1);
-        log.append([(large(offset), None)], Offset(offset), next, at(offset));
+        log.append([(large(offset), None)], position(offset), next, at(offset));
     }
     let answer = |from| log.answer(&poll(from, 0), at(200), at(200));
     assert_eq!(answer(0), Some(PollAnswer::NotRetained));
@@ -240,7 +287,7 @@
             Moment::default().saturating_add(Duration::from_micros(clock + time))
         };
         let mut log = RelayLog::default();
-        log.restart(Offset(0), on(reader, read_started));
+        log.restart(position(0), on(reader, read_started));
         let answer = log.answer(&poll(0, 0), on(reader, arrived), on(reader, answered));
         let Some(PollAnswer::Page(page)) = answer else {
             panic!("no page");
