After a return of the store from a copy, crash reports and leases are told anew

Callers saw: nothing yet. Cause: entries believed that crash reports of the lost seconds were on record, so that others let the request through; and a generation of the leases of before acknowledged divisions that were still to come, so that two entries could hold a lease for a second.

Change: own crash reports are published again after a restored listing; a generation of an earlier era is not sent.

Measured: restored_listings::what_entries_wrote_is_written_again has a case for crashes, which fails without the change to the suspects.

--- a/src/direct/join.rs
+++ b/src/direct/join.rs
@@ -29,11 +29,16 @@
     control: control::Control<direct::Plane>,
 ) {
     let mut generation = ids::DivisionGeneration::default();
+    let mut era = ids::StoreEra::default();
     let mut confirmed_at = runtime::Moment::now();
     let mut is_expired = false;
     let mut listing = peers::ListingPlan::default();
     loop {
         let call_started = runtime::Moment::now();
+        // A generation of an earlier era would acknowledge divisions that are still to come.
+        if store.latest_era().is_some_and(|latest| latest > era) {
+            generation = ids::DivisionGeneration::default();
+        }
         let req = group::Join::new(member.clone(), balance::LEASE_DURATION, generation);
         let delay = match store.join(&req).await {
             Ok(membership) => {
@@ -49,6 +54,7 @@
                 }
                 let has_changed = membership.generation != generation;
                 generation = membership.generation;
+                era = membership.era;
                 if member.place.is_some() && listing.record(generation, held, leases, call_started)
                 {
                     if list_members(&store, &control).await {
--- a/src/direct/system/suspects.rs
+++ b/src/direct/system/suspects.rs
@@ -15,7 +15,7 @@
                 | direct::Event::SuspectCleared(_)
                 | direct::Event::SuspectRefused(_)
                 | direct::Event::CrashReports(_)
-        )
+        ) || is_restored(event)
     };
     if !cx.events.iter().any(is_relevant) && !world.suspects.has_expired(cx.now) {
         return;
@@ -55,6 +55,10 @@
             None
         }
         direct::Event::SuspectCleared(fingerprint) => suspects.answered(*fingerprint),
+        event if is_restored(event) => {
+            suspects.forget_published();
+            None
+        }
         direct::Event::CrashReports(reports) => {
             for report in reports {
                 suspects.reported(report, cx.now);
@@ -68,3 +72,8 @@
         _ => None,
     }
 }
+
+/// Whether the reports in the store are those of an older copy.
+fn is_restored(event: &direct::Event) -> bool {
+    matches!(event, direct::Event::Reports(batch) if batch.scope == direct::Scope::Restored)
+}
--- a/src/poison/suspects.rs
+++ b/src/poison/suspects.rs
@@ -142,6 +142,14 @@
         })
     }
 
+    /// Records that the reports of this entry may be lost, so that they are published again.
+    pub fn forget_published(&mut self) {
+        let rows = self.rows.values_mut();
+        for row in rows.filter(|row| row.min_published.is_some()) {
+            row.published.clear();
+        }
+    }
+
     /// Returns reports of what is not published yet and marks it as published.
     pub fn take_unpublished(&mut self) -> Vec<CrashReport> {
         let unpublished = self.rows.iter_mut().filter(|(_, row)| {
--- a/tests/integration/direct/restored_listings.rs
+++ b/tests/integration/direct/restored_listings.rs
@@ -5,7 +5,8 @@
 use quetzalworks::direct::{
     Batch, Effect, EndpointChange, Event, OperatorChange, RolloutReport, Scope,
 };
-use quetzalworks::ids::{Offset, Position, StoreEra};
+use quetzalworks::ids::{EndpointId, Fingerprint, Offset, Position, StoreEra};
+use quetzalworks::poison::{CrashReport, Executions, Subject};
 use quetzalworks::rollout::Stage;
 use quetzalworks::units::Rate;
 use serde_json::{Value, json};
@@ -194,6 +195,28 @@
             copy: Vec::new,
             is_written: |effect| *effect == Effect::Report(report(Stage::Probing), END),
         },
+        Case {
+            name: "crashes under a request",
+            before: |world| {
+                for endpoint in ["a", "b"] {
+                    world.tick(vec![Event::Crashed {
+                        subject: Subject::Request,
+                        fingerprint: Fingerprint(1),
+                        endpoint: endpoint.parse().unwrap(),
+                        executions: Executions::Several,
+                    }]);
+                }
+            },
+            copy: Vec::new,
+            is_written: |effect| {
+                let endpoints = ["a", "b"].map(|id| id.parse::<EndpointId>().unwrap());
+                let report = CrashReport {
+                    fingerprint: Fingerprint(1),
+                    endpoints: endpoints.into(),
+                };
+                *effect == Effect::PublishCrashes(report)
+            },
+        },
         Case {
             name: "the limit of an endpoint",
             before: |world| {
