A change of protocol that no request asked for is no answer

Callers saw: status 101 with the endpoint's signature and no body, on routes with streams. Reports of other systems told of a status 000, of a 200 without a length that is reset while the upload goes on, and of heads that end halfway; none of these is passed on here.

Cause: the HTTP library hands a 101 over as the final answer, and nothing looked at its class.

Change: the client refuses informational statuses, for both paths. A test has the reported cases with uploads of 6 MiB, each on a route that runs once, one that repeats and one that streams.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -260,7 +260,7 @@
     async fn exchange(&self, mut req: Request<Full<Bytes>>) -> Result<Answer, http::HttpError> {
         while let Some(mut connection) = self.shared.take_idle() {
             match connection.sender.try_send_request(req).await {
-                Ok(response) => return Ok(Answer::new(response, connection)),
+                Ok(response) => return Answer::new(response, connection),
                 // The server closed the idle connection before the request was written,
                 // so it is safe to send it on another one.
                 Err(mut err) => match err.take_message() {
@@ -271,7 +271,7 @@
         }
         let mut connection = self.connect().await?;
         let response = connection.sender.send_request(req).await?;
-        Ok(Answer::new(response, connection))
+        Answer::new(response, connection)
     }
 
     async fn connect(&self) -> Result<Connection, http::HttpError> {
@@ -335,19 +335,27 @@
 }
 
 impl Answer {
-    fn new(response: hyper::Response<Incoming>, mut connection: Connection) -> Self {
+    /// Fails for a change of protocol, which no request asks for: what follows is no body.
+    fn new(
+        response: hyper::Response<Incoming>,
+        mut connection: Connection,
+    ) -> Result<Self, http::HttpError> {
         let (head, body) = response.into_parts();
+        if head.status.is_informational() {
+            let reason = format!("status {} is not final", head.status);
+            return Err(http::HttpError::Malformed(reason.into()));
+        }
         if let Some(timeout) = keep_alive_timeout(&head.headers) {
             connection.max_idle_age = timeout;
         }
-        Self {
+        Ok(Self {
             status: head.status,
             headers: head.headers,
             body,
             budget: connection.slot.0.budget.clone(),
             connection: Some(connection),
             is_broken: false,
-        }
+        })
     }
 
     /// Returns the next chunk of the body; `None` at its end, where the connection is
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -7,6 +7,7 @@
 mod cascade;
 mod cold_start;
 mod decode;
+mod early_answers;
 mod endless;
 pub mod endpoint;
 mod endpoint_speed;
