Test of the own path's log after a return from a copy, red

The log of entries with sidecars is read by offset alone, as the direct role was; its fences and checkpoints are offsets too, so that an era in the position is not enough. It does not run on the platform.

--- a/tests/integration/append.rs
+++ b/tests/integration/append.rs
@@ -11,6 +11,7 @@
 use quetzalworks::platform::{
     self, AppendOutcome, LogClient, ReadOutcome, RecordBatch, StoreCall, Stream,
 };
+use quetzalworks::standin::StandinLog;
 use quetzalworks::{http, settings};
 use serde_json::json;
 
@@ -120,3 +121,50 @@
         );
     }
 }
+
+/// Guards against a process that never sees records, as their offsets were given out before
+/// the log came back from an older copy.
+#[test]
+fn a_log_that_comes_back_from_a_copy_is_not_read_on() {
+    struct Case {
+        name: &'static str,
+        /// Records written after the return of the log; two were lost.
+        again: usize,
+    }
+    let cases = [
+        Case {
+            name: "ends where the reader is",
+            again: 2,
+        },
+        Case {
+            name: "ends beyond",
+            again: 3,
+        },
+    ];
+    for case in cases {
+        smol::block_on(async {
+            let log = StandinLog::bind(isolation::free_addr(), &caller::traffic())
+                .await
+                .unwrap();
+            let client = LogClient::new(log.addr(), caller::traffic());
+            let write = |text: &str| log.append(Stream::Config, &json!(text)).unwrap();
+            write("kept");
+            let copy = log.copy();
+            write("lost");
+            write("lost");
+            let read = |from| client.read(Stream::Config, from, Duration::ZERO);
+            let position = read(Offset(0)).await.unwrap().next_offset();
+            log.restore(&copy);
+            (0..case.again).for_each(|_| {
+                write("new");
+            });
+            let page = read(position).await;
+            let new = |page: &platform::Page| {
+                let records = page.records.iter();
+                records.filter(|record| record.body == "new").count()
+            };
+            let is_told = page.as_ref().map_or(true, |page| new(page) == case.again);
+            assert!(is_told, "{}: {page:?}", case.name);
+        });
+    }
+}
