--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -35,6 +35,6 @@
 pub use rating::{RatingCommand, StandinRating};
 pub use service::{ServiceCommand, StandinService};
 pub use tcp_proxy::TcpProxy;
-pub use topics::{LogCommand, Outage};
+pub use topics::{LogCommand, LogCopy, Outage};
 pub use udp_proxy::UdpProxy;
 pub use weights::{StandinWeights, WeightsCommand, WeightsStats};
--- a/tests/integration/soak/fault.rs
+++ b/tests/integration/soak/fault.rs
@@ -66,6 +66,7 @@
                 tenants.retain(|tenant| tenant["Name"] != BLUE.0);
             }),
             FaultKind::StoreForgets => site.truncate_topics(),
+            FaultKind::StoreRestored => site.copy_store(),
             FaultKind::StoreReset => site.nodes[target].store.reset(),
             FaultKind::CallersReset => site.nodes[target].link.reset(),
             FaultKind::EndpointReset => site.back_ends[target].link.reset(),
@@ -124,6 +125,7 @@
                 }
             }
             FaultKind::Leave => site.put_endpoint(self.target, None),
+            FaultKind::StoreRestored => site.restore_store(),
             _ => {}
         }
         EndedFault {
--- a/tests/integration/soak/mod.rs
+++ b/tests/integration/soak/mod.rs
@@ -4,7 +4,8 @@
 //! endpoints are checked against what both sides observed.
 //!
 //! To run other seeds: `SOAK_SEEDS=100..150 cargo nextest run soak::`;
-//! `SOAK_SEEDS=fresh:20` takes 20 seeds from the clock. Each run prints its seed.
+//! `SOAK_SEEDS=fresh:20` takes 20 seeds from the clock. From 1000 on, the store also comes back
+//! from older copies. Each run prints its seed.
 
 pub mod backend;
 mod callers;
@@ -67,6 +68,15 @@
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
+/// Guards against violated guarantees while the store comes back from an older copy, among
+/// other faults.
+#[test]
+fn guarantees_hold_while_the_store_comes_back_from_a_copy() {
+    let first = plan::FIRST_RESTORING_SEED;
+    let violations = run_seeds(&(first..first + 4).collect::<Vec<_>>());
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
 /// Guards against regressions of faults that a seed once revealed.
 #[test]
 fn formerly_failing_seeds_pass() {
--- a/tests/integration/soak/plan.rs
+++ b/tests/integration/soak/plan.rs
@@ -18,6 +18,9 @@
 /// Seeds divisible by this have many entries, among which limits are divided.
 const MANY_ENTRIES_DIVISOR: u64 = 4;
 const MANY_ENTRIES: usize = 20;
+/// Seeds from this on have a store that comes back from an older copy too; the plans of the
+/// others stay as they are.
+pub const FIRST_RESTORING_SEED: u64 = 1_000;
 
 /// Kind of a fault, or of planned work by an operator.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumIter)]
@@ -52,6 +55,8 @@
     StoreSlow,
     /// The store truncates its topics; the newest record of each key stays.
     StoreForgets,
+    /// The store comes back from a copy that was made when the fault began.
+    StoreRestored,
     /// The link between an entry and its callers is cut.
     CallersCut,
     /// Requests reach an entry, but its answers to callers are lost.
@@ -136,6 +141,7 @@
     let mut rng = fastrand::Rng::with_seed(seed);
     let has_unplanned_faults = !seed.is_multiple_of(PLANNED_ONLY_DIVISOR);
     let kinds: Vec<_> = FaultKind::iter()
+        .filter(|kind| *kind != FaultKind::StoreRestored)
         .filter(|kind| has_unplanned_faults || kind.is_planned())
         .collect();
     let mut faults: Vec<Planned> = Vec::new();
@@ -161,6 +167,15 @@
     }
     faults.sort_by_key(|fault| fault.at);
     let entries = rng.usize(2..=6);
+    if seed >= FIRST_RESTORING_SEED {
+        faults.extend((0..rng.u64(1..=MAX_SERIES_LENGTH)).map(|_| Planned {
+            kind: FaultKind::StoreRestored,
+            target: 0,
+            at: Duration::from_millis(rng.u64(START_MS)),
+            duration: Duration::from_millis(rng.u64(DURATION_MS)),
+        }));
+        faults.sort_by_key(|fault| fault.at);
+    }
     Plan {
         entries: if seed.is_multiple_of(MANY_ENTRIES_DIVISOR) {
             MANY_ENTRIES
--- a/tests/integration/soak/site.rs
+++ b/tests/integration/soak/site.rs
@@ -5,7 +5,7 @@
 
 use quetzalworks::ids::Offset;
 use quetzalworks::platform::{endpoint_record, operator};
-use quetzalworks::standin::{StandinLog, TcpProxy};
+use quetzalworks::standin::{LogCopy, StandinLog, TcpProxy};
 use serde_json::{Value, json};
 
 use crate::direct::endpoint::{Behaviour, Endpoint};
@@ -77,6 +77,8 @@
     config: Value,
     /// Number of records put to the topics of operator and endpoints, in this order.
     puts: [u64; 2],
+    /// Copy from which the store is to come back; `None` if it is not.
+    copy: Option<LogCopy>,
 }
 
 fn proxy(target: SocketAddr) -> TcpProxy {
@@ -98,6 +100,7 @@
             back_ends: Vec::new(),
             config: config(1),
             puts: [0; 2],
+            copy: None,
             draw,
         };
         let tenant = json!({ "Name": BLUE.0, "ApiKeys": [BLUE.1], "Priority": 2 });
@@ -166,6 +169,31 @@
         self.put_config();
     }
 
+    /// Makes the copy from which the store comes back later, unless there is one.
+    pub fn copy_store(&mut self) {
+        self.copy.get_or_insert_with(|| self.store.copy());
+    }
+
+    /// Lets the store come back from its copy. What operator and endpoints wrote since is
+    /// written again.
+    pub fn restore_store(&mut self) {
+        let Some(copy) = self.copy.take() else {
+            return;
+        };
+        let topics = [operator::TOPIC, endpoint_record::TOPIC];
+        let written = topics.map(|topic| self.store.newest(topic));
+        self.store.restore(&copy);
+        for (topic, written) in topics.into_iter().zip(written) {
+            let lapsed = self.store.newest(topic).into_iter();
+            for record in lapsed.filter(|old| !written.iter().any(|new| new.key == old.key)) {
+                self.store.put(topic, &record.key, None);
+            }
+            for record in written {
+                self.store.put(topic, &record.key, record.value.as_deref());
+            }
+        }
+    }
+
     /// Truncates the topics of operator and endpoints; the newest record of each key stays.
     pub fn truncate_topics(&self) {
         let topics = [operator::TOPIC, endpoint_record::TOPIC];
