--- a/tests/integration/direct/cold_start.rs
+++ b/tests/integration/direct/cold_start.rs
@@ -1,6 +1,5 @@
 //! Requests of many entries to an endpoint that is cold.
 
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -8,13 +7,15 @@
 use serde_json::json;
 
 use crate::direct::endpoint::{Behaviour, Endpoint};
+use crate::direct::load;
 use crate::direct::site::{Entry, Site, is_ready};
 use crate::direct::world::entry;
 use crate::testing::wait;
 
 /// Entries at the start of a case, that of the site included.
 const ENTRIES: usize = 12;
-const CALLERS_PER_ENTRY: usize = 3;
+/// Leases of each of them, of 96.
+const LEASES: u32 = 8;
 /// Time for which the endpoint is cold, and requests per second that it tolerates, as
 /// stated by the configuration.
 const COLD: Duration = Duration::from_secs(3);
@@ -82,36 +83,8 @@
     );
     let cold = Endpoint::spawn("cold", &[], Behaviour::Events("90"));
     let site = Site::spawn(&[("writer", &warm)]);
-    let entries: Vec<_> = (1..ENTRIES)
-        .map(|i| Entry::spawn(&format!("edge-other-{i}"), site.store.addr()))
-        .collect();
-    wait::until("all entries have a share", || {
-        let mut processes = entries.iter().map(|e| &e.process).chain([&site.process]);
-        processes.all(|process| {
-            let shares = process.lines_with("share of the limits over all entries changed");
-            shares
-                .last()
-                .is_some_and(|line| line.contains(r#""leases":8,"#))
-        })
-    });
-    let is_over = AtomicBool::new(false);
-    let reported = thread::scope(|scope| {
-        let callers = entries.iter().map(|e| e.callers).chain([site.callers]);
-        for (i, callers) in callers.enumerate() {
-            for j in 0..CALLERS_PER_ENTRY {
-                let is_over = &is_over;
-                scope.spawn(move || {
-                    for n in 0.. {
-                        if is_over.load(Ordering::Acquire) {
-                            return;
-                        }
-                        // Refusals and killed entries are expected.
-                        let _ = Site::chat_at(callers, &format!("c-{i}-{j}-{n}"));
-                        thread::sleep(Duration::from_millis(5));
-                    }
-                });
-            }
-        }
+    let entries = load::spawn_others(&site, ENTRIES - 1, LEASES);
+    let reported = load::with_callers(&site, &entries, || {
         thread::sleep(LEARNING);
         let mut value = entry("writer", "v1", 1);
         value["Address"] = json!(cold.addr);
@@ -122,7 +95,6 @@
             .put(endpoint_record::TOPIC, cold.id, Some(value.as_bytes()));
         (case.disturb)(&site, &entries);
         thread::sleep(COLD.saturating_sub(reported.elapsed()));
-        is_over.store(true, Ordering::Release);
         reported
     });
     let arrivals: Vec<_> = cold
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -20,6 +20,7 @@
 mod keys;
 mod limit_replay;
 mod limit_reports;
+mod load;
 mod mild_faults;
 mod named_limit;
 mod odd_records;
--- a/tests/integration/direct/named_limit.rs
+++ b/tests/integration/direct/named_limit.rs
@@ -1,19 +1,20 @@
 //! Requests of many entries to an endpoint that names a limit for all of them together.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use quetzalworks::standin::{LogCommand, Outage};
 
 use crate::direct::endpoint::{Behaviour, Endpoint, Received};
+use crate::direct::load;
 use crate::direct::site::{Entry, Site, is_ready};
 use crate::testing::wait;
 
 /// Entries at the start of a case, that of the site included.
 const ENTRIES: usize = 4;
-const CALLERS_PER_ENTRY: usize = 3;
+/// Leases of each of them, of 96.
+const LEASES: u32 = 24;
 /// Limit that the endpoint names, in requests per second.
 const LIMIT: &str = "2.0";
 /// Requests of entries that know the limit in any [`WINDOW`]: one and a half times what the
@@ -93,10 +94,13 @@
     );
     let limited = Endpoint::spawn("limited", &[], Behaviour::Limited(LIMIT));
     let site = Site::spawn(&[("writer", &slow), ("writer", &limited)]);
-    let entries = spawn_others(&site);
-    let excused = with_callers(&site, &entries, || {
+    let entries = load::spawn_others(&site, ENTRIES - 1, LEASES);
+    let excused = load::with_callers(&site, &entries, || {
+        let begin = Instant::now();
         thread::sleep(Duration::from_secs(2));
-        (case.disturb)(&site, &entries)
+        let excused = (case.disturb)(&site, &entries);
+        thread::sleep(TRAFFIC.saturating_sub(begin.elapsed()));
+        excused
     });
     let arrivals = known_arrivals(&limited.received(), &excused);
     let max = arrivals.iter().map(|from| {
@@ -113,52 +117,6 @@
     assert!(arrivals.len() >= 4, "{}: {}", case.name, arrivals.len());
 }
 
-/// Starts the entries beside that of the site, and waits until each holds its leases.
-fn spawn_others(site: &Site) -> Vec<Entry> {
-    let entries: Vec<_> = (1..ENTRIES)
-        .map(|i| Entry::spawn(&format!("edge-other-{i}"), site.store.addr()))
-        .collect();
-    wait::until("all entries have a share", || {
-        let mut processes = entries.iter().map(|e| &e.process).chain([&site.process]);
-        processes.all(|process| {
-            let shares = process.lines_with("share of the limits over all entries changed");
-            shares
-                .last()
-                .is_some_and(|line| line.contains(r#""leases":24,"#))
-        })
-    });
-    entries
-}
-
-/// Sends requests to all entries while `action` runs, and for [`TRAFFIC`] at least. The ids
-/// of the requests begin with the position of their entry; that of the site comes last.
-fn with_callers<T>(site: &Site, entries: &[Entry], action: impl FnOnce() -> T) -> T {
-    let begin = Instant::now();
-    let is_over = AtomicBool::new(false);
-    thread::scope(|scope| {
-        let callers = entries.iter().map(|e| e.callers).chain([site.callers]);
-        for (i, callers) in callers.enumerate() {
-            for j in 0..CALLERS_PER_ENTRY {
-                let is_over = &is_over;
-                scope.spawn(move || {
-                    for n in 0.. {
-                        if is_over.load(Ordering::Acquire) {
-                            return;
-                        }
-                        // Refusals and killed entries are expected.
-                        let _ = Site::chat_at(callers, &format!("{i}-{j}-{n}"));
-                        thread::sleep(Duration::from_millis(5));
-                    }
-                });
-            }
-        }
-        let result = action();
-        thread::sleep(TRAFFIC.saturating_sub(begin.elapsed()));
-        is_over.store(true, Ordering::Release);
-        result
-    })
-}
-
 /// Position of the entry that has sent the request.
 fn entry_of(received: &Received) -> usize {
     let id = received.header("attempt-id").unwrap_or_default();
@@ -193,11 +151,12 @@
         &[],
         Behaviour::LateEvents(Duration::from_millis(100)),
     );
-    let script = vec![Behaviour::Limited(LIMIT); 2 * ENTRIES * CALLERS_PER_ENTRY];
+    // More than the entries can have under way before they know the limit.
+    let script = vec![Behaviour::Limited(LIMIT); 24];
     let limited = Endpoint::spawn("limited", &script, Behaviour::Events("90"));
     let site = Site::spawn(&[("writer", &slow), ("writer", &limited)]);
-    let entries = spawn_others(&site);
-    with_callers(&site, &entries, || {
+    let entries = load::spawn_others(&site, ENTRIES - 1, LEASES);
+    load::with_callers(&site, &entries, || {
         wait::until("all entries use the endpoint again", || {
             let received = limited.received();
             let mut counts = [0; ENTRIES];
