A named limit outlasts a lapse of the endpoint's record

Callers saw: nothing yet. Cause: the figures of an endpoint are dropped with its record, and the limit with them, so that after a lapse each entry sent it requests as before until an answer told again.

Change: an endpoint that appears takes over the limit on record for its incarnation.

Measured: the new case of limit_reports failed before, and passes.

--- a/src/direct/system/endpoints.rs
+++ b/src/direct/system/endpoints.rs
@@ -174,6 +174,10 @@
             row.live.leave();
         }
         world.endpoints.upsert(record.id.clone(), row);
+        // The record may only have lapsed for a while, with the figures of the endpoint.
+        if let Some(limit) = world.limits.get_mut(&record.id) {
+            limit.is_unapplied = true;
+        }
         cx.changed = true;
         return;
     };
--- a/tests/integration/direct/limit_reports.rs
+++ b/tests/integration/direct/limit_reports.rs
@@ -109,6 +109,15 @@
             None,
             &[],
         ),
+        case(
+            "of an endpoint whose record lapses and comes back",
+            |world| {
+                on_record(world, Scope::News, &[Some((2.0, BORN))]);
+                lapse(world);
+            },
+            Some(2.0),
+            &[],
+        ),
         case(
             "of an earlier incarnation",
             |world| on_record(world, Scope::News, &[Some((2.0, BORN - 1))]),
@@ -142,6 +151,15 @@
 /// Start of the endpoint by its record.
 const BORN: u64 = 1_000;
 
+/// The record of the endpoint lapses, and comes back for the same incarnation.
+fn lapse(world: &mut TestWorld) {
+    let id = "limited".parse().unwrap();
+    world.endpoints(false, vec![EndpointChange::Removed(id)]);
+    let value = entry("writer", "v1", 2);
+    let seen = EndpointChange::Seen(record("limited", &value));
+    world.endpoints(false, vec![seen]);
+}
+
 /// An answer of the endpoint names this limit.
 fn named(world: &mut TestWorld, limit: Option<f64>) {
     let view = &world.snapshot.services[&"writer".parse().unwrap()];
