--- a/tests/integration/direct/restored_listings.rs
+++ b/tests/integration/direct/restored_listings.rs
@@ -1,7 +1,5 @@
 //! What an entry makes of listings of a store that has come back from an older copy.
 
-use std::collections::BTreeSet;
-
 use quetzalworks::direct::{
     Batch, Effect, EndpointChange, Event, OperatorChange, RolloutReport, Scope,
 };
@@ -11,6 +9,7 @@
 use quetzalworks::units::Rate;
 use serde_json::{Value, json};
 
+use crate::direct::rollouts::report;
 use crate::direct::world::{TestWorld, config, entry, operator_change, record};
 
 /// End of the topics in the copy.
@@ -246,15 +245,6 @@
     }
 }
 
-fn report(stage: Stage) -> RolloutReport {
-    RolloutReport {
-        service: "writer".parse().unwrap(),
-        target: "v2".parse().unwrap(),
-        stage,
-        withdrawn: BTreeSet::new(),
-    }
-}
-
 fn start_rollout(world: &mut TestWorld) {
     world.writers(&[("a", "v1"), ("b", "v2")]);
     let order = operator_change("rollout/writer", Some(&rollout()));
--- a/tests/integration/direct/rollouts.rs
+++ b/tests/integration/direct/rollouts.rs
@@ -24,7 +24,8 @@
     }
 }
 
-fn report(stage: Stage) -> RolloutReport {
+/// Report of the order of version `v2`.
+pub fn report(stage: Stage) -> RolloutReport {
     RolloutReport {
         service: "writer".parse().unwrap(),
         target: "v2".parse().unwrap(),
