A read that ends before the end of its topic is logged

Which records a read lacked was not known afterwards: the end of the partition, which the store states with each read, was dropped.

--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -38,6 +38,7 @@
     // Era of the last listing; `None` before the first.
     let mut listed_era = None;
     let mut relist_at: Option<Instant> = None;
+    let mut is_behind = false;
     let mut shared = shared.map(|shared| direct::FollowTask::new(shared, source));
     loop {
         if relist_at.is_some_and(|at| Instant::now() >= at) {
@@ -76,6 +77,13 @@
                     task.record_read(&duty, position, &batch, read_started);
                 }
                 position = Some(batch.end);
+                if (batch.lacking > 0) != is_behind {
+                    is_behind = !is_behind;
+                    log::info!(target: "store", source:% = source, position:% = batch.end,
+                        lacking = batch.lacking, read_ms:% = age_ms(read_started);
+                        "{}", if is_behind { "read ended before the end of the topic" }
+                        else { "reads have reached the end of the topic" });
+                }
                 if batch.scope != direct::Scope::News {
                     listed_era = Some(batch.end.era);
                     let is_restored = batch.scope == direct::Scope::Restored;
@@ -112,6 +120,11 @@
     }
 }
 
+/// Milliseconds since the start of a read.
+fn age_ms(started: runtime::Moment) -> u128 {
+    runtime::Moment::now().saturating_since(started).as_millis()
+}
+
 async fn send(
     control: &Control,
     source: direct::Source,
@@ -145,6 +158,8 @@
     /// Offsets of the records; none in a listing.
     pub(super) offsets: Vec<ids::Offset>,
     pub(super) end: ids::Position,
+    /// Number of records that the topic held beyond `end` when the store answered.
+    pub(super) lacking: u64,
 }
 
 impl RawBatch {
@@ -164,6 +179,7 @@
                 offset: page.end.max(from.offset),
                 ..from
             },
+            lacking: 0,
         }
     }
 
@@ -266,6 +282,7 @@
         records,
         offsets: Vec::new(),
         end,
+        lacking: 0,
     }))
 }
 
@@ -328,6 +345,7 @@
                 records: Vec::new(),
                 offsets: Vec::new(),
                 end: from,
+                lacking: 0,
             }));
         }
         Err(err) => return Err(err),
@@ -338,6 +356,7 @@
     };
     let offset = ids::Offset(from.offset.0.saturating_add(page.records.len() as u64));
     let end = ids::Position { offset, ..from };
+    let lacking = page.end.0.saturating_sub(offset.0);
     let offsets = (from.offset.0..).map(ids::Offset);
     let (offsets, records) = offsets
         .zip(&page.records)
@@ -351,5 +370,6 @@
         records,
         offsets,
         end,
+        lacking,
     }))
 }
