--- a/src/direct/freshness.rs
+++ b/src/direct/freshness.rs
@@ -1,5 +1,6 @@
 //! Age of what was read from the store.
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -16,6 +17,14 @@
         self.0.fetch_max(call_started.as_millis(), Ordering::AcqRel);
     }
 
+    /// Records a confirmation of a state that is not published yet. Traffic keeps the freshness
+    /// of the published one, which lacks what was confirmed, until it gets the next snapshot.
+    pub fn confirm_unpublished(this: &mut Arc<Self>, call_started: runtime::Moment) {
+        let next = Self(AtomicU64::new(this.0.load(Ordering::Acquire)));
+        next.confirm(call_started);
+        *this = Arc::new(next);
+    }
+
     /// Time since the last confirmation; `None` before the first one.
     #[must_use]
     pub fn age(&self, now: runtime::Moment) -> Option<Duration> {
--- a/src/direct/system/operator.rs
+++ b/src/direct/system/operator.rs
@@ -46,8 +46,11 @@
             }
         }
     }
-    // After the changes: a snapshot without them must not count as confirmed.
-    world.freshness.confirm(batch.read_started);
+    if cx.changed {
+        direct::Freshness::confirm_unpublished(&mut world.freshness, batch.read_started);
+    } else {
+        world.freshness.confirm(batch.read_started);
+    }
 }
 
 fn apply_deployment(
--- a/src/direct/system/share.rs
+++ b/src/direct/system/share.rs
@@ -21,6 +21,11 @@
             world.share = assigned;
             cx.changed = true;
         }
-        world.share_freshness.confirm(assignment.call_started);
+        if cx.changed {
+            let freshness = &mut world.share_freshness;
+            direct::Freshness::confirm_unpublished(freshness, assignment.call_started);
+        } else {
+            world.share_freshness.confirm(assignment.call_started);
+        }
     }
 }
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -16,6 +16,7 @@
 mod explain;
 mod failures;
 mod fleet_share;
+mod freshness;
 mod idle;
 mod keys;
 mod limit_replay;
