A read confirms what is known only if it has reached the end of its topic

Cause: a read that succeeds counted as one that lacks nothing. An answer holds 1 MB at most; the end of the partition, which it states too, was not compared. The log of the entry shows the first read ending 2 records early, the configuration taken for current 6 ms later, and the end reached 201 ms after that.

Change: a batch says as of when nothing is lacking, and a read that ends early says nothing. The age of the configuration, that of the endpoints, and what a reader tells its followers are all taken from there: a reader passes the records on with the age of its last whole read, or answers that it does not read for others. After a read that ended early, the next one follows at once, also where reads pause.

--- a/src/direct/change.rs
+++ b/src/direct/change.rs
@@ -181,8 +181,9 @@
     pub items: Vec<T>,
     /// Position at which the next read continues.
     pub end: ids::Position,
-    /// Start of the read; the records are current at least as of this time.
-    pub read_started: runtime::Moment,
+    /// Time as of which nothing is lacking: the start of the read. `None` if the read has not
+    /// reached the end of the topic, or the store may lack records that are written again.
+    pub confirmed: Option<runtime::Moment>,
 }
 
 /// Leases that the store has assigned to this entry.
--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -52,10 +52,10 @@
             {
                 // A failure ends following. That the reader has lost the store is no outage of
                 // the store for this entry: its own read tells.
-                if let Ok((page, read_started)) = task.poll(from).await {
-                    let batch = RawBatch::relayed(from, page);
+                if let Ok((page, confirmed)) = task.poll(from).await {
+                    let batch = RawBatch::relayed(from, page, Some(confirmed));
                     position = Some(batch.end);
-                    send(&control, source, batch, read_started).await;
+                    send(&control, source, batch).await;
                 }
                 continue;
             }
@@ -72,27 +72,26 @@
             Some(from) => read_from(&store, source, from, wait).await,
         };
         match read {
-            Ok(Read::Records(batch)) => {
-                if let Some(task) = &mut shared {
-                    task.record_read(&duty, position, &batch, read_started);
-                }
-                position = Some(batch.end);
-                if (batch.lacking > 0) != is_behind {
-                    is_behind = !is_behind;
-                    log::info!(target: "store", source:% = source, position:% = batch.end,
-                        lacking = batch.lacking, read_ms:% = age_ms(read_started);
-                        "{}", if is_behind { "read ended before the end of the topic" }
-                        else { "reads have reached the end of the topic" });
-                }
+            Ok(Read::Records(mut batch)) => {
+                log_progress(source, &batch, &mut is_behind, read_started);
                 if batch.scope != direct::Scope::News {
                     listed_era = Some(batch.end.era);
                     let is_restored = batch.scope == direct::Scope::Restored;
                     relist_at = is_restored.then(|| Instant::now() + REWRITE_TIME);
                 }
-                let has_records = !batch.records.is_empty();
-                send(&control, source, batch, read_started).await;
-                if has_records && !poll.pause.is_zero() {
-                    Timer::after(poll.pause).await;
+                batch.confirmed = (!is_behind).then_some(read_started);
+                if let Some(task) = &mut shared {
+                    task.record_read(&duty, position, &batch);
+                }
+                position = Some(batch.end);
+                let pause = match (batch.records.is_empty(), is_behind) {
+                    (false, false) => poll.pause,
+                    (false, true) | (true, false) => Duration::ZERO,
+                    (true, true) => RETRY_DELAY,
+                };
+                send(&control, source, batch).await;
+                if !pause.is_zero() {
+                    Timer::after(pause).await;
                 }
             }
             Ok(Read::Expired(first)) => {
@@ -120,24 +119,32 @@
     }
 }
 
-/// Milliseconds since the start of a read.
-fn age_ms(started: runtime::Moment) -> u128 {
-    runtime::Moment::now().saturating_since(started).as_millis()
-}
-
-async fn send(
-    control: &Control,
+/// Logs when reads begin to end before the end of the topic, and when they reach it again.
+fn log_progress(
     source: direct::Source,
-    batch: RawBatch,
+    batch: &RawBatch,
+    is_behind: &mut bool,
     read_started: runtime::Moment,
 ) {
+    let was_behind = std::mem::replace(is_behind, batch.lacking > 0);
+    let message = match (was_behind, *is_behind) {
+        (false, true) => "read ended before the end of the topic",
+        (true, false) => "reads have reached the end of the topic",
+        _ => return,
+    };
+    let read_ms = runtime::Moment::now().saturating_since(read_started);
+    log::info!(target: "store", source:% = source, position:% = batch.end,
+        lacking = batch.lacking, read_ms:% = read_ms.as_millis(); "{message}");
+}
+
+async fn send(control: &Control, source: direct::Source, batch: RawBatch) {
     if let Some(crashes) = batch.crashes(source) {
         control.send(crashes).await;
     }
-    if let Some(limits) = batch.limits(source, read_started) {
+    if let Some(limits) = batch.limits(source) {
         control.send(limits).await;
     }
-    control.send(batch.decode(source, read_started)).await;
+    control.send(batch.decode(source)).await;
 }
 
 /// Outcome of one successful read.
@@ -160,12 +167,18 @@
     pub(super) end: ids::Position,
     /// Number of records that the topic held beyond `end` when the store answered.
     pub(super) lacking: u64,
+    /// Time as of which nothing is lacking; see [`direct::Batch::confirmed`].
+    pub(super) confirmed: Option<runtime::Moment>,
 }
 
 impl RawBatch {
     /// Takes over what an entry has passed on for the records from `from` on. Older ones are
     /// ignored, and the position never moves back.
-    fn relayed(from: ids::Position, page: peers::RelayedPage) -> Self {
+    fn relayed(
+        from: ids::Position,
+        page: peers::RelayedPage,
+        confirmed: Option<runtime::Moment>,
+    ) -> Self {
         let news = page.records.into_iter();
         let records = news.filter(|record| record.offset >= from.offset);
         let (offsets, records) = records
@@ -180,18 +193,19 @@
                 ..from
             },
             lacking: 0,
+            confirmed,
         }
     }
 
-    fn decode(self, source: direct::Source, started: runtime::Moment) -> direct::Event {
+    fn decode(self, source: direct::Source) -> direct::Event {
         match source {
             direct::Source::Operator => {
-                direct::Event::Operator(self.map(started, platform::operator::decode))
+                direct::Event::Operator(self.map(platform::operator::decode))
             }
-            direct::Source::Endpoints => direct::Event::Endpoints(self.map(started, decode_record)),
-            direct::Source::Reports => direct::Event::Reports(self.map(started, |key, value| {
-                platform::rollout_status::decode(key, value?)
-            })),
+            direct::Source::Endpoints => direct::Event::Endpoints(self.map(decode_record)),
+            direct::Source::Reports => direct::Event::Reports(
+                self.map(|key, value| platform::rollout_status::decode(key, value?)),
+            ),
         }
     }
 
@@ -208,24 +222,16 @@
     }
 
     /// Returns the limits of endpoints, which share that topic too.
-    fn limits(
-        &self,
-        source: direct::Source,
-        read_started: runtime::Moment,
-    ) -> Option<direct::Event> {
+    fn limits(&self, source: direct::Source) -> Option<direct::Event> {
         if source != direct::Source::Reports {
             return None;
         }
-        let limits = self.map(read_started, platform::limit_record::decode);
+        let limits = self.map(platform::limit_record::decode);
         let has_news = limits.scope != direct::Scope::News || !limits.items.is_empty();
         has_news.then_some(direct::Event::LimitReports(limits))
     }
 
-    fn map<T>(
-        &self,
-        read_started: runtime::Moment,
-        decode: impl Fn(&str, Option<&Bytes>) -> Option<T>,
-    ) -> direct::Batch<T> {
+    fn map<T>(&self, decode: impl Fn(&str, Option<&Bytes>) -> Option<T>) -> direct::Batch<T> {
         direct::Batch {
             scope: self.scope,
             items: self
@@ -234,7 +240,7 @@
                 .filter_map(|(key, value)| decode(key, value.as_ref()))
                 .collect(),
             end: self.end,
-            read_started,
+            confirmed: self.confirmed,
         }
     }
 }
@@ -283,6 +289,7 @@
         offsets: Vec::new(),
         end,
         lacking: 0,
+        confirmed: None,
     }))
 }
 
@@ -346,6 +353,7 @@
                 offsets: Vec::new(),
                 end: from,
                 lacking: 0,
+                confirmed: None,
             }));
         }
         Err(err) => return Err(err),
@@ -371,5 +379,6 @@
         offsets,
         end,
         lacking,
+        confirmed: None,
     }))
 }
--- a/src/direct/follow_task.rs
+++ b/src/direct/follow_task.rs
@@ -171,9 +171,8 @@
         duty: &peers::Duty,
         from: Option<ids::Position>,
         batch: &feed::RawBatch,
-        read_started: runtime::Moment,
     ) {
-        self.confirmed = self.confirmed.max(read_started);
+        self.confirmed = self.confirmed.max(batch.confirmed.unwrap_or_default());
         self.course = std::mem::take(&mut self.course).record_success();
         if *duty != peers::Duty::Read {
             return;
@@ -181,9 +180,9 @@
         self.shared.relays.update(self.source, |log| match from {
             Some(from) => {
                 let records = self.relayed(batch);
-                log.append(records, from, batch.end.offset, read_started);
+                log.append(records, from, batch.end.offset, batch.confirmed);
             }
-            None => log.restart(batch.end, read_started),
+            None => log.restart(batch.end, batch.confirmed),
         });
     }
 
--- a/src/direct/system/endpoints.rs
+++ b/src/direct/system/endpoints.rs
@@ -65,7 +65,7 @@
         world.endpoints_listed = true;
     }
     remove(world, cx, &removed);
-    world.endpoints_confirmed = world.endpoints_confirmed.max(Some(batch.read_started));
+    world.endpoints_confirmed = world.endpoints_confirmed.max(batch.confirmed);
 }
 
 /// Removes endpoints, or retains them for a while when an outage of the store
--- a/src/direct/system/operator.rs
+++ b/src/direct/system/operator.rs
@@ -46,10 +46,12 @@
             }
         }
     }
-    if cx.changed {
-        direct::Freshness::confirm_unpublished(&mut world.freshness, batch.read_started);
-    } else {
-        world.freshness.confirm(batch.read_started);
+    match batch.confirmed {
+        Some(confirmed) if cx.changed => {
+            direct::Freshness::confirm_unpublished(&mut world.freshness, confirmed);
+        }
+        Some(confirmed) => world.freshness.confirm(confirmed),
+        None => {}
     }
 }
 
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -17,7 +17,7 @@
     pub source: direct::Source,
     /// Position of the first record that the follower lacks.
     pub from: ids::Position,
-    /// Number of the reader's last confirmation that the follower has received; 0 if none.
+    /// Number of the reader's last read that the follower has received; 0 if none.
     pub seen: u64,
 }
 
@@ -39,17 +39,18 @@
     pub records: Vec<RelayRecord>,
     /// Offset at which the next poll continues.
     pub end: ids::Offset,
-    /// Number of the reader's confirmation.
+    /// Number of the reader's last read.
     pub number: u64,
     /// Time from the arrival of the poll to the answer, rounded down.
     pub held: units::Millis,
-    /// Time from the begin of the reader's last read to the answer, rounded up.
+    /// Time from the begin of the reader's last read that reached the end of the topic to the
+    /// answer, rounded up.
     pub age: units::Millis,
 }
 
 impl RelayedPage {
-    /// Returns a time on the follower's clock at which the reader's last read had not begun
-    /// later; `asked` is the begin of the poll.
+    /// Returns a time on the follower's clock at which the reader's last read that reached the
+    /// end of the topic had not begun later; `asked` is the begin of the poll.
     #[must_use]
     pub fn read_started(&self, asked: runtime::Moment) -> runtime::Moment {
         let sent = asked.as_millis().saturating_add(self.held.0);
@@ -79,7 +80,7 @@
 pub enum PollAnswer {
     /// The reader has confirmed the topic.
     Page(RelayedPage),
-    /// The reader does not read the topic for others now.
+    /// The reader does not read the topic for others now, or has not reached its end yet.
     NotReading,
     /// The last read of the reader has failed.
     StoreLost,
--- a/src/peers/relay_log.rs
+++ b/src/peers/relay_log.rs
@@ -27,15 +27,18 @@
     Idle,
     /// The last read has failed.
     Failed,
-    /// The last read was successful and began at this time.
-    Confirmed(runtime::Moment),
+    /// The last read was successful.
+    Reading,
 }
 
 /// Newest records of a topic, with the age of the read that confirmed them.
 #[derive(Debug, Default)]
 pub struct RelayLog {
     state: State,
-    /// Number of the last confirmation, from 1; also counts failures.
+    /// Time as of which the log lacks nothing; `None` before a read has reached the end of the
+    /// topic. A read that has not leaves it as it was.
+    confirmed: Option<runtime::Moment>,
+    /// Number of the last read, from 1; also counts failures.
     number: u64,
     records: VecDeque<peers::RelayRecord>,
     bytes: usize,
@@ -48,29 +51,32 @@
 }
 
 impl RelayLog {
-    /// Begins with a complete listing that ends at `end`; it is not passed on.
-    pub fn restart(&mut self, end: ids::Position, read_started: runtime::Moment) {
+    /// Begins with a complete listing that ends at `end`; it is not passed on. `confirmed` is
+    /// as in [`Self::append`].
+    pub fn restart(&mut self, end: ids::Position, confirmed: Option<runtime::Moment>) {
         self.records.clear();
         self.reported.clear();
         self.bytes = 0;
         self.era = end.era;
         self.start = end.offset;
         self.end = end.offset;
-        self.confirm(read_started);
+        self.confirmed = None;
+        self.record_read(confirmed);
     }
 
     /// Adds the records of a read that ended at `end`. Records from a read that does not
-    /// continue the last one replace the log.
+    /// continue the last one replace the log. `confirmed` is the time as of which the read
+    /// lacks nothing; `None` if it may lack records.
     pub fn append(
         &mut self,
         records: impl IntoIterator<Item = (peers::RelayRecord, Option<direct::EndpointChange>)>,
         from: ids::Position,
         end: ids::Offset,
-        read_started: runtime::Moment,
+        confirmed: Option<runtime::Moment>,
     ) {
         let continues = (from.era, from.offset) == (self.era, self.end);
         if !continues || self.state == State::Idle {
-            self.restart(from, read_started);
+            self.restart(from, None);
         }
         for (record, change) in records {
             if change.is_none_or(|change| self.is_news(change)) {
@@ -78,11 +84,12 @@
             }
         }
         self.end = end;
-        self.confirm(read_started);
+        self.record_read(confirmed);
     }
 
-    fn confirm(&mut self, read_started: runtime::Moment) {
-        self.state = State::Confirmed(read_started);
+    fn record_read(&mut self, confirmed: Option<runtime::Moment>) {
+        self.state = State::Reading;
+        self.confirmed = self.confirmed.max(confirmed);
         self.number += 1;
     }
 
@@ -146,10 +153,12 @@
         arrived: runtime::Moment,
         now: runtime::Moment,
     ) -> Option<peers::PollAnswer> {
-        let confirmed = match self.state {
-            State::Idle => return Some(peers::PollAnswer::NotReading),
-            State::Failed => return Some(peers::PollAnswer::StoreLost),
-            State::Confirmed(read_started) => read_started,
+        let confirmed = match (self.state, self.confirmed) {
+            (State::Failed, _) => return Some(peers::PollAnswer::StoreLost),
+            (State::Idle, _) | (State::Reading, None) => {
+                return Some(peers::PollAnswer::NotReading);
+            }
+            (State::Reading, Some(confirmed)) => confirmed,
         };
         if poll.from.era != self.era || poll.from.offset < self.start {
             return Some(peers::PollAnswer::NotRetained);
--- a/tests/integration/direct/limit_reports.rs
+++ b/tests/integration/direct/limit_reports.rs
@@ -181,7 +181,7 @@
         scope,
         items: limits.iter().map(report).collect(),
         end: position(1),
-        read_started: world.now,
+        confirmed: Some(world.now),
     };
     world.tick(vec![Event::LimitReports(batch)]);
 }
--- a/tests/integration/direct/mild_faults.rs
+++ b/tests/integration/direct/mild_faults.rs
@@ -66,7 +66,7 @@
         scope: Scope::Complete,
         items,
         end: position(end as u64),
-        read_started: now,
+        confirmed: Some(now),
     }
 }
 
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -43,4 +43,5 @@
 mod streams;
 mod suspects;
 mod tally;
+mod withdrawn_keys;
 pub mod world;
--- a/tests/integration/direct/restored_listings.rs
+++ b/tests/integration/direct/restored_listings.rs
@@ -23,7 +23,7 @@
         scope,
         items,
         end: END,
-        read_started: world.now,
+        confirmed: Some(world.now),
     }
 }
 
--- a/tests/integration/direct/world.rs
+++ b/tests/integration/direct/world.rs
@@ -147,7 +147,7 @@
             },
             items,
             end: position(end),
-            read_started: self.now,
+            confirmed: Some(self.now),
         }
     }
 
--- a/tests/integration/peers/relay.rs
+++ b/tests/integration/peers/relay.rs
@@ -41,9 +41,9 @@
 /// A log whose listing ended at 5, followed by records 5 to 7 read from 200 ms on.
 fn log() -> RelayLog {
     let mut log = RelayLog::default();
-    log.restart(position(5), at(0));
+    log.restart(position(5), Some(at(0)));
     let records = (5..8).map(|offset| (raw(offset), None));
-    log.append(records, position(5), Offset(8), at(200));
+    log.append(records, position(5), Offset(8), Some(at(200)));
     log
 }
 
@@ -72,9 +72,9 @@
     for case in cases {
         let mut log = log();
         if case.is_restored {
-            log.restart(next_era(2), at(300));
+            log.restart(next_era(2), Some(at(300)));
             let records = (2..9).map(|offset| (raw(offset), None));
-            log.append(records, next_era(2), Offset(9), at(400));
+            log.append(records, next_era(2), Offset(9), Some(at(400)));
         }
         let poll = Poll {
             from: case.from,
@@ -131,7 +131,7 @@
             "the store is regained",
             |log| {
                 log.fail();
-                log.append([(raw(8), None)], position(8), Offset(9), at(400));
+                log.append([(raw(8), None)], position(8), Offset(9), Some(at(400)));
             },
             poll(7, 2),
             offsets(&[7, 8]),
@@ -144,13 +144,13 @@
         ),
         case(
             "listed again",
-            |log| log.restart(position(30), at(500)),
+            |log| log.restart(position(30), Some(at(500))),
             poll(8, 2),
             Answer::Other(PollAnswer::NotRetained),
         ),
         case(
             "a read that does not continue the log",
-            |log| log.append([(raw(40), None)], position(40), Offset(41), at(500)),
+            |log| log.append([(raw(40), None)], position(40), Offset(41), Some(at(500))),
             poll(8, 2),
             Answer::Other(PollAnswer::NotRetained),
         ),
@@ -158,7 +158,7 @@
             "reads for others again",
             |log| {
                 log.stop();
-                log.append([(raw(8), None)], position(8), Offset(9), at(600));
+                log.append([(raw(8), None)], position(8), Offset(9), Some(at(600)));
             },
             poll(8, 2),
             offsets(&[8]),
@@ -219,7 +219,7 @@
     ];
     for case in cases {
         let mut log = RelayLog::default();
-        log.restart(position(0), at(0));
+        log.restart(position(0), Some(at(0)));
         let again = case.second.clone();
         let changes = [
             seen(|_| ()),
@@ -230,7 +230,7 @@
         let is_cold = matches!(&changes[2], EndpointChange::Seen(record) if record.cold_left.0 > 0);
         let is_gone = !matches!(&changes[2], EndpointChange::Seen(_));
         let records = (0..).map(raw).zip(changes.map(Some));
-        log.append(records, position(0), Offset(4), at(0));
+        log.append(records, position(0), Offset(4), Some(at(0)));
         let Some(PollAnswer::Page(page)) = log.answer(&poll(0, 0), at(1), at(1)) else {
             panic!("{}: no page", case.name);
         };
@@ -249,14 +249,19 @@
 #[test]
 fn the_oldest_records_are_dropped_and_not_skipped() {
     let mut log = RelayLog::default();
-    log.restart(position(0), at(0));
+    log.restart(position(0), Some(at(0)));
     let large = |offset| RelayRecord {
         value: Some(vec![0; 60_000]),
         ..raw(offset)
     };
     for offset in 0..100 {
         let next = Offset(offset + 1);
-        log.append([(large(offset), None)], position(offset), next, at(offset));
+        log.append(
+            [(large(offset), None)],
+            position(offset),
+            next,
+            Some(at(offset)),
+        );
     }
     let answer = |from| log.answer(&poll(from, 0), at(200), at(200));
     assert_eq!(answer(0), Some(PollAnswer::NotRetained));
@@ -287,7 +292,7 @@
             Moment::default().saturating_add(Duration::from_micros(clock + time))
         };
         let mut log = RelayLog::default();
-        log.restart(position(0), on(reader, read_started));
+        log.restart(position(0), Some(on(reader, read_started)));
         let answer = log.answer(&poll(0, 0), on(reader, arrived), on(reader, answered));
         let Some(PollAnswer::Page(page)) = answer else {
             panic!("no page");
@@ -353,3 +358,88 @@
         assert_eq!(confirmed, at(case.confirmed), "{}", case.name);
     }
 }
+
+/// Guards against a withdrawn key that followers accept, as their reader has not read as far.
+#[test]
+fn a_read_that_may_lack_records_confirms_nothing() {
+    struct Case {
+        name: &'static str,
+        change: fn(&mut RelayLog),
+        /// Time as of which the page confirms its records, and their number; `None` if the
+        /// reader answers that it does not read for others.
+        page: Option<(u64, usize)>,
+    }
+    fn append(log: &mut RelayLog, offset: u64, confirmed: Option<Moment>) {
+        let next = Offset(offset + 1);
+        log.append([(raw(offset), None)], position(offset), next, confirmed);
+    }
+    let case = |name, change, page| Case { name, change, page };
+    let cases = [
+        case(
+            "reaches the end",
+            |log| append(log, 8, Some(at(400))),
+            Some((400, 4)),
+        ),
+        case("ends early", |log| append(log, 8, None), Some((200, 4))),
+        case(
+            "ends early, the next one does not",
+            |log| {
+                append(log, 8, None);
+                append(log, 9, Some(at(500)));
+            },
+            Some((500, 5)),
+        ),
+        case(
+            "ends early after an outage",
+            |log| {
+                log.fail();
+                append(log, 8, None);
+            },
+            Some((200, 4)),
+        ),
+        case(
+            "ends early, as the first after a listing of a copy",
+            |log| {
+                log.restart(position(5), None);
+                append(log, 5, None);
+            },
+            None,
+        ),
+        case(
+            "ends early, as the first for others",
+            |log| {
+                log.stop();
+                append(log, 8, None);
+            },
+            None,
+        ),
+        case(
+            "a listing of a copy",
+            |log| log.restart(position(5), None),
+            None,
+        ),
+        case(
+            "reaches the end after a listing of a copy",
+            |log| {
+                log.restart(position(5), None);
+                append(log, 5, Some(at(600)));
+            },
+            Some((600, 1)),
+        ),
+    ];
+    for case in cases {
+        let mut log = log();
+        (case.change)(&mut log);
+        let page = match log.answer(&poll(5, 0), at(900), at(900)) {
+            Some(PollAnswer::Page(page)) => {
+                // The age is rounded up by a millisecond.
+                let confirmed = page.read_started(at(901));
+                Some((confirmed, page.records.len()))
+            }
+            Some(PollAnswer::NotReading) => None,
+            other => panic!("{}: {other:?}", case.name),
+        };
+        let expected = case.page.map(|(time, records)| (at(time), records));
+        assert_eq!(page, expected, "{}", case.name);
+    }
+}
