A listing of a copy confirms nothing before all is written again

A listing of the copy counted as all that was written, though the listing of 2.2 s later is made because it is not. A first listing was never taken for that of a copy, and one that was repeated early, as a position was no longer retained, ended the wait.

Change: direct::Listings, a state machine over eras and times, says what a listing may lack. Until the topic is listed again, no read of it confirms anything.

--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -1,7 +1,7 @@
 //! Task that follows a topic of the store and sends its records to the control thread.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hyper::body::Bytes;
 use smol::Timer;
@@ -13,9 +13,6 @@
 use crate::platform;
 use crate::runtime;
 
-/// Time in which what the store has lost is written again after its return from a copy; the
-/// platform states about two seconds.
-const REWRITE_TIME: Duration = Duration::from_millis(2_200);
 /// Delay after a failed read; the platform charges for refused calls too.
 const RETRY_DELAY: Duration = Duration::from_millis(400);
 /// Status with which the store answers for a topic that has no records yet.
@@ -35,13 +32,11 @@
     control: Control,
 ) {
     let mut position: Option<ids::Position> = None;
-    // Era of the last listing; `None` before the first.
-    let mut listed_era = None;
-    let mut relist_at: Option<Instant> = None;
+    let mut listings = direct::Listings::default();
     let mut is_behind = false;
     let mut shared = shared.map(|shared| direct::FollowTask::new(shared, source));
     loop {
-        if relist_at.is_some_and(|at| Instant::now() >= at) {
+        if listings.is_due(runtime::Moment::now()) {
             position = None;
         }
         let duty = Arc::clone(&control.snapshot().duty);
@@ -53,7 +48,8 @@
                 // A failure ends following. That the reader has lost the store is no outage of
                 // the store for this entry: its own read tells.
                 if let Ok((page, confirmed)) = task.poll(from).await {
-                    let batch = RawBatch::relayed(from, page, Some(confirmed));
+                    let confirmed = listings.are_settled().then_some(confirmed);
+                    let batch = RawBatch::relayed(from, page, confirmed);
                     position = Some(batch.end);
                     send(&control, source, batch).await;
                 }
@@ -63,23 +59,23 @@
         let wait = shared
             .as_ref()
             .map_or(poll.wait, |task| task.read_wait(&duty, poll.wait));
-        let wait = relist_at.map_or(wait, |at| {
-            wait.min(at.saturating_duration_since(Instant::now()))
-        });
         let read_started = runtime::Moment::now();
+        let wait = listings
+            .time_left(read_started)
+            .map_or(wait, |left| wait.min(left));
         let read = match position {
-            None => list_newest(&store, source, listed_era).await,
+            None => list_newest(&store, source).await,
             Some(from) => read_from(&store, source, from, wait).await,
         };
         match read {
             Ok(Read::Records(mut batch)) => {
                 log_progress(source, &batch, &mut is_behind, read_started);
-                if batch.scope != direct::Scope::News {
-                    listed_era = Some(batch.end.era);
-                    let is_restored = batch.scope == direct::Scope::Restored;
-                    relist_at = is_restored.then(|| Instant::now() + REWRITE_TIME);
+                if position.is_none() {
+                    let now = runtime::Moment::now();
+                    batch.scope = listings.record(batch.end.era, read_started, now);
                 }
-                batch.confirmed = (!is_behind).then_some(read_started);
+                let is_current = !is_behind && listings.are_settled();
+                batch.confirmed = is_current.then_some(read_started);
                 if let Some(task) = &mut shared {
                     task.record_read(&duty, position, &batch);
                 }
@@ -271,20 +267,13 @@
 
 /// Lists the newest record of each key. The pages are not a consistent snapshot,
 /// so the position is the end stated by the first page: later changes are read again.
-/// `last_era` is that of the last listing; `None` before the first.
 async fn list_newest(
     store: &platform::StoreClient,
     source: direct::Source,
-    last_era: Option<ids::StoreEra>,
 ) -> Result<Read, platform::PlatformError> {
     let (records, end) = newest_records(store, topic(source)).await?;
-    let scope = if last_era.is_some_and(|last| end.era > last) {
-        direct::Scope::Restored
-    } else {
-        direct::Scope::Complete
-    };
     Ok(Read::Records(RawBatch {
-        scope,
+        scope: direct::Scope::Complete,
         records,
         offsets: Vec::new(),
         end,
--- /dev/null
+++ b/src/direct/listings.rs
@@ -0,0 +1,68 @@
+//! Listings of a topic, and what they may lack after the store has come back from a copy.
+
+use std::time::Duration;
+
+use crate::direct;
+use crate::ids;
+use crate::runtime;
+
+/// Time in which what the store has lost is written again after its return from a copy; the
+/// platform states about two seconds.
+const REWRITE_TIME: Duration = Duration::from_millis(2_200);
+
+/// What is known of the listings of one topic. One of a new era is repeated once all is
+/// written again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Listings {
+    /// Era of the last listing; `None` before the first.
+    era: Option<ids::StoreEra>,
+    /// Whether an earlier era was listed, so that a listing may be older than what is known.
+    is_restored: bool,
+    /// Time from which a listing has all that was written again; `None` where the last one
+    /// has.
+    again_at: Option<runtime::Moment>,
+}
+
+impl Listings {
+    /// Records a listing that began at `started` and has ended by `now`. Returns its scope.
+    pub fn record(
+        &mut self,
+        era: ids::StoreEra,
+        started: runtime::Moment,
+        now: runtime::Moment,
+    ) -> direct::Scope {
+        // The first listing can't tell how long ago its era began.
+        let last = self.era.unwrap_or(ids::StoreEra::FIRST);
+        if era > last {
+            self.is_restored |= self.era.is_some();
+            self.again_at = Some(now.saturating_add(REWRITE_TIME));
+        } else if self.is_due(started) {
+            self.again_at = None;
+        }
+        self.era = Some(era);
+        if self.is_restored && self.again_at.is_some() {
+            direct::Scope::Restored
+        } else {
+            direct::Scope::Complete
+        }
+    }
+
+    /// Whether the store has all that was written before its return from a copy, so that a
+    /// read confirms that nothing is lacking.
+    #[must_use]
+    pub const fn are_settled(&self) -> bool {
+        self.again_at.is_none()
+    }
+
+    /// Whether the topic is to be listed again.
+    #[must_use]
+    pub fn is_due(&self, now: runtime::Moment) -> bool {
+        self.again_at.is_some_and(|at| now >= at)
+    }
+
+    /// Time until the topic is to be listed again; `None` if it is not.
+    #[must_use]
+    pub fn time_left(&self, now: runtime::Moment) -> Option<Duration> {
+        self.again_at.map(|at| at.saturating_since(now))
+    }
+}
--- a/src/ids/number.rs
+++ b/src/ids/number.rs
@@ -60,7 +60,7 @@
     LeaseNumber(u32)
 }
 number! {
-    /// Counts how often the store has come back from an older copy. What was written in the
+    /// Rises each time that the store comes back from an older copy. What was written in the
     /// time that the copy lacks is gone, and its offsets are given out again.
     StoreEra(u64)
 }
@@ -73,6 +73,12 @@
     Incarnation(u64)
 }
 
+impl StoreEra {
+    /// Era of a store that has never come back from a copy. One that does not count its eras
+    /// stays at 0.
+    pub const FIRST: Self = Self(1);
+}
+
 impl Incarnation {
     /// Returns the incarnation of a process that starts at this age of the Unix epoch, which
     /// increases over restarts of a VM without any stored state.
--- a/tests/integration/direct/site.rs
+++ b/tests/integration/direct/site.rs
@@ -57,6 +57,12 @@
         (entry.process, entry.callers)
     }
 
+    /// Like `spawn_entry`, without waiting until the process is ready.
+    pub fn start_entry(&self) -> (Process, SocketAddr) {
+        let entry = Entry::spawn("edge-north-2", self.store.addr());
+        (entry.process, entry.callers)
+    }
+
     pub fn is_ready(&self) -> bool {
         is_ready(self.readiness)
     }
--- a/tests/integration/direct/withdrawn_keys.rs
+++ b/tests/integration/direct/withdrawn_keys.rs
@@ -24,6 +24,10 @@
 enum Return {
     /// With all records: more than one read holds.
     Whole,
+    /// From a copy made before the withdrawal.
+    Copy,
+    /// The same, and the entry starts after that.
+    CopyBeforeStart,
 }
 
 /// Returns a configuration with these keys.
@@ -41,9 +45,10 @@
     config
 }
 
-fn check(name: &str, _: Return) {
+fn check(name: &str, how: Return) {
     let desk = Endpoint::spawn("desk-1", &[], Behaviour::Echo(Duration::ZERO));
     let site = Site::with_config(&[("desk", &desk)], &keyed(1, &["key-red", "key-blue"]));
+    let copy = site.store.copy();
     site.store.control(LogCommand::Outage(Outage::Refusing));
     for version in 2..12 {
         site.put_config(&keyed(version, &["key-red", "key-blue"]));
@@ -51,12 +56,17 @@
     site.put_config(&keyed(12, &["key-blue"]));
     thread::sleep(REVOKE_LIMIT + Duration::from_millis(200));
     site.store.control(LogCommand::AnswerDelay(Millis(200)));
+    if how != Return::Whole {
+        site.store.restore(&copy);
+    }
     site.store.control(LogCommand::Outage(Outage::Up));
+    let other = (how == Return::CopyBeforeStart).then(|| site.start_entry());
+    let callers = other.as_ref().map_or(site.callers, |(_, callers)| *callers);
     let back = Instant::now();
     let mut statuses = Vec::new();
     while back.elapsed() < TRIAL {
         let headers = [("key", "key-red")];
-        let answer = site.call_with(&Method::GET, "/look/a", "id", &headers);
+        let answer = Site::call_at(callers, &Method::GET, "/look/a", "id", &headers);
         statuses.extend(answer.map(|answer| answer.status));
     }
     assert!(!statuses.contains(&200), "{name}: {statuses:?}");
@@ -67,7 +77,11 @@
 /// withdrawal counts as current.
 #[test]
 fn a_withdrawn_key_stays_refused_after_the_store_returns() {
-    let cases = [("more records than one read holds", Return::Whole)];
+    let cases = [
+        ("more records than one read holds", Return::Whole),
+        ("a copy from before the withdrawal", Return::Copy),
+        ("a copy, and an entry that starts", Return::CopyBeforeStart),
+    ];
     thread::scope(|scope| {
         for (name, how) in cases {
             scope.spawn(move || check(name, how));
