A crash under a request is told to all entries once its visit goes unanswered

Cause: an entry kept a single crash to itself where the kind of the route allows more than one execution, as one visit was expected to crash several endpoints. It crashes one only where the visit ends there: by MaxAttempts, as no other endpoint is open, no time or no budget is left, or as its caller leaves.

Change: what counts is how the visit ended (poison::VisitHandle). While it goes on, an answer may clear the request, and a single crash stays here, as before; as it goes unanswered, its crashes are published, also those that are found later. The reports of a tick go to the store in one call.

--- a/src/direct/change.rs
+++ b/src/direct/change.rs
@@ -206,7 +206,7 @@
     Reports(Batch<RolloutReport>),
     /// Crash reports from the reports' topic, by any entry.
     CrashReports(Vec<poison::CrashReport>),
-    /// An endpoint broke off a request and then accepted no connection.
+    /// An endpoint broke off a request, or was left by one, and then accepted no connection.
     Crashed {
         /// What the fingerprint stands for.
         subject: poison::Subject,
@@ -214,9 +214,12 @@
         fingerprint: ids::Fingerprint,
         /// Endpoint that crashed under the request.
         endpoint: ids::EndpointId,
-        /// How often a visit of the request may be executed.
-        executions: poison::Executions,
+        /// Stage of the visit under which it crashed.
+        stage: poison::VisitStage,
     },
+    /// A visit went unanswered under which an endpoint has crashed; holds the fingerprints of
+    /// the request and of the parts of its prompt.
+    SuspectUnanswered(Vec<ids::Fingerprint>),
     /// A request suspected of crashing endpoints was answered.
     SuspectCleared(ids::Fingerprint),
     /// A request was refused because it, or a part of its prompt, has crashed endpoints.
@@ -249,8 +252,8 @@
 pub enum Effect {
     /// Write a rollout report, provided that the topic still ends at this position.
     Report(RolloutReport, ids::Position),
-    /// Publish the crashes under a request to other entries.
-    PublishCrashes(poison::CrashReport),
+    /// Publish the crashes under requests to other entries.
+    PublishCrashes(Vec<poison::CrashReport>),
     /// Publish the limit of an endpoint to other entries.
     PublishLimit(LimitReport),
     /// Read the results of a rollout that entries have shared, then share those of this
--- a/src/direct/system/suspects.rs
+++ b/src/direct/system/suspects.rs
@@ -12,6 +12,7 @@
         matches!(
             event,
             direct::Event::Crashed { .. }
+                | direct::Event::SuspectUnanswered(_)
                 | direct::Event::SuspectCleared(_)
                 | direct::Event::SuspectRefused(_)
                 | direct::Event::CrashReports(_)
@@ -26,8 +27,9 @@
         reports.extend(apply(suspects, event, cx));
     }
     reports.extend(suspects.take_unpublished());
-    cx.effects
-        .extend(reports.into_iter().map(direct::Effect::PublishCrashes));
+    if !reports.is_empty() {
+        cx.effects.push(direct::Effect::PublishCrashes(reports));
+    }
     cx.changed = true;
 }
 
@@ -42,14 +44,20 @@
             subject,
             fingerprint,
             endpoint,
-            executions,
+            stage,
         } => {
-            suspects.crashed(*fingerprint, endpoint.clone(), *executions, cx.now);
+            suspects.crashed(*fingerprint, endpoint.clone(), *stage, cx.now);
             log::warn!(target: "suspects", subject:% = subject, fingerprint:% = fingerprint,
-                endpoint:% = endpoint, refused = suspects.is_refused(*fingerprint);
+                endpoint:% = endpoint, visit:% = stage, refused = suspects.is_refused(*fingerprint);
                 "endpoint crashed under a request");
             None
         }
+        direct::Event::SuspectUnanswered(fingerprints) => {
+            for fingerprint in fingerprints {
+                suspects.unanswered(*fingerprint);
+            }
+            None
+        }
         direct::Event::SuspectRefused(fingerprint) => {
             suspects.refused(*fingerprint, cx.now);
             None
--- a/src/direct/writer.rs
+++ b/src/direct/writer.rs
@@ -28,10 +28,10 @@
                     .send(direct::Event::ReportAttempted { report, written })
                     .await;
             }
-            direct::Effect::PublishCrashes(report) => {
-                if let Err(err) = publish_crashes(&store, &report).await {
-                    log::warn!(target: "suspects", fingerprint:% = report.fingerprint, error:% = err;
-                        "crash report was not written, other entries are not informed");
+            direct::Effect::PublishCrashes(reports) => {
+                if let Err(err) = publish_crashes(&store, &reports).await {
+                    log::warn!(target: "suspects", reports = reports.len(), error:% = err;
+                        "crash reports were not written, other entries are not informed");
                 }
             }
             direct::Effect::PublishLimit(report) => {
@@ -50,13 +50,15 @@
     }
 }
 
-/// Publishes a crash report; unlike a rollout report it needs no condition.
+/// Publishes crash reports, all or none; unlike a rollout report they need no condition.
 async fn publish_crashes(
     store: &platform::StoreClient,
-    report: &poison::CrashReport,
+    reports: &[poison::CrashReport],
 ) -> Result<(), platform::PlatformError> {
-    let record = platform::crash_record::encode(report);
-    append(store, None, record).await.map(|_| ())
+    let records = reports.iter().map(platform::crash_record::encode);
+    let records = records.map(encoded).collect::<Result<Vec<_>, _>>()?;
+    let topic = platform::rollout_status::TOPIC;
+    store.append(topic, None, &records).await.map(|_| ())
 }
 
 /// Returns whether the store accepted the report.
@@ -92,12 +94,16 @@
     at: Option<ids::Position>,
     record: serde_json::Result<Option<Bytes>>,
 ) -> Result<platform::AppendOutcome, platform::PlatformError> {
+    let topic = platform::rollout_status::TOPIC;
+    store.append(topic, at, &[encoded(record)?]).await
+}
+
+/// Returns the record, or the error of a report that can't be written.
+fn encoded(record: serde_json::Result<Option<Bytes>>) -> Result<Bytes, platform::PlatformError> {
     let unencodable = |reason: String| {
         platform::PlatformError::Refused(http::HttpError::Malformed(reason.into()))
     };
-    let record = record
+    record
         .map_err(|err| unencodable(err.to_string()))?
-        .ok_or_else(|| unencodable("key too long".into()))?;
-    let topic = platform::rollout_status::TOPIC;
-    store.append(topic, at, &[record]).await
+        .ok_or_else(|| unencodable("key too long".into()))
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -14,6 +14,7 @@
 use crate::gateway::{outcomes, pace, standby, trace};
 use crate::http;
 use crate::ids;
+use crate::poison;
 use crate::rollout;
 use crate::room;
 use crate::route;
@@ -81,6 +82,8 @@
     pub attempts: u16,
     /// Index of the model in use among the models of the route; 0 is the smallest.
     pub model: usize,
+    /// Life cycle of the visit, which checks for crashes share.
+    pub visit: poison::VisitHandle,
     /// Outcomes of its attempts, as evidence for a rollout.
     pub outcomes: outcomes::Outcomes,
     /// Record of the request for the log.
@@ -503,3 +506,9 @@
         }
     }
 }
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        self.end_visit();
+    }
+}
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -4,6 +4,7 @@
 
 use crate::balance;
 use crate::direct;
+use crate::gateway;
 use crate::gateway::call;
 use crate::ids;
 use crate::poison;
@@ -68,6 +69,15 @@
         self.cx.control.send_or_drop(refused);
     }
 
+    fn suspect(&self) -> poison::Suspect {
+        poison::Suspect {
+            service: self.service.clone(),
+            request: self.fingerprint(),
+            parts: self.part_fingerprints(),
+            visit: self.visit.clone(),
+        }
+    }
+
     /// Probes an endpoint that broke off an attempt, and reports a crash if it accepts no
     /// connection.
     pub(super) fn check_for_crash(
@@ -77,36 +87,28 @@
     ) {
         let client = self.client(view, endpoint);
         let endpoint = endpoint.record.id.clone();
-        let (fingerprint, parts) = (self.fingerprint(), self.part_fingerprints());
-        let executions = if self.rule.kind.is_retryable() {
-            poison::Executions::Several
-        } else {
-            poison::Executions::Once
-        };
-        let (cx, service) = (Arc::clone(&self.cx), self.service.clone());
+        let (cx, suspect) = (Arc::clone(&self.cx), self.suspect());
         self.cx.pools.spawn(async move {
-            if client.open_idle().await.is_ok() {
-                return;
-            }
-            let parts = cx.suspected_parts(&service, &parts).into_iter();
-            // A part comes with many requests, so that one entry sees several crashes.
-            let several = poison::Executions::Several;
-            let suspects = parts.map(|part| (poison::Subject::PromptPart, part, several));
-            let request = (poison::Subject::Request, fingerprint, executions);
-            for (subject, fingerprint, executions) in suspects.chain([request]) {
-                cx.control.send_or_drop(direct::Event::Crashed {
-                    subject,
-                    fingerprint,
-                    endpoint: endpoint.clone(),
-                    executions,
-                });
+            if client.open_idle().await.is_err() {
+                report_crash(&cx, &endpoint, &suspect);
             }
         });
     }
 
+    /// Ends the visit. If it goes unanswered, its crashes are published.
+    pub(super) fn end_visit(&mut self) {
+        self.visit.end(|| {
+            let mut fingerprints = self.part_fingerprints();
+            fingerprints.push(self.fingerprint());
+            let unanswered = direct::Event::SuspectUnanswered(fingerprints);
+            self.cx.control.send_or_drop(unanswered);
+        });
+    }
+
     /// Clears the suspicion of a request that was answered, and of the parts of its prompt:
     /// an endpoint that crashed during it did so by coincidence.
     pub fn clear_suspicion(&self) {
+        self.visit.answer();
         let parts = self.part_fingerprints();
         self.cx.record_answered_parts(&self.service, &parts);
         let snapshot = self.cx.control.snapshot();
@@ -121,3 +123,21 @@
         }
     }
 }
+
+fn report_crash(cx: &gateway::Cx, endpoint: &ids::EndpointId, suspect: &poison::Suspect) {
+    suspect.visit.record_crash(|stage| {
+        let parts = cx.suspected_parts(&suspect.service, &suspect.parts);
+        let parts = parts
+            .into_iter()
+            .map(|part| (poison::Subject::PromptPart, part));
+        let request = (poison::Subject::Request, suspect.request);
+        for (subject, fingerprint) in parts.chain([request]) {
+            cx.control.send_or_drop(direct::Event::Crashed {
+                subject,
+                fingerprint,
+                endpoint: endpoint.clone(),
+                stage,
+            });
+        }
+    });
+}
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -2,8 +2,12 @@
 
 mod answered_parts;
 mod quarantine;
+mod suspect;
 mod suspects;
+mod visit;
 
 pub use answered_parts::AnsweredParts;
 pub use quarantine::{Quarantine, Suspicion};
-pub use suspects::{CrashReport, Executions, Subject, Suspects};
+pub use suspect::Suspect;
+pub use suspects::{CrashReport, Subject, Suspects};
+pub use visit::{VisitHandle, VisitStage};
--- a/src/poison/suspects.rs
+++ b/src/poison/suspects.rs
@@ -5,18 +5,16 @@
 use std::time::Duration;
 
 use crate::ids;
+use crate::poison;
 use crate::runtime;
 
 /// Number of crashed endpoints from which a request is refused; the contract
 /// counts retries from the third crash on.
 const REFUSAL_THRESHOLD: usize = 3;
-/// Minimum number of crashed endpoints before a request is published to other
-/// entries. A single crash is mostly coincidence, and the platform charges for
-/// each report.
+/// Minimum number of crashed endpoints before a request is published to other entries while
+/// its visits go on. A single crash is mostly coincidence, which the answer of another endpoint
+/// shows soon, and the platform charges for each report.
 const MIN_PUBLISHED_ENDPOINTS: usize = 2;
-/// The same for a request that may be executed only once: each of its visits crashes one
-/// endpoint at most, and the next one mostly comes to another entry.
-const MIN_PUBLISHED_ENDPOINTS_ONCE: usize = 1;
 /// Time after the last crash, or the last refusal, for which a request is kept: far longer
 /// than callers retry, and short enough for a request that did not cause the crashes.
 const RETENTION: Duration = Duration::from_secs(30);
@@ -34,25 +32,6 @@
     PromptPart,
 }
 
-/// How often one visit of a caller's request may be executed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "snake_case")]
-pub enum Executions {
-    /// Once: after a crash, the outcome is unknown.
-    Once,
-    /// Several times, at one endpoint after the other.
-    Several,
-}
-
-impl Executions {
-    const fn min_published(self) -> usize {
-        match self {
-            Self::Once => MIN_PUBLISHED_ENDPOINTS_ONCE,
-            Self::Several => MIN_PUBLISHED_ENDPOINTS,
-        }
-    }
-}
-
 /// A request with the endpoints that crashed while executing it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashReport {
@@ -68,9 +47,18 @@
     last_crash: runtime::Moment,
     /// Endpoints already published to other entries.
     published: BTreeSet<ids::EndpointId>,
-    /// Least number of endpoints to publish; `None` where only other entries have seen a
-    /// crash.
-    min_published: Option<usize>,
+    /// Whether this entry has seen a crash; the others are reported by those that have.
+    is_own: bool,
+    /// Whether a visit to this entry has ended without an answer after a crash.
+    is_unanswered: bool,
+}
+
+impl Row {
+    fn is_due(&self) -> bool {
+        self.is_own
+            && self.endpoints.len() > self.published.len()
+            && (self.is_unanswered || self.endpoints.len() >= MIN_PUBLISHED_ENDPOINTS)
+    }
 }
 
 /// All suspected requests; a pure function of the events applied.
@@ -80,18 +68,26 @@
 }
 
 impl Suspects {
-    /// Records that an endpoint crashed while executing the request.
+    /// Records that an endpoint crashed while executing the request, in a visit of this stage.
     pub fn crashed(
         &mut self,
         fingerprint: ids::Fingerprint,
         endpoint: ids::EndpointId,
-        executions: Executions,
+        stage: poison::VisitStage,
         now: runtime::Moment,
     ) {
         let row = self.row(fingerprint, now);
         row.endpoints.insert(endpoint);
         row.last_crash = now;
-        row.min_published = Some(executions.min_published());
+        row.is_own = true;
+        row.is_unanswered |= stage == poison::VisitStage::Unanswered;
+    }
+
+    /// Records that a visit under which an endpoint has crashed went unanswered.
+    pub fn unanswered(&mut self, fingerprint: ids::Fingerprint) {
+        if let Some(row) = self.rows.get_mut(&fingerprint) {
+            row.is_unanswered = true;
+        }
     }
 
     /// Records that the request came again and was refused, so that it stays refused.
@@ -124,7 +120,8 @@
             endpoints: BTreeSet::new(),
             last_crash: now,
             published: BTreeSet::new(),
-            min_published: None,
+            is_own: false,
+            is_unanswered: false,
         })
     }
 
@@ -145,18 +142,14 @@
     /// Records that the reports of this entry may be lost, so that they are published again.
     pub fn forget_published(&mut self) {
         let rows = self.rows.values_mut();
-        for row in rows.filter(|row| row.min_published.is_some()) {
+        for row in rows.filter(|row| row.is_own) {
             row.published.clear();
         }
     }
 
     /// Returns reports of what is not published yet and marks it as published.
     pub fn take_unpublished(&mut self) -> Vec<CrashReport> {
-        let unpublished = self.rows.iter_mut().filter(|(_, row)| {
-            row.min_published
-                .is_some_and(|least| row.endpoints.len() >= least)
-                && row.endpoints.len() > row.published.len()
-        });
+        let unpublished = self.rows.iter_mut().filter(|(_, row)| row.is_due());
         let reports = unpublished.map(|(fingerprint, row)| {
             row.published.clone_from(&row.endpoints);
             CrashReport {
@@ -186,7 +179,7 @@
             .iter()
             .filter(|(_, row)| Self::is_expired(row, now));
         let expired: Vec<_> = expired
-            .map(|(fingerprint, row)| (*fingerprint, row.min_published.is_some()))
+            .map(|(fingerprint, row)| (*fingerprint, row.is_own))
             .collect();
         expired
             .into_iter()
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -43,5 +43,6 @@
 mod streams;
 mod suspects;
 mod tally;
+mod visits;
 mod withdrawn_keys;
 pub mod world;
--- a/tests/integration/direct/restored_listings.rs
+++ b/tests/integration/direct/restored_listings.rs
@@ -4,7 +4,7 @@
     Batch, Effect, EndpointChange, Event, OperatorChange, RolloutReport, Scope,
 };
 use quetzalworks::ids::{EndpointId, Fingerprint, Offset, Position, StoreEra};
-use quetzalworks::poison::{CrashReport, Executions, Subject};
+use quetzalworks::poison::{CrashReport, Subject, VisitStage};
 use quetzalworks::rollout::Stage;
 use quetzalworks::units::Rate;
 use serde_json::{Value, json};
@@ -202,7 +202,7 @@
                         subject: Subject::Request,
                         fingerprint: Fingerprint(1),
                         endpoint: endpoint.parse().unwrap(),
-                        executions: Executions::Several,
+                        stage: VisitStage::Ongoing,
                     }]);
                 }
             },
@@ -213,7 +213,7 @@
                     fingerprint: Fingerprint(1),
                     endpoints: endpoints.into(),
                 };
-                *effect == Effect::PublishCrashes(report)
+                *effect == Effect::PublishCrashes(vec![report])
             },
         },
         Case {
--- a/tests/integration/direct/site.rs
+++ b/tests/integration/direct/site.rs
@@ -52,15 +52,14 @@
     /// Starts another entry on the same store. Returns its process and its address for
     /// callers.
     pub fn spawn_entry(&self) -> (Process, SocketAddr) {
-        let entry = Entry::spawn("edge-north-2", self.store.addr());
+        let entry = self.start_entry("edge-north-2");
         wait::until("the other process is ready", || is_ready(entry.readiness));
         (entry.process, entry.callers)
     }
 
-    /// Like `spawn_entry`, without waiting until the process is ready.
-    pub fn start_entry(&self) -> (Process, SocketAddr) {
-        let entry = Entry::spawn("edge-north-2", self.store.addr());
-        (entry.process, entry.callers)
+    /// Starts another entry on the same store, which is not ready yet.
+    pub fn start_entry(&self, name: &str) -> Entry {
+        Entry::spawn(name, self.store.addr())
     }
 
     pub fn is_ready(&self) -> bool {
--- a/tests/integration/direct/suspects.rs
+++ b/tests/integration/direct/suspects.rs
@@ -8,7 +8,7 @@
 use hyper::Method;
 use quetzalworks::direct::{Effect, Event};
 use quetzalworks::ids::{EndpointId, Fingerprint};
-use quetzalworks::poison::{AnsweredParts, CrashReport, Executions, Subject};
+use quetzalworks::poison::{AnsweredParts, CrashReport, Subject, VisitStage};
 use quetzalworks::runtime::Moment;
 
 use crate::direct::endpoint::{Behaviour, Endpoint};
@@ -19,9 +19,12 @@
 const REQUEST: Fingerprint = Fingerprint(7);
 
 enum Step {
+    /// In a visit that goes on.
     Crash(&'static str),
-    /// The same, for a request that may be executed only once.
-    CrashOnce(&'static str),
+    /// After its visit has gone unanswered.
+    CrashLater(&'static str),
+    /// A visit goes unanswered.
+    Unanswered,
     /// Another entry publishes crashes of these endpoints; none clears the request.
     Published(&'static [&'static str]),
     Answered,
@@ -42,12 +45,12 @@
     text.parse().unwrap()
 }
 
-fn crashed(endpoint: &str, executions: Executions) -> Event {
+fn crashed(endpoint: &str, stage: VisitStage) -> Event {
     Event::Crashed {
         subject: Subject::Request,
         fingerprint: REQUEST,
         endpoint: id(endpoint),
-        executions,
+        stage,
     }
 }
 
@@ -131,20 +134,57 @@
 }
 
 /// Guards against a request that crashes one endpoint at each visit and comes to another
-/// entry each time, and against as many clearing reports as there are entries.
+/// entry each time, against reports on requests that were answered,
+/// and against as many clearing reports as there are entries.
 #[test]
-fn crashes_of_a_request_that_runs_once_add_up_over_entries() {
-    use Step::{Advance, CrashOnce, Published};
+fn crashes_of_unanswered_visits_add_up_over_entries() {
+    use Step::{Advance, Answered, Crash, CrashLater, Published, Unanswered};
     let cases = [
         Case {
-            name: "executed once at each visit, each at another entry",
-            steps: &[CrashOnce("a"), Published(&["a", "b"]), Published(&["c"])],
+            name: "one crash at each visit, each at another entry",
+            steps: &[
+                Crash("a"),
+                Unanswered,
+                Published(&["a", "b"]),
+                Published(&["c"]),
+            ],
+            refused: true,
+            published: 1,
+        },
+        Case {
+            name: "one crash after each visit, each at another entry",
+            steps: &[CrashLater("a"), Published(&["a", "b"]), Published(&["c"])],
             refused: true,
             published: 1,
         },
         Case {
-            name: "executed once, cleared by the entry that has seen the crash",
-            steps: &[CrashOnce("a"), Advance(31_000)],
+            name: "one crash at each visit, all here",
+            steps: &[
+                Crash("a"),
+                Unanswered,
+                Crash("b"),
+                Unanswered,
+                Crash("c"),
+                Unanswered,
+            ],
+            refused: true,
+            published: 3,
+        },
+        Case {
+            name: "answered by another endpoint",
+            steps: &[Crash("a"), Answered, Unanswered],
+            refused: false,
+            published: 0,
+        },
+        Case {
+            name: "answered at the next visit",
+            steps: &[Crash("a"), Unanswered, Answered],
+            refused: false,
+            published: 2,
+        },
+        Case {
+            name: "cleared by the entry that has seen the crash",
+            steps: &[CrashLater("a"), Advance(31_000)],
             refused: false,
             published: 2,
         },
@@ -161,12 +201,13 @@
 }
 
 fn check(case: &Case) {
-    use Step::{Advance, Answered, Crash, CrashOnce, Published, Refused};
+    use Step::{Advance, Answered, Crash, CrashLater, Published, Refused, Unanswered};
     let mut world = TestWorld::new();
     for step in case.steps {
         match step {
-            Crash(endpoint) => world.tick(vec![crashed(endpoint, Executions::Several)]),
-            CrashOnce(endpoint) => world.tick(vec![crashed(endpoint, Executions::Once)]),
+            Crash(endpoint) => world.tick(vec![crashed(endpoint, VisitStage::Ongoing)]),
+            CrashLater(endpoint) => world.tick(vec![crashed(endpoint, VisitStage::Unanswered)]),
+            Unanswered => world.tick(vec![Event::SuspectUnanswered(vec![REQUEST])]),
             Published(endpoints) => world.tick(vec![Event::CrashReports(vec![CrashReport {
                 fingerprint: REQUEST,
                 endpoints: endpoints.iter().map(|endpoint| id(endpoint)).collect(),
@@ -178,9 +219,11 @@
     }
     let refused = world.snapshot.suspects.is_refused(REQUEST);
     assert_eq!(refused, case.refused, "{}", case.name);
-    let published = world.effects.iter();
-    let published = published.filter(|effect| matches!(effect, Effect::PublishCrashes(_)));
-    assert_eq!(published.count(), case.published, "{}", case.name);
+    let published = world.effects.iter().map(|effect| match effect {
+        Effect::PublishCrashes(reports) => reports.len(),
+        _ => 0,
+    });
+    assert_eq!(published.sum::<usize>(), case.published, "{}", case.name);
 }
 
 /// An endpoint that accepts one connection and crashes on its first request.
--- /dev/null
+++ b/tests/integration/direct/visits.rs
@@ -0,0 +1,214 @@
+//! Requests that crash endpoints at visits to one entry after the other.
+
+use std::io::Read;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use hyper::Method;
+use quetzalworks::poison::{VisitHandle, VisitStage};
+use serde_json::{Value, json};
+
+use crate::direct::endpoint::{Behaviour, Endpoint, Received};
+use crate::direct::site::{Site, is_ready, put_endpoint};
+use crate::direct::world::config;
+use crate::testing::{isolation, raw, wait};
+
+/// Time in which a caller that leaves has sent its request.
+const LEAVES_AFTER: Duration = Duration::from_millis(150);
+
+struct Case {
+    name: &'static str,
+    /// Maximum number of endpoints for a visit.
+    max_attempts: u32,
+    /// Time after which an endpoint crashes that has begun to run the request.
+    delay: Duration,
+    /// Endpoints that crash at each visit.
+    endpoints: &'static [&'static [&'static str]],
+    /// Whether the caller leaves before its answer.
+    leaves: bool,
+}
+
+/// An endpoint that crashes some time after it has read a request.
+struct Crasher {
+    endpoint: Endpoint,
+    has_begun: Arc<AtomicBool>,
+}
+
+impl Crasher {
+    fn spawn(id: &'static str, delay: Duration) -> Self {
+        let listener = TcpListener::bind(isolation::free_addr()).unwrap();
+        let endpoint = Endpoint::at(id, listener.local_addr().unwrap());
+        let has_begun = Arc::new(AtomicBool::new(false));
+        let begun = Arc::clone(&has_begun);
+        thread::spawn(move || {
+            let (mut tcp, _) = listener.accept().unwrap();
+            let read = tcp.read(&mut [0; 4_096]);
+            begun.store(true, Ordering::SeqCst);
+            thread::sleep(delay);
+            drop(listener);
+            drop((read, tcp));
+        });
+        Self {
+            endpoint,
+            has_begun,
+        }
+    }
+
+    fn has_begun(&self) -> bool {
+        self.has_begun.load(Ordering::SeqCst)
+    }
+}
+
+/// Configuration with a route whose visits may go to so many endpoints.
+fn limited(max_attempts: u32) -> Value {
+    let mut config = config(1);
+    let route = json!({
+        "Name": "r-few", "Host": "example.test", "PathPrefix": "/few/", "Kind": "idempotent",
+        "TimeoutMs": 1200, "TargetLatencyMs": 150, "Service": "desk", "MaxAttempts": max_attempts,
+    });
+    config["Routes"].as_array_mut().unwrap().push(route);
+    config
+}
+
+fn check(case: &Case) {
+    let name = case.name;
+    let first = Endpoint::spawn("first", &[], Behaviour::Echo(Duration::ZERO));
+    let site = Site::with_config(&[("desk", &first)], &limited(case.max_attempts));
+    let others = ["edge-north-2", "edge-north-3"].map(|name| site.start_entry(name));
+    for other in &others {
+        wait::until("the entry is ready", || is_ready(other.readiness));
+    }
+    let entries = [site.callers, others[0].callers, others[1].callers];
+    let ask = |callers, path| {
+        let headers = [("key", "key-red")];
+        Site::call_at(callers, &Method::GET, path, "id", &headers)
+    };
+    site.store.put(
+        quetzalworks::platform::endpoint_record::TOPIC,
+        "first",
+        None,
+    );
+    for callers in entries {
+        wait::until("the first endpoint is gone", || {
+            ask(callers, "/few/sound").is_ok_and(|answer| answer.status == 503)
+        });
+    }
+    for (ids, callers) in case.endpoints.iter().zip(entries) {
+        let crashers: Vec<_> = ids
+            .iter()
+            .map(|id| Crasher::spawn(id, case.delay))
+            .collect();
+        for crasher in &crashers {
+            put_endpoint(&site.store, "desk", &crasher.endpoint, 1);
+        }
+        wait::until("the endpoints crash", || {
+            if case.leaves {
+                let request = "GET /few/poison HTTP/1.1\r\nhost: example.test\r\n\
+                    attempt-id: id\r\ndeadline-ms: 4000\r\nkey: key-red\r\n\
+                    content-length: 19\r\n\r\nbody of the request";
+                let caller = raw::open(callers, request.as_bytes());
+                thread::sleep(LEAVES_AFTER);
+                drop(caller);
+            } else {
+                let _ = ask(callers, "/few/poison");
+            }
+            crashers.iter().all(Crasher::has_begun)
+        });
+    }
+    for callers in entries {
+        wait::until(name, || {
+            let answer = ask(callers, "/few/poison").unwrap();
+            answer.status == 503 && answer.json()["title"] == "crash_suspect"
+        });
+    }
+    // Sound requests are served, also those that came beside the others.
+    let next = Endpoint::spawn("next", &[], Behaviour::Echo(Duration::ZERO));
+    put_endpoint(&site.store, "desk", &next, 1);
+    for callers in entries {
+        wait::until("sound requests are served", || {
+            ask(callers, "/few/sound").is_ok_and(|answer| answer.status == 200)
+        });
+        assert_eq!(ask(callers, "/few/poison").unwrap().status, 503, "{name}");
+    }
+    let received = next.received();
+    let mut paths = received.iter().map(Received::path);
+    assert!(paths.all(|path| path == "/few/sound"), "{name}");
+}
+
+/// Guards against a request that crashes endpoints through all entries, as each of them takes
+/// what it has seen for coincidence, or does not see it.
+#[test]
+fn crashes_are_told_to_all_entries_when_a_visit_goes_unanswered() {
+    const ONE_EACH: &[&[&str]] = &[&["a"], &["b"], &["c"]];
+    const AT_ONCE: Duration = Duration::ZERO;
+    let cases = [
+        Case {
+            name: "one attempt",
+            max_attempts: 1,
+            delay: AT_ONCE,
+            endpoints: ONE_EACH,
+            leaves: false,
+        },
+        Case {
+            name: "no other endpoint",
+            max_attempts: 3,
+            delay: AT_ONCE,
+            endpoints: ONE_EACH,
+            leaves: false,
+        },
+    ];
+    thread::scope(|scope| {
+        for case in &cases {
+            scope.spawn(move || check(case));
+        }
+    });
+}
+
+/// Guards against crashes of a visit that are never published, as they are found around its
+/// end, and against those of a request that was answered.
+#[test]
+fn a_crash_counts_by_how_its_visit_ended() {
+    #[derive(Clone, Copy)]
+    enum Step {
+        Crash,
+        Answer,
+        End,
+    }
+    use Step::{Answer, Crash, End};
+    struct Case {
+        steps: &'static [Step],
+        /// Stages with which crashes are reported; `None` where the end of the visit is.
+        reported: &'static [Option<VisitStage>],
+    }
+    const ONGOING: Option<VisitStage> = Some(VisitStage::Ongoing);
+    const UNANSWERED: Option<VisitStage> = Some(VisitStage::Unanswered);
+    let case = |steps, reported| Case { steps, reported };
+    let cases = [
+        case(&[End], &[]),
+        case(&[Answer, End], &[]),
+        case(&[Crash, End], &[ONGOING, None]),
+        case(&[Crash, End, End], &[ONGOING, None]),
+        case(&[Crash, Crash, End], &[ONGOING, ONGOING, None]),
+        case(&[Crash, Answer, End], &[ONGOING]),
+        case(&[Answer, Crash, End], &[]),
+        case(&[End, Crash], &[UNANSWERED]),
+        case(&[End, Answer, Crash], &[UNANSWERED]),
+        case(&[Crash, End, Crash], &[ONGOING, None, UNANSWERED]),
+        case(&[Answer, End, Crash], &[]),
+    ];
+    for (number, case) in cases.iter().enumerate() {
+        let visit = VisitHandle::default();
+        let mut reported = Vec::new();
+        for step in case.steps {
+            match step {
+                Crash => visit.record_crash(|stage| reported.push(Some(stage))),
+                Answer => visit.answer(),
+                End => visit.end(|| reported.push(None)),
+            }
+        }
+        assert_eq!(reported, case.reported, "{number}");
+    }
+}
--- a/tests/integration/direct/withdrawn_keys.rs
+++ b/tests/integration/direct/withdrawn_keys.rs
@@ -60,8 +60,8 @@
         site.store.restore(&copy);
     }
     site.store.control(LogCommand::Outage(Outage::Up));
-    let other = (how == Return::CopyBeforeStart).then(|| site.start_entry());
-    let callers = other.as_ref().map_or(site.callers, |(_, callers)| *callers);
+    let other = (how == Return::CopyBeforeStart).then(|| site.start_entry("edge-north-2"));
+    let callers = other.as_ref().map_or(site.callers, |entry| entry.callers);
     let back = Instant::now();
     let mut statuses = Vec::new();
     while back.elapsed() < TRIAL {
