An endpoint is watched that was left while it may run a request

Cause: each attempt is given up after 300 ms and its connection closed. The crash comes later, when no request of the entry is at the endpoint, and is attributed to nobody. It is the same where the caller leaves.

Change: an execution that is given up goes into a table by endpoint (poison::Doubts), until its deadline and a second more, for 5 s at most. While an endpoint has such executions, it is looked at each 500 ms: an open connection in the pool tells that it lives, at no cost, otherwise a new one is opened. If its host refuses that, all that was given up there is reported, unless it was answered elsewhere. A path that fails is no crash. One that could not be opened for want of room here is none either; it counted as one before.

Tests: visits::crashes_are_told_to_all_entries_when_a_visit_goes_unanswered, cases "the attempts are given up before the crashes", "no time for another attempt" and "the caller leaves before the crash"; on the code before, the other entries did not refuse the request within 60 s.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -82,6 +82,8 @@
     pub attempts: u16,
     /// Index of the model in use among the models of the route; 0 is the smallest.
     pub model: usize,
+    /// Executions that endpoints may go on with.
+    pub running: Vec<gateway::Execution>,
     /// Life cycle of the visit, which checks for crashes share.
     pub visit: poison::VisitHandle,
     /// Outcomes of its attempts, as evidence for a rollout.
@@ -461,8 +463,12 @@
         endpoint.live.record_failure(failure, cold, now);
         pace::report(endpoint);
         self.observe(view, endpoint, rollout::AttemptOutcome::Failed);
-        if failure == balance::Failure::Broken {
-            self.check_for_crash(view, endpoint);
+        if let Some(execution) = self.end_execution(&endpoint.record.id) {
+            if failure == balance::Failure::Broken {
+                self.check_for_crash(execution);
+            } else {
+                self.watch_for_crash(execution);
+            }
         }
     }
 
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -75,6 +75,7 @@
     stop_began_ms: AtomicU64,
     overload: Mutex<overload::OverloadDetector>,
     returns: Mutex<room::ReturnTimes>,
+    doubts: Mutex<poison::Doubts>,
     /// Notified when a place may be left at an endpoint or in the line for one.
     room_changed: Event,
 }
@@ -98,6 +99,7 @@
             stop_began_ms: AtomicU64::new(0),
             overload: Mutex::default(),
             returns: Mutex::default(),
+            doubts: Mutex::default(),
             room_changed: Event::new(),
         })
     }
@@ -230,6 +232,12 @@
         self.with_service(service, |state| state.answered_parts.is_proven(part, now))
     }
 
+    /// Reads or updates the executions that were given up.
+    pub fn with_doubts<T>(&self, update: impl FnOnce(&mut poison::Doubts) -> T) -> T {
+        let mut doubts = self.doubts.lock().unwrap_or_else(PoisonError::into_inner);
+        update(&mut doubts)
+    }
+
     /// Reads or updates what is known of the room of a service.
     pub fn with_room<T>(
         &self,
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -153,6 +153,7 @@
             refusals: 0,
             attempts: 0,
             model: 0,
+            running: Vec::new(),
             visit: poison::VisitHandle::default(),
             outcomes: outcomes::Outcomes::default(),
             trace,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,3 +27,4 @@
 pub use outcomes::{Outcomes, Waiting};
 pub use overload::OverloadDetector;
 pub use role::Gateway;
+pub use suspicion::Execution;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -97,6 +97,7 @@
     drop(permit);
     match body {
         Some(Ok(body)) => {
+            call.end_execution(&endpoint.record.id);
             let kind = send::answer_label(status);
             call.trace.attempt(&endpoint.record.id, kind, &status);
             record_answer(call, view, &endpoint, status, first);
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -152,6 +152,7 @@
         Timer::after(choice.delay).await;
     }
     let waiting = call.begin_waiting(view, &endpoint);
+    call.begin_execution(view, &endpoint);
     let result = exchange(call, view, choice, permit, resume_after, timeout).await;
     if let Some(waiting) = waiting {
         waiting.end();
@@ -176,6 +177,7 @@
 ) {
     match error {
         AttemptError::NotRun(failure, _) => {
+            call.end_execution(&endpoint.record.id);
             call.refused_by.push(endpoint.record.id.clone());
             let cold = view.upstream.cold_duration();
             endpoint
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -303,8 +303,10 @@
     };
     call.observe(view, &opened.endpoint, outcome);
     let headers = platform::headers::encode_answer(&opened.answer.headers);
+    let endpoint = opened.endpoint.record.id.clone();
     let body = opened.answer.bytes(MAX_FAILURE_BODY);
     let body = runtime::timeout_at(Instant::now() + FAILURE_BODY_TIMEOUT, body).await;
+    call.end_execution(&endpoint);
     Some(http::relayed(status, headers, body?.ok()?))
 }
 
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -1,13 +1,36 @@
 //! Detection of requests, and of parts of prompts, that crash endpoints.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use smol::Timer;
 
 use crate::balance;
 use crate::direct;
 use crate::gateway;
 use crate::gateway::call;
+use crate::http;
 use crate::ids;
 use crate::poison;
+use crate::runtime;
+
+/// Interval at which an endpoint is looked at that was left while it ran a request. One that
+/// has crashed takes longer to return.
+const WATCH_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after a request is left within which endpoints end its work, by the rules of the
+/// platform; a slow one may be late by as much again.
+const WORK_END: Duration = Duration::from_secs(1);
+/// Maximum time for which an endpoint is watched, however late the deadline of a request.
+const MAX_WATCH: Duration = Duration::from_secs(5);
+
+/// An execution of a request that its endpoint may go on with.
+#[derive(Clone, Debug)]
+pub struct Execution {
+    /// Endpoint that runs the request.
+    pub endpoint: ids::EndpointId,
+    /// Client that holds the connections to the endpoint.
+    pub client: http::Client,
+}
 
 impl call::Call {
     /// Returns the fingerprint of team, method, target and body, which stays the same
@@ -69,6 +92,25 @@
         self.cx.control.send_or_drop(refused);
     }
 
+    /// Records that the endpoint may run the request from now on.
+    pub(super) fn begin_execution(
+        &mut self,
+        view: &direct::ServiceView,
+        endpoint: &direct::EndpointView,
+    ) {
+        self.running.push(Execution {
+            endpoint: endpoint.record.id.clone(),
+            client: self.client(view, endpoint),
+        });
+    }
+
+    /// Removes the execution at an endpoint that has ended it or is given up.
+    pub(super) fn end_execution(&mut self, endpoint: &ids::EndpointId) -> Option<Execution> {
+        let mut running = self.running.iter();
+        let found = running.position(|execution| execution.endpoint == *endpoint)?;
+        Some(self.running.swap_remove(found))
+    }
+
     fn suspect(&self) -> poison::Suspect {
         poison::Suspect {
             service: self.service.clone(),
@@ -80,29 +122,46 @@
 
     /// Probes an endpoint that broke off an attempt, and reports a crash if it accepts no
     /// connection.
-    pub(super) fn check_for_crash(
-        &self,
-        view: &direct::ServiceView,
-        endpoint: &direct::EndpointView,
-    ) {
-        let client = self.client(view, endpoint);
-        let endpoint = endpoint.record.id.clone();
+    pub(super) fn check_for_crash(&self, execution: Execution) {
         let (cx, suspect) = (Arc::clone(&self.cx), self.suspect());
+        let until = execution_end(self.deadline);
         self.cx.pools.spawn(async move {
-            if client.open_idle().await.is_err() {
-                report_crash(&cx, &endpoint, &suspect);
+            match execution.client.reach().await {
+                http::Reach::Accepts => {}
+                http::Reach::Refuses | http::Reach::Silent => {
+                    report_crash(&cx, &execution.endpoint, &suspect);
+                    report_crashes(&cx, &execution.endpoint);
+                }
+                http::Reach::Unknown => watch(&cx, execution, suspect, until).await,
             }
         });
     }
 
-    /// Ends the visit. If it goes unanswered, its crashes are published.
+    /// Watches an endpoint that was left while it may go on to run the request, and reports a
+    /// crash if its host refuses connections. A path that fails is no crash.
+    pub(super) fn watch_for_crash(&self, execution: Execution) {
+        let (cx, suspect) = (Arc::clone(&self.cx), self.suspect());
+        let until = execution_end(self.deadline);
+        self.cx
+            .pools
+            .spawn(async move { watch(&cx, execution, suspect, until).await });
+    }
+
+    /// Ends the visit. If it goes unanswered, its crashes are published, and the endpoints that
+    /// may still run the request are watched.
     pub(super) fn end_visit(&mut self) {
+        if self.visit.is_answered() {
+            return;
+        }
         self.visit.end(|| {
             let mut fingerprints = self.part_fingerprints();
             fingerprints.push(self.fingerprint());
             let unanswered = direct::Event::SuspectUnanswered(fingerprints);
             self.cx.control.send_or_drop(unanswered);
         });
+        for execution in std::mem::take(&mut self.running) {
+            self.watch_for_crash(execution);
+        }
     }
 
     /// Clears the suspicion of a request that was answered, and of the parts of its prompt:
@@ -124,6 +183,48 @@
     }
 }
 
+/// Returns the time until which an endpoint may go on with a request that is left now and has
+/// this deadline, which the endpoint was told.
+fn execution_end(deadline: Instant) -> runtime::Moment {
+    let left = deadline.saturating_duration_since(Instant::now());
+    let watch = (left + WORK_END).min(MAX_WATCH);
+    runtime::Moment::now().saturating_add(watch)
+}
+
+/// Adds an execution to those that were given up, and looks at its endpoint until all of them
+/// are over.
+async fn watch(
+    cx: &gateway::Cx,
+    execution: Execution,
+    suspect: poison::Suspect,
+    until: runtime::Moment,
+) {
+    let Execution { endpoint, client } = execution;
+    let mut checked = runtime::Moment::now();
+    let is_first = cx.with_doubts(|doubts| doubts.add(&endpoint, suspect, until));
+    if !is_first {
+        return;
+    }
+    loop {
+        Timer::after(WATCH_INTERVAL).await;
+        if !cx.with_doubts(|doubts| doubts.retain(&endpoint, checked)) {
+            return;
+        }
+        checked = runtime::Moment::now();
+        if !client.has_open_idle() && client.reach().await == http::Reach::Refuses {
+            report_crashes(cx, &endpoint);
+            return;
+        }
+    }
+}
+
+/// Reports all that was given up at an endpoint that has crashed.
+fn report_crashes(cx: &gateway::Cx, endpoint: &ids::EndpointId) {
+    for suspect in cx.with_doubts(|doubts| doubts.take(endpoint)) {
+        report_crash(cx, endpoint, &suspect);
+    }
+}
+
 fn report_crash(cx: &gateway::Cx, endpoint: &ids::EndpointId, suspect: &poison::Suspect) {
     suspect.visit.record_crash(|stage| {
         let parts = cx.suspected_parts(&suspect.service, &suspect.parts);
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,5 +1,6 @@
 //! Client of one server, with a pool of idle connections.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -56,6 +57,20 @@
     }
 }
 
+/// What an attempt to connect tells of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Reach {
+    /// It accepts connections, which it also does while it is too busy to answer.
+    Accepts,
+    /// Its host refuses the connection: no process listens there.
+    Refuses,
+    /// There was no answer in time, or the path to it failed.
+    Silent,
+    /// Nothing, as no connection could be made from here.
+    Unknown,
+}
+
 /// Client of one server. Clones share the pool of connections.
 #[derive(Clone, Debug)]
 pub struct Client {
@@ -212,6 +227,32 @@
             .fetch_sub(closed, Ordering::AcqRel);
     }
 
+    /// Whether a connection in the pool is open, so that the server lives.
+    #[must_use]
+    pub fn has_open_idle(&self) -> bool {
+        let idle = self.shared.lock();
+        idle.iter().any(|candidate| !candidate.sender.is_closed())
+    }
+
+    /// Opens a connection to see whether the server accepts it, and pools it.
+    pub async fn reach(&self) -> Reach {
+        if self.is_full() {
+            return Reach::Unknown;
+        }
+        let tcp = match self.open_tcp().await {
+            Ok(tcp) => tcp,
+            Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => return Reach::Refuses,
+            Err(_) => return Reach::Silent,
+        };
+        match self.start(tcp).await {
+            Ok(connection) => {
+                connection.release();
+                Reach::Accepts
+            }
+            Err(_) => Reach::Unknown,
+        }
+    }
+
     /// Opens a connection and pools it. Success shows that the server accepts
     /// connections, which it also does while it is too busy to answer.
     pub async fn open_idle(&self) -> Result<(), http::HttpError> {
@@ -275,17 +316,29 @@
     }
 
     async fn connect(&self) -> Result<Connection, http::HttpError> {
-        let max_connections = self.shared.max_connections.load(Ordering::Acquire);
-        if self.shared.open_connections.load(Ordering::Acquire) >= max_connections {
+        if self.is_full() {
             return Err(http::HttpError::NotSent("connection limit".into()));
         }
+        self.start(self.open_tcp().await?).await
+    }
+
+    fn is_full(&self) -> bool {
+        let max_connections = self.shared.max_connections.load(Ordering::Acquire);
+        self.shared.open_connections.load(Ordering::Acquire) >= max_connections
+    }
+
+    async fn open_tcp(&self) -> io::Result<TcpStream> {
         let tcp = TcpStream::connect(self.shared.addr)
             .or(async {
                 Timer::after(self.shared.connect_timeout).await;
-                Err(std::io::ErrorKind::TimedOut.into())
+                Err(io::ErrorKind::TimedOut.into())
             })
             .await?;
         tcp.set_nodelay(true)?;
+        Ok(tcp)
+    }
+
+    async fn start(&self, tcp: TcpStream) -> Result<Connection, http::HttpError> {
         let io = FuturesIo::new(fair_reads::FairReads::new(tcp));
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -22,7 +22,7 @@
 
 pub use body_buffer::BodyBuffer;
 pub use buffer_budget::{BufferBudget, Reservation};
-pub use client::{Answer, Client, ClientLimits};
+pub use client::{Answer, Client, ClientLimits, Reach};
 pub use close_reason::CloseReason;
 pub use connection::Connection;
 pub use connection_table::ConnectionTable;
--- a/src/poison/visit.rs
+++ b/src/poison/visit.rs
@@ -109,4 +109,10 @@
             }
         }
     }
+
+    /// Whether the request was answered.
+    #[must_use]
+    pub fn is_answered(&self) -> bool {
+        matches!(*self.lock(), AnyVisit::Answered(_))
+    }
 }
--- a/tests/integration/direct/visits.rs
+++ b/tests/integration/direct/visits.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use hyper::Method;
-use quetzalworks::poison::{VisitHandle, VisitStage};
+use quetzalworks::ids::{EndpointId, Fingerprint};
+use quetzalworks::poison::{Doubts, Suspect, VisitHandle, VisitStage};
+use quetzalworks::runtime::Moment;
 use serde_json::{Value, json};
 
 use crate::direct::endpoint::{Behaviour, Endpoint, Received};
@@ -159,6 +161,27 @@
             endpoints: ONE_EACH,
             leaves: false,
         },
+        Case {
+            name: "no time for another attempt",
+            max_attempts: 3,
+            delay: Duration::from_millis(1_190),
+            endpoints: ONE_EACH,
+            leaves: false,
+        },
+        Case {
+            name: "the attempts are given up before the crashes",
+            max_attempts: 3,
+            delay: Duration::from_secs(1),
+            endpoints: &[&["a", "b", "c"]],
+            leaves: false,
+        },
+        Case {
+            name: "the caller leaves before the crash",
+            max_attempts: 1,
+            delay: Duration::from_millis(600),
+            endpoints: ONE_EACH,
+            leaves: true,
+        },
     ];
     thread::scope(|scope| {
         for case in &cases {
@@ -212,3 +235,64 @@
         assert_eq!(reported, case.reported, "{number}");
     }
 }
+
+/// Guards against executions that are forgotten while their endpoint may crash, and against
+/// endpoints that are looked at for ever.
+#[test]
+fn executions_that_were_given_up_are_kept_while_they_may_run() {
+    struct Case {
+        name: &'static str,
+        /// Time until which each execution may run, and whether its request is answered.
+        executions: &'static [(u64, bool)],
+        /// When the endpoint was last seen alive.
+        checked: u64,
+        /// Number of requests that are suspected if it crashes after that.
+        suspected: usize,
+    }
+    let case = |name, executions, checked, suspected| Case {
+        name,
+        executions,
+        checked,
+        suspected,
+    };
+    let cases = [
+        case("runs", &[(1_000, false)], 500, 1),
+        case("may have crashed at its end", &[(1_000, false)], 999, 1),
+        case("over", &[(1_000, false)], 1_000, 0),
+        case("answered elsewhere", &[(1_000, true)], 500, 0),
+        case(
+            "some over, some answered",
+            &[(300, false), (900, false), (800, true), (700, false)],
+            500,
+            2,
+        ),
+        case("many", &[(1_000, false); 100], 500, 64),
+    ];
+    let endpoint: EndpointId = "a".parse().unwrap();
+    for case in cases {
+        let mut doubts = Doubts::default();
+        for (number, (until, is_answered)) in case.executions.iter().enumerate() {
+            let visit = VisitHandle::default();
+            if *is_answered {
+                visit.answer();
+            }
+            let suspect = Suspect {
+                service: "desk".parse().unwrap(),
+                request: Fingerprint(number as u64),
+                parts: Vec::new(),
+                visit,
+            };
+            let is_first = doubts.add(&endpoint, suspect, Moment::from_millis(*until));
+            assert_eq!(is_first, number == 0, "{}", case.name);
+        }
+        let is_left = doubts.retain(&endpoint, Moment::from_millis(case.checked));
+        assert_eq!(is_left, case.suspected > 0, "{}", case.name);
+        assert_eq!(
+            doubts.take(&endpoint).len(),
+            case.suspected,
+            "{}",
+            case.name
+        );
+        assert!(doubts.take(&endpoint).is_empty(), "{}", case.name);
+    }
+}
