An endpoint that broke off an attempt is looked at again

Cause: the probe after a broken attempt came in the moment between the close of the request's connection and that of the listener. One accepted connection ended the search for a crash.

Test: visits, case "connections are accepted after the crash"; on the code before, no entry refused the request within 60 s. The test waits for the log of each entry now, as requests that it sent while it waited let an entry find a crash that it had missed.

--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -121,18 +121,20 @@
     }
 
     /// Probes an endpoint that broke off an attempt, and reports a crash if it accepts no
-    /// connection.
+    /// connection. One that does is watched for a moment, as a process that ends may close the
+    /// connection of the request first.
     pub(super) fn check_for_crash(&self, execution: Execution) {
         let (cx, suspect) = (Arc::clone(&self.cx), self.suspect());
-        let until = execution_end(self.deadline);
+        let until = runtime::Moment::now().saturating_add(WORK_END);
         self.cx.pools.spawn(async move {
             match execution.client.reach().await {
-                http::Reach::Accepts => {}
                 http::Reach::Refuses | http::Reach::Silent => {
                     report_crash(&cx, &execution.endpoint, &suspect);
                     report_crashes(&cx, &execution.endpoint);
                 }
-                http::Reach::Unknown => watch(&cx, execution, suspect, until).await,
+                http::Reach::Accepts | http::Reach::Unknown => {
+                    watch(&cx, execution, suspect, until).await;
+                }
             }
         });
     }
--- a/tests/integration/direct/visits.rs
+++ b/tests/integration/direct/visits.rs
@@ -27,6 +27,8 @@
     max_attempts: u32,
     /// Time after which an endpoint crashes that has begun to run the request.
     delay: Duration,
+    /// Time for which it accepts connections after it has closed that of the request.
+    lingers: Duration,
     /// Endpoints that crash at each visit.
     endpoints: &'static [&'static [&'static str]],
     /// Whether the caller leaves before its answer.
@@ -40,18 +42,20 @@
 }
 
 impl Crasher {
-    fn spawn(id: &'static str, delay: Duration) -> Self {
+    fn spawn(id: &'static str, case: &Case) -> Self {
         let listener = TcpListener::bind(isolation::free_addr()).unwrap();
         let endpoint = Endpoint::at(id, listener.local_addr().unwrap());
         let has_begun = Arc::new(AtomicBool::new(false));
         let begun = Arc::clone(&has_begun);
+        let (delay, lingers) = (case.delay, case.lingers);
         thread::spawn(move || {
             let (mut tcp, _) = listener.accept().unwrap();
             let read = tcp.read(&mut [0; 4_096]);
             begun.store(true, Ordering::SeqCst);
             thread::sleep(delay);
-            drop(listener);
             drop((read, tcp));
+            thread::sleep(lingers);
+            drop(listener);
         });
         Self {
             endpoint,
@@ -99,10 +103,7 @@
         });
     }
     for (ids, callers) in case.endpoints.iter().zip(entries) {
-        let crashers: Vec<_> = ids
-            .iter()
-            .map(|id| Crasher::spawn(id, case.delay))
-            .collect();
+        let crashers: Vec<_> = ids.iter().map(|id| Crasher::spawn(id, case)).collect();
         for crasher in &crashers {
             put_endpoint(&site.store, "desk", &crasher.endpoint, 1);
         }
@@ -120,11 +121,13 @@
             crashers.iter().all(Crasher::has_begun)
         });
     }
-    for callers in entries {
-        wait::until(name, || {
-            let answer = ask(callers, "/few/poison").unwrap();
-            answer.status == 503 && answer.json()["title"] == "crash_suspect"
-        });
+    // Without further requests, by which an entry would find what it has missed.
+    let processes = [&site.process, &others[0].process, &others[1].process];
+    for (process, callers) in processes.into_iter().zip(entries) {
+        wait::until(name, || !process.lines_with("\"refused\":true").is_empty());
+        let answer = ask(callers, "/few/poison").unwrap();
+        assert_eq!(answer.status, 503, "{name}");
+        assert_eq!(answer.json()["title"], "crash_suspect", "{name}");
     }
     // Sound requests are served, also those that came beside the others.
     let next = Endpoint::spawn("next", &[], Behaviour::Echo(Duration::ZERO));
@@ -153,6 +156,7 @@
             delay: AT_ONCE,
             endpoints: ONE_EACH,
             leaves: false,
+            lingers: Duration::ZERO,
         },
         Case {
             name: "no other endpoint",
@@ -160,6 +164,7 @@
             delay: AT_ONCE,
             endpoints: ONE_EACH,
             leaves: false,
+            lingers: Duration::ZERO,
         },
         Case {
             name: "no time for another attempt",
@@ -167,6 +172,7 @@
             delay: Duration::from_millis(1_190),
             endpoints: ONE_EACH,
             leaves: false,
+            lingers: Duration::ZERO,
         },
         Case {
             name: "the attempts are given up before the crashes",
@@ -174,6 +180,7 @@
             delay: Duration::from_secs(1),
             endpoints: &[&["a", "b", "c"]],
             leaves: false,
+            lingers: Duration::ZERO,
         },
         Case {
             name: "the caller leaves before the crash",
@@ -181,6 +188,15 @@
             delay: Duration::from_millis(600),
             endpoints: ONE_EACH,
             leaves: true,
+            lingers: Duration::ZERO,
+        },
+        Case {
+            name: "connections are accepted after the crash",
+            max_attempts: 1,
+            delay: AT_ONCE,
+            endpoints: ONE_EACH,
+            leaves: false,
+            lingers: Duration::from_millis(150),
         },
     ];
     thread::scope(|scope| {
