Crash reports that the store did not take are written again

Cause: a report counted as published once it was handed to the writer. If the append failed, it was logged, and nothing wrote it again before the next crash at the same entry.

Change: the writer returns the reports of a failed append, and they are due again after a second. One that may have been taken is written twice, which changes nothing.

Test: visits, case "the store takes no report at first"; on the code before, the other entries did not refuse the request within 60 s.

--- a/src/direct/change.rs
+++ b/src/direct/change.rs
@@ -220,6 +220,8 @@
     /// A visit went unanswered under which an endpoint has crashed; holds the fingerprints of
     /// the request and of the parts of its prompt.
     SuspectUnanswered(Vec<ids::Fingerprint>),
+    /// The store may not have taken the crash reports on these requests.
+    CrashReportsLost(Vec<ids::Fingerprint>),
     /// A request suspected of crashing endpoints was answered.
     SuspectCleared(ids::Fingerprint),
     /// A request was refused because it, or a part of its prompt, has crashed endpoints.
--- a/src/direct/system/suspects.rs
+++ b/src/direct/system/suspects.rs
@@ -16,9 +16,11 @@
                 | direct::Event::SuspectCleared(_)
                 | direct::Event::SuspectRefused(_)
                 | direct::Event::CrashReports(_)
+                | direct::Event::CrashReportsLost(_)
         ) || is_restored(event)
     };
-    if !cx.events.iter().any(is_relevant) && !world.suspects.has_expired(cx.now) {
+    let is_due = world.suspects.has_expired(cx.now) || world.suspects.has_unpublished(cx.now);
+    if !is_due && !cx.events.iter().any(is_relevant) {
         return;
     }
     let suspects = Arc::make_mut(&mut world.suspects);
@@ -26,7 +28,7 @@
     for event in &cx.events {
         reports.extend(apply(suspects, event, cx));
     }
-    reports.extend(suspects.take_unpublished());
+    reports.extend(suspects.take_unpublished(cx.now));
     if !reports.is_empty() {
         cx.effects.push(direct::Effect::PublishCrashes(reports));
     }
@@ -58,6 +60,12 @@
             }
             None
         }
+        direct::Event::CrashReportsLost(fingerprints) => {
+            for fingerprint in fingerprints {
+                suspects.record_lost(*fingerprint, cx.now);
+            }
+            None
+        }
         direct::Event::SuspectRefused(fingerprint) => {
             suspects.refused(*fingerprint, cx.now);
             None
--- a/src/direct/writer.rs
+++ b/src/direct/writer.rs
@@ -31,7 +31,9 @@
             direct::Effect::PublishCrashes(reports) => {
                 if let Err(err) = publish_crashes(&store, &reports).await {
                     log::warn!(target: "suspects", reports = reports.len(), error:% = err;
-                        "crash reports were not written, other entries are not informed");
+                        "crash reports were not written, other entries are informed later");
+                    let lost = reports.iter().map(|report| report.fingerprint).collect();
+                    control.send(direct::Event::CrashReportsLost(lost)).await;
                 }
             }
             direct::Effect::PublishLimit(report) => {
--- a/src/poison/suspects.rs
+++ b/src/poison/suspects.rs
@@ -15,6 +15,8 @@
 /// its visits go on. A single crash is mostly coincidence, which the answer of another endpoint
 /// shows soon, and the platform charges for each report.
 const MIN_PUBLISHED_ENDPOINTS: usize = 2;
+/// Time after which a report is written again that the store may not have taken.
+const REPORT_RETRY: Duration = Duration::from_secs(1);
 /// Time after the last crash, or the last refusal, for which a request is kept: far longer
 /// than callers retry, and short enough for a request that did not cause the crashes.
 const RETENTION: Duration = Duration::from_secs(30);
@@ -51,13 +53,17 @@
     is_own: bool,
     /// Whether a visit to this entry has ended without an answer after a crash.
     is_unanswered: bool,
+    /// Time from which a report is written again that the store may not have taken; `None`
+    /// where it took the last one.
+    retry_at: Option<runtime::Moment>,
 }
 
 impl Row {
-    fn is_due(&self) -> bool {
-        self.is_own
-            && self.endpoints.len() > self.published.len()
-            && (self.is_unanswered || self.endpoints.len() >= MIN_PUBLISHED_ENDPOINTS)
+    fn is_due(&self, now: runtime::Moment) -> bool {
+        let has_news = self.endpoints.len() > self.published.len()
+            && (self.is_unanswered || self.endpoints.len() >= MIN_PUBLISHED_ENDPOINTS);
+        let is_lost = self.retry_at.is_some_and(|at| now >= at);
+        self.is_own && (has_news || is_lost)
     }
 }
 
@@ -122,6 +128,7 @@
             published: BTreeSet::new(),
             is_own: false,
             is_unanswered: false,
+            retry_at: None,
         })
     }
 
@@ -147,11 +154,25 @@
         }
     }
 
+    /// Records that the store may not have taken the last report on the request.
+    pub fn record_lost(&mut self, fingerprint: ids::Fingerprint, now: runtime::Moment) {
+        if let Some(row) = self.rows.get_mut(&fingerprint) {
+            row.retry_at = Some(now.saturating_add(REPORT_RETRY));
+        }
+    }
+
+    /// Whether a report is to be written.
+    #[must_use]
+    pub fn has_unpublished(&self, now: runtime::Moment) -> bool {
+        self.rows.values().any(|row| row.is_due(now))
+    }
+
     /// Returns reports of what is not published yet and marks it as published.
-    pub fn take_unpublished(&mut self) -> Vec<CrashReport> {
-        let unpublished = self.rows.iter_mut().filter(|(_, row)| row.is_due());
+    pub fn take_unpublished(&mut self, now: runtime::Moment) -> Vec<CrashReport> {
+        let unpublished = self.rows.iter_mut().filter(|(_, row)| row.is_due(now));
         let reports = unpublished.map(|(fingerprint, row)| {
             row.published.clone_from(&row.endpoints);
+            row.retry_at = None;
             CrashReport {
                 fingerprint: *fingerprint,
                 endpoints: row.endpoints.clone(),
--- a/tests/integration/direct/suspects.rs
+++ b/tests/integration/direct/suspects.rs
@@ -25,6 +25,8 @@
     CrashLater(&'static str),
     /// A visit goes unanswered.
     Unanswered,
+    /// The store may not have taken the last report.
+    Lost,
     /// Another entry publishes crashes of these endpoints; none clears the request.
     Published(&'static [&'static str]),
     Answered,
@@ -134,11 +136,11 @@
 }
 
 /// Guards against a request that crashes one endpoint at each visit and comes to another
-/// entry each time, against reports on requests that were answered,
-/// and against as many clearing reports as there are entries.
+/// entry each time, against reports on requests that were answered, against reports that are
+/// lost, and against as many clearing reports as there are entries.
 #[test]
 fn crashes_of_unanswered_visits_add_up_over_entries() {
-    use Step::{Advance, Answered, Crash, CrashLater, Published, Unanswered};
+    use Step::{Advance, Answered, Crash, CrashLater, Lost, Published, Unanswered};
     let cases = [
         Case {
             name: "one crash at each visit, each at another entry",
@@ -182,6 +184,31 @@
             refused: false,
             published: 2,
         },
+        Case {
+            name: "the report is lost, and written again",
+            steps: &[CrashLater("a"), Lost, Advance(3_000)],
+            refused: false,
+            published: 2,
+        },
+        Case {
+            name: "the report is lost, and not due again",
+            steps: &[CrashLater("a"), Lost, Advance(900)],
+            refused: false,
+            published: 1,
+        },
+        Case {
+            name: "the report of another crash is lost twice",
+            steps: &[
+                CrashLater("a"),
+                CrashLater("b"),
+                Lost,
+                Advance(1_000),
+                Lost,
+                Advance(1_000),
+            ],
+            refused: false,
+            published: 4,
+        },
         Case {
             name: "cleared by the entry that has seen the crash",
             steps: &[CrashLater("a"), Advance(31_000)],
@@ -201,13 +228,14 @@
 }
 
 fn check(case: &Case) {
-    use Step::{Advance, Answered, Crash, CrashLater, Published, Refused, Unanswered};
+    use Step::{Advance, Answered, Crash, CrashLater, Lost, Published, Refused, Unanswered};
     let mut world = TestWorld::new();
     for step in case.steps {
         match step {
             Crash(endpoint) => world.tick(vec![crashed(endpoint, VisitStage::Ongoing)]),
             CrashLater(endpoint) => world.tick(vec![crashed(endpoint, VisitStage::Unanswered)]),
             Unanswered => world.tick(vec![Event::SuspectUnanswered(vec![REQUEST])]),
+            Lost => world.tick(vec![Event::CrashReportsLost(vec![REQUEST])]),
             Published(endpoints) => world.tick(vec![Event::CrashReports(vec![CrashReport {
                 fingerprint: REQUEST,
                 endpoints: endpoints.iter().map(|endpoint| id(endpoint)).collect(),
--- a/tests/integration/direct/visits.rs
+++ b/tests/integration/direct/visits.rs
@@ -11,6 +11,7 @@
 use quetzalworks::ids::{EndpointId, Fingerprint};
 use quetzalworks::poison::{Doubts, Suspect, VisitHandle, VisitStage};
 use quetzalworks::runtime::Moment;
+use quetzalworks::standin::{LogCommand, Outage};
 use serde_json::{Value, json};
 
 use crate::direct::endpoint::{Behaviour, Endpoint, Received};
@@ -33,6 +34,8 @@
     endpoints: &'static [&'static [&'static str]],
     /// Whether the caller leaves before its answer.
     leaves: bool,
+    /// Whether the store takes no report in the second after the last crash.
+    outage: bool,
 }
 
 /// An endpoint that crashes some time after it has read a request.
@@ -102,11 +105,24 @@
             ask(callers, "/few/sound").is_ok_and(|answer| answer.status == 503)
         });
     }
-    for (ids, callers) in case.endpoints.iter().zip(entries) {
+    let processes = [&site.process, &others[0].process, &others[1].process];
+    for (i, ids) in case.endpoints.iter().enumerate() {
+        let callers = entries[i];
+        let is_outage = case.outage && i + 1 == case.endpoints.len();
         let crashers: Vec<_> = ids.iter().map(|id| Crasher::spawn(id, case)).collect();
         for crasher in &crashers {
             put_endpoint(&site.store, "desk", &crasher.endpoint, 1);
         }
+        if is_outage {
+            wait::until("the endpoints are known", || {
+                let is_known = |id| {
+                    let line = format!("\"endpoint\":\"{id}\"");
+                    !processes[i].lines_with(&line).is_empty()
+                };
+                ids.iter().all(is_known)
+            });
+            site.store.control(LogCommand::Outage(Outage::Refusing));
+        }
         wait::until("the endpoints crash", || {
             if case.leaves {
                 let request = "GET /few/poison HTTP/1.1\r\nhost: example.test\r\n\
@@ -120,9 +136,12 @@
             }
             crashers.iter().all(Crasher::has_begun)
         });
+        if is_outage {
+            thread::sleep(Duration::from_secs(1));
+            site.store.control(LogCommand::Outage(Outage::Up));
+        }
     }
     // Without further requests, by which an entry would find what it has missed.
-    let processes = [&site.process, &others[0].process, &others[1].process];
     for (process, callers) in processes.into_iter().zip(entries) {
         wait::until(name, || !process.lines_with("\"refused\":true").is_empty());
         let answer = ask(callers, "/few/poison").unwrap();
@@ -157,6 +176,7 @@
             endpoints: ONE_EACH,
             leaves: false,
             lingers: Duration::ZERO,
+            outage: false,
         },
         Case {
             name: "no other endpoint",
@@ -165,6 +185,7 @@
             endpoints: ONE_EACH,
             leaves: false,
             lingers: Duration::ZERO,
+            outage: false,
         },
         Case {
             name: "no time for another attempt",
@@ -173,6 +194,7 @@
             endpoints: ONE_EACH,
             leaves: false,
             lingers: Duration::ZERO,
+            outage: false,
         },
         Case {
             name: "the attempts are given up before the crashes",
@@ -181,6 +203,7 @@
             endpoints: &[&["a", "b", "c"]],
             leaves: false,
             lingers: Duration::ZERO,
+            outage: false,
         },
         Case {
             name: "the caller leaves before the crash",
@@ -189,6 +212,7 @@
             endpoints: ONE_EACH,
             leaves: true,
             lingers: Duration::ZERO,
+            outage: false,
         },
         Case {
             name: "connections are accepted after the crash",
@@ -197,6 +221,16 @@
             endpoints: ONE_EACH,
             leaves: false,
             lingers: Duration::from_millis(150),
+            outage: false,
+        },
+        Case {
+            name: "the store takes no report at first",
+            max_attempts: 1,
+            delay: AT_ONCE,
+            endpoints: ONE_EACH,
+            leaves: false,
+            lingers: Duration::ZERO,
+            outage: true,
         },
     ];
     thread::scope(|scope| {
