A request that one entry refuses is not forgotten by the others

The entry that had seen the crashes forgot it after 30 s and cleared the record, so that both ran it again: 6 or 7 retries, 3 allowed.

A refusal kept the request refused at the entry that it came to only.

Change: a refusal is reported if the last report, of any entry, is 10 s old. A report renews the memory of each entry, so that the request is forgotten 30 s after it has come last, wherever that was.

Test: suspects::a_request_is_refused_after_three_crashes, case "known from other entries, and refused here all the while"; failed before (no report).

--- a/src/poison/suspects.rs
+++ b/src/poison/suspects.rs
@@ -20,6 +20,9 @@
 /// Time after the last crash, or the last refusal, for which a request is kept: far longer
 /// than callers retry, and short enough for a request that did not cause the crashes.
 const RETENTION: Duration = Duration::from_secs(30);
+/// Time after the last report after which a refusal is reported, so that no entry forgets a
+/// request that comes to another one.
+const REFUSAL_REPORT_INTERVAL: Duration = Duration::from_secs(10);
 /// Maximum number of requests kept, at about 200 bytes each. The one with the
 /// oldest crash is evicted first.
 const MAX_SUSPECTS: usize = 1_000;
@@ -53,6 +56,10 @@
     is_own: bool,
     /// Whether a visit to this entry has ended without an answer after a crash.
     is_unanswered: bool,
+    /// Time of the last report, by this entry or another.
+    reported_at: runtime::Moment,
+    /// Whether a refusal is to be reported.
+    is_refused: bool,
     /// Time from which a report is written again that the store may not have taken; `None`
     /// where it took the last one.
     retry_at: Option<runtime::Moment>,
@@ -63,7 +70,7 @@
         let has_news = self.endpoints.len() > self.published.len()
             && (self.is_unanswered || self.endpoints.len() >= MIN_PUBLISHED_ENDPOINTS);
         let is_lost = self.retry_at.is_some_and(|at| now >= at);
-        self.is_own && (has_news || is_lost)
+        self.is_refused || self.is_own && (has_news || is_lost)
     }
 }
 
@@ -96,10 +103,12 @@
         }
     }
 
-    /// Records that the request came again and was refused, so that it stays refused.
+    /// Records that the request came again and was refused, so that it stays refused, also by
+    /// entries to which it does not come.
     pub fn refused(&mut self, fingerprint: ids::Fingerprint, now: runtime::Moment) {
         if let Some(row) = self.rows.get_mut(&fingerprint) {
             row.last_crash = now;
+            row.is_refused |= now.saturating_since(row.reported_at) >= REFUSAL_REPORT_INTERVAL;
         }
     }
 
@@ -113,6 +122,8 @@
         row.endpoints.extend(report.endpoints.iter().cloned());
         row.published.extend(report.endpoints.iter().cloned());
         row.last_crash = now;
+        row.reported_at = now;
+        row.is_refused = false;
     }
 
     fn row(&mut self, fingerprint: ids::Fingerprint, now: runtime::Moment) -> &mut Row {
@@ -128,6 +139,8 @@
             published: BTreeSet::new(),
             is_own: false,
             is_unanswered: false,
+            reported_at: now,
+            is_refused: false,
             retry_at: None,
         })
     }
@@ -172,6 +185,8 @@
         let unpublished = self.rows.iter_mut().filter(|(_, row)| row.is_due(now));
         let reports = unpublished.map(|(fingerprint, row)| {
             row.published.clone_from(&row.endpoints);
+            row.reported_at = now;
+            row.is_refused = false;
             row.retry_at = None;
             CrashReport {
                 fingerprint: *fingerprint,
