--- a/tests/integration/direct/visits.rs
+++ b/tests/integration/direct/visits.rs
@@ -9,6 +9,7 @@
 
 use hyper::Method;
 use quetzalworks::ids::{EndpointId, Fingerprint};
+use quetzalworks::platform::endpoint_record;
 use quetzalworks::poison::{Doubts, Suspect, VisitHandle, VisitStage};
 use quetzalworks::runtime::Moment;
 use quetzalworks::standin::{LogCommand, Outage};
@@ -105,11 +106,7 @@
         let headers = [("key", "key-red")];
         Site::call_at(callers, &Method::GET, path, "id", &headers)
     };
-    site.store.put(
-        quetzalworks::platform::endpoint_record::TOPIC,
-        "first",
-        None,
-    );
+    site.store.put(endpoint_record::TOPIC, "first", None);
     for callers in entries {
         wait::until("the first endpoint is gone", || {
             ask(callers, "/few/sound").is_ok_and(|answer| answer.status == 503)
