--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -17,8 +17,8 @@
 /// Interval at which an endpoint is looked at that was left while it ran a request. One that
 /// has crashed takes longer to return.
 const WATCH_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after a request is left within which endpoints end its work, by the rules of the
-/// platform; a slow one may be late by as much again.
+/// Time within which an endpoint ends the work of a request that was left: half a second by the
+/// platform's rules, and as much again for a slow one.
 const WORK_END: Duration = Duration::from_secs(1);
 /// Maximum time for which an endpoint is watched, however late the deadline of a request.
 const MAX_WATCH: Duration = Duration::from_secs(5);
