--- a/tests/integration/direct/suspects.rs
+++ b/tests/integration/direct/suspects.rs
@@ -169,14 +169,21 @@
     use Step::{Advance, Answered, Crash, CrashLater, Lost, Published, Unanswered};
     const B: Step = Published(&["a", "b"]);
     const C: Step = Published(&["c"]);
-    let each_here = &[Crash("a"), Unanswered, Crash("b"), Unanswered, Crash("c")];
-    let lost_twice = &[
+    let each_here = &[
         Crash("a"),
         Unanswered,
+        Crash("b"),
+        Unanswered,
+        Crash("c"),
+        Unanswered,
+    ];
+    let lost_twice = &[
+        CrashLater("a"),
+        CrashLater("b"),
         Lost,
-        Advance(2_000),
+        Advance(1_000),
         Lost,
-        Advance(2_000),
+        Advance(1_000),
     ];
     let case = |name, steps, refused, published| Case {
         name,
@@ -212,7 +219,7 @@
             false,
             1,
         ),
-        case("lost twice", lost_twice, false, 3),
+        case("lost twice", lost_twice, false, 4),
         case(
             "cleared where it crashed",
             &[CrashLater("a"), Advance(31_000)],
--- a/tests/integration/direct/visits.rs
+++ b/tests/integration/direct/visits.rs
@@ -286,6 +286,12 @@
         case("over", &[(1_000, false)], 1_000, 0),
         case("answered elsewhere", &[(1_000, true)], 500, 0),
         case("one over, one not", &[(300, false), (900, false)], 500, 1),
+        case(
+            "some over, some answered",
+            &[(300, false), (900, false), (800, true), (700, false)],
+            500,
+            2,
+        ),
         case("many", &[(1_000, false); 100], 500, 64),
     ];
     let endpoint: EndpointId = "a".parse().unwrap();
--- a/tests/integration/peers/relay.rs
+++ b/tests/integration/peers/relay.rs
@@ -365,8 +365,8 @@
     struct Case {
         name: &'static str,
         change: fn(&mut RelayLog),
-        /// Record of a read that follows and ends early.
-        offset: u64,
+        /// Record of a read that follows and ends early; `None` without one.
+        offset: Option<u64>,
         /// Time as of which the page confirms its records, and their number; `None` if the
         /// reader answers that it does not read for others.
         page: Option<(u64, usize)>,
@@ -386,32 +386,61 @@
         append(log, 9, Some(at(500)));
     };
     let cases = [
-        case("goes on", |_| (), 8, Some((200, 4))),
+        case("goes on", |_| (), Some(8), Some((200, 4))),
         case(
             "after one that did not",
             |log| append(log, 8, Some(at(400))),
-            9,
+            Some(9),
             Some((400, 5)),
         ),
         case(
             "after others that did and did not",
             late,
-            10,
+            Some(10),
             Some((500, 6)),
         ),
-        case("after an outage", RelayLog::fail, 8, Some((200, 4))),
-        case("as the first for others", RelayLog::stop, 8, None),
+        case("after an outage", RelayLog::fail, Some(8), Some((200, 4))),
+        case("as the first for others", RelayLog::stop, Some(8), None),
         case(
             "after a listing of a copy",
             |log| log.restart(position(5), None),
-            5,
+            Some(5),
             None,
         ),
+        case(
+            "none, the last one reached the end",
+            |log| append(log, 8, Some(at(400))),
+            None,
+            Some((400, 4)),
+        ),
+        case(
+            "none, the last one did after others",
+            late,
+            None,
+            Some((500, 5)),
+        ),
+        case(
+            "none, a listing of a copy",
+            |log| log.restart(position(5), None),
+            None,
+            None,
+        ),
+        case(
+            "none, the end is reached after a listing of a copy",
+            |log| {
+                log.restart(position(5), None);
+                append(log, 5, Some(at(600)));
+            },
+            None,
+            Some((600, 1)),
+        ),
     ];
     for case in cases {
         let mut log = log();
         (case.change)(&mut log);
-        append(&mut log, case.offset, None);
+        if let Some(offset) = case.offset {
+            append(&mut log, offset, None);
+        }
         let page = match log.answer(&poll(5, 0), at(900), at(900)) {
             Some(PollAnswer::Page(page)) => {
                 // The age is rounded up by a millisecond.
