Logs tell by which configuration, offset and age a key was accepted

Now each request's line has the revision, the era and offset up to which the operator's topic was read, the time since that was proven, and a label of the key, whether it is let in or refused. Each read of that topic has a line with its origin, range, records lacking and what it proves; a configuration logs the keys that it withdraws (50 at most). The histogram quetzalworks_config_age counts admitted requests by age.

For that, decisions were taken out of tasks, without a change of what they decide: direct::TopicReads (where a read continues, what it proves), peers::Follower (whom an entry follows, as of when it knows a topic), and admission over direct::KnownConfig. A confirmation has its position.

--- a/src/catalog/api_key.rs
+++ b/src/catalog/api_key.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::sync::Arc;
 
+use ring::digest;
+
 /// A secret that identifies a team. Its `Debug` output hides it, so that it never
 /// reaches a log line.
 #[derive(Clone, PartialEq, Eq, Hash)]
@@ -14,6 +16,15 @@
     pub fn new(text: &str) -> Self {
         Self(text.into())
     }
+
+    /// Returns the first bits of a digest, by which log lines name the key without telling it.
+    #[must_use]
+    pub fn label(&self) -> KeyLabel {
+        let digest = digest::digest(&digest::SHA256, self.0.as_bytes());
+        let mut bytes = [0; 4];
+        bytes.copy_from_slice(&digest.as_ref()[..4]);
+        KeyLabel(u32::from_be_bytes(bytes))
+    }
 }
 
 impl fmt::Debug for ApiKey {
@@ -21,3 +32,13 @@
         f.write_str("ApiKey(..)")
     }
 }
+
+/// Name of a key in log lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyLabel(u32);
+
+impl fmt::Display for KeyLabel {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -19,7 +19,7 @@
 mod version;
 
 pub use allowed_regions::AllowedRegions;
-pub use api_key::ApiKey;
+pub use api_key::{ApiKey, KeyLabel};
 pub use change::Change;
 pub use change_outcome::{ChangeOutcome, RejectReason};
 pub use check::{InvalidValue, check, check_rollout_change};
--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -8,6 +8,7 @@
 
 use crate::control;
 use crate::direct;
+use crate::direct::read_log::{Origin, ReadLog};
 use crate::ids;
 use crate::peers;
 use crate::platform;
@@ -31,14 +32,11 @@
     shared: Option<direct::SharedReads>,
     control: Control,
 ) {
-    let mut position: Option<ids::Position> = None;
-    let mut listings = direct::Listings::default();
-    let mut is_behind = false;
+    let mut reads = direct::TopicReads::default();
     let mut shared = shared.map(|shared| direct::FollowTask::new(shared, source));
+    let mut log = ReadLog::new(source);
     loop {
-        if listings.is_due(runtime::Moment::now()) {
-            position = None;
-        }
+        let position = reads.next(runtime::Moment::now());
         let duty = Arc::clone(&control.snapshot().duty);
         if let Some(task) = &mut shared {
             task.plan(&duty);
@@ -47,10 +45,12 @@
             {
                 // A failure ends following. That the reader has lost the store is no outage of
                 // the store for this entry: its own read tells.
+                let asked = runtime::Moment::now();
                 if let Ok((page, confirmed)) = task.poll(from).await {
-                    let confirmed = listings.are_settled().then_some(confirmed);
-                    let batch = RawBatch::relayed(from, page, confirmed);
-                    position = Some(batch.end);
+                    let mut batch = RawBatch::relayed(from, page);
+                    let proof = reads.record_page(batch.end, confirmed);
+                    batch.confirmed = proof.confirmed();
+                    log.record(Origin::Relay, position, asked, &batch, proof);
                     send(&control, source, batch).await;
                 }
                 continue;
@@ -59,28 +59,29 @@
         let wait = shared
             .as_ref()
             .map_or(poll.wait, |task| task.read_wait(&duty, poll.wait));
-        let read_started = runtime::Moment::now();
-        let wait = listings
-            .time_left(read_started)
-            .map_or(wait, |left| wait.min(left));
+        let started = runtime::Moment::now();
+        let wait = reads.wait(wait, started);
         let read = match position {
             None => list_newest(&store, source).await,
             Some(from) => read_from(&store, source, from, wait).await,
         };
         match read {
             Ok(Read::Records(mut batch)) => {
-                log_progress(source, &batch, &mut is_behind, read_started);
-                if position.is_none() {
+                let (origin, proof) = if position.is_none() {
                     let now = runtime::Moment::now();
-                    batch.scope = listings.record(batch.end.era, read_started, now);
-                }
-                let is_current = !is_behind && listings.are_settled();
-                batch.confirmed = is_current.then_some(read_started);
+                    let (scope, proof) = reads.record_listing(batch.end, started, now);
+                    batch.scope = scope;
+                    (Origin::Listing, proof)
+                } else {
+                    let proof = reads.record_read(batch.end, batch.lacking, started);
+                    (Origin::Read, proof)
+                };
+                batch.confirmed = proof.confirmed();
+                log.record(origin, position, started, &batch, proof);
                 if let Some(task) = &mut shared {
                     task.record_read(&duty, position, &batch);
                 }
-                position = Some(batch.end);
-                let pause = match (batch.records.is_empty(), is_behind) {
+                let pause = match (batch.records.is_empty(), reads.is_behind()) {
                     (false, false) => poll.pause,
                     (false, true) | (true, false) => Duration::ZERO,
                     (true, true) => RETRY_DELAY,
@@ -93,12 +94,12 @@
             Ok(Read::Expired(first)) => {
                 log::info!(target: "store", source:% = source, first_retained:% = first;
                     "read position is no longer retained, listing the newest record of each key");
-                position = None;
+                reads.record_position_lost();
             }
             Err(platform::PlatformError::Restored) => {
                 log::info!(target: "store", source:% = source, position = position.map(|at| at.to_string());
                     "read position is of an earlier era, listing the newest record of each key");
-                position = None;
+                reads.record_position_lost();
             }
             Err(err) => {
                 if let Some(task) = &shared {
@@ -115,24 +116,6 @@
     }
 }
 
-/// Logs when reads begin to end before the end of the topic, and when they reach it again.
-fn log_progress(
-    source: direct::Source,
-    batch: &RawBatch,
-    is_behind: &mut bool,
-    read_started: runtime::Moment,
-) {
-    let was_behind = std::mem::replace(is_behind, batch.lacking > 0);
-    let message = match (was_behind, *is_behind) {
-        (false, true) => "read ended before the end of the topic",
-        (true, false) => "reads have reached the end of the topic",
-        _ => return,
-    };
-    let read_ms = runtime::Moment::now().saturating_since(read_started);
-    log::info!(target: "store", source:% = source, position:% = batch.end,
-        lacking = batch.lacking, read_ms:% = read_ms.as_millis(); "{message}");
-}
-
 async fn send(control: &Control, source: direct::Source, batch: RawBatch) {
     if let Some(crashes) = batch.crashes(source) {
         control.send(crashes).await;
@@ -170,11 +153,7 @@
 impl RawBatch {
     /// Takes over what an entry has passed on for the records from `from` on. Older ones are
     /// ignored, and the position never moves back.
-    fn relayed(
-        from: ids::Position,
-        page: peers::RelayedPage,
-        confirmed: Option<runtime::Moment>,
-    ) -> Self {
+    fn relayed(from: ids::Position, page: peers::RelayedPage) -> Self {
         let news = page.records.into_iter();
         let records = news.filter(|record| record.offset >= from.offset);
         let (offsets, records) = records
@@ -189,7 +168,7 @@
                 ..from
             },
             lacking: 0,
-            confirmed,
+            confirmed: None,
         }
     }
 
--- a/src/direct/follow_task.rs
+++ b/src/direct/follow_task.rs
@@ -27,24 +27,18 @@
 pub struct FollowTask {
     shared: SharedReads,
     source: direct::Source,
-    course: peers::AnyCourse,
+    follower: peers::Follower,
     client: Option<http::Client>,
-    /// Number of the last confirmation received from the followed entry.
-    seen: u64,
-    /// Time of the last confirmation by the store, read or passed on.
-    confirmed: runtime::Moment,
     is_reader: bool,
 }
 
 impl FollowTask {
     pub(super) fn new(shared: SharedReads, source: direct::Source) -> Self {
         Self {
+            follower: peers::Follower::new(source, shared.limits),
             shared,
             source,
-            course: peers::AnyCourse::default(),
             client: None,
-            seen: 0,
-            confirmed: runtime::Moment::default(),
             is_reader: false,
         }
     }
@@ -60,30 +54,21 @@
         self.is_reader = is_reader;
         let now = runtime::Moment::now();
         let was_following = self.is_following();
-        let planned = std::mem::take(&mut self.course).plan(duty, now);
-        self.course = planned;
-        match &self.course {
-            peers::AnyCourse::Following(course) if !was_following => {
-                let following = &course.state;
+        self.follower.plan(duty, now);
+        match self.follower.following() {
+            Some(following) if !was_following => {
                 log::info!(target: "peers", source:% = self.source, reader:% = following.reader,
-                    age_ms:% = self.age(now).as_millis(); "follows an entry that reads the store");
+                    age_ms:% = self.follower.age(now).as_millis(); "follows an entry that reads the store");
                 let traffic = self.shared.traffic.clone();
                 self.client = Some(http::Client::new(following.addr, traffic));
-                self.seen = 0;
-            }
-            peers::AnyCourse::Reading(_) if was_following => {
-                self.log_end(peers::FollowEnd::Replaced, now);
             }
+            None if was_following => self.log_end(peers::FollowEnd::Replaced, now),
             _ => {}
         }
     }
 
     pub(super) const fn is_following(&self) -> bool {
-        matches!(self.course, peers::AnyCourse::Following(_))
-    }
-
-    fn age(&self, now: runtime::Moment) -> Duration {
-        now.saturating_since(self.confirmed)
+        self.follower.following().is_some()
     }
 
     /// Returns how long the next read waits for records, where those of an entry that does not
@@ -93,42 +78,28 @@
             peers::Duty::Read => self.shared.limits.reader_wait,
             _ => alone,
         };
-        self.course.read_wait(usual)
+        self.follower.read_wait(usual)
     }
 
-    /// Polls the followed entry for the records from `from` on, and returns them with a time
-    /// not later than the begin of the read. On failure, this entry reads for itself.
+    /// Polls the followed entry for the records from `from` on, and returns them with the time
+    /// as of which they lack nothing. On failure, this entry reads for itself.
     pub(super) async fn poll(
         &mut self,
         from: ids::Position,
     ) -> Result<(peers::RelayedPage, runtime::Moment), peers::FollowEnd> {
         let asked = runtime::Moment::now();
-        let result = self.ask(from, asked).await;
+        let answer = self.ask(from, asked).await;
         let now = runtime::Moment::now();
-        let result = result.map(|page| {
-            let read_started = page.confirmed(from.offset, asked, self.confirmed);
-            (page, read_started)
-        });
+        let result = self.follower.record_answer(from, asked, now, answer);
         match &result {
-            Ok((page, read_started)) => {
-                self.seen = page.number;
-                self.confirmed = self.confirmed.max(*read_started);
+            Ok((_, confirmed)) => {
                 let topic = self.source.into();
-                observe::metrics()
-                    .record_relay_received(topic, now.saturating_since(*read_started));
-                let course = std::mem::take(&mut self.course);
-                self.course = if self.age(now) < self.shared.limits.age {
-                    course.record_success()
-                } else {
+                observe::metrics().record_relay_received(topic, now.saturating_since(*confirmed));
+                if !self.is_following() {
                     self.log_end(peers::FollowEnd::Stale, now);
-                    course.end_following(peers::FollowEnd::Stale, now)
-                };
-            }
-            Err(reason) => {
-                self.log_end(*reason, now);
-                let course = std::mem::take(&mut self.course);
-                self.course = course.end_following(*reason, now);
+                }
             }
+            Err(reason) => self.log_end(*reason, now),
         }
         result
     }
@@ -137,32 +108,19 @@
         &self,
         from: ids::Position,
         asked: runtime::Moment,
-    ) -> Result<peers::RelayedPage, peers::FollowEnd> {
+    ) -> Result<peers::PollAnswer, peers::FollowEnd> {
         let client = self.client.as_ref().ok_or(peers::FollowEnd::Unreachable)?;
-        let is_first = self.seen == 0;
-        let limits = &self.shared.limits;
-        let deadline = limits.deadline(asked, self.confirmed, is_first);
-        let limit = deadline.saturating_since(asked);
-        if limit.is_zero() {
-            return Err(peers::FollowEnd::Stale);
-        }
-        let poll = peers::Poll {
-            source: self.source,
-            from,
-            seen: self.seen,
-        };
-        match peers::poll(client, &poll, limit).await? {
-            peers::PollAnswer::Page(page) => Ok(page),
-            peers::PollAnswer::NotReading => Err(peers::FollowEnd::NotReading),
-            peers::PollAnswer::StoreLost => Err(peers::FollowEnd::StoreLost),
-            peers::PollAnswer::NotRetained => Err(peers::FollowEnd::NotRetained),
-        }
+        let (poll, limit) = self
+            .follower
+            .poll(from, asked)
+            .ok_or(peers::FollowEnd::Stale)?;
+        Ok(peers::poll(client, &poll, limit).await?)
     }
 
     fn log_end(&self, reason: peers::FollowEnd, now: runtime::Moment) {
         observe::metrics().record_follow_end(self.source.into(), reason.into());
         log::info!(target: "peers", source:% = self.source, reason:% = reason,
-            age_ms:% = self.age(now).as_millis(); "reads the store for itself");
+            age_ms:% = self.follower.age(now).as_millis(); "reads the store for itself");
     }
 
     /// Records a read of the store by this entry, which continued `from` or was a listing.
@@ -172,8 +130,7 @@
         from: Option<ids::Position>,
         batch: &feed::RawBatch,
     ) {
-        self.confirmed = self.confirmed.max(batch.confirmed.unwrap_or_default());
-        self.course = std::mem::take(&mut self.course).record_success();
+        self.follower.record_read(batch.confirmed);
         if *duty != peers::Duty::Read {
             return;
         }
--- a/src/direct/freshness.rs
+++ b/src/direct/freshness.rs
@@ -1,34 +1,44 @@
 //! Age of what was read from the store.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use arc_swap::ArcSwapOption;
+
+use crate::direct;
 use crate::runtime;
 
-/// Start of the last call that confirmed the configuration or the share of this entry, in
-/// milliseconds; 0 before the first.
+/// Last confirmation of the configuration or the share of this entry. The control thread
+/// writes it, traffic reads it.
 #[derive(Debug, Default)]
-pub struct Freshness(AtomicU64);
+pub struct Freshness(ArcSwapOption<direct::Confirmation>);
 
 impl Freshness {
-    /// Records a confirmation by a call that began then; an older one has no effect.
-    pub fn confirm(&self, call_started: runtime::Moment) {
-        self.0.fetch_max(call_started.as_millis(), Ordering::AcqRel);
+    /// Records a confirmation; an older one has no effect.
+    pub fn confirm(&self, confirmation: direct::Confirmation) {
+        let is_newer = |last: direct::Confirmation| confirmation.as_of > last.as_of;
+        if self.last().is_none_or(is_newer) {
+            self.0.store(Some(Arc::new(confirmation)));
+        }
     }
 
     /// Records a confirmation of a state that is not published yet. Traffic keeps the freshness
     /// of the published one, which lacks what was confirmed, until it gets the next snapshot.
-    pub fn confirm_unpublished(this: &mut Arc<Self>, call_started: runtime::Moment) {
-        let next = Self(AtomicU64::new(this.0.load(Ordering::Acquire)));
-        next.confirm(call_started);
+    pub fn confirm_unpublished(this: &mut Arc<Self>, confirmation: direct::Confirmation) {
+        let next = Self(ArcSwapOption::new(this.0.load_full()));
+        next.confirm(confirmation);
         *this = Arc::new(next);
     }
 
+    /// Returns the last confirmation; `None` before the first one.
+    #[must_use]
+    pub fn last(&self) -> Option<direct::Confirmation> {
+        self.0.load().as_deref().copied()
+    }
+
     /// Time since the last confirmation; `None` before the first one.
     #[must_use]
     pub fn age(&self, now: runtime::Moment) -> Option<Duration> {
-        let confirmed_ms = self.0.load(Ordering::Acquire);
-        (confirmed_ms > 0).then(|| now.saturating_since(runtime::Moment::from_millis(confirmed_ms)))
+        self.last().map(|last| now.saturating_since(last.as_of))
     }
 }
--- a/src/direct/snapshot.rs
+++ b/src/direct/snapshot.rs
@@ -97,6 +97,17 @@
 }
 
 impl Snapshot {
+    /// Returns what is known of the configuration at `now`.
+    #[must_use]
+    pub fn config(&self, now: runtime::Moment) -> direct::KnownConfig<'_> {
+        let confirmation = self.freshness.last();
+        direct::KnownConfig {
+            deployment: self.deployment.as_ref(),
+            confirmation,
+            age: confirmation.map(|last| now.saturating_since(last.as_of)),
+        }
+    }
+
     /// Returns the leases by which this entry gets its part of a rate over all entries.
     #[must_use]
     pub fn leases(&self, now: runtime::Moment) -> balance::HeldLeases {
--- a/src/direct/system/operator.rs
+++ b/src/direct/system/operator.rs
@@ -9,6 +9,9 @@
 use crate::ids;
 use crate::rollout;
 
+/// Maximum number of withdrawn keys that are logged of one configuration.
+const MAX_LOGGED_KEYS: usize = 50;
+
 /// Applies the operator records of this tick, and failed reads of any topic.
 pub fn run(world: &mut direct::World, cx: &mut TickCx) {
     let events = std::mem::take(&mut cx.events);
@@ -46,12 +49,17 @@
             }
         }
     }
-    match batch.confirmed {
-        Some(confirmed) if cx.changed => {
-            direct::Freshness::confirm_unpublished(&mut world.freshness, confirmed);
-        }
-        Some(confirmed) => world.freshness.confirm(confirmed),
-        None => {}
+    let Some(as_of) = batch.confirmed else {
+        return;
+    };
+    let confirmation = direct::Confirmation {
+        as_of,
+        end: Some(batch.end),
+    };
+    if cx.changed {
+        direct::Freshness::confirm_unpublished(&mut world.freshness, confirmation);
+    } else {
+        world.freshness.confirm(confirmation);
     }
 }
 
@@ -66,10 +74,29 @@
     }
     log::info!(target: "catalog", revision:% = deployment.revision, routes = deployment.route_count(),
         previous:? = current; "configuration applied");
+    if let Some(known) = &world.deployment {
+        log_withdrawn_keys(known, deployment);
+    }
     world.deployment = Some(Arc::clone(deployment));
     cx.changed = true;
 }
 
+/// Logs the keys that only the configuration before has, by their labels.
+fn log_withdrawn_keys(before: &catalog::Deployment, deployment: &catalog::Deployment) {
+    let (Some(before), Some(teams)) = (&before.teams, &deployment.teams) else {
+        return;
+    };
+    let withdrawn = before.iter().filter(|(key, _)| !teams.contains_key(key));
+    for (i, (key, access)) in withdrawn.enumerate() {
+        if i == MAX_LOGGED_KEYS {
+            log::info!(target: "catalog", revision:% = deployment.revision; "more keys withdrawn");
+            return;
+        }
+        log::info!(target: "catalog", revision:% = deployment.revision, key:% = key.label(),
+            team:% = access.team; "key withdrawn");
+    }
+}
+
 fn apply_rollout(
     world: &mut direct::World,
     cx: &mut TickCx,
--- a/src/direct/system/share.rs
+++ b/src/direct/system/share.rs
@@ -21,11 +21,15 @@
             world.share = assigned;
             cx.changed = true;
         }
+        let confirmation = direct::Confirmation {
+            as_of: assignment.call_started,
+            end: None,
+        };
         if cx.changed {
             let freshness = &mut world.share_freshness;
-            direct::Freshness::confirm_unpublished(freshness, assignment.call_started);
+            direct::Freshness::confirm_unpublished(freshness, confirmation);
         } else {
-            world.share_freshness.confirm(assignment.call_started);
+            world.share_freshness.confirm(confirmation);
         }
     }
 }
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -30,8 +30,6 @@
 pub struct Admitted {
     /// Configuration that decided the admission.
     pub deployment: Arc<catalog::Deployment>,
-    /// Age of the configuration; `None` if it was never proven current.
-    pub config_age: Option<Duration>,
     /// Route that the request matches.
     pub rule: Arc<catalog::RouteRule>,
     /// Team that holds the key; `None` on an anonymous route.
@@ -43,21 +41,20 @@
     pub regions: catalog::AllowedRegions,
 }
 
-/// Decides whether a request is admitted. The error is the refusal for the caller.
+/// Decides whether a request is admitted, by its key and what is known of the configuration.
+/// `revoke` is the time for which a withdrawn key may be accepted; `None` sets no limit. The
+/// error is the refusal for the caller.
 pub fn admit(
-    cx: &gateway::Cx,
-    snapshot: &direct::Snapshot,
+    config: &direct::KnownConfig<'_>,
+    revoke: Option<units::Millis>,
     host: &str,
     path: &str,
-    metadata: &gateway::RequestMetadata,
-    now: runtime::Moment,
+    key: Option<&catalog::ApiKey>,
 ) -> Result<Admitted, errors::Refusal> {
-    check_stopping(cx, now)?;
-    let Some(deployment) = &snapshot.deployment else {
+    let Some(deployment) = config.deployment else {
         return Err(config_refusal("the configuration is not known yet"));
     };
-    let age = snapshot.freshness.age(now);
-    let is_current = age.is_some_and(|age| age < MAX_CURRENT_AGE);
+    let is_current = config.age.is_some_and(|age| age < MAX_CURRENT_AGE);
     let Some(rule) = deployment.route(host, path) else {
         return Err(if is_current {
             errors::Refusal::new(errors::ResultCode::UnknownPath, "no route takes this path")
@@ -67,9 +64,8 @@
     };
     let (team, priority, regions) = match &deployment.teams {
         Some(teams) if !rule.anonymous => {
-            check_config_age(cx, age)?;
-            let access = metadata.key.as_ref().and_then(|key| teams.get(key));
-            let Some(access) = access else {
+            check_config_age(revoke, config.age)?;
+            let Some(access) = key.and_then(|key| teams.get(key)) else {
                 return Err(if is_current {
                     errors::Refusal::new(errors::ResultCode::Unauthorized, "unknown key")
                 } else {
@@ -84,7 +80,6 @@
     };
     Ok(Admitted {
         deployment: Arc::clone(deployment),
-        config_age: age,
         rule: Arc::clone(rule),
         team,
         priority,
@@ -107,8 +102,11 @@
 
 /// Refuses keys once the configuration is so old that a key may have been withdrawn for
 /// longer than the limit allows.
-fn check_config_age(cx: &gateway::Cx, age: Option<Duration>) -> Result<(), errors::Refusal> {
-    let Some(revoke) = cx.settings().bounds.revoke else {
+fn check_config_age(
+    revoke: Option<units::Millis>,
+    age: Option<Duration>,
+) -> Result<(), errors::Refusal> {
+    let Some(revoke) = revoke else {
         return Ok(());
     };
     let limit = revoke.duration().saturating_sub(REVOKE_MARGIN);
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -16,6 +16,7 @@
 use crate::gateway::{admit, call, outcomes, plain, refuse, stream, trace};
 use crate::http;
 use crate::ids;
+use crate::observe;
 use crate::platform;
 use crate::poison;
 use crate::route;
@@ -85,7 +86,7 @@
         let mut trace = trace::Trace::begin(Arc::clone(&id));
         self.0.record_arrival(now);
         let snapshot = self.wait_for_snapshot().await;
-        let admitted = match self.admit(&req, &snapshot, &metadata, now) {
+        let admitted = match self.admit(&req, &snapshot, &metadata, now, &mut trace) {
             Ok(admitted) => admitted,
             Err(refusal) => {
                 let refusal = self.spread_return(refusal, &metadata);
@@ -247,9 +248,16 @@
         snapshot: &direct::Snapshot,
         metadata: &gateway::RequestMetadata,
         now: runtime::Moment,
+        trace: &mut trace::Trace,
     ) -> Result<admit::Admitted, errors::Refusal> {
-        let host = host(req);
-        let admitted = admit::admit(&self.0, snapshot, host, req.uri().path(), metadata, now)?;
+        admit::check_stopping(&self.0, now)?;
+        let (config, key) = (snapshot.config(now), metadata.key.as_ref());
+        note_config(trace, &config, key);
+        let revoke = self.0.settings().bounds.revoke;
+        let admitted = admit::admit(&config, revoke, host(req), req.uri().path(), key)?;
+        if let (Some(_), Some(age)) = (&admitted.team, config.age) {
+            observe::metrics().record_config_age(age);
+        }
         let limits = &admitted.deployment.limits;
         if head_size(req.headers()) > limits.head.as_usize() {
             let code = errors::ResultCode::HeadersTooLarge;
@@ -283,12 +291,30 @@
         .sum()
 }
 
-fn note_admission(trace: &mut trace::Trace, admitted: &admit::Admitted) {
-    trace.route(&admitted.rule.name);
-    trace.note("config", &admitted.deployment.revision);
-    if let Some(age) = admitted.config_age {
+/// Notes by which configuration, read up to which offset and proven how long ago, the request
+/// is admitted or refused.
+fn note_config(
+    trace: &mut trace::Trace,
+    config: &direct::KnownConfig<'_>,
+    key: Option<&catalog::ApiKey>,
+) {
+    if let Some(deployment) = config.deployment {
+        trace.note("config", &deployment.revision);
+    }
+    if let Some(end) = config.confirmation.and_then(|last| last.end) {
+        trace.note("config_era", &end.era);
+        trace.note("config_offset", &end.offset);
+    }
+    if let Some(age) = config.age {
         trace.note("config_age_ms", &age.as_millis());
     }
+    if let Some(key) = key {
+        trace.note("key", &key.label());
+    }
+}
+
+fn note_admission(trace: &mut trace::Trace, admitted: &admit::Admitted) {
+    trace.route(&admitted.rule.name);
     if let Some(team) = &admitted.team {
         trace.note("team", team);
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod trace;
 mod wait;
 
+pub use admit::{Admitted, admit};
 pub use cx::{Cx, NotReady};
 pub use metadata::{AnswerMetadata, ForwardMetadata, RequestMetadata, RequestedModel};
 pub use outcomes::{Outcomes, Waiting};
--- a/src/observe/metrics.rs
+++ b/src/observe/metrics.rs
@@ -21,6 +21,10 @@
     0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.7, 5.0, 15.0, 60.0, 300.0,
 ];
 
+/// Upper bounds of the buckets for the age of the configuration, in seconds. Keys are refused
+/// from 4.7 s on where a withdrawn key may be accepted for 5 s.
+const CONFIG_AGE_BUCKETS: [f64; 10] = [0.25, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 4.5, 4.7];
+
 static METRICS: LazyLock<Metrics> = LazyLock::new(Metrics::new);
 
 /// Returns the metrics of this process, which are created on first use.
@@ -65,6 +69,7 @@
     store_latency: Histogram<f64>,
     store_restores: Counter<u64>,
     relays_sent: Counter<u64>,
+    config_age: Histogram<f64>,
     relay_age: Histogram<f64>,
     follow_ends: Counter<u64>,
     log_dropped: Counter<u64>,
@@ -146,14 +151,15 @@
         }
         let provider = provider.build();
         let meter = provider.meter("quetzalworks");
-        let latency = |name: &'static str, text: &'static str| {
+        let seconds = |name: &'static str, text: &'static str, buckets: &[f64]| {
             meter
                 .f64_histogram(name)
                 .with_description(text)
                 .with_unit("s")
-                .with_boundaries(LATENCY_BUCKETS.to_vec())
+                .with_boundaries(buckets.to_vec())
                 .build()
         };
+        let latency = |name, text| seconds(name, text, &LATENCY_BUCKETS);
         let count = |name: &'static str, text: &'static str| {
             meter.u64_counter(name).with_description(text).build()
         };
@@ -196,6 +202,11 @@
                 "quetzalworks_relays_sent",
                 "Answers to entries that follow this one, by topic.",
             ),
+            config_age: seconds(
+                "quetzalworks_config_age",
+                "Time since the configuration was proven current, of requests admitted by a key.",
+                &CONFIG_AGE_BUCKETS,
+            ),
             relay_age: latency(
                 "quetzalworks_relay_age",
                 "Age of the read of the store in an answer of the followed entry, by topic.",
@@ -362,6 +373,11 @@
         self.relay_age.record(age.as_secs_f64(), &[topic]);
     }
 
+    /// Records the age of the configuration by which a key was accepted.
+    pub fn record_config_age(&self, age: Duration) {
+        self.config_age.record(age.as_secs_f64(), &[]);
+    }
+
     /// Counts a return of the store from an older copy.
     pub fn record_store_restored(&self) {
         self.store_restores.add(1, &[]);
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -4,6 +4,7 @@
 mod course;
 mod duty;
 mod evidence;
+mod follower;
 mod handler;
 mod limits;
 mod listing;
@@ -17,6 +18,7 @@
 pub use course::{AnyCourse, Course, FollowEnd, Following, Reading};
 pub use duty::Duty;
 pub use evidence::{EvidenceRequest, EvidenceRounds, Waiting, overlay, run_rounds};
+pub use follower::Follower;
 pub use handler::PeerHandler;
 pub use limits::FollowLimits;
 pub use listing::ListingPlan;
