--- a/src/direct/confirmation.rs
+++ b/src/direct/confirmation.rs
@@ -1,6 +1,7 @@
 //! Proof that what was read from the store was current.
 
 use std::fmt;
+use std::time::Duration;
 
 use crate::ids;
 use crate::runtime;
@@ -14,6 +15,20 @@
     pub end: Option<ids::Position>,
 }
 
+impl Confirmation {
+    /// Returns the later one; `None` stands for none so far.
+    #[must_use]
+    pub fn or_later(self, last: Option<Self>) -> Self {
+        last.filter(|last| last.as_of >= self.as_of).unwrap_or(self)
+    }
+
+    /// Time from the start of the call to `now`.
+    #[must_use]
+    pub fn age(&self, now: runtime::Moment) -> Duration {
+        now.saturating_since(self.as_of)
+    }
+}
+
 /// What a read of a topic proves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
--- a/src/direct/freshness.rs
+++ b/src/direct/freshness.rs
@@ -1,4 +1,4 @@
-//! Age of what was read from the store.
+//! Age of what a snapshot holds.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,26 +8,23 @@
 use crate::direct;
 use crate::runtime;
 
-/// Last confirmation of the configuration or the share of this entry. The control thread
-/// writes it, traffic reads it.
+/// Last confirmation of the configuration or the share of this entry in one snapshot. The
+/// control thread writes it as long as no later snapshot is published, traffic reads it.
 #[derive(Debug, Default)]
 pub struct Freshness(ArcSwapOption<direct::Confirmation>);
 
 impl Freshness {
-    /// Records a confirmation; an older one has no effect.
-    pub fn confirm(&self, confirmation: direct::Confirmation) {
-        let is_newer = |last: direct::Confirmation| confirmation.as_of > last.as_of;
-        if self.last().is_none_or(is_newer) {
-            self.0.store(Some(Arc::new(confirmation)));
-        }
+    /// Creates the freshness of a snapshot that is about to be published.
+    #[must_use]
+    pub fn new(last: Option<direct::Confirmation>) -> Self {
+        Self(ArcSwapOption::from_pointee(last))
     }
 
-    /// Records a confirmation of a state that is not published yet. Traffic keeps the freshness
-    /// of the published one, which lacks what was confirmed, until it gets the next snapshot.
-    pub fn confirm_unpublished(this: &mut Arc<Self>, confirmation: direct::Confirmation) {
-        let next = Self(ArcSwapOption::new(this.0.load_full()));
-        next.confirm(confirmation);
-        *this = Arc::new(next);
+    /// Records the last confirmation, if any.
+    pub fn confirm(&self, last: Option<direct::Confirmation>) {
+        if self.last() != last {
+            self.0.store(last.map(Arc::new));
+        }
     }
 
     /// Returns the last confirmation; `None` before the first one.
@@ -39,6 +36,6 @@
     /// Time since the last confirmation; `None` before the first one.
     #[must_use]
     pub fn age(&self, now: runtime::Moment) -> Option<Duration> {
-        self.last().map(|last| now.saturating_since(last.as_of))
+        self.last().map(|last| last.age(now))
     }
 }
--- a/src/direct/plane.rs
+++ b/src/direct/plane.rs
@@ -1,5 +1,6 @@
 //! Control plane of a direct entry.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use crate::control;
@@ -11,13 +12,20 @@
 #[derive(Debug)]
 pub struct Plane {
     world: direct::World,
+    /// Ages in the last snapshot.
+    freshness: Arc<direct::Freshness>,
+    share_freshness: Arc<direct::Freshness>,
 }
 
 impl Plane {
     /// Creates a control plane over these tables.
     #[must_use]
-    pub const fn new(world: direct::World) -> Self {
-        Self { world }
+    pub fn new(world: direct::World) -> Self {
+        Self {
+            world,
+            freshness: Arc::default(),
+            share_freshness: Arc::default(),
+        }
     }
 
     /// Runs all systems over `events` at the time `now`; returns a snapshot only if
@@ -32,6 +40,15 @@
             system(&mut self.world, &mut cx);
         }
         let snapshot = cx.changed.then(|| system::snapshot(&self.world));
+        if let Some(snapshot) = &snapshot {
+            // Requests that still hold the snapshot before lack the change, so that its ages are
+            // not renewed any more.
+            self.freshness = Arc::clone(&snapshot.freshness);
+            self.share_freshness = Arc::clone(&snapshot.share_freshness);
+        } else {
+            self.freshness.confirm(self.world.config_confirmed);
+            self.share_freshness.confirm(self.world.share_confirmed);
+        }
         control::Outcome {
             snapshot,
             effects: cx.effects,
--- a/src/direct/snapshot.rs
+++ b/src/direct/snapshot.rs
@@ -86,11 +86,11 @@
     pub services: HashMap<ids::ServiceName, Arc<ServiceView>>,
     /// Requests suspected of crashing endpoints.
     pub suspects: Arc<poison::Suspects>,
-    /// When the configuration was last confirmed; updated between snapshots too.
+    /// When the configuration was last confirmed; updated until the next snapshot.
     pub freshness: Arc<direct::Freshness>,
     /// Share of this entry in limits that apply to all entries together.
     pub share: balance::AnyFleetShare,
-    /// When the leases of the share were last confirmed; updated between snapshots too.
+    /// When the leases of the share were last confirmed; updated until the next snapshot.
     pub share_freshness: Arc<direct::Freshness>,
     /// What this entry does about reads that all entries need.
     pub duty: Arc<peers::Duty>,
--- a/src/direct/system/limits.rs
+++ b/src/direct/system/limits.rs
@@ -49,7 +49,7 @@
 }
 
 fn publish_delay(world: &direct::World, endpoint: &ids::EndpointId, cx: &TickCx) -> Duration {
-    let leases = world.share.leases(world.share_freshness.age(cx.now));
+    let leases = world.leases(cx.now);
     if leases.is_first(endpoint) {
         return Duration::ZERO;
     }
@@ -92,7 +92,7 @@
 
 /// Applies a changed record to the endpoint, and publishes what is not on record yet.
 fn update(world: &mut direct::World, cx: &mut TickCx, id: &ids::EndpointId) {
-    let leases = world.share.leases(world.share_freshness.age(cx.now));
+    let leases = world.leases(cx.now);
     let endpoint = world.endpoints.by_name(id);
     let Some(row) = world.limits.get_mut(id) else {
         return;
--- a/src/direct/system/operator.rs
+++ b/src/direct/system/operator.rs
@@ -49,17 +49,12 @@
             }
         }
     }
-    let Some(as_of) = batch.confirmed else {
-        return;
-    };
-    let confirmation = direct::Confirmation {
-        as_of,
-        end: Some(batch.end),
-    };
-    if cx.changed {
-        direct::Freshness::confirm_unpublished(&mut world.freshness, confirmation);
-    } else {
-        world.freshness.confirm(confirmation);
+    if let Some(as_of) = batch.confirmed {
+        let confirmation = direct::Confirmation {
+            as_of,
+            end: Some(batch.end),
+        };
+        world.config_confirmed = Some(confirmation.or_later(world.config_confirmed));
     }
 }
 
--- a/src/direct/system/share.rs
+++ b/src/direct/system/share.rs
@@ -25,11 +25,6 @@
             as_of: assignment.call_started,
             end: None,
         };
-        if cx.changed {
-            let freshness = &mut world.share_freshness;
-            direct::Freshness::confirm_unpublished(freshness, confirmation);
-        } else {
-            world.share_freshness.confirm(confirmation);
-        }
+        world.share_confirmed = Some(confirmation.or_later(world.share_confirmed));
     }
 }
--- a/src/direct/system/snapshot.rs
+++ b/src/direct/system/snapshot.rs
@@ -26,9 +26,9 @@
         deployment: world.deployment.clone(),
         services,
         suspects: Arc::clone(&world.suspects),
-        freshness: Arc::clone(&world.freshness),
+        freshness: Arc::new(direct::Freshness::new(world.config_confirmed)),
         share: world.share.clone(),
-        share_freshness: Arc::clone(&world.share_freshness),
+        share_freshness: Arc::new(direct::Freshness::new(world.share_confirmed)),
         duty: Arc::clone(&world.duty),
     }
 }
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -116,12 +116,12 @@
     pub domains_out_of_service: HashSet<ids::DomainName>,
     /// Availability of the store, by topic.
     pub health: HashMap<direct::Source, direct::StoreHealth>,
-    /// When the configuration was last confirmed; shared with traffic.
-    pub freshness: Arc<direct::Freshness>,
+    /// Last confirmation of the configuration; `None` before the first.
+    pub config_confirmed: Option<direct::Confirmation>,
     /// Share of this entry in limits that apply to all entries together.
     pub share: balance::AnyFleetShare,
-    /// When the leases of the share were last confirmed; shared with traffic.
-    pub share_freshness: Arc<direct::Freshness>,
+    /// Last confirmation of the leases of the share; `None` before the first.
+    pub share_confirmed: Option<direct::Confirmation>,
     /// Start of the last read of the endpoints; `None` before the first.
     pub endpoints_confirmed: Option<runtime::Moment>,
     /// Whether a complete listing of the endpoints has been read.
@@ -149,9 +149,9 @@
             suspects: Arc::default(),
             domains_out_of_service: HashSet::new(),
             health: HashMap::new(),
-            freshness: Arc::default(),
+            config_confirmed: None,
             share: balance::AnyFleetShare::default(),
-            share_freshness: Arc::default(),
+            share_confirmed: None,
             endpoints_confirmed: None,
             endpoints_listed: false,
             members: peers::Members::default(),
@@ -179,6 +179,13 @@
         }
     }
 
+    /// Returns the leases by which this entry gets its part of a rate over all entries.
+    #[must_use]
+    pub fn leases(&self, now: runtime::Moment) -> balance::HeldLeases {
+        let age = self.share_confirmed.map(|last| last.age(now));
+        self.share.leases(age)
+    }
+
     /// Wait that is expected of an endpoint of the service that has not answered yet; `None`
     /// before any of its endpoints has.
     #[must_use]
--- a/tests/integration/direct/freshness.rs
+++ b/tests/integration/direct/freshness.rs
@@ -1,10 +1,10 @@
 //! What confirms that an entry lacks nothing that the store holds.
 
-use quetzalworks::direct::{Assignment, Event, Listings, Scope, Snapshot};
+use quetzalworks::direct::{Assignment, Batch, Event, Listings, Scope, Snapshot};
 use quetzalworks::ids::{LeaseNumber, StoreEra};
 use quetzalworks::runtime::Moment;
 
-use crate::direct::world::{TestWorld, config, operator_change};
+use crate::direct::world::{TestWorld, config, operator_change, position};
 
 /// Age of the configuration or the leases in a snapshot, in milliseconds.
 fn age(world: &TestWorld, snapshot: &Snapshot, is_share: bool) -> u128 {
@@ -75,6 +75,44 @@
     }
 }
 
+/// Guards against requests that hold a snapshot while its successors are published and
+/// confirmed, and are admitted by a key that it still has.
+#[test]
+fn a_confirmation_reaches_the_last_snapshot_only() {
+    struct Case {
+        name: &'static str,
+        /// Version in the read that proves nothing; `None` if it changes nothing.
+        unproven: Option<u64>,
+        /// Age in the snapshot of a second before, once a read has proven that nothing lacks.
+        before: u128,
+    }
+    let case = |name, unproven, before| Case {
+        name,
+        unproven,
+        before,
+    };
+    let cases = [
+        case("nothing has changed", None, 0),
+        case("the same version", Some(1), 0),
+        case("a change that was not proven", Some(2), 1_000),
+    ];
+    for case in cases {
+        let mut world = TestWorld::new();
+        let before = world.snapshot.clone();
+        world.advance(1_000);
+        let change = |version| operator_change("config", Some(&config(version)));
+        world.tick(vec![Event::Operator(Batch {
+            scope: Scope::News,
+            items: case.unproven.map(change).into_iter().collect(),
+            end: position(1),
+            confirmed: None,
+        })]);
+        world.operator(false, vec![]);
+        assert_eq!(age(&world, &before, false), case.before, "{}", case.name);
+        assert_eq!(age(&world, &world.snapshot, false), 0, "{}", case.name);
+    }
+}
+
 /// The first listing, and that of a copy from which the store has come back.
 const COPY: &[(u64, u64, u64)] = &[(1, 0, 10), (2, 5_000, 5_010)];
 
