A configuration that cannot be decoded is not current

Callers could see: a key that was taken away stays in use for good.

Cause: the decoder dropped such a record with a warning, and the read that held it confirmed the revision before, with its keys.

Change: the decoder hands it on as OperatorChange::UnreadableDeployment. The last valid revision stays in use, and nothing confirms it until the newest record can be decoded: where withdrawn keys have a limit, keys are refused once it is too old, and the entry is not ready. Where they have none, keys are accepted as before.

Test: operator::a_configuration_that_cannot_be_decoded_is_not_confirmed, failed with the confirmation left in (age 0 instead of 1,500 ms).

--- a/src/direct/change.rs
+++ b/src/direct/change.rs
@@ -28,6 +28,9 @@
 pub enum OperatorChange {
     /// A revision of the whole configuration.
     Deployment(Arc<catalog::Deployment>),
+    /// A revision that could not be decoded; the last valid one stays in use, but is not
+    /// current any more.
+    UnreadableDeployment,
     /// The rollout order of a service.
     Rollout {
         /// Service that the order is for.
--- a/src/direct/system/operator.rs
+++ b/src/direct/system/operator.rs
@@ -37,8 +37,15 @@
     for change in &batch.items {
         match change {
             direct::OperatorChange::Deployment(deployment) => {
+                world.is_deployment_unreadable = false;
                 apply_deployment(world, cx, deployment);
             }
+            direct::OperatorChange::UnreadableDeployment => {
+                let known = world.deployment.as_ref().map(|known| known.revision);
+                log::warn!(target: "catalog", in_force:? = known;
+                    "configuration could not be decoded, the one in force is not current any more");
+                world.is_deployment_unreadable = true;
+            }
             // A copy may hold an order that was withdrawn or replaced since.
             direct::OperatorChange::Rollout { .. } if batch.scope == direct::Scope::Restored => {}
             direct::OperatorChange::Rollout { service, plan } => {
@@ -49,7 +56,9 @@
             }
         }
     }
-    if let Some(as_of) = batch.confirmed {
+    if let Some(as_of) = batch.confirmed
+        && !world.is_deployment_unreadable
+    {
         let confirmation = direct::Confirmation {
             as_of,
             end: Some(batch.end),
@@ -204,7 +213,8 @@
             direct::OperatorChange::DomainOut { domain, .. } => {
                 domains.insert(domain.clone());
             }
-            direct::OperatorChange::Deployment(_) => {}
+            direct::OperatorChange::Deployment(_)
+            | direct::OperatorChange::UnreadableDeployment => {}
         }
     }
     let gone: Vec<_> = world
--- a/src/direct/world.rs
+++ b/src/direct/world.rs
@@ -98,6 +98,9 @@
     pub settings: settings::Direct,
     /// Current configuration; `None` before it has been read.
     pub deployment: Option<Arc<catalog::Deployment>>,
+    /// Whether the newest record of the configuration could not be decoded, so that the current
+    /// one may have withdrawn any key.
+    pub is_deployment_unreadable: bool,
     /// Endpoints by id, in service or not.
     pub endpoints: table::Table<EndpointKey, ids::EndpointId, EndpointRow>,
     /// Limits that endpoints name, by endpoint; only those on record or to be published.
@@ -140,6 +143,7 @@
             process: ids::Incarnation::at_start(runtime::since_epoch()),
             settings,
             deployment: None,
+            is_deployment_unreadable: false,
             endpoints: table::Table::default(),
             limits: HashMap::new(),
             rollouts: HashMap::new(),
--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -119,15 +119,16 @@
     duration_s: f64,
 }
 
-/// Decodes a record of the operator; `None` where its key is unknown or its
-/// configuration is invalid. A removed or invalid rollout order counts as withdrawn.
+/// Decodes a record of the operator; `None` where its key is unknown or the configuration was
+/// removed. A removed or invalid rollout order counts as withdrawn.
 #[must_use]
 pub fn decode(key: &str, value: Option<&Bytes>) -> Option<direct::OperatorChange> {
     if key == CONFIG_KEY {
-        let config = read_json::<Config>(key, value?)?;
-        return Some(direct::OperatorChange::Deployment(Arc::new(deployment(
-            config,
-        ))));
+        let config = read_json::<Config>(key, value?);
+        return Some(match config {
+            Some(config) => direct::OperatorChange::Deployment(Arc::new(deployment(config))),
+            None => direct::OperatorChange::UnreadableDeployment,
+        });
     }
     if let Some(service) = key.strip_prefix(ROLLOUT_PREFIX) {
         let service = service.parse().ok()?;
--- a/tests/integration/direct/operator.rs
+++ b/tests/integration/direct/operator.rs
@@ -55,6 +55,46 @@
     assert_eq!(age(&world), 0);
 }
 
+/// Guards against a key that stays in use, as the revision that withdraws it could not be
+/// decoded.
+#[test]
+fn a_configuration_that_cannot_be_decoded_is_not_confirmed() {
+    struct Case {
+        name: &'static str,
+        /// Records of the configuration, in order; `None` for one that cannot be decoded.
+        records: &'static [Option<u64>],
+        in_force: u64,
+        /// Age once a later read has reached the end of the topic.
+        age: u128,
+    }
+    let case = |name, records, in_force, age| Case {
+        name,
+        records,
+        in_force,
+        age,
+    };
+    let cases = [
+        case("a revision", &[Some(2)], 2, 0),
+        case("none that can be decoded", &[None], 1, 1_500),
+        case("one that can be, then another", &[Some(2), None], 2, 1_000),
+        case("another, then one that can be", &[None, Some(3)], 3, 0),
+    ];
+    for case in cases {
+        let mut world = TestWorld::new();
+        world.advance(1_000);
+        for version in case.records {
+            let value = version.map_or(json!({ "Version": 9 }), config);
+            world.operator(false, vec![operator_change("config", Some(&value))]);
+            world.advance(500);
+        }
+        world.operator(false, vec![]);
+        let revision = world.snapshot.deployment.as_ref().unwrap().revision;
+        assert_eq!(revision.0, case.in_force, "{}", case.name);
+        let age = world.snapshot.freshness.age(world.now).unwrap().as_millis();
+        assert_eq!(age, case.age, "{}", case.name);
+    }
+}
+
 /// Guards against requests to a failure domain that is out of service, and
 /// against full load on its endpoints when it is back in service.
 #[test]
