Seeded check of the orders of events in which a key may be accepted too late

No key may be accepted later than RevokeMs after its withdrawal, and each entry accepts the keys in force at the end.

--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -18,6 +18,7 @@
 mod fleet_share;
 mod freshness;
 mod idle;
+mod key_orders;
 mod keys;
 mod limit_replay;
 mod limit_reports;
