--- a/src/direct/snapshot.rs
+++ b/src/direct/snapshot.rs
@@ -104,7 +104,7 @@
         direct::KnownConfig {
             deployment: self.deployment.as_ref(),
             confirmation,
-            age: confirmation.map(|last| now.saturating_since(last.as_of)),
+            age: confirmation.map(|last| last.age(now)),
         }
     }
 
--- a/tests/integration/direct/key_orders/entry.rs
+++ b/tests/integration/direct/key_orders/entry.rs
@@ -14,7 +14,7 @@
 use quetzalworks::platform::operator;
 use quetzalworks::runtime::Moment;
 
-use super::store::{Answer, Record, Store};
+use crate::direct::key_orders::store::{Answer, Record, Store};
 use crate::direct::world::settings;
 
 /// Time limit of a call of the store, besides its wait.
