--- a/src/catalog/api_key.rs
+++ b/src/catalog/api_key.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use ring::digest;
+use crate::ids;
 
 /// A secret that identifies a team. Its `Debug` output hides it, so that it never
 /// reaches a log line.
@@ -20,10 +20,7 @@
     /// Returns the first bits of a digest, by which log lines name the key without telling it.
     #[must_use]
     pub fn label(&self) -> KeyLabel {
-        let digest = digest::digest(&digest::SHA256, self.0.as_bytes());
-        let mut bytes = [0; 4];
-        bytes.copy_from_slice(&digest.as_ref()[..4]);
-        KeyLabel(u32::from_be_bytes(bytes))
+        KeyLabel(ids::Digest::of(self.0.as_bytes()).first_u128() >> 96)
     }
 }
 
@@ -35,7 +32,7 @@
 
 /// Name of a key in log lines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct KeyLabel(u32);
+pub struct KeyLabel(u128);
 
 impl fmt::Display for KeyLabel {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
