Reads: what the batch and the caller already know is not kept twice

Whether a read is behind is what its batch lacks, so `TopicReads` needs no flag for it. The time at which a follower asks is taken once, for the poll and for its log line.

--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -46,7 +46,7 @@
                 // A failure ends following. That the reader has lost the store is no outage of
                 // the store for this entry: its own read tells.
                 let asked = runtime::Moment::now();
-                if let Ok((page, confirmed)) = task.poll(from).await {
+                if let Ok((page, confirmed)) = task.poll(from, asked).await {
                     let mut batch = RawBatch::relayed(from, page);
                     let proof = reads.record_page(batch.end, confirmed);
                     batch.confirmed = proof.confirmed();
@@ -81,7 +81,7 @@
                 if let Some(task) = &mut shared {
                     task.record_read(&duty, position, &batch);
                 }
-                let pause = match (batch.records.is_empty(), reads.is_behind()) {
+                let pause = match (batch.records.is_empty(), batch.lacking > 0) {
                     (false, false) => poll.pause,
                     (false, true) | (true, false) => Duration::ZERO,
                     (true, true) => RETRY_DELAY,
--- a/src/direct/follow_task.rs
+++ b/src/direct/follow_task.rs
@@ -81,13 +81,13 @@
         self.follower.read_wait(usual)
     }
 
-    /// Polls the followed entry for the records from `from` on, and returns them with the time
-    /// as of which they lack nothing. On failure, this entry reads for itself.
+    /// Polls the followed entry at `asked` for the records from `from` on, and returns them with
+    /// the time as of which they lack nothing. On failure, this entry reads for itself.
     pub(super) async fn poll(
         &mut self,
         from: ids::Position,
+        asked: runtime::Moment,
     ) -> Result<(peers::RelayedPage, runtime::Moment), peers::FollowEnd> {
-        let asked = runtime::Moment::now();
         let answer = self.ask(from, asked).await;
         let now = runtime::Moment::now();
         let result = self.follower.record_answer(from, asked, now, answer);
--- a/src/direct/topic_reads.rs
+++ b/src/direct/topic_reads.rs
@@ -15,8 +15,6 @@
     /// Position at which the next read continues; `None` if the topic is to be listed.
     position: Option<ids::Position>,
     listings: direct::Listings,
-    /// Whether the last read ended before the end of the topic.
-    is_behind: bool,
 }
 
 impl TopicReads {
@@ -37,12 +35,6 @@
         left.map_or(usual, |left| usual.min(left))
     }
 
-    /// Whether the last read ended before the end of the topic.
-    #[must_use]
-    pub const fn is_behind(&self) -> bool {
-        self.is_behind
-    }
-
     /// Records a listing whose first page stated `end`, made from `started` to `now`.
     pub fn record_listing(
         &mut self,
@@ -63,8 +55,7 @@
         started: runtime::Moment,
     ) -> direct::Proof {
         self.position = Some(end);
-        self.is_behind = lacking > 0;
-        if self.is_behind {
+        if lacking > 0 {
             direct::Proof::EndedEarly
         } else {
             self.prove(started)
