--- a/src/direct/snapshot.rs
+++ b/src/direct/snapshot.rs
@@ -103,7 +103,7 @@
         let confirmation = self.freshness.last();
         direct::KnownConfig {
             deployment: self.deployment.as_ref(),
-            confirmation,
+            end: confirmation.and_then(|last| last.end),
             age: confirmation.map(|last| last.age(now)),
         }
     }
--- a/src/gateway/handler.rs
+++ b/src/gateway/handler.rs
@@ -301,7 +301,7 @@
     if let Some(deployment) = config.deployment {
         trace.note("config", &deployment.revision);
     }
-    if let Some(end) = config.confirmation.and_then(|last| last.end) {
+    if let Some(end) = config.end {
         trace.note("config_era", &end.era);
         trace.note("config_offset", &end.offset);
     }
