Values in the store's queries are encoded

Callers saw almost no request served once all processes had restarted, while a record of another writer stood in the list of servers (RECOVER).

A listing goes on after the last key of a page, and that key went into the query as it was. A blank, a control character, a quote or a bracket made no valid target, so that each listing failed; after `&`, `+` and `#` the store saw another key and an earlier page came again without end; after `%` good servers were left out, or the page came again. No test could see it: the stand-in store did not decode its queries.

The stand-in decodes queries as forms, and ends a page at 1 MB as well as at 500 records.

--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -30,7 +30,7 @@
 pub use confirmation::{Confirmation, Proof};
 pub use evidence::{Evidence, Sample, WaitingKey};
 pub use exchange::{SharedExchange, exchange, newest_evidence};
-pub use feed::follow;
+pub use feed::{KeyedValues, follow, newest_records};
 pub use follow_task::{FollowTask, SharedReads};
 pub use freshness::Freshness;
 pub use join::join;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -20,12 +20,13 @@
 pub mod rollout_status;
 mod store;
 pub mod store_call;
+mod target;
 
 pub use append_once::append_once;
 pub use appender::Appender;
 pub use error::PlatformError;
 pub use log_client::LogClient;
 pub use page::{AppendResult, LogRecord, Page, Stream};
-pub use record::{has_keys, split_key, with_key};
+pub use record::{has_keys, split, split_key, with_key};
 pub use store::{AppendOutcome, KeyedRecord, NewestPage, ReadOutcome, RecordBatch, StoreClient};
 pub use store_call::StoreCall;
--- a/src/platform/record.rs
+++ b/src/platform/record.rs
@@ -42,9 +42,10 @@
 
 /// Encodes the content of a record with a key; `None` where the key is longer than 255 bytes.
 #[must_use]
-pub fn with_key(key: &str, value: &[u8]) -> Option<Bytes> {
+pub fn with_key(key: impl AsRef<[u8]>, value: &[u8]) -> Option<Bytes> {
+    let key = key.as_ref();
     let mut content = vec![u8::try_from(key.len()).ok()?];
-    content.extend_from_slice(key.as_bytes());
+    content.extend_from_slice(key);
     content.extend_from_slice(value);
     Some(content.into())
 }
@@ -52,13 +53,20 @@
 /// Splits the content of a record into key and value. The value is `None` where
 /// the key was removed; the result is `None` where the content is malformed.
 #[must_use]
-pub fn split_key(content: &Bytes) -> Option<(&str, Option<Bytes>)> {
+pub fn split(content: &Bytes) -> Option<(&[u8], Option<Bytes>)> {
     let length = usize::from(*content.first()?);
-    let key = std::str::from_utf8(content.get(1..=length)?).ok()?;
+    let key = content.get(1..=length)?;
     let value = content.slice(1 + length..);
     Some((key, (!value.is_empty()).then_some(value)))
 }
 
+/// Does the same where the key is a text; the result is also `None` where it is not.
+#[must_use]
+pub fn split_key(content: &Bytes) -> Option<(&str, Option<Bytes>)> {
+    let (key, value) = split(content)?;
+    Some((std::str::from_utf8(key).ok()?, value))
+}
+
 /// Returns whether the records of the topic have keys, by the prefix of its name.
 #[must_use]
 pub fn has_keys(topic: &str) -> bool {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -17,6 +17,7 @@
 use crate::observe;
 use crate::peers;
 use crate::platform;
+use crate::platform::target::Target;
 use crate::platform::{record, store_call};
 use crate::runtime;
 use crate::units;
@@ -194,13 +195,11 @@
         from: ids::Offset,
         wait: Duration,
     ) -> Result<(ids::StoreEra, ReadOutcome), platform::PlatformError> {
-        let wait_ms = wait.as_millis();
-        let uri = format!(
-            "{}?Topic={topic}&part=0&From={from}&WaitMs={wait_ms}",
-            store_call::READ
-        );
+        let target = partition(store_call::READ, topic)
+            .with("From", from.to_string())
+            .with("WaitMs", wait.as_millis().to_string());
         let answer = self
-            .call(Method::GET, uri, Bytes::new(), wait + CALL_TIMEOUT)
+            .call(Method::GET, target, Bytes::new(), wait + CALL_TIMEOUT)
             .await?;
         let read = match answer.status {
             StatusCode::OK => decode_read(from, &answer.body)?,
@@ -218,13 +217,12 @@
         topic: &str,
         after: Option<&str>,
     ) -> Result<NewestPage, platform::PlatformError> {
-        let mut uri = format!("{}?Topic={topic}&part=0", store_call::NEWEST);
+        let mut target = partition(store_call::NEWEST, topic);
         if let Some(after) = after {
-            uri.push_str("&After=");
-            uri.push_str(after);
+            target = target.with("After", after);
         }
         let answer = self
-            .call(Method::GET, uri, Bytes::new(), CALL_TIMEOUT)
+            .call(Method::GET, target, Bytes::new(), CALL_TIMEOUT)
             .await?;
         if answer.status != StatusCode::OK {
             return Err(answer.unexpected());
@@ -260,15 +258,15 @@
         at: Option<ids::Position>,
         records: &[Bytes],
     ) -> Result<AppendOutcome, platform::PlatformError> {
-        let mut uri = format!("{}?Topic={topic}&part=0", store_call::APPEND);
+        let mut target = partition(store_call::APPEND, topic);
         if let Some(at) = at {
             if self.latest_era().is_some_and(|latest| latest > at.era) {
                 return Err(platform::PlatformError::Restored);
             }
-            uri = format!("{uri}&At={}", at.offset);
+            target = target.with("At", at.offset.to_string());
         }
         let body = record::encode(records);
-        let answer = self.call(Method::POST, uri, body, CALL_TIMEOUT).await?;
+        let answer = self.call(Method::POST, target, body, CALL_TIMEOUT).await?;
         match answer.status {
             StatusCode::OK => Ok(AppendOutcome::AppendedAt(
                 parse::<AppendBody>(&answer.body)?.offset,
@@ -288,8 +286,8 @@
         let body = join.encode().map_err(|err| {
             platform::PlatformError::Refused(http::HttpError::Malformed(err.to_string().into()))
         })?;
-        let uri = store_call::JOIN.into();
-        let answer = self.call(Method::POST, uri, body, CALL_TIMEOUT).await?;
+        let target = Target::new(store_call::JOIN);
+        let answer = self.call(Method::POST, target, body, CALL_TIMEOUT).await?;
         if answer.status != StatusCode::OK {
             return Err(answer.unexpected());
         }
@@ -300,9 +298,9 @@
 
     /// Lists the members that hold partitions in the group of the entries.
     pub async fn members(&self) -> Result<Vec<peers::Member>, platform::PlatformError> {
-        let uri = format!("{}?group={}", store_call::OWNERS, platform::group::GROUP);
+        let target = Target::new(store_call::OWNERS).with("group", platform::group::GROUP);
         let answer = self
-            .call(Method::GET, uri, Bytes::new(), MEMBERS_TIMEOUT)
+            .call(Method::GET, target, Bytes::new(), MEMBERS_TIMEOUT)
             .await?;
         if answer.status != StatusCode::OK {
             return Err(answer.unexpected());
@@ -341,16 +339,16 @@
     async fn call(
         &self,
         method: Method,
-        uri: String,
+        target: Target,
         body: Bytes,
         timeout: Duration,
     ) -> Result<Answer, platform::PlatformError> {
         let began = Instant::now();
         let deadline = began + timeout;
-        let kind = store_call::kind(&uri);
+        let kind = store_call::kind(target.as_str());
         let req = Request::builder()
             .method(method)
-            .uri(uri)
+            .uri(target.as_str())
             .body(Full::new(body))
             .map_err(|err| http::HttpError::NotSent(err.to_string().into()))?;
         let exchange = async {
@@ -384,6 +382,11 @@
     http::Client::with_limits(addr, traffic.clone(), limits)
 }
 
+/// Returns the target of a call on the only partition of a topic.
+fn partition(path: &str, topic: &str) -> Target {
+    Target::new(path).with("Topic", topic).with("part", "0")
+}
+
 fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, platform::PlatformError> {
     serde_json::from_slice(body).map_err(|err| malformed(&err))
 }
--- a/src/platform/store_call.rs
+++ b/src/platform/store_call.rs
@@ -12,7 +12,7 @@
 
 use crate::ids;
 use crate::platform;
-use crate::platform::record;
+use crate::platform::{record, target};
 
 /// Path of append requests.
 pub(super) const APPEND: &str = "/log-append";
@@ -80,7 +80,7 @@
         /// Topic whose records are listed.
         topic: Arc<str>,
         /// Lists only the keys after this one; `None` lists from the first key.
-        after: Option<Arc<str>>,
+        after: Option<Bytes>,
     },
     /// Joins a group or stays in it.
     Join(platform::group::Join),
@@ -101,36 +101,32 @@
         if (method, uri.path()) == (&Method::GET, OWNERS) {
             return Some(Self::Owners);
         }
-        let topic: Arc<str> = parameter(uri, "Topic")?.into();
+        let topic: Arc<str> = text(uri, "Topic")?.into();
         match (method, uri.path()) {
             (&Method::POST, APPEND) => Some(Self::Append {
                 topic,
-                at: parameter(uri, "At").and_then(|at| at.parse().ok()),
+                at: text(uri, "At").and_then(|at| at.parse().ok()),
                 records: record::decode(body)?,
             }),
             (&Method::GET, READ) => {
-                let wait = parameter(uri, "WaitMs").and_then(|wait| wait.parse().ok());
+                let wait = text(uri, "WaitMs").and_then(|wait| wait.parse().ok());
                 Some(Self::Read {
                     topic,
-                    from: parameter(uri, "From")?.parse().ok()?,
+                    from: text(uri, "From")?.parse().ok()?,
                     wait: Duration::from_millis(wait.unwrap_or(0)),
                 })
             }
             (&Method::GET, NEWEST) => Some(Self::Newest {
                 topic,
-                after: parameter(uri, "After").map(Into::into),
+                after: target::parameter(uri, "After").map(Into::into),
             }),
             _ => None,
         }
     }
 }
 
-fn parameter<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
-    uri.query()?
-        .split('&')
-        .filter_map(|pair| pair.split_once('='))
-        .find(|(key, _)| *key == name)
-        .map(|(_, value)| value)
+fn text(uri: &Uri, name: &str) -> Option<String> {
+    String::from_utf8(target::parameter(uri, name)?).ok()
 }
 
 /// Encodes the response to a read.
--- a/src/standin/log.rs
+++ b/src/standin/log.rs
@@ -23,8 +23,6 @@
 use crate::standin::{groups, serve};
 use crate::units;
 
-/// Maximum of records in one listing of the newest record per key.
-const MAX_LISTING: usize = 500;
 /// Largest accepted request body.
 const MAX_BODY: units::Bytes = units::Bytes(4 * 1_024 * 1_024);
 
@@ -127,12 +125,12 @@
         store_reply(store_call::append_answer(appended, count))
     }
 
-    /// Lists the newest records of a topic by key, at most [`MAX_LISTING`].
-    async fn handle_newest(&self, topic: &str, after: Option<&str>) -> http::Reply {
+    /// Lists one page of the newest records of a topic by key.
+    async fn handle_newest(&self, topic: &str, after: Option<&[u8]>) -> http::Reply {
         if let Some(reply) = self.outage().await {
             return reply;
         }
-        let newest = self.lock().newest(topic, after, MAX_LISTING);
+        let newest = self.lock().newest(topic, after, topics::PageSize::STATED);
         store_reply(store_call::newest_answer(&newest))
     }
 
@@ -243,7 +241,7 @@
 
     /// Sets the newest record of a key without going through HTTP, also during
     /// an outage; `None` removes the key.
-    pub fn put(&self, topic: &str, key: &str, value: Option<&[u8]>) {
+    pub fn put(&self, topic: &str, key: impl AsRef<[u8]>, value: Option<&[u8]>) {
         let content = platform::with_key(key, value.unwrap_or_default()).unwrap_or_default();
         self.append_raw(topic, content);
     }
@@ -279,7 +277,8 @@
     /// Returns the newest record of each key of a topic.
     #[must_use]
     pub fn newest(&self, topic: &str) -> Vec<platform::KeyedRecord> {
-        self.log.lock().newest(topic, None, usize::MAX).records
+        let all = topics::PageSize::UNLIMITED;
+        self.log.lock().newest(topic, None, all).records
     }
 
     /// Truncates a topic below `offset`; the newest record of each key stays.
--- a/src/standin/topics.rs
+++ b/src/standin/topics.rs
@@ -52,6 +52,26 @@
 /// Maximum of record bytes in one answer.
 const MAX_PAGE_BYTES: usize = 1_024 * 1_024;
 
+/// Maximum size of one page of a listing.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PageSize {
+    records: usize,
+    bytes: usize,
+}
+
+impl PageSize {
+    /// The size that the protocol states.
+    pub(super) const STATED: Self = Self {
+        records: 500,
+        bytes: MAX_PAGE_BYTES,
+    };
+    /// All records in one page.
+    pub(super) const UNLIMITED: Self = Self {
+        records: usize::MAX,
+        bytes: usize::MAX,
+    };
+}
+
 /// Retained records of one topic.
 #[derive(Clone, Debug, Default)]
 struct Topic {
@@ -59,7 +79,7 @@
     truncated: usize,
     records: Vec<Bytes>,
     /// Newest record per key, for topics whose records have keys.
-    newest: BTreeMap<Arc<str>, (ids::Offset, Bytes)>,
+    newest: BTreeMap<Bytes, (ids::Offset, Bytes)>,
     appends: u64,
     /// Appends still to be answered by a closed connection.
     answers_to_lose: u32,
@@ -73,9 +93,10 @@
     /// Updates the newest record of the key in `content`; a record without a
     /// value removes its key.
     fn index_key(&mut self, offset: ids::Offset, content: &Bytes) {
-        match platform::split_key(content) {
+        match platform::split(content) {
             Some((key, Some(value))) => {
-                self.newest.insert(key.into(), (offset, value));
+                self.newest
+                    .insert(Bytes::copy_from_slice(key), (offset, value));
             }
             Some((key, None)) => {
                 self.newest.remove(key);
@@ -199,31 +220,38 @@
         })
     }
 
-    /// Returns the newest records of the keys after `after`, at most `limit`.
+    /// Returns a page of the newest records of the keys after `after`. Bytes of a key that are
+    /// no text are replaced.
     pub(super) fn newest(
         &self,
         topic: &str,
-        after: Option<&str>,
-        limit: usize,
+        after: Option<&[u8]>,
+        max: PageSize,
     ) -> platform::NewestPage {
         let empty = Topic::default();
         let state = self.by_name.get(topic).unwrap_or(&empty);
         let mut rest = state
             .newest
             .iter()
-            .filter(|(key, _)| after.is_none_or(|after| &***key > after));
-        let records = rest
-            .by_ref()
-            .take(limit)
-            .map(|(key, (offset, value))| platform::KeyedRecord {
-                key: Arc::clone(key),
+            .filter(|(key, _)| after.is_none_or(|after| &***key > after))
+            .peekable();
+        let mut size = 0;
+        let mut records = Vec::new();
+        while records.len() < max.records
+            && let Some((key, (offset, value))) = rest.next_if(|(key, (_, value))| {
+                size += key.len() + value.len();
+                size <= max.bytes || records.is_empty()
+            })
+        {
+            records.push(platform::KeyedRecord {
+                key: String::from_utf8_lossy(key).into(),
                 value: Some(value.clone()),
                 offset: *offset,
-            })
-            .collect();
+            });
+        }
         platform::NewestPage {
             records,
-            has_more: rest.next().is_some(),
+            has_more: rest.peek().is_some(),
             end: ids::Position {
                 era: self.era,
                 offset: state.end(),
--- a/tests/integration/direct/mod.rs
+++ b/tests/integration/direct/mod.rs
@@ -25,6 +25,7 @@
 mod load;
 mod mild_faults;
 mod named_limit;
+mod odd_names;
 mod odd_records;
 mod operator;
 mod outcomes;
--- /dev/null
+++ b/tests/integration/direct/odd_names.rs
@@ -0,0 +1,180 @@
+//! Listings of topics in which another writer has left records under names of its own.
+
+use std::time::{Duration, Instant};
+
+use hyper::Method;
+use quetzalworks::direct;
+use quetzalworks::platform::{StoreClient, endpoint_record, operator, rollout_status};
+use quetzalworks::runtime;
+use quetzalworks::standin::StandinLog;
+
+use crate::direct::endpoint::{Behaviour, Endpoint};
+use crate::direct::site::{Site, is_ready, put_endpoint};
+use crate::testing::process::Process;
+use crate::testing::{http, isolation, wait};
+
+const TOPIC: &str = "keyed.test";
+/// Number of records in a page.
+const PAGE: usize = 500;
+/// Name in the middle of those of the other writer, and one after them.
+const GOOD: [&str; 2] = ["0-good", "s-1"];
+
+/// Writes records of another writer to a topic: as many as fill a page, of which all names
+/// begin with `name` or only the last one does.
+fn put_page(store: &StandinLog, topic: &str, name: &[u8], is_whole_page: bool) {
+    for i in 0..PAGE {
+        let mut key = if is_whole_page || i + 1 == PAGE {
+            name.to_vec()
+        } else {
+            // Before all other names.
+            vec![b'!']
+        };
+        key.extend_from_slice(format!("{i:03}").as_bytes());
+        store.put(topic, key, Some(b"{\"of\":\"another writer\"}"));
+    }
+}
+
+/// Guards against a listing that fails, does not end or leaves out records as a name does not
+/// come back from the query as it was.
+#[test]
+fn a_listing_leads_on_after_any_name() {
+    struct Case {
+        name: &'static str,
+        key: String,
+    }
+    let case = |name, key: &str| Case {
+        name,
+        key: key.into(),
+    };
+    let cases = [
+        case("plain", "0-"),
+        case("ampersand", "&"),
+        case("ampersand within", "0-&"),
+        case("further parameter", "0-&a&After=~"),
+        case("plus", "+"),
+        case("plus within", "0-+"),
+        case("number sign", "#"),
+        case("number sign within", "0-#"),
+        case("percent sign", "%"),
+        case("malformed escape", "0-%zz"),
+        case("escape of a later name", "0-%7e"),
+        case("blank", " "),
+        case("blank within", "0- "),
+        case("equals sign", "0-="),
+        case("question mark and slash", "0-?/"),
+        case("quote", "\""),
+        case("backslash", "0-\\"),
+        case("brackets", "0-[<{"),
+        case("line feed", "0-\n"),
+        case("zero", "\0"),
+        case("delete", "0-\u{7f}"),
+        case("beyond ASCII", "0-ü本"),
+        case("replacement character", "0-\u{fffd}"),
+        case("longest", &format!("0-{}&", "a".repeat(249))),
+    ];
+    let traffic = http::traffic();
+    let mut failed = Vec::new();
+    for case in cases {
+        for is_whole_page in [true, false] {
+            let is_complete = smol::block_on(async {
+                let log = StandinLog::bind(isolation::free_addr(), &traffic).await;
+                let log = log.unwrap();
+                put_page(&log, TOPIC, case.key.as_bytes(), is_whole_page);
+                for key in GOOD {
+                    log.put(TOPIC, key, Some(b"good"));
+                }
+                let store = StoreClient::new(log.addr(), traffic.clone());
+                let listed = list(&store).await;
+                let keys: Option<Vec<_>> =
+                    listed.map(|listed| listed.into_iter().map(|(key, _)| key).collect());
+                let written = log.newest(TOPIC);
+                keys == Some(written.into_iter().map(|record| record.key).collect())
+            });
+            if !is_complete {
+                failed.push((case.name, is_whole_page));
+            }
+        }
+    }
+    assert_eq!(failed, []);
+}
+
+/// Lists all records; `None` if the listing fails, or does not end.
+async fn list(store: &StoreClient) -> Option<direct::KeyedValues> {
+    let deadline = Instant::now() + Duration::from_secs(10);
+    let listing = direct::newest_records(store, TOPIC);
+    Some(runtime::timeout_at(deadline, listing).await?.ok()?.0)
+}
+
+/// Guards against entries that serve nothing, or no longer follow the store, as one name in
+/// a topic keeps them from listing it.
+#[test]
+fn an_odd_name_does_not_stop_the_others() {
+    struct Case {
+        name: &'static str,
+        key: &'static [u8],
+    }
+    let cases = [
+        Case {
+            name: "ampersand",
+            key: b"&",
+        },
+        Case {
+            name: "plus",
+            key: b"+",
+        },
+        Case {
+            name: "number sign",
+            key: b"#",
+        },
+        Case {
+            name: "percent sign",
+            key: b"%",
+        },
+        Case {
+            name: "escape of a later name",
+            key: b"0-%7e",
+        },
+        Case {
+            name: "blank",
+            key: b" ",
+        },
+    ];
+    for case in cases {
+        let good = GOOD.map(|id| Endpoint::spawn(id, &[], Behaviour::Answer(200, "good")));
+        let site = Site::spawn(&[("desk", &good[0]), ("desk", &good[1])]);
+        for topic in [
+            operator::TOPIC,
+            endpoint_record::TOPIC,
+            rollout_status::TOPIC,
+        ] {
+            put_page(&site.store, topic, case.key, true);
+        }
+        let started = site.start_entry("edge-north-2");
+        wait::until(case.name, || is_ready(started.readiness));
+        for id in GOOD {
+            wait::until(case.name, || is_known(&started.process, id));
+        }
+        // Entries list the topics again once the store has come back from a copy.
+        site.store.restore(&site.store.copy());
+        let next = Endpoint::spawn("s-2", &[], Behaviour::Answer(200, "good"));
+        put_endpoint(&site.store, "desk", &next, 1);
+        let entries = [
+            (&site.process, site.callers),
+            (&started.process, started.callers),
+        ];
+        for (process, callers) in entries {
+            wait::until(case.name, || is_known(process, next.id));
+            wait::until(case.name, || {
+                let answer = Site::call_at(callers, &Method::GET, "/open/a", "id-1", &[]);
+                answer.is_ok_and(|answer| answer.status == 200)
+            });
+        }
+    }
+}
+
+/// Returns whether an entry has learnt of an endpoint.
+fn is_known(process: &Process, id: &str) -> bool {
+    let lines = process.lines_with("endpoint appeared");
+    let field = format!("\"endpoint\":\"{id}\"");
+    lines.iter().any(|line| line.contains(&field))
+}
--- a/tests/integration/soak/site.rs
+++ b/tests/integration/soak/site.rs
@@ -186,10 +186,10 @@
         for (topic, written) in topics.into_iter().zip(written) {
             let lapsed = self.store.newest(topic).into_iter();
             for record in lapsed.filter(|old| !written.iter().any(|new| new.key == old.key)) {
-                self.store.put(topic, &record.key, None);
+                self.store.put(topic, &*record.key, None);
             }
             for record in written {
-                self.store.put(topic, &record.key, record.value.as_deref());
+                self.store.put(topic, &*record.key, record.value.as_deref());
             }
         }
     }
