An item of a listing that cannot be decoded costs itself only

One item of a listing without a key, or with a value that is no text, made the whole page fail, and with it each listing of the topic: an entry that starts would serve nothing. One whose value is no base64 was left out, so that a complete listing took its record for removed.

The items of a page are decoded one by one. Without a key an item is left out and counted; with an unreadable value its key stays listed with an empty value, which each topic's decoder refuses, so that what was known of it is kept. Bytes of the page that are no text are replaced instead of failing it.

`odd_items::an_odd_item_costs_itself_only` on the code before: 16 of 17 rows fail. Now all pass.

--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -290,7 +290,7 @@
         records.extend(
             page.records
                 .into_iter()
-                .map(|record| (record.key, record.value)),
+                .map(|record| (record.key, Some(record.value))),
         );
         if !page.has_more || after.is_none() {
             break;
--- a/src/platform/error.rs
+++ b/src/platform/error.rs
@@ -30,6 +30,11 @@
     }
 }
 
+/// Returns the error of a response that cannot be decoded.
+pub(super) fn malformed(reason: &dyn fmt::Display) -> PlatformError {
+    PlatformError::Unknown(http::HttpError::Malformed(reason.to_string().into()))
+}
+
 impl fmt::Display for PlatformError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -14,6 +14,7 @@
 pub mod headers;
 pub mod limit_record;
 mod log_client;
+mod newest;
 pub mod operator;
 mod page;
 mod record;
@@ -22,11 +23,14 @@
 pub mod store_call;
 mod target;
 
+use error::malformed;
+
 pub use append_once::append_once;
 pub use appender::Appender;
 pub use error::PlatformError;
 pub use log_client::LogClient;
+pub use newest::{KeyedRecord, NewestPage};
 pub use page::{AppendResult, LogRecord, Page, Stream};
 pub use record::{has_keys, split, split_key, with_key};
-pub use store::{AppendOutcome, KeyedRecord, NewestPage, ReadOutcome, RecordBatch, StoreClient};
+pub use store::{AppendOutcome, ReadOutcome, RecordBatch, StoreClient};
 pub use store_call::StoreCall;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -6,8 +6,6 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD;
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::{HeaderMap, Method, Request, StatusCode};
@@ -69,28 +67,6 @@
     },
 }
 
-/// One page of the newest records of the keys of a topic.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct NewestPage {
-    /// The records, ordered by key.
-    pub records: Vec<KeyedRecord>,
-    /// Whether more keys follow.
-    pub has_more: bool,
-    /// End of the partition at the time of the listing.
-    pub end: ids::Position,
-}
-
-/// The newest record of a key.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct KeyedRecord {
-    /// Key of the record within its topic.
-    pub key: Arc<str>,
-    /// Value of the record; `None` where the key was removed.
-    pub value: Option<Bytes>,
-    /// Position in the partition.
-    pub offset: ids::Offset,
-}
-
 /// Outcome of an append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AppendOutcome {
@@ -116,25 +92,6 @@
     }
 }
 
-#[derive(serde::Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct NewestBody {
-    items: Vec<NewestItem>,
-    #[serde(default)]
-    has_more: bool,
-    end: ids::Offset,
-}
-
-#[derive(serde::Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct NewestItem {
-    key: Arc<str>,
-    /// The value in base64.
-    #[serde(default)]
-    value: String,
-    offset: ids::Offset,
-}
-
 #[derive(serde::Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct AppendBody {
@@ -183,7 +140,7 @@
         match era.cmp(&from.era) {
             Ordering::Equal => Ok(read),
             Ordering::Greater => Err(platform::PlatformError::Restored),
-            Ordering::Less => Err(malformed(&"response of an earlier era")),
+            Ordering::Less => Err(platform::malformed(&"response of an earlier era")),
         }
     }
 
@@ -216,7 +173,7 @@
         &self,
         topic: &str,
         after: Option<&str>,
-    ) -> Result<NewestPage, platform::PlatformError> {
+    ) -> Result<platform::NewestPage, platform::PlatformError> {
         let mut target = partition(store_call::NEWEST, topic);
         if let Some(after) = after {
             target = target.with("After", after);
@@ -227,26 +184,7 @@
         if answer.status != StatusCode::OK {
             return Err(answer.unexpected());
         }
-        let page: NewestBody = parse(&answer.body)?;
-        let decode = |item: NewestItem| {
-            let value = STANDARD
-                .decode(item.value)
-                .inspect_err(|err| log::warn!("store: skipping invalid base64 in {topic}: {err}."))
-                .ok()?;
-            Some(KeyedRecord {
-                key: item.key,
-                value: Some(value.into()),
-                offset: item.offset,
-            })
-        };
-        Ok(NewestPage {
-            records: page.items.into_iter().filter_map(decode).collect(),
-            has_more: page.has_more,
-            end: ids::Position {
-                era: answer.era,
-                offset: page.end,
-            },
-        })
+        platform::NewestPage::decode(answer.era, &answer.body)
     }
 
     /// Appends records to a topic, all or none; where `at` is given, only if the
@@ -306,7 +244,7 @@
             return Err(answer.unexpected());
         }
         platform::group::decode_owners(&answer.body)
-            .ok_or_else(|| malformed(&"answer without rows"))
+            .ok_or_else(|| platform::malformed(&"answer without rows"))
     }
 
     /// Returns the latest era in any response; `None` before the first.
@@ -388,11 +326,7 @@
 }
 
 fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, platform::PlatformError> {
-    serde_json::from_slice(body).map_err(|err| malformed(&err))
-}
-
-fn malformed(reason: &dyn std::fmt::Display) -> platform::PlatformError {
-    platform::PlatformError::Unknown(http::HttpError::Malformed(reason.to_string().into()))
+    serde_json::from_slice(body).map_err(|err| platform::malformed(&err))
 }
 
 fn decode_read(from: ids::Offset, body: &Bytes) -> Result<ReadOutcome, platform::PlatformError> {
@@ -400,10 +334,10 @@
         body.get(at..at + 8)
             .and_then(|bytes| <[u8; 8]>::try_from(bytes).ok())
             .map(|bytes| ids::Offset(u64::from_be_bytes(bytes)))
-            .ok_or_else(|| malformed(&"answer without its offsets"))
+            .ok_or_else(|| platform::malformed(&"answer without its offsets"))
     };
     let records = record::decode(&body.slice(READ_HEADER_BYTES.min(body.len())..))
-        .ok_or_else(|| malformed(&"truncated record"))?;
+        .ok_or_else(|| platform::malformed(&"truncated record"))?;
     Ok(ReadOutcome::Records(RecordBatch {
         from,
         end: offset_at(0)?,
--- a/src/platform/store_call.rs
+++ b/src/platform/store_call.rs
@@ -167,7 +167,7 @@
         .records
         .iter()
         .map(|record| {
-            let value = STANDARD.encode(record.value.as_deref().unwrap_or_default());
+            let value = STANDARD.encode(&record.value);
             json!({ "Key": record.key, "Value": value, "Offset": record.offset })
         })
         .collect();
--- a/src/standin/topics.rs
+++ b/src/standin/topics.rs
@@ -245,12 +245,13 @@
         {
             records.push(platform::KeyedRecord {
                 key: String::from_utf8_lossy(key).into(),
-                value: Some(value.clone()),
+                value: value.clone(),
                 offset: *offset,
             });
         }
         platform::NewestPage {
             records,
+            without_key: 0,
             has_more: rest.peek().is_some(),
             end: ids::Position {
                 era: self.era,
--- a/tests/integration/direct/odd_names.rs
+++ b/tests/integration/direct/odd_names.rs
@@ -1,19 +1,15 @@
 //! Listings of topics in which another writer has left records under names of its own.
 
-use std::time::{Duration, Instant};
-
 use hyper::Method;
-use quetzalworks::direct;
 use quetzalworks::platform::{StoreClient, endpoint_record, operator, rollout_status};
-use quetzalworks::runtime;
 use quetzalworks::standin::StandinLog;
 
 use crate::direct::endpoint::{Behaviour, Endpoint};
+use crate::direct::scripted_store::{self, TOPIC};
 use crate::direct::site::{Site, is_ready, put_endpoint};
 use crate::testing::process::Process;
 use crate::testing::{http, isolation, wait};
 
-const TOPIC: &str = "keyed.test";
 /// Number of records in a page.
 const PAGE: usize = 500;
 /// Name in the middle of those of the other writer, and one after them.
@@ -84,7 +80,7 @@
                     log.put(TOPIC, key, Some(b"good"));
                 }
                 let store = StoreClient::new(log.addr(), traffic.clone());
-                let listed = list(&store).await;
+                let listed = scripted_store::newest(&store).await;
                 let keys: Option<Vec<_>> =
                     listed.map(|listed| listed.into_iter().map(|(key, _)| key).collect());
                 let written = log.newest(TOPIC);
@@ -98,13 +94,6 @@
     assert_eq!(failed, []);
 }
 
-/// Lists all records; `None` if the listing fails, or does not end.
-async fn list(store: &StoreClient) -> Option<direct::KeyedValues> {
-    let deadline = Instant::now() + Duration::from_secs(10);
-    let listing = direct::newest_records(store, TOPIC);
-    Some(runtime::timeout_at(deadline, listing).await?.ok()?.0)
-}
-
 /// Guards against entries that serve nothing, or no longer follow the store, as one name in
 /// a topic keeps them from listing it.
 #[test]
--- a/tests/integration/direct/store.rs
+++ b/tests/integration/direct/store.rs
@@ -64,7 +64,7 @@
         let newest = store.newest(TOPIC, None).await.unwrap();
         let keys: Vec<_> = newest.records.iter().map(|record| &*record.key).collect();
         assert_eq!((keys, newest.end), (vec!["a"], position(4)));
-        assert_eq!(newest.records[0].value.as_deref(), Some(b"3".as_slice()));
+        assert_eq!(newest.records[0].value.as_ref(), b"3");
     });
 }
 
--- a/tests/integration/soak/site.rs
+++ b/tests/integration/soak/site.rs
@@ -189,7 +189,7 @@
                 self.store.put(topic, &*record.key, None);
             }
             for record in written {
-                self.store.put(topic, &*record.key, record.value.as_deref());
+                self.store.put(topic, &*record.key, Some(&record.value));
             }
         }
     }
