A listing ends where a page does not lead on

An entry would serve nothing after its start, and list without end, where the names at the end of a page are no texts: the listing gives their bytes replaced, so that "after" such a name an earlier page comes again. The same where the store repeats a page; an empty page that says that more follows counted as the end of the topic, so that what it lacked was taken for removed.

`PageCursor` decides without input or output how a listing goes on: after the last name that is listed as it is stored; a page without any is left by skipping all names with a byte beyond ASCII at that place, which no name of this system has. A page without new keys may be left in that way once, then the listing ends as partial: what it lacks stays in force, nothing is confirmed, reads go on from the end that the first page stated, and it is repeated after 10 s.

`odd_names::a_listing_leads_on_after_keys_that_are_no_texts` with the product of: 3 of 8 rows do not end. `odd_items::a_listing_always_ends`: the same page again does not end, an empty one counts as whole; the rows behind it were not run there. `restored_listings::a_partial_listing_ends_nothing` and `freshness::a_partial_listing_confirms_nothing_until_a_whole_one` are of what is new; with partial listings taken for whole in the reports the former fails in "the end of a rollout" (trial). Now all pass.

--- a/src/direct/change.rs
+++ b/src/direct/change.rs
@@ -173,6 +173,16 @@
     /// The same after the store has come back from an older copy. Records may be older than
     /// what is known, or missing until they are written again; a complete listing follows.
     Restored,
+    /// The newest record of each key that the listing has reached: a missing key tells nothing.
+    Partial,
+}
+
+impl Scope {
+    /// Whether what is missing among the records is not on record in the store.
+    #[must_use]
+    pub const fn reaches_all_keys(self) -> bool {
+        matches!(self, Self::Complete | Self::Restored)
+    }
 }
 
 /// Records obtained by one read of a topic, in log order.
--- a/src/direct/confirmation.rs
+++ b/src/direct/confirmation.rs
@@ -40,6 +40,8 @@
     /// Nothing, as the store has come back from a copy and may lack records that are written
     /// again.
     Rewriting,
+    /// Nothing, as the last listing has not reached the last key.
+    Partial,
 }
 
 impl Proof {
@@ -48,7 +50,7 @@
     pub const fn confirmed(self) -> Option<runtime::Moment> {
         match self {
             Self::Whole(as_of) => Some(as_of),
-            Self::EndedEarly | Self::Rewriting => None,
+            Self::EndedEarly | Self::Rewriting | Self::Partial => None,
         }
     }
 }
--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -130,8 +130,8 @@
     store: &platform::StoreClient,
 ) -> Result<Vec<direct::SharedEvidence>, platform::PlatformError> {
     let topic = platform::evidence_record::TOPIC;
-    let (records, _) = feed::newest_records(store, topic).await?;
-    let records = records.iter();
+    let listing = feed::newest_records(store, topic).await?;
+    let records = listing.records.iter();
     let results =
         records.filter_map(|(key, value)| platform::evidence_record::decode(key, value.as_ref()?));
     Ok(results.collect())
--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -69,7 +69,8 @@
             Ok(Read::Records(mut batch)) => {
                 let (origin, proof) = if position.is_none() {
                     let now = runtime::Moment::now();
-                    let (scope, proof) = reads.record_listing(batch.end, started, now);
+                    let is_whole = batch.scope != direct::Scope::Partial;
+                    let (scope, proof) = reads.record_listing(batch.end, is_whole, started, now);
                     batch.scope = scope;
                     (Origin::Listing, proof)
                 } else {
@@ -244,34 +245,38 @@
     }
 }
 
-/// Lists the newest record of each key. The pages are not a consistent snapshot,
-/// so the position is the end stated by the first page: later changes are read again.
+/// Lists the newest record of each key.
 async fn list_newest(
     store: &platform::StoreClient,
     source: direct::Source,
 ) -> Result<Read, platform::PlatformError> {
-    let (records, end) = newest_records(store, topic(source)).await?;
+    let listing = newest_records(store, topic(source)).await?;
+    let scope = if listing.is_whole {
+        direct::Scope::Complete
+    } else {
+        log::warn!(target: "store", source:% = source, records = listing.records.len();
+            "listing ended early, a page did not lead on to the next one");
+        direct::Scope::Partial
+    };
     Ok(Read::Records(RawBatch {
-        scope: direct::Scope::Complete,
-        records,
+        scope,
+        records: listing.records,
         offsets: Vec::new(),
-        end,
+        end: listing.end,
         lacking: 0,
         confirmed: None,
     }))
 }
 
-/// Returns the newest record of each key of a topic, and the end stated by the first page.
-/// Fails with `Restored` where the store comes back from a copy between two pages.
+/// Returns the newest record of each key of a topic. Fails with `Restored` where the store
+/// comes back from a copy between two pages.
 pub async fn newest_records(
     store: &platform::StoreClient,
     topic: &str,
-) -> Result<(KeyedValues, ids::Position), platform::PlatformError> {
-    let mut records = Vec::new();
-    let mut end = None;
-    let mut after: Option<Arc<str>> = None;
+) -> Result<direct::Listing, platform::PlatformError> {
+    let mut cursor = direct::PageCursor::default();
     loop {
-        let page = match store.newest(topic, after.as_deref()).await {
+        let page = match store.newest(topic, cursor.after()).await {
             Err(platform::PlatformError::Status(STATUS_NO_TOPIC)) => {
                 let era = store.latest_era().unwrap_or_default();
                 let offset = ids::Offset::default();
@@ -282,21 +287,11 @@
             }
             page => page?,
         };
-        let first: &ids::Position = end.get_or_insert(page.end);
-        if first.era != page.end.era {
-            return Err(platform::PlatformError::Restored);
-        }
-        after = page.records.last().map(|record| Arc::clone(&record.key));
-        records.extend(
-            page.records
-                .into_iter()
-                .map(|record| (record.key, Some(record.value))),
-        );
-        if !page.has_more || after.is_none() {
-            break;
+        match cursor.record_page(page)? {
+            direct::AnyListing::InProgress(next) => cursor = next,
+            direct::AnyListing::Ended(listing) => return Ok(listing),
         }
     }
-    Ok((records, end.unwrap_or_default()))
 }
 
 /// Reads the records from an offset on, waiting up to `wait` for new ones.
--- a/src/direct/listings.rs
+++ b/src/direct/listings.rs
@@ -10,24 +10,32 @@
 /// platform states about two seconds.
 const REWRITE_TIME: Duration = Duration::from_millis(2_200);
 
+/// Time after which a listing that has not reached the last key is repeated. Reads tell of
+/// changes meanwhile.
+const PARTIAL_INTERVAL: Duration = Duration::from_secs(10);
+
 /// What is known of the listings of one topic. One of a new era is repeated once all is
-/// written again.
+/// written again, and one that has not reached the last key after some time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Listings {
     /// Era of the last listing; `None` before the first.
     era: Option<ids::StoreEra>,
     /// Whether an earlier era was listed, so that a listing may be older than what is known.
     is_restored: bool,
-    /// Time from which a listing has all that was written again; `None` where the last one
-    /// has.
+    /// Whether the last listing has not reached the last key.
+    is_last_partial: bool,
+    /// Time from which a listing may have what the last one lacks; `None` where it lacks
+    /// nothing.
     again_at: Option<runtime::Moment>,
 }
 
 impl Listings {
-    /// Records a listing that began at `started` and has ended by `now`. Returns its scope.
+    /// Records a listing that began at `started` and has ended by `now`. It `is_whole` if it
+    /// has reached the last key. Returns its scope.
     pub fn record(
         &mut self,
         era: ids::StoreEra,
+        is_whole: bool,
         started: runtime::Moment,
         now: runtime::Moment,
     ) -> direct::Scope {
@@ -40,20 +48,33 @@
             self.again_at = None;
         }
         self.era = Some(era);
+        if !is_whole {
+            self.again_at
+                .get_or_insert(now.saturating_add(PARTIAL_INTERVAL));
+        }
+        self.is_last_partial = !is_whole;
         if self.is_restored && self.again_at.is_some() {
             direct::Scope::Restored
+        } else if self.is_last_partial {
+            direct::Scope::Partial
         } else {
             direct::Scope::Complete
         }
     }
 
-    /// Whether the store has all that was written before its return from a copy, so that a
-    /// read confirms that nothing is lacking.
+    /// Whether the last listing has reached the last key, and the store had all that was
+    /// written before its return from a copy, so that a read confirms that nothing is lacking.
     #[must_use]
     pub const fn are_settled(&self) -> bool {
         self.again_at.is_none()
     }
 
+    /// Whether the last listing has not reached the last key.
+    #[must_use]
+    pub const fn is_last_partial(&self) -> bool {
+        self.is_last_partial
+    }
+
     /// Whether the topic is to be listed again.
     #[must_use]
     pub fn is_due(&self, now: runtime::Moment) -> bool {
--- a/src/direct/system/endpoints.rs
+++ b/src/direct/system/endpoints.rs
@@ -62,8 +62,12 @@
         let listed: HashSet<&ids::EndpointId> = batch.items.iter().map(change_id).collect();
         let missing = world.endpoints.iter_named().map(|(id, _)| id);
         removed.extend(missing.filter(|id| !listed.contains(id)).cloned());
-        world.endpoints_listed = true;
     }
+    let is_listing = matches!(
+        batch.scope,
+        direct::Scope::Complete | direct::Scope::Partial
+    );
+    world.endpoints_listed |= is_listing;
     remove(world, cx, &removed);
     world.endpoints_confirmed = world.endpoints_confirmed.max(batch.confirmed);
 }
--- a/src/direct/system/limits.rs
+++ b/src/direct/system/limits.rs
@@ -62,7 +62,7 @@
 /// Records what the store holds. A complete listing without an endpoint means that its limit
 /// is over, unless this entry is about to publish it.
 fn record(world: &mut direct::World, batch: &direct::Batch<direct::LimitReport>) {
-    if batch.scope != direct::Scope::News {
+    if batch.scope.reaches_all_keys() {
         for (id, row) in &mut world.limits {
             let is_listed = batch.items.iter().any(|report| report.endpoint == *id);
             if !is_listed && row.recorded.take().is_some() {
--- a/src/direct/system/reports.rs
+++ b/src/direct/system/reports.rs
@@ -27,7 +27,7 @@
 
 fn apply(world: &mut direct::World, cx: &mut TickCx, batch: &direct::Batch<direct::RolloutReport>) {
     world.record_read(direct::Source::Reports, cx.now);
-    if batch.scope != direct::Scope::News {
+    if batch.scope.reaches_all_keys() {
         world.reports.clear();
     }
     if batch.scope == direct::Scope::Restored {
--- a/src/direct/topic_reads.rs
+++ b/src/direct/topic_reads.rs
@@ -35,14 +35,16 @@
         left.map_or(usual, |left| usual.min(left))
     }
 
-    /// Records a listing whose first page stated `end`, made from `started` to `now`.
+    /// Records a listing whose first page stated `end`, made from `started` to `now`. It
+    /// `is_whole` if it has reached the last key.
     pub fn record_listing(
         &mut self,
         end: ids::Position,
+        is_whole: bool,
         started: runtime::Moment,
         now: runtime::Moment,
     ) -> (direct::Scope, direct::Proof) {
-        let scope = self.listings.record(end.era, started, now);
+        let scope = self.listings.record(end.era, is_whole, started, now);
         (scope, self.record_read(end, 0, started))
     }
 
@@ -77,6 +79,8 @@
     const fn prove(&self, as_of: runtime::Moment) -> direct::Proof {
         if self.listings.are_settled() {
             direct::Proof::Whole(as_of)
+        } else if self.listings.is_last_partial() {
+            direct::Proof::Partial
         } else {
             direct::Proof::Rewriting
         }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -172,7 +172,7 @@
     pub async fn newest(
         &self,
         topic: &str,
-        after: Option<&str>,
+        after: Option<&[u8]>,
     ) -> Result<platform::NewestPage, platform::PlatformError> {
         let mut target = partition(store_call::NEWEST, topic);
         if let Some(after) = after {
--- a/tests/integration/direct/freshness.rs
+++ b/tests/integration/direct/freshness.rs
@@ -1,6 +1,8 @@
 //! What confirms that an entry lacks nothing that the store holds.
 
-use quetzalworks::direct::{Assignment, Batch, Event, Listings, Scope, Snapshot};
+use quetzalworks::direct::{
+    Assignment, Batch, Event, Listings, Proof, Scope, Snapshot, TopicReads,
+};
 use quetzalworks::ids::{LeaseNumber, StoreEra};
 use quetzalworks::runtime::Moment;
 
@@ -171,9 +173,70 @@
         let mut scope = None;
         for (era, started, ended) in case.listings {
             let at = Moment::from_millis;
-            scope = Some(listings.record(StoreEra(era), at(started), at(ended)));
+            scope = Some(listings.record(StoreEra(era), true, at(started), at(ended)));
         }
         assert_eq!(scope, Some(case.scope), "{}", case.name);
         assert_eq!(listings.are_settled(), case.are_settled, "{}", case.name);
     }
 }
+
+/// Guards against keys that are accepted as current, although the listing may not have reached
+/// the configuration that withdraws them.
+#[test]
+fn a_partial_listing_confirms_nothing_until_a_whole_one() {
+    struct Case {
+        name: &'static str,
+        /// Begin in milliseconds of each listing, and whether it reaches the last key.
+        listings: &'static [(u64, bool)],
+        scope: Scope,
+        proof: Proof,
+        /// Whether the topic is listed again 10 s after the last one.
+        is_repeated: bool,
+    }
+    let at = Moment::from_millis;
+    let cases = [
+        Case {
+            name: "whole",
+            listings: &[(0, true)],
+            scope: Scope::Complete,
+            proof: Proof::Whole(at(50_000)),
+            is_repeated: false,
+        },
+        Case {
+            name: "partial",
+            listings: &[(0, false)],
+            scope: Scope::Partial,
+            proof: Proof::Partial,
+            is_repeated: true,
+        },
+        Case {
+            name: "partial, again",
+            listings: &[(0, false), (10_000, false)],
+            scope: Scope::Partial,
+            proof: Proof::Partial,
+            is_repeated: true,
+        },
+        Case {
+            name: "partial, then whole",
+            listings: &[(0, false), (10_000, true)],
+            scope: Scope::Complete,
+            proof: Proof::Whole(at(50_000)),
+            is_repeated: false,
+        },
+    ];
+    for case in cases {
+        let mut reads = TopicReads::default();
+        let mut scope = None;
+        let mut last = 0;
+        for (started, is_whole) in case.listings {
+            last = *started;
+            let now = at(last);
+            scope = Some(reads.record_listing(position(7), *is_whole, now, now).0);
+        }
+        assert_eq!(scope, Some(case.scope), "{}", case.name);
+        let is_repeated = reads.next(at(last + 10_000)).is_none();
+        assert_eq!(is_repeated, case.is_repeated, "{}", case.name);
+        let proof = reads.record_read(position(8), 0, at(50_000));
+        assert_eq!(proof, case.proof, "{}", case.name);
+    }
+}
--- a/tests/integration/direct/key_orders/entry.rs
+++ b/tests/integration/direct/key_orders/entry.rs
@@ -267,7 +267,7 @@
             return;
         };
         let (scope, proof) = if from.is_none() {
-            self.reads.record_listing(end, at(started), at(now))
+            self.reads.record_listing(end, true, at(started), at(now))
         } else {
             let proof = self.reads.record_read(end, lacking, at(started));
             (Scope::News, proof)
--- a/tests/integration/direct/odd_items.rs
+++ b/tests/integration/direct/odd_items.rs
@@ -60,7 +60,7 @@
         let items = [good("a").as_bytes(), case.item, good("z").as_bytes()].join(&b',');
         let body = [br#"{"Items":["#, &*items, br#"],"HasMore":false,"End":3}"#].concat();
         let listed = list(move |_| (StatusCode::OK, body.clone()));
-        let listed = listed.unwrap_or_default();
+        let listed = listed.unwrap_or_default().records;
         let listed: Vec<_> = listed
             .iter()
             .map(|(key, value)| (&**key, value.as_deref().unwrap_or_default()))
@@ -74,3 +74,48 @@
     }
     assert_eq!(failed, [""; 0]);
 }
+
+/// Guards against a listing that does not end, or whose missing keys count as removed, as a
+/// page does not lead on to the next one.
+#[test]
+fn a_listing_always_ends() {
+    const ITEM: &str = r#"{"Key":"a","Value":"Z29vZA==","Offset":1}"#;
+    struct Case {
+        name: &'static str,
+        /// Items of the first page, and of those after it. All say that more keys follow.
+        pages: [&'static str; 2],
+        keys: &'static [&'static str],
+    }
+    let case = |name, pages, keys| Case { name, pages, keys };
+    let cases = [
+        case("the same page", [ITEM, ITEM], &["a"]),
+        case("an empty page", [ITEM, ""], &["a"]),
+        case("an empty first page", ["", ITEM], &[]),
+        case("no readable key", [ITEM, r#"{"Key":7},null"#], &["a"]),
+        case(
+            "a key that is no text",
+            [ITEM, r#"{"Key":"b\ufffd","Offset":2}"#],
+            &["a", "b\u{fffd}"],
+        ),
+        case(
+            "keys that go back",
+            [ITEM, r#"{"Key":"b","Offset":2},{"Key":"a","Offset":1}"#],
+            &["a", "b"],
+        ),
+    ];
+    for case in cases {
+        let listed = list(move |after| {
+            let items = case.pages[usize::from(after.is_some())];
+            let body = format!(r#"{{"Items":[{items}],"HasMore":true,"End":3}}"#);
+            (StatusCode::OK, body.into())
+        });
+        let listed = listed.unwrap_or_else(|| panic!("{}: no end", case.name));
+        let keys: Vec<_> = listed.records.iter().map(|(key, _)| &**key).collect();
+        assert_eq!(
+            (keys, listed.is_whole),
+            (case.keys.to_vec(), false),
+            "{}",
+            case.name
+        );
+    }
+}
--- a/tests/integration/direct/odd_names.rs
+++ b/tests/integration/direct/odd_names.rs
@@ -82,7 +82,7 @@
                 let store = StoreClient::new(log.addr(), traffic.clone());
                 let listed = scripted_store::newest(&store).await;
                 let keys: Option<Vec<_>> =
-                    listed.map(|listed| listed.into_iter().map(|(key, _)| key).collect());
+                    listed.map(|listed| listed.records.into_iter().map(|(key, _)| key).collect());
                 let written = log.newest(TOPIC);
                 keys == Some(written.into_iter().map(|record| record.key).collect())
             });
@@ -94,6 +94,55 @@
     assert_eq!(failed, []);
 }
 
+/// Guards against a listing that does not end, or skips other records, as the keys at the end
+/// of a page are no texts, so that they are listed otherwise than they are stored.
+#[test]
+fn a_listing_leads_on_after_keys_that_are_no_texts() {
+    struct Case {
+        name: &'static str,
+        key: &'static [u8],
+        count: usize,
+    }
+    let case = |name, key, count| Case { name, key, count };
+    let cases = [
+        case("greatest byte, part of a page", b"0-\xff", PAGE - 1),
+        case("greatest byte, a page", b"0-\xff", PAGE),
+        case("greatest byte, three pages", b"0-\xff", 3 * PAGE),
+        case("smallest byte, a page", b"0-\x80", PAGE),
+        case("smallest byte, three pages", b"0-\x80", 3 * PAGE),
+        case("at the begin, three pages", b"\xfe", 3 * PAGE),
+        case("half of a character, three pages", b"0-\xe6\x9c", 3 * PAGE),
+        case("surrogate, three pages", b"0-\xed\xa0\x80", 3 * PAGE),
+    ];
+    let traffic = http::traffic();
+    for case in cases {
+        let listed = smol::block_on(async {
+            let log = StandinLog::bind(isolation::free_addr(), &traffic).await;
+            let log = log.unwrap();
+            for i in 0..case.count {
+                let key = [case.key, i.to_string().as_bytes()].concat();
+                log.put(TOPIC, key, Some(b"odd"));
+            }
+            for key in GOOD {
+                log.put(TOPIC, key, Some(b"good"));
+            }
+            let store = StoreClient::new(log.addr(), traffic.clone());
+            scripted_store::newest(&store).await
+        });
+        let listed = listed.unwrap_or_else(|| panic!("{}: no end", case.name));
+        let good = listed
+            .records
+            .iter()
+            .filter(|(key, _)| GOOD.contains(&&**key));
+        assert_eq!(
+            (good.count(), listed.is_whole),
+            (GOOD.len(), true),
+            "{}",
+            case.name
+        );
+    }
+}
+
 /// Guards against entries that serve nothing, or no longer follow the store, as one name in
 /// a topic keeps them from listing it.
 #[test]
--- a/tests/integration/direct/restored_listings.rs
+++ b/tests/integration/direct/restored_listings.rs
@@ -267,3 +267,52 @@
     operator(&mut world, Scope::Restored, copy);
     assert_eq!(world.usable("writer"), ["a"]);
 }
+
+/// Guards against what is known ending as a listing has not reached its record.
+#[test]
+fn a_partial_listing_ends_nothing() {
+    struct Case {
+        name: &'static str,
+        act: fn(&mut TestWorld),
+        usable: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "an evacuation",
+            act: |world| {
+                world.operator(false, vec![evacuated()]);
+                operator(world, Scope::Partial, vec![configuration(3)]);
+            },
+            usable: &["near"],
+        },
+        Case {
+            name: "an endpoint",
+            act: |world| endpoints(world, Scope::Partial, vec![seen("near", "north", 6)]),
+            usable: &["far", "near"],
+        },
+        Case {
+            name: "an endpoint that is new",
+            act: |world| endpoints(world, Scope::Partial, vec![seen("next", "north", 1)]),
+            usable: &["far", "near", "next"],
+        },
+        Case {
+            name: "the end of a rollout",
+            act: |world| {
+                start_rollout(world);
+                world.reports(false, vec![report(Stage::RolledBack)], 9);
+                let listing = listing(world, Scope::Partial, Vec::new());
+                world.tick(vec![Event::Reports(listing)]);
+            },
+            usable: &["a", "b"],
+        },
+    ];
+    for case in cases {
+        let mut world = world();
+        (case.act)(&mut world);
+        world.effects.clear();
+        world.advance(4_000);
+        assert_eq!(world.usable("writer"), case.usable, "{}", case.name);
+        let is_report = |effect: &&Effect| matches!(effect, Effect::Report(..));
+        assert_eq!(world.effects.iter().find(is_report), None, "{}", case.name);
+    }
+}
--- a/tests/integration/direct/scripted_store.rs
+++ b/tests/integration/direct/scripted_store.rs
@@ -33,7 +33,7 @@
 
 /// Lists all records of a store that answers with the pages of `script`, by the key after which
 /// a page begins. `None` if the listing fails, or does not end.
-pub fn list<F>(script: F) -> Option<direct::KeyedValues>
+pub fn list<F>(script: F) -> Option<direct::Listing>
 where
     F: Fn(Option<&[u8]>) -> Page + Send + Sync + 'static,
 {
@@ -48,8 +48,8 @@
 }
 
 /// Lists all records of [`TOPIC`]; `None` if the listing fails, or does not end.
-pub async fn newest(store: &StoreClient) -> Option<direct::KeyedValues> {
+pub async fn newest(store: &StoreClient) -> Option<direct::Listing> {
     let deadline = Instant::now() + Duration::from_secs(10);
     let listing = direct::newest_records(store, TOPIC);
-    Some(runtime::timeout_at(deadline, listing).await?.ok()?.0)
+    runtime::timeout_at(deadline, listing).await?.ok()
 }
