A listing whose later page is refused with 404 fails

A status 404 on a page after the first counted as an empty last page, so that what the page lacked was taken for removed.

`odd_items::a_refused_page_is_no_end` fails before in the row "no topic, later" (1 record where the listing must fail).

--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -277,7 +277,8 @@
     let mut cursor = direct::PageCursor::default();
     loop {
         let page = match store.newest(topic, cursor.after()).await {
-            Err(platform::PlatformError::Status(STATUS_NO_TOPIC)) => {
+            // A later page is of a topic that was there a moment ago.
+            Err(platform::PlatformError::Status(STATUS_NO_TOPIC)) if cursor.after().is_none() => {
                 let era = store.latest_era().unwrap_or_default();
                 let offset = ids::Offset::default();
                 platform::NewestPage {
--- a/tests/integration/direct/odd_items.rs
+++ b/tests/integration/direct/odd_items.rs
@@ -119,3 +119,46 @@
         );
     }
 }
+
+/// Guards against records that count as removed as the page that holds them is refused.
+#[test]
+fn a_refused_page_is_no_end() {
+    struct Case {
+        name: &'static str,
+        status: StatusCode,
+        /// Whether the first page is refused as well.
+        is_first: bool,
+        /// Number of records in the listing; `None` if it fails.
+        records: Option<usize>,
+    }
+    let case = |name, status, is_first, records| Case {
+        name,
+        status,
+        is_first,
+        records,
+    };
+    let cases = [
+        case("no topic", StatusCode::NOT_FOUND, true, Some(0)),
+        case("no topic, later", StatusCode::NOT_FOUND, false, None),
+        case("down", StatusCode::SERVICE_UNAVAILABLE, true, None),
+        case("down, later", StatusCode::SERVICE_UNAVAILABLE, false, None),
+        case(
+            "too many, later",
+            StatusCode::TOO_MANY_REQUESTS,
+            false,
+            None,
+        ),
+    ];
+    for case in cases {
+        let listed = list(move |after| {
+            if case.is_first || after.is_some() {
+                return (case.status, Vec::new());
+            }
+            let items = r#"[{"Key":"a","Value":"Z29vZA==","Offset":1}]"#;
+            let body = format!(r#"{{"Items":{items},"HasMore":true,"End":3}}"#);
+            (StatusCode::OK, body.into())
+        });
+        let records = listed.map(|listed| listed.records.len());
+        assert_eq!(records, case.records, "{}", case.name);
+    }
+}
