One line names the records that a read leaves out

An operator could not see why a record had no effect: keys that are no names, of an unknown kind or no texts were left out without a line.

The decoders of the topics log nothing themselves. They add what they cannot use to `LeftOut`, of which one line a read tells the number and names the first five with reasons, cut to 80 characters each; a line that says the same as the last one of its topic is not repeated. The three kinds of records in the topic of the reports are decoded in one pass.

--- a/src/direct/exchange.rs
+++ b/src/direct/exchange.rs
@@ -9,6 +9,7 @@
 use crate::direct::feed;
 use crate::http;
 use crate::ids;
+use crate::observe;
 use crate::peers;
 use crate::platform;
 use crate::runtime;
@@ -131,10 +132,16 @@
 ) -> Result<Vec<direct::SharedEvidence>, platform::PlatformError> {
     let topic = platform::evidence_record::TOPIC;
     let listing = feed::newest_records(store, topic).await?;
-    let records = listing.records.iter();
-    let results =
-        records.filter_map(|(key, value)| platform::evidence_record::decode(key, value.as_ref()?));
-    Ok(results.collect())
+    let mut left_out = observe::LeftOut::default();
+    left_out.push_unnamed(listing.without_key);
+    let mut results = Vec::new();
+    for (key, value) in &listing.records {
+        let Some(value) = value else { continue };
+        let decoded = platform::evidence_record::decode(value);
+        results.extend(left_out.usable(key, decoded));
+    }
+    left_out.log("evidence");
+    Ok(results)
 }
 
 async fn share(store: &platform::StoreClient, own: &direct::SharedEvidence) {
--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -1,5 +1,6 @@
 //! Task that follows a topic of the store and sends its records to the control thread.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use crate::direct;
 use crate::direct::read_log::{Origin, ReadLog};
 use crate::ids;
+use crate::observe;
 use crate::peers;
 use crate::platform;
 use crate::runtime;
@@ -51,7 +53,7 @@
                     let proof = reads.record_page(batch.end, confirmed);
                     batch.confirmed = proof.confirmed();
                     log.record(Origin::Relay, position, asked, &batch, proof);
-                    send(&control, source, batch).await;
+                    send(&control, source, batch, &mut log).await;
                 }
                 continue;
             }
@@ -87,7 +89,7 @@
                     (false, true) | (true, false) => Duration::ZERO,
                     (true, true) => RETRY_DELAY,
                 };
-                send(&control, source, batch).await;
+                send(&control, source, batch, &mut log).await;
                 if !pause.is_zero() {
                     Timer::after(pause).await;
                 }
@@ -117,14 +119,13 @@
     }
 }
 
-async fn send(control: &Control, source: direct::Source, batch: RawBatch) {
-    if let Some(crashes) = batch.crashes(source) {
-        control.send(crashes).await;
+async fn send(control: &Control, source: direct::Source, batch: RawBatch, log: &mut ReadLog) {
+    let mut left_out = batch.left_out.clone();
+    let events = batch.decode(source, &mut left_out);
+    log.record_left_out(left_out);
+    for event in events {
+        control.send(event).await;
     }
-    if let Some(limits) = batch.limits(source) {
-        control.send(limits).await;
-    }
-    control.send(batch.decode(source)).await;
 }
 
 /// Outcome of one successful read.
@@ -149,6 +150,8 @@
     pub(super) lacking: u64,
     /// Time as of which nothing is lacking; see [`direct::Batch::confirmed`].
     pub(super) confirmed: Option<runtime::Moment>,
+    /// Records whose keys cannot be read.
+    pub(super) left_out: observe::LeftOut,
 }
 
 impl RawBatch {
@@ -170,71 +173,88 @@
             },
             lacking: 0,
             confirmed: None,
+            left_out: observe::LeftOut::default(),
         }
     }
 
-    fn decode(self, source: direct::Source) -> direct::Event {
+    /// Decodes the records of a topic. Those that cannot be used are added to `left_out`.
+    fn decode(
+        &self,
+        source: direct::Source,
+        left_out: &mut observe::LeftOut,
+    ) -> Vec<direct::Event> {
+        let records = self.records.iter();
+        let records = records.map(|(key, value)| (&**key, value.as_ref()));
         match source {
             direct::Source::Operator => {
-                direct::Event::Operator(self.map(platform::operator::decode))
+                let changes = records
+                    .filter_map(|(key, value)| platform::operator::decode(key, value, left_out));
+                vec![direct::Event::Operator(self.batch(changes.collect()))]
+            }
+            direct::Source::Endpoints => {
+                let changes =
+                    records.filter_map(|(key, value)| decode_record(key, value, left_out));
+                vec![direct::Event::Endpoints(self.batch(changes.collect()))]
+            }
+            direct::Source::Reports => {
+                let reports = records
+                    .filter_map(|(key, value)| platform::report::decode(key, value, left_out));
+                self.reports(reports)
             }
-            direct::Source::Endpoints => direct::Event::Endpoints(self.map(decode_record)),
-            direct::Source::Reports => direct::Event::Reports(
-                self.map(|key, value| platform::rollout_status::decode(key, value?)),
-            ),
         }
     }
 
-    /// Returns the crash reports, which share a topic with the rollout reports.
-    fn crashes(&self, source: direct::Source) -> Option<direct::Event> {
-        if source != direct::Source::Reports {
-            return None;
+    fn reports(
+        &self,
+        reports: impl Iterator<Item = platform::report::Report>,
+    ) -> Vec<direct::Event> {
+        let mut rollouts = Vec::new();
+        let mut crashes = Vec::new();
+        let mut limits = Vec::new();
+        for report in reports {
+            match report {
+                platform::report::Report::Rollout(report) => rollouts.push(report),
+                platform::report::Report::Crashes(report) => crashes.push(report),
+                platform::report::Report::Limit(report) => limits.push(report),
+            }
         }
-        let records = self.records.iter();
-        let reports: Vec<_> = records
-            .filter_map(|(key, value)| platform::crash_record::decode(key, value.as_ref()))
-            .collect();
-        (!reports.is_empty()).then_some(direct::Event::CrashReports(reports))
-    }
-
-    /// Returns the limits of endpoints, which share that topic too.
-    fn limits(&self, source: direct::Source) -> Option<direct::Event> {
-        if source != direct::Source::Reports {
-            return None;
+        let mut events = Vec::new();
+        if !crashes.is_empty() {
+            events.push(direct::Event::CrashReports(crashes));
+        }
+        if self.scope != direct::Scope::News || !limits.is_empty() {
+            events.push(direct::Event::LimitReports(self.batch(limits)));
         }
-        let limits = self.map(platform::limit_record::decode);
-        let has_news = limits.scope != direct::Scope::News || !limits.items.is_empty();
-        has_news.then_some(direct::Event::LimitReports(limits))
+        events.push(direct::Event::Reports(self.batch(rollouts)));
+        events
     }
 
-    fn map<T>(&self, decode: impl Fn(&str, Option<&Bytes>) -> Option<T>) -> direct::Batch<T> {
+    fn batch<T>(&self, items: Vec<T>) -> direct::Batch<T> {
         direct::Batch {
             scope: self.scope,
-            items: self
-                .records
-                .iter()
-                .filter_map(|(key, value)| decode(key, value.as_ref()))
-                .collect(),
+            items,
             end: self.end,
             confirmed: self.confirmed,
         }
     }
 }
 
-/// Decodes an endpoint record; `None` when the key is no endpoint id.
-pub(super) fn decode_record(key: &str, value: Option<&Bytes>) -> Option<direct::EndpointChange> {
-    let id = key.parse::<ids::EndpointId>().ok()?;
+/// Decodes an endpoint record; `None` when the key is no endpoint id. A record that cannot be
+/// used is added to `left_out`.
+pub(super) fn decode_record(
+    key: &str,
+    value: Option<&Bytes>,
+    left_out: &mut observe::LeftOut,
+) -> Option<direct::EndpointChange> {
     let Some(value) = value else {
-        return Some(direct::EndpointChange::Removed(id));
+        return key.parse().ok().map(direct::EndpointChange::Removed);
     };
-    match platform::endpoint_record::decode(key, value) {
-        Ok(record) => Some(direct::EndpointChange::Seen(record)),
-        Err(reason) => {
-            log::warn!(target: "store", endpoint:% = id, reason:% = reason;
-                "endpoint record could not be decoded, keeping the last valid one");
-            Some(direct::EndpointChange::Unusable(id))
-        }
-    }
+    let id: ids::EndpointId = left_out.usable(key, key.parse())?;
+    let record = platform::endpoint_record::decode(key, value);
+    Some(match left_out.usable(key, record) {
+        Some(record) => direct::EndpointChange::Seen(record),
+        None => direct::EndpointChange::Unusable(id),
+    })
 }
 
 const fn topic(source: direct::Source) -> &'static str {
@@ -258,6 +278,8 @@
             "listing ended early, a page did not lead on to the next one");
         direct::Scope::Partial
     };
+    let mut left_out = observe::LeftOut::default();
+    left_out.push_unnamed(listing.without_key);
     Ok(Read::Records(RawBatch {
         scope,
         records: listing.records,
@@ -265,6 +287,7 @@
         end: listing.end,
         lacking: 0,
         confirmed: None,
+        left_out,
     }))
 }
 
@@ -318,6 +341,7 @@
                 end: from,
                 lacking: 0,
                 confirmed: None,
+                left_out: observe::LeftOut::default(),
             }));
         }
         Err(err) => return Err(err),
@@ -329,11 +353,15 @@
     let offset = ids::Offset(from.offset.0.saturating_add(page.records.len() as u64));
     let end = ids::Position { offset, ..from };
     let lacking = page.end.0.saturating_sub(offset.0);
+    let mut left_out = observe::LeftOut::default();
     let offsets = (from.offset.0..).map(ids::Offset);
     let (offsets, records) = offsets
         .zip(&page.records)
         .filter_map(|(offset, content)| {
-            let (key, value) = platform::split_key(content)?;
+            let Some((key, value)) = platform::split_key(content) else {
+                left_out.push(&key_lossy(content), "key is no text");
+                return None;
+            };
             Some((offset, (Arc::from(key), value)))
         })
         .unzip();
@@ -344,5 +372,12 @@
         end,
         lacking,
         confirmed: None,
+        left_out,
     }))
 }
+
+/// Returns the key of a record with U+FFFD in place of bytes that are no text; empty where the
+/// record has no key.
+fn key_lossy(content: &Bytes) -> Cow<'_, str> {
+    platform::split(content).map_or_else(Cow::default, |(key, _)| String::from_utf8_lossy(key))
+}
--- a/src/direct/follow_task.rs
+++ b/src/direct/follow_task.rs
@@ -152,7 +152,11 @@
         records
             .map(|(offset, (key, value))| {
                 let change = match self.source {
-                    direct::Source::Endpoints => feed::decode_record(key, value.as_ref()),
+                    direct::Source::Endpoints => {
+                        // The batch names what is left out when it is decoded itself.
+                        let mut left_out = observe::LeftOut::default();
+                        feed::decode_record(key, value.as_ref(), &mut left_out)
+                    }
                     _ => None,
                 };
                 let record = peers::RelayRecord {
--- a/src/direct/read_log.rs
+++ b/src/direct/read_log.rs
@@ -5,6 +5,7 @@
 use crate::direct;
 use crate::direct::feed;
 use crate::ids;
+use crate::observe;
 use crate::runtime;
 use crate::units;
 
@@ -26,11 +27,26 @@
 pub(super) struct ReadLog {
     source: direct::Source,
     last: Option<Discriminant<direct::Proof>>,
+    /// Records that were left out last.
+    left_out: observe::LeftOut,
 }
 
 impl ReadLog {
-    pub(super) const fn new(source: direct::Source) -> Self {
-        Self { source, last: None }
+    pub(super) fn new(source: direct::Source) -> Self {
+        Self {
+            source,
+            last: None,
+            left_out: observe::LeftOut::default(),
+        }
+    }
+
+    /// Logs the records that a read has left out, unless they are the same as the last ones:
+    /// their writers repeat them.
+    pub(super) fn record_left_out(&mut self, left_out: observe::LeftOut) {
+        if !left_out.is_empty() && left_out != self.left_out {
+            left_out.log(self.source.into());
+            self.left_out = left_out;
+        }
     }
 
     /// Logs a read that began at `started` and continued `from`, or was a listing.
--- a/src/platform/crash_record.rs
+++ b/src/platform/crash_record.rs
@@ -8,21 +8,15 @@
 
 /// Prefix of the keys, before the request's fingerprint. The records are in the
 /// topic of the rollout reports, which all entries follow already.
-const KEY_PREFIX: &str = "crashes/";
+pub(super) const KEY_PREFIX: &str = "crashes/";
 
-/// Decodes a crash report; `None` where the record is another one or invalid.
-/// A removed record clears the request: its report has no endpoints.
-#[must_use]
-pub fn decode(key: &str, value: Option<&Bytes>) -> Option<poison::CrashReport> {
-    let fingerprint = key
-        .strip_prefix(KEY_PREFIX)?
-        .parse::<ids::Fingerprint>()
-        .ok()?;
+/// Decodes the report on the request with this fingerprint; fails with the reason where it is
+/// invalid. A removed record clears the request: its report has no endpoints.
+pub fn decode(fingerprint: &str, value: Option<&Bytes>) -> Result<poison::CrashReport, String> {
+    let fingerprint = fingerprint.parse().map_err(|err| format!("{err}"))?;
     let endpoints = value.map_or_else(|| Ok(Vec::new()), |value| serde_json::from_slice(value));
-    let endpoints: Vec<ids::EndpointId> = endpoints
-        .inspect_err(|err| log::warn!("store: ignoring invalid crash record {key}: {err}."))
-        .ok()?;
-    Some(poison::CrashReport {
+    let endpoints: Vec<ids::EndpointId> = endpoints.map_err(|err| err.to_string())?;
+    Ok(poison::CrashReport {
         fingerprint,
         endpoints: endpoints.into_iter().collect(),
     })
--- a/src/platform/evidence_record.rs
+++ b/src/platform/evidence_record.rs
@@ -8,13 +8,10 @@
 /// Topic of the results; no operator reads it.
 pub const TOPIC: &str = "keyed.evidence";
 
-/// Decodes the results of an entry; `None` if they are invalid, such as those of another
+/// Decodes the results of an entry. Fails if they are invalid, such as those of another
 /// release of this program.
-#[must_use]
-pub fn decode(key: &str, value: &Bytes) -> Option<direct::SharedEvidence> {
+pub fn decode(value: &Bytes) -> Result<direct::SharedEvidence, postcard::Error> {
     postcard::from_bytes(value)
-        .inspect_err(|err| log::warn!("store: ignoring invalid rollout results {key}: {err}."))
-        .ok()
 }
 
 /// Encodes the results of an entry. Returns `None` where the key would be too long for a
--- a/src/platform/limit_record.rs
+++ b/src/platform/limit_record.rs
@@ -8,7 +8,7 @@
 
 /// Prefix of the keys, before the id of the endpoint. The records are in the topic of the
 /// rollout reports, which all entries follow already.
-const KEY_PREFIX: &str = "limits/";
+pub(super) const KEY_PREFIX: &str = "limits/";
 
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "PascalCase")]
@@ -17,17 +17,15 @@
     started: units::Millis,
 }
 
-/// Decodes a limit; `None` where the record is another one or invalid. A removed record means
-/// that the endpoint names no limit.
-#[must_use]
-pub fn decode(key: &str, value: Option<&Bytes>) -> Option<direct::LimitReport> {
-    let endpoint = key.strip_prefix(KEY_PREFIX)?.parse().ok()?;
+/// Decodes the limit of `endpoint`; fails with the reason where it is invalid. A removed record
+/// means that the endpoint names no limit.
+pub fn decode(endpoint: &str, value: Option<&Bytes>) -> Result<direct::LimitReport, String> {
+    let endpoint = endpoint.parse().map_err(|err| format!("{err}"))?;
     let limit = value
         .map(|value| serde_json::from_slice::<Value>(value))
         .transpose()
-        .inspect_err(|err| log::warn!("store: ignoring invalid limit record {key}: {err}."))
-        .ok()?;
-    Some(direct::LimitReport {
+        .map_err(|err| err.to_string())?;
+    Ok(direct::LimitReport {
         endpoint,
         limit: limit.map(|value| direct::NamedLimit {
             rate: value.rate,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -18,6 +18,7 @@
 pub mod operator;
 mod page;
 mod record;
+pub mod report;
 pub mod rollout_status;
 mod store;
 pub mod store_call;
--- a/src/platform/operator.rs
+++ b/src/platform/operator.rs
@@ -8,6 +8,7 @@
 use crate::catalog;
 use crate::direct;
 use crate::ids;
+use crate::observe;
 use crate::units;
 
 /// Topic of all records that the operator writes.
@@ -120,38 +121,49 @@
 }
 
 /// Decodes a record of the operator; `None` where its key is unknown or the configuration was
-/// removed. A removed or invalid rollout order counts as withdrawn.
+/// removed. A removed or invalid rollout order counts as withdrawn. Records that cannot be
+/// used are added to `left_out`.
 #[must_use]
-pub fn decode(key: &str, value: Option<&Bytes>) -> Option<direct::OperatorChange> {
+pub fn decode(
+    key: &str,
+    value: Option<&Bytes>,
+    left_out: &mut observe::LeftOut,
+) -> Option<direct::OperatorChange> {
     if key == CONFIG_KEY {
-        let config = read_json::<Config>(key, value?);
+        let config = read_json::<Config>(key, value?, left_out);
         return Some(match config {
             Some(config) => direct::OperatorChange::Deployment(Arc::new(deployment(config))),
             None => direct::OperatorChange::UnreadableDeployment,
         });
     }
     if let Some(service) = key.strip_prefix(ROLLOUT_PREFIX) {
-        let service = service.parse().ok()?;
+        let service = left_out.usable(key, service.parse())?;
         let plan = value
-            .and_then(|value| read_json::<Rollout>(key, value))
+            .and_then(|value| read_json::<Rollout>(key, value, left_out))
             .map(|order| direct::RolloutOrder {
                 target: order.target,
                 duration: units::Millis::from_seconds(order.duration_s),
             });
         return Some(direct::OperatorChange::Rollout { service, plan });
     }
-    let domain = key.strip_prefix(EVACUATE_PREFIX)?.parse().ok()?;
+    let Some(domain) = key.strip_prefix(EVACUATE_PREFIX) else {
+        left_out.push_unknown(key, value);
+        return None;
+    };
+    let domain = left_out.usable(key, domain.parse())?;
     Some(direct::OperatorChange::DomainOut {
         domain,
         out: value.is_some(),
     })
 }
 
-fn read_json<T: serde::de::DeserializeOwned>(key: &str, value: &Bytes) -> Option<T> {
+fn read_json<T: serde::de::DeserializeOwned>(
+    key: &str,
+    value: &Bytes,
+    left_out: &mut observe::LeftOut,
+) -> Option<T> {
     let mut json = serde_json::Deserializer::from_slice(value);
-    serde_path_to_error::deserialize(&mut json)
-        .inspect_err(|err| log::warn!("store: operator record {key} is invalid: {err}."))
-        .ok()
+    left_out.usable(key, serde_path_to_error::deserialize(&mut json))
 }
 
 fn deployment(config: Config) -> catalog::Deployment {
--- a/src/platform/rollout_status.rs
+++ b/src/platform/rollout_status.rs
@@ -13,7 +13,7 @@
 /// Topic of the rollout reports.
 pub const TOPIC: &str = "keyed.status";
 /// Prefix of the keys, before the name of the service.
-const KEY_PREFIX: &str = "rollout/";
+pub(super) const KEY_PREFIX: &str = "rollout/";
 
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "PascalCase")]
@@ -35,16 +35,13 @@
     RolledBack,
 }
 
-/// Decodes a rollout report; `None` where the record is another one or invalid.
+/// Decodes the report on a rollout of `service`; fails with the reason where it is invalid.
 /// A running rollout without a known phase counts as probing.
-#[must_use]
-pub fn decode(key: &str, value: &Bytes) -> Option<direct::RolloutReport> {
-    let service = key.strip_prefix(KEY_PREFIX)?.parse().ok()?;
-    let status: Status = serde_json::from_slice(value)
-        .inspect_err(|err| log::warn!("store: ignoring invalid rollout status {key}: {err}."))
-        .ok()?;
+pub fn decode(service: &str, value: &Bytes) -> Result<direct::RolloutReport, String> {
+    let service = service.parse().map_err(|err| format!("{err}"))?;
+    let status: Status = serde_json::from_slice(value).map_err(|err| err.to_string())?;
     let phase = status.phase.and_then(|phase| phase.parse().ok());
-    Some(direct::RolloutReport {
+    Ok(direct::RolloutReport {
         service,
         target: status.target,
         stage: match status.state {
--- a/tests/integration/direct/decode.rs
+++ b/tests/integration/direct/decode.rs
@@ -2,7 +2,8 @@
 
 use quetzalworks::catalog::CallKind;
 use quetzalworks::direct::OperatorChange;
-use quetzalworks::platform::{direct_settings, endpoint_record, operator};
+use quetzalworks::observe::LeftOut;
+use quetzalworks::platform::{direct_settings, endpoint_record, operator, report};
 use quetzalworks::settings::SettingsError;
 use quetzalworks::units::Millis;
 use serde_json::{Value, json};
@@ -146,7 +147,11 @@
     config["Routes"][2]["TrafficSplit"] =
         json!([{ "Service": "desk", "Weight": 90 }, { "Service": "writer", "Weight": 10 }]);
     config["Routes"][2]["PathPrefix"] = json!("/hold/deep/");
-    let change = operator::decode("config", Some(&config.to_string().into()));
+    let change = operator::decode(
+        "config",
+        Some(&config.to_string().into()),
+        &mut LeftOut::default(),
+    );
     let Some(OperatorChange::Deployment(deployment)) = change else {
         panic!("{change:?}");
     };
@@ -191,3 +196,84 @@
     let parts = (0..1_000).filter(|hash| split.service_for(*hash).unwrap().as_str() == "writer");
     assert_eq!(parts.count(), 100);
 }
+
+/// Guards against records that are left out without a word, and against removed ones that are
+/// called unusable.
+#[test]
+fn records_that_cannot_be_used_are_named() {
+    struct Case {
+        key: &'static str,
+        value: Option<&'static str>,
+        /// What the line says in the operator's topic and in that of the reports.
+        lines: [&'static str; 2],
+    }
+    let case = |key, value, lines| Case { key, value, lines };
+    let odd = Some("{}");
+    let unknown = |line| [line; 2];
+    let cases = [
+        case("&", odd, unknown(r#""&" (unknown kind)"#)),
+        case("a\n\"", odd, unknown(r#""a\n\"" (unknown kind)"#)),
+        case("&", None, unknown("")),
+        case(
+            "config",
+            odd,
+            [
+                r#""config" (missing field `Version` at line 1 column 2)"#,
+                r#""config" (unknown kind)"#,
+            ],
+        ),
+        case(
+            "rollout/a b",
+            odd,
+            unknown(
+                r#""rollout/a b" (invalid name "a b": expected 1 to 64 characters of [A-Za-z0-9._-])"#,
+            ),
+        ),
+        case(
+            "rollout/a",
+            odd,
+            [
+                r#""rollout/a" (missing field `Target` at line 1 column 2)"#,
+                r#""rollout/a" (missing field `State` at line 1 column 2)"#,
+            ],
+        ),
+        case("rollout/a", None, unknown("")),
+        case(
+            "limits/a",
+            odd,
+            [
+                r#""limits/a" (unknown kind)"#,
+                r#""limits/a" (missing field `Rate` at line 1 column 2)"#,
+            ],
+        ),
+        case("limits/a", None, unknown("")),
+        case(
+            "crashes/00000000000000000000000000000001",
+            odd,
+            [
+                r#""crashes/00000000000000000000000000000001" (unknown kind)"#,
+                r#""crashes/00000000000000000000000000000001" (invalid type: map, expected a sequence at line 1 column 0)"#,
+            ],
+        ),
+    ];
+    for case in cases {
+        let value = case.value.map(Into::into);
+        let mut left_out = [LeftOut::default(), LeftOut::default()];
+        let _ = operator::decode(case.key, value.as_ref(), &mut left_out[0]);
+        let _ = report::decode(case.key, value.as_ref(), &mut left_out[1]);
+        let lines = left_out.map(|left_out| left_out.to_string());
+        assert_eq!(lines, case.lines, "{} {:?}", case.key, case.value);
+    }
+}
+
+/// Guards against lines that grow with the number of records that are left out, or their keys.
+#[test]
+fn the_line_of_what_is_left_out_is_bounded() {
+    let mut left_out = LeftOut::default();
+    for i in 0..1_000 {
+        left_out.push(&format!("{i}{}", "\u{1}".repeat(255)), "?".repeat(10_000));
+    }
+    let line = left_out.to_string();
+    assert!(line.contains("\"0") && line.contains("\"4"), "{line}");
+    assert!(line.len() < 4_096, "{}", line.len());
+}
--- a/tests/integration/direct/key_orders/entry.rs
+++ b/tests/integration/direct/key_orders/entry.rs
@@ -8,6 +8,7 @@
     Batch, Event, Plane, PollSettings, Scope, Snapshot, Source, TopicReads, World,
 };
 use quetzalworks::ids::Position;
+use quetzalworks::observe::LeftOut;
 use quetzalworks::peers::{
     Duty, FollowEnd, FollowLimits, Follower, Poll, PollAnswer, RelayLog, RelayRecord,
 };
@@ -331,7 +332,10 @@
         end: Position,
         confirmed: Option<Moment>,
     ) {
-        let decode = |record: Record| operator::decode(record.key, Some(&record.value.into()));
+        let decode = |record: Record| {
+            let value = record.value.into();
+            operator::decode(record.key, Some(&value), &mut LeftOut::default())
+        };
         self.events.push(Event::Operator(Batch {
             scope,
             items: records.filter_map(decode).collect(),
--- a/tests/integration/direct/limit_reports.rs
+++ b/tests/integration/direct/limit_reports.rs
@@ -4,6 +4,8 @@
     Assignment, Batch, Effect, EndpointChange, Event, LimitReport, NamedLimit, Scope,
 };
 use quetzalworks::ids::LeaseNumber;
+use quetzalworks::observe::LeftOut;
+use quetzalworks::platform::report::{self, Report};
 use quetzalworks::platform::{self, limit_record};
 use quetzalworks::units::{Millis, Rate};
 
@@ -216,7 +218,11 @@
     ];
     for case in cases {
         let value = case.value.map(Into::into);
-        let report = limit_record::decode(case.key, value.as_ref());
+        let decode = |key: &str, value| match report::decode(key, value, &mut LeftOut::default()) {
+            Some(Report::Limit(report)) => Some(report),
+            _ => None,
+        };
+        let report = decode(case.key, value.as_ref());
         let read = match report.as_ref().map(|report| report.limit) {
             Some(Some(limit)) => Read::Limit(limit.rate.get()),
             Some(None) => Read::NoLimit,
@@ -226,7 +232,7 @@
         if let Some(report) = report {
             let content = limit_record::encode(&report).unwrap().unwrap();
             let (key, value) = platform::split_key(&content).unwrap();
-            assert_eq!(limit_record::decode(key, value.as_ref()), Some(report));
+            assert_eq!(decode(key, value.as_ref()), Some(report));
         }
     }
 }
--- a/tests/integration/direct/odd_names.rs
+++ b/tests/integration/direct/odd_names.rs
@@ -144,7 +144,8 @@
 }
 
 /// Guards against entries that serve nothing, or no longer follow the store, as one name in
-/// a topic keeps them from listing it.
+/// a topic keeps them from listing it, and against records that are left out without a line, or
+/// with a line for each.
 #[test]
 fn an_odd_name_does_not_stop_the_others() {
     struct Case {
@@ -206,10 +207,27 @@
                 let answer = Site::call_at(callers, &Method::GET, "/open/a", "id-1", &[]);
                 answer.is_ok_and(|answer| answer.status == 200)
             });
+            for source in ["operator", "endpoints", "reports"] {
+                let lines = left_out_lines(process, source);
+                let name = format!("{}000", String::from_utf8_lossy(case.key));
+                let is_named = lines.iter().any(|line| line.contains(&name));
+                assert!(is_named, "{}, {source}: {lines:?}", case.name);
+            }
         }
+        // It has listed the records; the other entry has also read them as they were written.
+        let lines = started.process.lines_with("records left out");
+        assert!(lines.len() < PAGE / 10, "{}: {}", case.name, lines.len());
     }
 }
 
+/// Returns what an entry has logged of records of a topic that it leaves out.
+fn left_out_lines(process: &Process, source: &str) -> Vec<String> {
+    let mut lines = process.lines_with("records left out");
+    let field = format!("\"source\":\"{source}\"");
+    lines.retain(|line| line.contains(&field));
+    lines
+}
+
 /// Returns whether an entry has learnt of an endpoint.
 fn is_known(process: &Process, id: &str) -> bool {
     let lines = process.lines_with("endpoint appeared");
--- a/tests/integration/direct/world.rs
+++ b/tests/integration/direct/world.rs
@@ -6,6 +6,7 @@
     Batch, EndpointChange, EndpointRecord, Event, OperatorChange, Plane, Scope, Snapshot, World,
 };
 use quetzalworks::ids::{Offset, Position};
+use quetzalworks::observe::LeftOut;
 use quetzalworks::platform::{direct_settings, endpoint_record, operator};
 use quetzalworks::runtime::Moment;
 use quetzalworks::{direct, settings};
@@ -84,7 +85,7 @@
 
 pub fn operator_change(key: &str, value: Option<&Value>) -> OperatorChange {
     let value = value.map(|value| value.to_string().into());
-    operator::decode(key, value.as_ref()).unwrap()
+    operator::decode(key, value.as_ref(), &mut LeftOut::default()).unwrap()
 }
 
 pub fn record(id: &str, value: &Value) -> EndpointRecord {
