Own path: a VM that cannot be decoded costs itself only

Entries with sidecars that start would find no other process while one VM of the platform's list has an odd name, an unknown role or a missing field: the list was decoded as a whole, and each read of it failed.

The VMs are decoded one by one; those left out are named in one line for each changed list. A list of which none can be decoded fails as before, so that it does not count as empty.

`membership::an_odd_vm_costs_itself_only` fails before in its first row ("no fields": missing field `vm`), and passes now.

--- a/src/platform_clients/inventory.rs
+++ b/src/platform_clients/inventory.rs
@@ -6,10 +6,12 @@
 use http_body_util::Full;
 use hyper::header::{ETAG, HeaderValue, IF_NONE_MATCH};
 use hyper::{Request, StatusCode};
+use serde_json::value::RawValue;
 
 use crate::fleet;
 use crate::http;
 use crate::ids;
+use crate::observe;
 use crate::platform;
 use crate::runtime;
 use crate::units;
@@ -80,6 +82,7 @@
 
     /// Reads the complete list, or returns `None` if it has not changed since the last
     /// read: a list of 960 VMs takes 120 KB, far above the budget for a read per second.
+    /// VMs that cannot be decoded are left out; fails where there are no others.
     pub async fn fetch_if_changed(&mut self) -> Result<Option<Vec<Vm>>, platform::PlatformError> {
         let mut req = Request::builder()
             .uri("/vms")
@@ -98,8 +101,32 @@
             return Err(platform::PlatformError::Status(answer.status.as_u16()));
         }
         let tag = answer.headers.get(ETAG).cloned();
-        let list = answer.json(MAX_LIST_SIZE).await?;
+        let list = decode(&answer.bytes(MAX_LIST_SIZE).await?)?;
         self.tag = tag;
         Ok(Some(list))
     }
 }
+
+/// Decodes a list. A VM that cannot be decoded is left out, with a log line; but a list of
+/// which none can be decoded must not count as empty.
+fn decode(body: &[u8]) -> Result<Vec<Vm>, http::HttpError> {
+    let text = String::from_utf8_lossy(body);
+    let rows: Vec<&RawValue> = serde_json::from_str(&text)
+        .map_err(|err| http::HttpError::Malformed(err.to_string().into()))?;
+    let mut left_out = observe::LeftOut::default();
+    let vms = rows
+        .iter()
+        .filter_map(|row| left_out.usable(&name(row), serde_json::from_str(row.get())));
+    let vms: Vec<_> = vms.collect();
+    left_out.log("inventory");
+    if vms.is_empty() && !rows.is_empty() {
+        return Err(http::HttpError::Malformed("no usable VM".into()));
+    }
+    Ok(vms)
+}
+
+/// Returns the name that a row states, also where it is no valid one; empty without any.
+fn name(row: &RawValue) -> String {
+    let row: serde_json::Value = serde_json::from_str(row.get()).unwrap_or_default();
+    row["vm"].as_str().unwrap_or_default().into()
+}
--- a/tests/integration/direct/scripted_store.rs
+++ b/tests/integration/direct/scripted_store.rs
@@ -2,48 +2,33 @@
 
 use std::time::{Duration, Instant};
 
-use hyper::body::{Bytes, Incoming};
-use hyper::{Request, StatusCode};
+use hyper::body::Bytes;
+use hyper::{Method, StatusCode, Uri};
 use quetzalworks::platform::{StoreCall, StoreClient};
-use quetzalworks::{direct, http, runtime, settings};
+use quetzalworks::{direct, runtime};
 
-use crate::testing::{http as caller, isolation};
+use crate::testing::http;
+use crate::testing::scripted::{self, Answer};
 
 /// Topic that is listed.
 pub const TOPIC: &str = "keyed.test";
 
-struct Scripted<F>(F);
-
-impl<F> http::Handler for Scripted<F>
-where
-    F: Fn(Option<&[u8]>) -> Page + Send + Sync + 'static,
-{
-    async fn handle(&self, req: Request<Incoming>) -> http::Reply {
-        let call = StoreCall::decode(req.method(), req.uri(), &Bytes::new());
-        let Some(StoreCall::Newest { after, .. }) = call else {
-            return http::not_found();
-        };
-        let (status, body) = (self.0)(after.as_deref());
-        http::full(status, "application/json", body)
-    }
-}
-
-/// Status and body of a page.
-pub type Page = (StatusCode, Vec<u8>);
-
 /// Lists all records of a store that answers with the pages of `script`, by the key after which
 /// a page begins. `None` if the listing fails, or does not end.
 pub fn list<F>(script: F) -> Option<direct::Listing>
 where
-    F: Fn(Option<&[u8]>) -> Page + Send + Sync + 'static,
+    F: Fn(Option<&[u8]>) -> Answer + Send + Sync + 'static,
 {
+    let script = move |method: &Method, uri: &Uri| {
+        let call = StoreCall::decode(method, uri, &Bytes::new());
+        let Some(StoreCall::Newest { after, .. }) = call else {
+            return (StatusCode::NOT_FOUND, Vec::new());
+        };
+        script(after.as_deref())
+    };
     smol::block_on(async {
-        let traffic = caller::traffic();
-        let limits = settings::Limits::default();
-        let handler = Scripted(script).into();
-        let server = http::Server::bind(isolation::free_addr(), limits, &traffic, handler).await;
-        let server = server.unwrap();
-        newest(&StoreClient::new(server.addr(), traffic)).await
+        let server = scripted::bind(script).await;
+        newest(&StoreClient::new(server.addr(), http::traffic())).await
     })
 }
 
--- a/tests/integration/membership.rs
+++ b/tests/integration/membership.rs
@@ -2,15 +2,17 @@
 
 use std::time::{Duration, Instant};
 
+use hyper::{Method, StatusCode, Uri};
 use quetzalworks::catalog::{Availability, Body, Change, Object, Record};
 use quetzalworks::control::{Effect, Event, LogPage, TickCx, World};
 use quetzalworks::fleet::{Identity, NodeRole, Report};
 use quetzalworks::ids::{ChangeId, Incarnation, Offset, Revision};
-use quetzalworks::platform_clients::{Vm, VmState};
+use quetzalworks::platform::PlatformError;
+use quetzalworks::platform_clients::{InventoryClient, Vm, VmState};
 use quetzalworks::{system, wire};
 
 use crate::testing::cluster::Cluster;
-use crate::testing::wait;
+use crate::testing::{http, scripted, wait};
 
 fn identity(vm: &str, role: NodeRole) -> Identity {
     Identity {
@@ -202,3 +204,58 @@
         logs().iter().any(|log| log.contains("lease: held"))
     });
 }
+
+/// Guards against entries that know no VM at all, as one in the list is described otherwise.
+#[test]
+fn an_odd_vm_costs_itself_only() {
+    struct Case {
+        name: &'static str,
+        vm: &'static str,
+    }
+    let case = |name, vm| Case { name, vm };
+    let cases = [
+        case("no fields", "{}"),
+        case("a number", "7"),
+        case("null", "null"),
+        case(
+            "an odd name",
+            r#"{"vm":"a&b","domain":"north","region":"r","role":"entry","peer_addr":"127.0.0.1:1","state":"live"}"#,
+        ),
+        case(
+            "an unknown role",
+            r#"{"vm":"b","domain":"north","region":"r","role":"store","peer_addr":"127.0.0.1:1","state":"live"}"#,
+        ),
+        case(
+            "half of a surrogate",
+            r#"{"vm":"\ud800","domain":"north","region":"r","role":"entry","peer_addr":"127.0.0.1:1","state":"live"}"#,
+        ),
+    ];
+    let good = ["a", "z"].map(|vm| listed(vm, NodeRole::Entry));
+    let json = good.each_ref().map(|vm| serde_json::to_string(vm).unwrap());
+    for case in cases {
+        let among_others = format!("[{},{},{}]", json[0], case.vm, json[1]);
+        assert_eq!(
+            read_list(among_others),
+            Ok(Some(good.to_vec())),
+            "{}",
+            case.name
+        );
+        // Otherwise an entry would leave all others.
+        assert!(
+            read_list(format!("[{}]", case.vm)).is_err(),
+            "{}",
+            case.name
+        );
+    }
+    assert_eq!(read_list("[]".into()), Ok(Some(Vec::new())));
+}
+
+/// Reads a list of VMs with this body.
+fn read_list(body: String) -> Result<Option<Vec<Vm>>, PlatformError> {
+    smol::block_on(async {
+        let answer = move |_: &Method, _: &Uri| (StatusCode::OK, body.clone().into());
+        let server = scripted::bind(answer).await;
+        let mut inventory = InventoryClient::new(server.addr(), http::traffic());
+        inventory.fetch_if_changed().await
+    })
+}
--- a/tests/integration/testing/mod.rs
+++ b/tests/integration/testing/mod.rs
@@ -10,6 +10,7 @@
 pub mod operator;
 pub mod process;
 pub mod raw;
+pub mod scripted;
 pub mod spec;
 pub mod traffic;
 pub mod wait;
