Records without a readable key do not hasten the reads of a topic

A writer whose keys are no texts made each entry read the store once for each of its records, 78 a second, instead of after a pause of 0.7 s: what such a read leaves out did not count as records, so that the next one followed at once. Calls to the store are charged and limited.

A read counts as empty only if it has left nothing out.

`odd_records::records_without_a_readable_key_do_not_hasten_reads`: 234 reads in the time of 300 records before, under 100 now.

--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -84,7 +84,8 @@
                 if let Some(task) = &mut shared {
                     task.record_read(&duty, position, &batch);
                 }
-                let pause = match (batch.records.is_empty(), batch.lacking > 0) {
+                let is_empty = batch.records.is_empty() && batch.left_out.is_empty();
+                let pause = match (is_empty, batch.lacking > 0) {
                     (false, false) => poll.pause,
                     (false, true) | (true, false) => Duration::ZERO,
                     (true, true) => RETRY_DELAY,
--- a/tests/integration/direct/odd_records.rs
+++ b/tests/integration/direct/odd_records.rs
@@ -1,5 +1,8 @@
 //! Records that another writer has left among those of the endpoints.
 
+use std::thread;
+use std::time::Duration;
+
 use hyper::Method;
 use quetzalworks::platform::endpoint_record;
 use serde_json::json;
@@ -85,3 +88,19 @@
         });
     }
 }
+
+/// Guards against a writer whose records have no readable keys, each of which costs a read.
+#[test]
+fn records_without_a_readable_key_do_not_hasten_reads() {
+    let endpoint = Endpoint::spawn("first", &[], Behaviour::Answer(200, "good"));
+    let site = Site::spawn(&[("desk", &endpoint)]);
+    let before = site.store.calls("read_endpoints");
+    for i in 0..300_u16 {
+        let key = [b"\xff".as_slice(), &i.to_be_bytes()].concat();
+        site.store.put(endpoint_record::TOPIC, key, Some(b"odd"));
+        thread::sleep(Duration::from_millis(10));
+    }
+    // Reads of news pause for 0.7 s.
+    let reads = site.store.calls("read_endpoints") - before;
+    assert!(reads < 100, "{reads} reads in the time of 300 records");
+}
