--- a/tests/integration/direct/odd_names.rs
+++ b/tests/integration/direct/odd_names.rs
@@ -1,6 +1,9 @@
 //! Listings of topics in which another writer has left records under names of its own.
 
+use std::sync::Arc;
+
 use hyper::Method;
+use quetzalworks::direct::Listing;
 use quetzalworks::platform::{StoreClient, endpoint_record, operator, rollout_status};
 use quetzalworks::standin::StandinLog;
 
@@ -19,17 +22,35 @@
 /// begin with `name` or only the last one does.
 fn put_page(store: &StandinLog, topic: &str, name: &[u8], is_whole_page: bool) {
     for i in 0..PAGE {
-        let mut key = if is_whole_page || i + 1 == PAGE {
-            name.to_vec()
-        } else {
-            // Before all other names.
-            vec![b'!']
-        };
-        key.extend_from_slice(format!("{i:03}").as_bytes());
-        store.put(topic, key, Some(b"{\"of\":\"another writer\"}"));
+        // Sorts before the names of most cases, so that the odd one ends the page.
+        let is_odd = is_whole_page || i + 1 == PAGE;
+        let begin = if is_odd { name } else { b"!" };
+        put_odd(store, topic, begin, i);
     }
 }
 
+fn put_odd(store: &StandinLog, topic: &str, begin: &[u8], i: usize) {
+    let key = [begin, format!("{i:03}").as_bytes()].concat();
+    store.put(topic, key, Some(b"{\"of\":\"another writer\"}"));
+}
+
+/// Lists a store with what `put` writes to it, and with the good records. Returns the listing,
+/// or `None` if it fails or does not end, and the keys in the store.
+fn list(put: impl FnOnce(&StandinLog)) -> (Option<Listing>, Vec<Arc<str>>) {
+    smol::block_on(async {
+        let traffic = http::traffic();
+        let log = StandinLog::bind(isolation::free_addr(), &traffic).await;
+        let log = log.unwrap();
+        put(&log);
+        for key in GOOD {
+            log.put(TOPIC, key, Some(b"good"));
+        }
+        let listing = scripted_store::newest(&StoreClient::new(log.addr(), traffic)).await;
+        let written = log.newest(TOPIC).into_iter();
+        (listing, written.map(|record| record.key).collect())
+    })
+}
+
 /// Guards against a listing that fails, does not end or leaves out records as a name does not
 /// come back from the query as it was.
 #[test]
@@ -68,25 +89,14 @@
         case("replacement character", "0-\u{fffd}"),
         case("longest", &format!("0-{}&", "a".repeat(249))),
     ];
-    let traffic = http::traffic();
     let mut failed = Vec::new();
     for case in cases {
         for is_whole_page in [true, false] {
-            let is_complete = smol::block_on(async {
-                let log = StandinLog::bind(isolation::free_addr(), &traffic).await;
-                let log = log.unwrap();
-                put_page(&log, TOPIC, case.key.as_bytes(), is_whole_page);
-                for key in GOOD {
-                    log.put(TOPIC, key, Some(b"good"));
-                }
-                let store = StoreClient::new(log.addr(), traffic.clone());
-                let listed = scripted_store::newest(&store).await;
-                let keys: Option<Vec<_>> =
-                    listed.map(|listed| listed.records.into_iter().map(|(key, _)| key).collect());
-                let written = log.newest(TOPIC);
-                keys == Some(written.into_iter().map(|record| record.key).collect())
-            });
-            if !is_complete {
+            let (listing, written) =
+                list(|log| put_page(log, TOPIC, case.key.as_bytes(), is_whole_page));
+            let records = listing.map(|listing| listing.records.into_iter());
+            let keys = records.map(|records| records.map(|(key, _)| key).collect());
+            if keys != Some(written) {
                 failed.push((case.name, is_whole_page));
             }
         }
@@ -114,28 +124,14 @@
         case("half of a character, three pages", b"0-\xe6\x9c", 3 * PAGE),
         case("surrogate, three pages", b"0-\xed\xa0\x80", 3 * PAGE),
     ];
-    let traffic = http::traffic();
     for case in cases {
-        let listed = smol::block_on(async {
-            let log = StandinLog::bind(isolation::free_addr(), &traffic).await;
-            let log = log.unwrap();
-            for i in 0..case.count {
-                let key = [case.key, i.to_string().as_bytes()].concat();
-                log.put(TOPIC, key, Some(b"odd"));
-            }
-            for key in GOOD {
-                log.put(TOPIC, key, Some(b"good"));
-            }
-            let store = StoreClient::new(log.addr(), traffic.clone());
-            scripted_store::newest(&store).await
-        });
-        let listed = listed.unwrap_or_else(|| panic!("{}: no end", case.name));
-        let good = listed
-            .records
-            .iter()
-            .filter(|(key, _)| GOOD.contains(&&**key));
+        let put = |log: &StandinLog| (0..case.count).for_each(|i| put_odd(log, TOPIC, case.key, i));
+        let (listing, _) = list(put);
+        let listing = listing.unwrap_or_else(|| panic!("{}: no end", case.name));
+        let records = listing.records.iter();
+        let good = records.filter(|(key, _)| GOOD.contains(&&**key)).count();
         assert_eq!(
-            (good.count(), listed.is_whole),
+            (good, listing.is_whole),
             (GOOD.len(), true),
             "{}",
             case.name
@@ -152,31 +148,14 @@
         name: &'static str,
         key: &'static [u8],
     }
+    let case = |name, key| Case { name, key };
     let cases = [
-        Case {
-            name: "ampersand",
-            key: b"&",
-        },
-        Case {
-            name: "plus",
-            key: b"+",
-        },
-        Case {
-            name: "number sign",
-            key: b"#",
-        },
-        Case {
-            name: "percent sign",
-            key: b"%",
-        },
-        Case {
-            name: "escape of a later name",
-            key: b"0-%7e",
-        },
-        Case {
-            name: "blank",
-            key: b" ",
-        },
+        case("ampersand", b"&".as_slice()),
+        case("plus", b"+"),
+        case("number sign", b"#"),
+        case("percent sign", b"%"),
+        case("escape of a later name", b"0-%7e"),
+        case("blank", b" "),
     ];
     for case in cases {
         let good = GOOD.map(|id| Endpoint::spawn(id, &[], Behaviour::Answer(200, "good")));
