Soak: a page of odd names stands before the endpoints

The soak lists what a store holds besides the endpoints of the system: 500 records of another writer, whose names begin with `&`.

--- a/tests/integration/direct/odd_names.rs
+++ b/tests/integration/direct/odd_names.rs
@@ -9,12 +9,10 @@
 
 use crate::direct::endpoint::{Behaviour, Endpoint};
 use crate::direct::scripted_store::{self, TOPIC};
-use crate::direct::site::{Site, is_ready, put_endpoint};
+use crate::direct::site::{PAGE, Site, is_ready, put_endpoint, put_odd};
 use crate::testing::process::Process;
 use crate::testing::{http, isolation, wait};
 
-/// Number of records in a page.
-const PAGE: usize = 500;
 /// Name in the middle of those of the other writer, and one after them.
 const GOOD: [&str; 2] = ["0-good", "s-1"];
 
@@ -29,11 +27,6 @@
     }
 }
 
-fn put_odd(store: &StandinLog, topic: &str, begin: &[u8], i: usize) {
-    let key = [begin, format!("{i:03}").as_bytes()].concat();
-    store.put(topic, key, Some(b"{\"of\":\"another writer\"}"));
-}
-
 /// Lists a store with what `put` writes to it, and with the good records. Returns the listing,
 /// or `None` if it fails or does not end, and the keys in the store.
 fn list(put: impl FnOnce(&StandinLog)) -> (Option<Listing>, Vec<Arc<str>>) {
--- a/tests/integration/direct/site.rs
+++ b/tests/integration/direct/site.rs
@@ -169,6 +169,15 @@
     store.put(endpoint_record::TOPIC, id, Some(value.as_bytes()));
 }
 
+/// Number of records in a page of a listing.
+pub const PAGE: usize = 500;
+
+/// Writes one record of another writer, whose name begins so.
+pub fn put_odd(store: &StandinLog, topic: &str, begin: &[u8], i: usize) {
+    let key = [begin, format!("{i:03}").as_bytes()].concat();
+    store.put(topic, key, Some(b"{\"of\":\"another writer\"}"));
+}
+
 /// Default name of an entry, as in the settings.
 pub const NAME: &str = "edge-north-1";
 
--- a/tests/integration/soak/site.rs
+++ b/tests/integration/soak/site.rs
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 
 use crate::direct::endpoint::{Behaviour, Endpoint};
-use crate::direct::site;
+use crate::direct::site::{self, PAGE};
 use crate::direct::world::config;
 use crate::soak::backend::RandomBehaviour;
 use crate::soak::callers::BLUE;
@@ -106,6 +106,11 @@
         let tenant = json!({ "Name": BLUE.0, "ApiKeys": [BLUE.1], "Priority": 2 });
         site.config["Tenants"].as_array_mut().unwrap().push(tenant);
         site.put_config();
+        // Records of another writer fill the first page of each listing.
+        for i in 0..PAGE {
+            site::put_odd(&site.store, endpoint_record::TOPIC, b"&", i);
+        }
+        site.puts[1] = PAGE as u64;
         for (id, service) in ENDPOINTS {
             let endpoint = Endpoint::spawn(id, &[], Behaviour::Random(site.draw.clone()));
             site.back_ends.push(BackEnd {
