--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -360,7 +360,7 @@
         .zip(&page.records)
         .filter_map(|(offset, content)| {
             let Some((key, value)) = platform::split_key(content) else {
-                left_out.push(&key_lossy(content), "key is no text");
+                left_out.push(&key_lossy(content), "key is not UTF-8");
                 return None;
             };
             Some((offset, (Arc::from(key), value)))
@@ -377,8 +377,8 @@
     }))
 }
 
-/// Returns the key of a record with U+FFFD in place of bytes that are no text; empty where the
-/// record has no key.
+/// Returns the key of a record with U+FFFD in place of bytes that are not UTF-8; empty where
+/// the record has no key.
 fn key_lossy(content: &Bytes) -> Cow<'_, str> {
     platform::split(content).map_or_else(Cow::default, |(key, _)| String::from_utf8_lossy(key))
 }
--- a/src/direct/page_cursor.rs
+++ b/src/direct/page_cursor.rs
@@ -1,7 +1,7 @@
 //! Course of one listing of a topic, page by page.
 //!
-//! Failure: a page that does not lead on, as the name at its end is no text, or as the store
-//! repeats it.
+//! Failure: a page that does not lead on, as the key at its end is not UTF-8 and so listed
+//! otherwise than it is stored, or as the store repeats it.
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -12,7 +12,7 @@
 
 /// Maximum size of a key.
 const MAX_KEY_BYTES: usize = 255;
-/// Byte that sorts after all bytes of texts.
+/// Byte that sorts after all bytes of UTF-8.
 const LAST_BYTE: u8 = 0xff;
 
 /// Records of a listing that has ended.
@@ -96,10 +96,10 @@
     }
 }
 
-/// Returns the key after which the page behind these records begins: the last one that is
-/// listed as it is stored. Without any, all keys are skipped that go on with a byte beyond
-/// ASCII at the place where the last one is no text; no name that this system uses does.
-/// `None` where the page began after the same key.
+/// Returns the key after which the next page begins: the last one of this page that is listed
+/// as it is stored. Without any, all keys are skipped that share the last key's valid part and
+/// go on with a byte beyond ASCII; no name that this system uses has one. `None` where this
+/// page began `after` the same key.
 fn next_after(records: &[platform::KeyedRecord], after: Option<&[u8]>) -> Option<Vec<u8>> {
     let is_next = |key: &Vec<u8>| Some(&**key) != after;
     let mut keys = records.iter().rev().map(|record| &*record.key);
--- a/src/platform/newest.rs
+++ b/src/platform/newest.rs
@@ -26,9 +26,10 @@
 /// The newest record of a key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KeyedRecord {
-    /// Key of the record within its topic. Bytes that are no text are replaced by U+FFFD.
+    /// Key of the record within its topic. Bytes that are not UTF-8 are replaced by U+FFFD.
     pub key: Arc<str>,
-    /// Value of the record; empty where it cannot be read, which no record of this system is.
+    /// Value of the record. An empty one stands for a value that cannot be read: no record of
+    /// this system is empty, so that each decoder refuses it.
     pub value: Bytes,
     /// Position in the partition.
     pub offset: ids::Offset,
--- a/src/standin/topics.rs
+++ b/src/standin/topics.rs
@@ -221,7 +221,7 @@
     }
 
     /// Returns a page of the newest records of the keys after `after`. Bytes of a key that are
-    /// no text are replaced.
+    /// not UTF-8 are replaced by U+FFFD.
     pub(super) fn newest(
         &self,
         topic: &str,
