Listings: a partial listing is told apart from one that waits for what is written again

One time stood for both waits. After any return of the store from a copy, a partial listing therefore counted as one of a copy, however late: reports in the part that it had not reached were dropped, new endpoints in it ignored. And a whole listing that came early after a partial one confirmed nothing for up to 10 s.

Each wait has its own time, the earlier of which is when the topic is listed again. The bool that repeated what the time tells is gone.

`freshness::a_partial_listing_confirms_nothing_until_a_whole_one` has three more rows; the first of them, "partial, then whole early", fails before (the test stops there). Now all pass, as do `key_orders`, `restored` and `restored_listings`.

--- a/src/direct/listings.rs
+++ b/src/direct/listings.rs
@@ -22,11 +22,12 @@
     era: Option<ids::StoreEra>,
     /// Whether an earlier era was listed, so that a listing may be older than what is known.
     is_restored: bool,
-    /// Whether the last listing has not reached the last key.
-    is_last_partial: bool,
-    /// Time from which a listing may have what the last one lacks; `None` where it lacks
-    /// nothing.
-    again_at: Option<runtime::Moment>,
+    /// Time from which a listing has all that was written again; `None` where the last one
+    /// has.
+    rewritten_at: Option<runtime::Moment>,
+    /// Time from which a listing that has not reached the last key is repeated; `None` where
+    /// the last one has.
+    partial_until: Option<runtime::Moment>,
 }
 
 impl Listings {
@@ -43,22 +44,18 @@
         let last = self.era.unwrap_or(ids::StoreEra::FIRST);
         if era > last {
             self.is_restored |= self.era.is_some();
-            self.again_at = Some(now.saturating_add(REWRITE_TIME));
-        } else if self.is_due(started) {
-            self.again_at = None;
+            self.rewritten_at = Some(now.saturating_add(REWRITE_TIME));
+        } else if self.rewritten_at.is_some_and(|at| started >= at) {
+            self.rewritten_at = None;
         }
         self.era = Some(era);
-        if !is_whole {
-            self.again_at
-                .get_or_insert(now.saturating_add(PARTIAL_INTERVAL));
-        }
-        self.is_last_partial = !is_whole;
-        if self.is_restored && self.again_at.is_some() {
+        self.partial_until = (!is_whole).then(|| now.saturating_add(PARTIAL_INTERVAL));
+        if self.is_restored && self.is_rewriting() {
             direct::Scope::Restored
-        } else if self.is_last_partial {
-            direct::Scope::Partial
-        } else {
+        } else if is_whole {
             direct::Scope::Complete
+        } else {
+            direct::Scope::Partial
         }
     }
 
@@ -66,24 +63,29 @@
     /// written before its return from a copy, so that a read confirms that nothing is lacking.
     #[must_use]
     pub const fn are_settled(&self) -> bool {
-        self.again_at.is_none()
+        self.rewritten_at.is_none() && self.partial_until.is_none()
     }
 
-    /// Whether the last listing has not reached the last key.
+    /// Whether the store may lack records that are written again.
     #[must_use]
-    pub const fn is_last_partial(&self) -> bool {
-        self.is_last_partial
+    pub const fn is_rewriting(&self) -> bool {
+        self.rewritten_at.is_some()
     }
 
     /// Whether the topic is to be listed again.
     #[must_use]
     pub fn is_due(&self, now: runtime::Moment) -> bool {
-        self.again_at.is_some_and(|at| now >= at)
+        self.again_at().is_some_and(|at| now >= at)
     }
 
     /// Time until the topic is to be listed again; `None` if it is not.
     #[must_use]
     pub fn time_left(&self, now: runtime::Moment) -> Option<Duration> {
-        self.again_at.map(|at| at.saturating_since(now))
+        self.again_at().map(|at| at.saturating_since(now))
+    }
+
+    fn again_at(&self) -> Option<runtime::Moment> {
+        let times = self.rewritten_at.into_iter().chain(self.partial_until);
+        times.min()
     }
 }
--- a/src/direct/topic_reads.rs
+++ b/src/direct/topic_reads.rs
@@ -79,10 +79,10 @@
     const fn prove(&self, as_of: runtime::Moment) -> direct::Proof {
         if self.listings.are_settled() {
             direct::Proof::Whole(as_of)
-        } else if self.listings.is_last_partial() {
-            direct::Proof::Partial
-        } else {
+        } else if self.listings.is_rewriting() {
             direct::Proof::Rewriting
+        } else {
+            direct::Proof::Partial
         }
     }
 }
--- a/tests/integration/direct/freshness.rs
+++ b/tests/integration/direct/freshness.rs
@@ -3,7 +3,7 @@
 use quetzalworks::direct::{
     Assignment, Batch, Event, Listings, Proof, Scope, Snapshot, TopicReads,
 };
-use quetzalworks::ids::{LeaseNumber, StoreEra};
+use quetzalworks::ids::{LeaseNumber, Position, StoreEra};
 use quetzalworks::runtime::Moment;
 
 use crate::direct::world::{TestWorld, config, operator_change, position};
@@ -186,8 +186,8 @@
 fn a_partial_listing_confirms_nothing_until_a_whole_one() {
     struct Case {
         name: &'static str,
-        /// Begin in milliseconds of each listing, and whether it reaches the last key.
-        listings: &'static [(u64, bool)],
+        /// Era and begin in milliseconds of each listing, and whether it reaches the last key.
+        listings: &'static [(u64, u64, bool)],
         scope: Scope,
         proof: Proof,
         /// Whether the topic is listed again 10 s after the last one.
@@ -197,41 +197,71 @@
     let cases = [
         Case {
             name: "whole",
-            listings: &[(0, true)],
+            listings: &[(1, 0, true)],
             scope: Scope::Complete,
             proof: Proof::Whole(at(50_000)),
             is_repeated: false,
         },
         Case {
             name: "partial",
-            listings: &[(0, false)],
+            listings: &[(1, 0, false)],
             scope: Scope::Partial,
             proof: Proof::Partial,
             is_repeated: true,
         },
         Case {
             name: "partial, again",
-            listings: &[(0, false), (10_000, false)],
+            listings: &[(1, 0, false), (1, 10_000, false)],
             scope: Scope::Partial,
             proof: Proof::Partial,
             is_repeated: true,
         },
         Case {
             name: "partial, then whole",
-            listings: &[(0, false), (10_000, true)],
+            listings: &[(1, 0, false), (1, 10_000, true)],
             scope: Scope::Complete,
             proof: Proof::Whole(at(50_000)),
             is_repeated: false,
         },
+        Case {
+            name: "partial, then whole early",
+            listings: &[(1, 0, false), (1, 1_000, true)],
+            scope: Scope::Complete,
+            proof: Proof::Whole(at(50_000)),
+            is_repeated: false,
+        },
+        Case {
+            name: "partial, long after a return from a copy",
+            listings: &[
+                (1, 0, true),
+                (2, 1_000, true),
+                (2, 4_000, true),
+                (2, 20_000, false),
+            ],
+            scope: Scope::Partial,
+            proof: Proof::Partial,
+            is_repeated: true,
+        },
+        Case {
+            name: "partial, of a copy",
+            listings: &[(1, 0, true), (2, 1_000, false)],
+            scope: Scope::Restored,
+            proof: Proof::Rewriting,
+            is_repeated: true,
+        },
     ];
     for case in cases {
         let mut reads = TopicReads::default();
         let mut scope = None;
         let mut last = 0;
-        for (started, is_whole) in case.listings {
+        for (era, started, is_whole) in case.listings {
             last = *started;
             let now = at(last);
-            scope = Some(reads.record_listing(position(7), *is_whole, now, now).0);
+            let end = Position {
+                era: StoreEra(*era),
+                ..position(7)
+            };
+            scope = Some(reads.record_listing(end, *is_whole, now, now).0);
         }
         assert_eq!(scope, Some(case.scope), "{}", case.name);
         let is_repeated = reads.next(at(last + 10_000)).is_none();
