Names of VMs are decoded for the log only; raw keys by their name

The name of each VM was decoded a second time, for a log line that only those left out have; what a read leaves out was copied where it can be taken over. `split` says now that it is about raw keys. No change of behaviour.

--- a/src/direct/feed.rs
+++ b/src/direct/feed.rs
@@ -1,6 +1,7 @@
 //! Task that follows a topic of the store and sends its records to the control thread.
 
 use std::borrow::Cow;
+use std::mem;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -120,8 +121,8 @@
     }
 }
 
-async fn send(control: &Control, source: direct::Source, batch: RawBatch, log: &mut ReadLog) {
-    let mut left_out = batch.left_out.clone();
+async fn send(control: &Control, source: direct::Source, mut batch: RawBatch, log: &mut ReadLog) {
+    let mut left_out = mem::take(&mut batch.left_out);
     let events = batch.decode(source, &mut left_out);
     log.record_left_out(left_out);
     for event in events {
@@ -380,5 +381,6 @@
 /// Returns the key of a record with U+FFFD in place of bytes that are not UTF-8; empty where
 /// the record has no key.
 fn key_lossy(content: &Bytes) -> Cow<'_, str> {
-    platform::split(content).map_or_else(Cow::default, |(key, _)| String::from_utf8_lossy(key))
+    platform::split_raw_key(content)
+        .map_or_else(Cow::default, |(key, _)| String::from_utf8_lossy(key))
 }
--- a/src/direct/system/endpoints.rs
+++ b/src/direct/system/endpoints.rs
@@ -63,11 +63,11 @@
         let missing = world.endpoints.iter_named().map(|(id, _)| id);
         removed.extend(missing.filter(|id| !listed.contains(id)).cloned());
     }
-    let is_listing = matches!(
+    // A partial listing may never become a whole one.
+    world.endpoints_listed |= matches!(
         batch.scope,
         direct::Scope::Complete | direct::Scope::Partial
     );
-    world.endpoints_listed |= is_listing;
     remove(world, cx, &removed);
     world.endpoints_confirmed = world.endpoints_confirmed.max(batch.confirmed);
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -32,6 +32,6 @@
 pub use log_client::LogClient;
 pub use newest::{KeyedRecord, NewestPage};
 pub use page::{AppendResult, LogRecord, Page, Stream};
-pub use record::{has_keys, split, split_key, with_key};
+pub use record::{has_keys, split_key, split_raw_key, with_key};
 pub use store::{AppendOutcome, ReadOutcome, RecordBatch, StoreClient};
 pub use store_call::StoreCall;
--- a/src/platform/record.rs
+++ b/src/platform/record.rs
@@ -53,17 +53,17 @@
 /// Splits the content of a record into key and value. The value is `None` where
 /// the key was removed; the result is `None` where the content is malformed.
 #[must_use]
-pub fn split(content: &Bytes) -> Option<(&[u8], Option<Bytes>)> {
+pub fn split_raw_key(content: &Bytes) -> Option<(&[u8], Option<Bytes>)> {
     let length = usize::from(*content.first()?);
     let key = content.get(1..=length)?;
     let value = content.slice(1 + length..);
     Some((key, (!value.is_empty()).then_some(value)))
 }
 
-/// Does the same where the key is a text; the result is also `None` where it is not.
+/// Like [`split_raw_key`], for keys in UTF-8; the result is also `None` where the key is not.
 #[must_use]
 pub fn split_key(content: &Bytes) -> Option<(&str, Option<Bytes>)> {
-    let (key, value) = split(content)?;
+    let (key, value) = split_raw_key(content)?;
     Some((std::str::from_utf8(key).ok()?, value))
 }
 
--- a/src/platform_clients/inventory.rs
+++ b/src/platform_clients/inventory.rs
@@ -114,10 +114,13 @@
     let rows: Vec<&RawValue> = serde_json::from_str(&text)
         .map_err(|err| http::HttpError::Malformed(err.to_string().into()))?;
     let mut left_out = observe::LeftOut::default();
-    let vms = rows
-        .iter()
-        .filter_map(|row| left_out.usable(&name(row), serde_json::from_str(row.get())));
-    let vms: Vec<_> = vms.collect();
+    let mut vms = Vec::new();
+    for row in &rows {
+        match serde_json::from_str(row.get()) {
+            Ok(vm) => vms.push(vm),
+            Err(err) => left_out.push(&name(row), err),
+        }
+    }
     left_out.log("inventory");
     if vms.is_empty() && !rows.is_empty() {
         return Err(http::HttpError::Malformed("no usable VM".into()));
--- a/src/standin/topics.rs
+++ b/src/standin/topics.rs
@@ -93,7 +93,7 @@
     /// Updates the newest record of the key in `content`; a record without a
     /// value removes its key.
     fn index_key(&mut self, offset: ids::Offset, content: &Bytes) {
-        match platform::split(content) {
+        match platform::split_raw_key(content) {
             Some((key, Some(value))) => {
                 self.newest
                     .insert(Bytes::copy_from_slice(key), (offset, value));
